--- /dev/null
+++ b/brassweir/control.py
@@ -0,0 +1,706 @@
+"""All decisions of a sender. Its types, events and actions are in brassweir/interface.py.
+
+Clock, settings, seed and events in, actions out: no input or output, no global state. Times are in
+milliseconds. docs/design.md tells which part follows the paper and where, and why, it departs.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from heapq import heappop, heappush
+from random import Random
+from typing import Any
+
+from brassweir import interface as api
+from brassweir.interface import Action, Effect, Result, State
+
+INF = math.inf
+
+# The paper's loop.
+KP = 2.36  # slots per unit of error: the paper's proportional gain
+KI = 3.62  # per second: the paper's integral gain
+SET_POINT = 0.9  # share of the aim that an answered message should have used
+PERIOD = 1000.0  # ms between two steps of the loop
+START_SLOTS = 2.0  # x slots: the bound before anything was seen
+CAP = 0.75  # share of the slots that one destination may hold
+SICK_CAP = 0.5  # the same while it is slow or failed lately
+SLOW = 2.0  # x mean call time: a call out for longer makes its destination sick
+LATELY = 2.0  # x connect time-out: a failure counts as recent for so long
+
+# Call times and time-outs.
+MEAN_GAIN = 0.1  # weight of a new call time in its mean: some ten calls are remembered
+UNMET = 0.25  # x connect time-out: call time taken for an unmet destination when none was met
+TIMEOUT_MEANS = 10.0  # x mean call time: beyond it an answer hardly comes
+TIMEOUT_LEAST = 2.0  # x connect time-out: shortest time-out, so that one heavy call may end
+TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
+HUSH = 6.0  # x mean call time: no answer since a call that old means silence
+
+# Outages, trials and return.
+FAILS_SHUT = 3  # failures in a row that mean an outage
+FULLS_SHUT = 4  # refusals in a row that mean a shut destination
+TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
+TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
+TRIAL_MOST = 0.2  # x the cold time: longest wait between trials
+RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
+AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
+
+# Pace under a limit.
+PACE_CUT = 0.7  # x pace at a refusal over the limit
+PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
+PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
+BURST = 0.5  # seconds of the pace that may go out at once
+
+
+class Mean:
+    """A running mean of call times, which starts at the first one seen."""
+
+    __slots__ = ("value",)
+
+    def __init__(self) -> None:
+        self.value = 0.0
+
+    def add(self, sample: float) -> None:
+        """Take one call time."""
+        self.value += (sample - self.value) * (MEAN_GAIN if self.value else 1.0)
+
+
+class Bound:
+    """The backlog bound and its PI loop (paper, section 4)."""
+
+    __slots__ = ("value", "delta", "last", "low", "high", "total", "count")
+
+    def __init__(self, slots: int, max_open: int) -> None:
+        self.low, self.high = float(slots), float(max(slots, max_open))
+        self.value = min(START_SLOTS * slots, self.high)
+        self.delta = self.last = self.total = 0.0
+        self.count = 0
+
+    def answered(self, ratio: float) -> None:
+        """Note a sent message's answer by the share of its aim that it used."""
+        self.total += ratio
+        self.count += 1
+
+    def step(self) -> None:
+        """Move the bound; a second without answers changes nothing."""
+        if not self.count:
+            return
+        error = SET_POINT - self.total / self.count
+        self.total, self.count = 0.0, 0
+        self.delta += KP * ((KI + 1.0) * error - self.last)
+        self.last = error
+        self.value = math.floor(self.value + self.delta)
+        if not self.low < self.value < self.high:
+            self.value, self.delta = min(max(self.value, self.low), self.high), 0.0
+
+
+class Gate:
+    """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
+
+    __slots__ = ("sets", "rng", "rate", "pace", "tokens", "stamp", "wait", "shut", "trial", "trial_out",
+                 "gap", "ramp", "fails", "fulls", "last_fail", "seen", "seen_at")
+
+    def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
+        self.sets, self.rng = sets, rng
+        self.rate = 0.0  # limit in calls a second from all senders; 0 if unknown
+        self.pace, self.tokens, self.stamp = INF, 1.0, now
+        self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
+        self.shut, self.trial, self.trial_out = False, INF, False
+        self.gap = 0.0  # wait before the next trial
+        self.ramp = -INF  # when the return was seen
+        self.fails = self.fulls = 0
+        self.last_fail = -INF
+        self.seen, self.seen_at = 0.0, now  # calls a second that went through
+
+    def limit(self, rate: float) -> None:
+        """Learn the limit from the list's weight or a report."""
+        if rate > 0:
+            if self.pace == INF or abs(self.pace - self.rate) < 1e-9:
+                self.pace = rate
+            self.rate, self.pace = rate, min(self.pace, rate)
+
+    def believed(self) -> float:
+        """The rate that the destination takes from all senders, as far as known."""
+        return self.rate or max(self.seen, 1.0) * self.sets.senders
+
+    def allowed(self, now: float) -> float:
+        """Calls a second that may go now: the pace, and after an outage the ramp."""
+        into = now - self.ramp
+        if into >= self.sets.cold or self.ramp == -INF:
+            return self.pace
+        start = self.sets.start_capacity
+        share = start + (1.0 - start) * into / self.sets.cold
+        return min(self.pace, RAMP * self.sets.tip_multiple * share * self.believed() / self.sets.senders)
+
+    def refill(self, now: float) -> float:
+        """Bring the bucket up to date and return the rate in force."""
+        rate = self.allowed(now)
+        if rate == INF:
+            self.tokens, self.stamp = 1.0, now
+            return rate
+        depth = 1.0 if now - self.ramp < self.sets.cold else max(1.0, BURST * rate)
+        self.tokens = min(depth, self.tokens + (now - self.stamp) * rate / 1000.0)
+        self.stamp = now
+        return rate
+
+    def when(self, now: float) -> float:
+        """The earliest time for the next call; infinite while a trial is out."""
+        at = max(now, self.wait)
+        if self.shut:
+            return INF if self.trial_out else max(at, self.trial)
+        rate = self.refill(now)
+        if self.tokens < 1.0 - 1e-9:
+            at = max(at, now + (1.0 - self.tokens) * 1000.0 / rate)
+        return at
+
+    def sent(self, now: float) -> bool:
+        """A call goes out; true if it is the trial."""
+        if self.shut:
+            self.trial_out = True
+            return True
+        if self.refill(now) != INF:
+            self.tokens -= 1.0
+        return False
+
+    def close(self, now: float) -> None:
+        """Take the destination for out: only single trials from here on."""
+        if not self.shut:
+            self.gap = TRIAL_FIRST * self.sets.connect_timeout
+        else:
+            self.gap = min(self.gap * TRIAL_GROWTH, TRIAL_MOST * max(self.sets.cold, self.gap))
+        self.shut, self.trial = True, now + self.gap * (0.8 + 0.4 * self.rng.random())
+
+    def passed(self, now: float) -> None:
+        """A call was served."""
+        self.fails = self.fulls = 0
+        if self.shut:
+            self.shut, self.ramp, self.tokens, self.stamp = False, now, 0.0, now
+
+    def failed(self, now: float, trial: bool) -> None:
+        """A call failed for good, ran out of time or found no connection."""
+        self.fails += 1
+        self.last_fail = now
+        if trial or (self.fails >= FAILS_SHUT and not self.shut):
+            self.close(now)
+
+    def full(self, now: float, wait: float, trial: bool) -> None:
+        """The destination refused a call unseen: over a limit, or shut."""
+        self.fulls += 1
+        if wait > 0:
+            self.wait = max(self.wait, now + wait + self.sets.tick)
+        elif not self.shut:
+            self.wait = max(self.wait, now + 1000.0 / max(self.believed(), 1.0))
+        if trial or (self.fulls >= FULLS_SHUT and not self.shut):
+            self.close(now)
+            self.last_fail = now
+        if not self.shut:
+            even = self.believed() / self.sets.senders
+            self.pace = max(PACE_FLOOR * even, min(self.pace, 2.0 * self.believed()) * PACE_CUT)
+            self.tokens = min(self.tokens, 0.0)
+
+    def second(self) -> None:
+        """Let the pace recover."""
+        if self.pace < INF:
+            self.pace *= 1.0 + PACE_GROWTH
+            top = self.rate if self.rate else INF
+            self.pace = min(self.pace, top)
+
+
+class Endpoint:
+    """One endpoint: what the list says of it and how its last calls went."""
+
+    __slots__ = ("info", "usable", "gate", "out", "fails", "avoid", "used", "conns", "last_ok")
+
+    def __init__(self, info: api.EndpointInfo, gate: Gate) -> None:
+        self.info, self.gate = info, gate
+        self.usable = True
+        self.out = self.fails = 0
+        self.avoid = self.used = self.last_ok = -INF
+        self.conns = INF  # calls at once that its connections allow
+
+
+class Destination:
+    """One destination: its endpoints, its held messages by deadline and its calls."""
+
+    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "listed", "woken", "gate", "met", "last_pass")
+
+    def __init__(self, ident: int, gate: Gate) -> None:
+        self.id, self.gate = ident, gate
+        self.endpoints: dict[str, Endpoint] = {}
+        self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe
+        self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
+        self.mean = Mean()
+        self.listed = False  # stands in the ready heap
+        self.woken = INF  # next wake set
+        self.met = False
+        self.last_pass = -INF
+
+    def head(self) -> Message | None:
+        """The held message with the earliest deadline."""
+        best: Message | None = None
+        for heap in self.heaps:
+            while heap and not heap[0][2].held:
+                heappop(heap)
+            if heap and (best is None or (heap[0][0], heap[0][1]) < (best.due, best.order)):
+                best = heap[0][2]
+        return best
+
+    def trial_head(self) -> Message | None:
+        """The same, but one that can be repeated first: a trial may get no answer."""
+        self.head()
+        heap = self.heaps[0] or self.heaps[1]
+        return heap[0][2] if heap else None
+
+
+class Call:
+    """One call, which holds one slot until all messages in it have their outcomes."""
+
+    __slots__ = ("endpoint", "messages", "size", "trial")
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self.endpoint = endpoint
+        self.messages = self.size = 0
+        self.trial = False
+
+
+class Attempt:
+    """One attempt of a message."""
+
+    __slots__ = ("sent", "call")
+
+    def __init__(self, sent: float, call: Call) -> None:
+        self.sent, self.call = sent, call
+
+
+class Message:
+    """A message taken and not yet over, or over with an attempt still out."""
+
+    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "due", "cost", "tries",
+                 "live", "may_run", "zone", "held", "over", "was_sent")
+
+    def __init__(self, event: api.NewMessage, cls: api.MessageClass, dest: Destination, order: int,
+                 now: float) -> None:
+        self.id, self.cls, self.tenant, self.key = event.id, cls, event.tenant, event.key
+        self.dest, self.order = dest, order
+        self.deadline = now + event.left
+        self.first = min(now, self.deadline - cls.deadline)  # first hand-in
+        self.due = self.first + (cls.aim if 0 < cls.aim < cls.deadline else cls.deadline)
+        self.cost = 1.0
+        self.tries = 0
+        self.live: dict[int, Attempt] = {}  # outstanding
+        self.may_run = INF  # send time of the first attempt that may have run
+        self.zone = ""  # where that was
+        self.held = self.over = self.was_sent = False
+
+
+class KeyLine:
+    """The messages of one key in the order taken; the first has the turn."""
+
+    __slots__ = ("queue", "rest")
+
+    def __init__(self) -> None:
+        self.queue: deque[Message] = deque()
+        self.rest = -INF  # the key pauses until then
+
+
+class Sender:
+    """The decisions of one sender."""
+
+    def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
+        _check(settings)
+        self.sets, self.rng = settings, Random(seed)
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.kinds = {kind.name: kind for kind in settings.kinds}
+        self.bound = Bound(settings.slots, settings.max_open)
+        self.mean = Mean()
+        self.dests: dict[int, Destination] = {}
+        self.endpoints: dict[str, Endpoint] = {}
+        self.messages: dict[int, Message] = {}
+        self.keys: dict[str, KeyLine] = {}
+        self.backlog = 0.0  # summed cost of open messages
+        self.out = 0  # slots in use
+        self.order = 0
+        self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
+        self.wakes: list[tuple[float, int, str, Any]] = []
+        self.timer = INF  # earliest timer set
+        self.calls: dict[str, Call] = {}  # calls of this reply that may be shared
+        self.now = now
+        self.actions: list[Action] = []
+        self._wake(now + PERIOD, "second", None)
+        if settings.ask_list:
+            self._wake(now, "watch", None)
+
+    # ---- events in, actions out
+
+    def handle(self, now: float, events: list[api.Event]) -> list[Action]:
+        """Take the events of one moment and return what to do."""
+        self.now, self.actions, self.calls = now, [], {}
+        if self.timer <= now:
+            self.timer = INF
+        self._wakes()
+        for event in events:
+            if isinstance(event, api.AttemptEnded):
+                self._ended(event)
+            elif isinstance(event, api.NewMessage):
+                self._pump()
+                self._admit(event)
+            elif isinstance(event, api.ListNews):
+                self._news(event)
+            elif isinstance(event, api.Withdrawn):
+                message = self.messages.get(event.id)
+                if message is not None and not message.over:
+                    self._over(message)
+            elif isinstance(event, api.ProbeEnded):
+                self._probed(event)
+        self._pump()
+        self._wakes()
+        if self.wakes and self.wakes[0][0] < self.timer:
+            self.timer = max(self.wakes[0][0], now + self.sets.tick)
+            self.actions.append(api.SetTimer(self.timer))
+        return self.actions
+
+    def _wake(self, at: float, what: str, arg: Any) -> None:
+        self.order += 1
+        heappush(self.wakes, (at, self.order, what, arg))
+
+    def _wakes(self) -> None:
+        while self.wakes and self.wakes[0][0] <= self.now:
+            _, _, what, arg = heappop(self.wakes)
+            if what == "dest":
+                arg.woken = INF
+                self._list(arg)
+            elif what == "expire":
+                if arg.held or (not arg.over and not arg.live):
+                    self._give_up(arg)
+            elif what == "key":
+                self._turn(arg)
+            elif what == "hold":
+                self._hold(arg)
+            elif what == "watch":
+                self.actions.append(api.WatchList())
+            else:
+                self._second()
+
+    def _second(self) -> None:
+        self.bound.step()
+        for gate in {id(e.gate): e.gate for e in self.endpoints.values()}.values():
+            gate.second()
+        for endpoint in self.endpoints.values():
+            endpoint.conns += 0.2
+        self._wake(self.now + PERIOD, "second", None)
+
+    # ---- the endpoint list
+
+    def _news(self, news: api.ListNews) -> None:
+        if news.kind is api.ListKind.FAILED:
+            if self.sets.ask_list:
+                self._wake(self.now + self.sets.ask_within * (0.1 + 0.2 * self.rng.random()), "watch", None)
+            return
+        if news.kind is not api.ListKind.DELTA:
+            named = {info.name for info in news.entries}
+            for name, endpoint in self.endpoints.items():
+                if name not in named:
+                    endpoint.usable = False
+        for info in news.entries:
+            dest = self._dest(info.destination)
+            known = self.endpoints.get(info.name)
+            if known is None or known.info.destination != info.destination:
+                apart = info.kind in self.kinds and self.kinds[info.kind].apart
+                gate = Gate(self.sets, self.rng, self.now) if apart else dest.gate
+                known = self.endpoints[info.name] = dest.endpoints[info.name] = Endpoint(info, gate)
+            known.info = info
+            known.usable = info.state is State.READY
+            if self.sets.weights != "none":
+                known.gate.limit(info.rate)
+            self._list(dest)
+
+    def _dest(self, ident: int) -> Destination:
+        dest = self.dests.get(ident)
+        if dest is None:
+            dest = self.dests[ident] = Destination(ident, Gate(self.sets, self.rng, self.now))
+        return dest
+
+    # ---- admission
+
+    def _call_time(self, dest: Destination) -> float:
+        return dest.mean.value or self.mean.value or UNMET * self.sets.connect_timeout
+
+    def _admit(self, event: api.NewMessage) -> None:
+        if event.id in self.messages:
+            raise api.MisuseError(f"message {event.id} was handed in twice")
+        cls = self.classes.get(event.class_name)
+        if cls is None:
+            raise api.MisuseError(f"message {event.id} has the unknown class {event.class_name!r}")
+        dest = self._dest(event.destination)
+        self.order += 1
+        message = Message(event, cls, dest, self.order, self.now)
+        message.cost = dest.mean.value / self.mean.value if dest.mean.value and self.mean.value else 1.0
+        self.messages[message.id] = message
+        self.backlog += message.cost
+        if cls.in_order and message.key:
+            self.keys.setdefault(message.key, KeyLine()).queue.append(message)
+        if self.out >= self.sets.slots and self.backlog > self.bound.value:
+            self._give_up(message)
+            return
+        self._wake(max(self.now, message.deadline - self._call_time(dest)), "expire", message)
+        if not (cls.in_order and message.key) or self._has_turn(message):
+            self._hold(message)
+
+    def _hold(self, message: Message) -> None:
+        """Put a message that may go into its destination's heap."""
+        if message.over or message.held or message.live:
+            return
+        message.held = True
+        unsafe = message.cls.effect is Effect.UNSAFE
+        heappush(message.dest.heaps[unsafe], (message.due, message.order, message))
+        self._list(message.dest)
+
+    # ---- turns of a key
+
+    def _has_turn(self, message: Message) -> bool:
+        line = self.keys[message.key]
+        return line.queue[0] is message and (line.rest <= self.now or message.was_sent)
+
+    def _turn(self, key: str) -> None:
+        """Pass the turn on once nothing of an earlier message is out and the key has rested."""
+        line = self.keys.get(key)
+        if line is None:
+            return
+        while line.queue and line.queue[0].over and not line.queue[0].live:
+            line.queue.popleft()
+        if line.rest > self.now:
+            self._wake(line.rest, "key", key)
+        elif not line.queue:
+            del self.keys[key]
+        elif not line.queue[0].over:
+            self._hold(line.queue[0])
+
+    # ---- release
+
+    def _list(self, dest: Destination) -> None:
+        head = dest.head()
+        if head is not None:
+            dest.listed = True
+            heappush(self.ready, (head.due, head.order, dest.id))
+
+    def _pump(self) -> None:
+        """Send the earliest deadlines among destinations free to send while slots are free."""
+        while self.ready and self.out < self.sets.slots:
+            due, order, ident = heappop(self.ready)
+            dest = self.dests[ident]
+            head = dest.head()
+            if head is None or (head.due, head.order) != (due, order):
+                continue
+            self._release(dest, head)
+
+    def _release(self, dest: Destination, head: Message) -> None:
+        if head.deadline - self.now < self._call_time(dest):
+            self._give_up(head)
+            self._list(dest)
+            return
+        endpoint, at = self._route(dest, head)
+        if endpoint is None:
+            if at < dest.woken and at < INF:
+                dest.woken = at
+                self._wake(at, "dest", dest)
+            return
+        message = dest.trial_head() if endpoint.gate.shut else head
+        if message is None or not self._may_send(message, endpoint):
+            head.held = False  # its own state forbids it: aside, so that it holds up no other
+            if self._may_retry(head):
+                self._wake(self.now + self.sets.connect_timeout / 2, "hold", head)
+            else:
+                self._give_up(head)
+        else:
+            self._send(message, endpoint)
+        self._list(dest)
+
+    def _sick(self, dest: Destination) -> bool:
+        """Slow now (a call past twice the mean) or failing lately."""
+        oldest = next(iter(dest.calls.values()), None)
+        if oldest is not None and self.now - oldest.sent > SLOW * self._call_time(dest):
+            return True
+        return self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+
+    def _silent(self, dest: Destination) -> bool:
+        """No answer since a call sent long ago: guards against filling slots at a hung destination."""
+        oldest = next(iter(dest.calls.values()), None)
+        return (oldest is not None and dest.last_pass < oldest.sent
+                and self.now - oldest.sent > HUSH * self._call_time(dest))
+
+    def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
+        """The endpoint to use now, or when to look again (infinite: at the next event there)."""
+        used = sum(e.out for e in dest.endpoints.values())
+        cap = max(1, math.floor(self.sets.slots * (SICK_CAP if self._sick(dest) else CAP)))
+        if used >= cap or (used and self._silent(dest)):
+            return None, INF
+        best: Endpoint | None = None
+        rank: tuple[Any, ...] = ()
+        soonest = INF
+        for endpoint in dest.endpoints.values():
+            if not endpoint.usable or not self._in_group(message, endpoint):
+                continue
+            at = max(endpoint.gate.when(self.now), endpoint.avoid if not endpoint.gate.shut else -INF)
+            if at > self.now:
+                soonest = min(soonest, at)
+                continue
+            if endpoint.out >= max(1.0, endpoint.conns):
+                continue
+            mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.info.name)
+            if best is None or mine < rank:
+                best, rank = endpoint, mine
+        return best, soonest
+
+    def _in_group(self, message: Message, endpoint: Endpoint) -> bool:
+        return (message.may_run == INF or message.cls.group == "all" or message.zone == endpoint.info.zone)
+
+    # ---- the choke points: every send, every final answer
+
+    def _may_retry(self, message: Message) -> bool:
+        """May another attempt ever go out for it."""
+        if message.over or message.tries >= self.sets.max_attempts:
+            return False
+        effect = message.cls.effect
+        if message.live and (not self.sets.second_copies or effect is Effect.UNSAFE):
+            return False
+        if message.may_run == INF or effect is Effect.SAFE:
+            return True
+        return effect is Effect.KEYED and self.now <= message.may_run + message.cls.window
+
+    def _may_send(self, message: Message, endpoint: Endpoint) -> bool:
+        """The rules on sends, each once."""
+        return (self._may_retry(message) and endpoint.usable and endpoint.gate.wait <= self.now
+                and self._in_group(message, endpoint) and self.now < message.deadline
+                and (not (message.cls.in_order and message.key) or self._has_turn(message)))
+
+    def _send(self, message: Message, endpoint: Endpoint) -> None:
+        dest = message.dest
+        kind = self.kinds.get(endpoint.info.kind)
+        call = self.calls.get(endpoint.info.name)
+        if call is None or call.size >= (kind.batch if kind else 1):
+            call = self.calls[endpoint.info.name] = Call(endpoint)
+            call.trial = endpoint.gate.sent(self.now)
+            self.out += 1
+            endpoint.out += 1
+        call.messages += 1
+        call.size += 1
+        attempt = Attempt(self.now, call)
+        message.live[message.tries] = dest.calls[message.id, message.tries] = attempt
+        message.tries += 1
+        message.held, message.was_sent = False, True
+        endpoint.used = self.now
+        span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
+        if message.cls.effect is Effect.UNSAFE:
+            span *= TIMEOUT_UNSAFE
+        self.actions.append(api.Send(message.id, endpoint.info.name, min(self.now + span, message.deadline)))
+
+    def _give_up(self, message: Message) -> None:
+        """The final answer, at once: a refusal where a repeat is harmless, else a failure."""
+        effect = message.cls.effect
+        never_ran = message.may_run == INF and not message.live
+        if never_ran or effect is Effect.SAFE or (effect is Effect.KEYED and message.cls.group == "all"):
+            self.actions.append(api.Refuse(message.id, self._retry_after(message)))
+        else:
+            self.actions.append(api.Fail(message.id))
+        self._over(message)
+
+    def _retry_after(self, message: Message) -> float:
+        """When it is worth coming back: once the excess is worked off, or the destination may be back."""
+        excess = (self.backlog - self.bound.value) * (self.mean.value or UNMET * self.sets.connect_timeout)
+        at = max(excess / self.sets.slots, self._call_time(message.dest), message.dest.gate.wait - self.now)
+        return min(at, self.sets.max_retry_after)
+
+    def _over(self, message: Message) -> None:
+        message.over, message.held = True, False
+        self.backlog -= message.cost
+        if message.was_sent:
+            span = message.due - message.first
+            self.bound.answered((self.now - message.first) / span if span > 0 else 1.0)
+        if not message.live:
+            self._forget(message)
+
+    def _forget(self, message: Message) -> None:
+        """Nothing more can come for it."""
+        self.messages.pop(message.id, None)
+        if message.cls.in_order and message.key:
+            self._turn(message.key)
+
+    # ---- outcomes
+
+    def _ended(self, event: api.AttemptEnded) -> None:
+        message = self.messages.get(event.id)
+        attempt = message.live.pop(event.attempt, None) if message is not None else None
+        if message is None or attempt is None:
+            return
+        dest, call = message.dest, attempt.call
+        dest.calls.pop((message.id, event.attempt), None)
+        call.messages -= 1
+        if not call.messages:
+            self.out -= 1
+            call.endpoint.out -= 1
+            if call.trial:
+                call.endpoint.gate.trial_out = False
+        self._learn(dest, call, event)
+        if event.result in (Result.OK, Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
+            if message.may_run == INF:
+                message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
+        if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and message.key in self.keys:
+            line = self.keys[message.key]
+            line.rest = max(line.rest, self.now + self.sets.order_pause)
+        if message.over:
+            if not message.live:
+                self._forget(message)
+        elif event.closed or event.result is Result.OK:
+            self._over(message)
+        elif not message.live:
+            if self._may_retry(message) and message.deadline - self.now > self._call_time(dest):
+                self._hold(message)
+                if message.may_run < INF and message.cls.effect is Effect.KEYED:
+                    self._wake(message.may_run + message.cls.window + self.sets.tick, "expire", message)
+            else:
+                self._give_up(message)
+        self._list(dest)
+
+    def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
+        """Tell the kinds of evidence apart; each has its own place."""
+        endpoint, result = call.endpoint, event.result
+        gate = endpoint.gate
+        if event.limit is not None:
+            gate.limit(event.limit)
+        if result is Result.OK:
+            dest.mean.add(event.latency)
+            self.mean.add(event.latency)
+            dest.last_pass = endpoint.last_ok = self.now
+            endpoint.fails = 0
+            gate.passed(self.now)
+        elif result is Result.FULL:
+            gate.full(self.now, event.wait, call.trial)
+        elif result is Result.NO_CONNECTION and (
+                endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
+            endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
+            endpoint.avoid = self.now + AVOID * self.sets.connect_timeout / 4
+        elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
+            endpoint.fails += 1
+            if endpoint.fails >= 2:
+                endpoint.avoid = self.now + AVOID * self.sets.connect_timeout
+            gate.failed(self.now, call.trial)
+
+    def _probed(self, event: api.ProbeEnded) -> None:
+        endpoint = self.endpoints.get(event.endpoint)
+        if endpoint is not None and event.result is not Result.OK:
+            endpoint.gate.failed(self.now, False)
+
+
+def _check(sets: api.Settings) -> None:
+    """Refuse settings that make no sense, in one clear error."""
+    if sets.slots < 1:
+        raise api.SettingsError("slots must be 1 or more")
+    if sets.max_open < 1 or sets.max_attempts < 1 or sets.senders < 1:
+        raise api.SettingsError("max_open, max_attempts and senders must be 1 or more")
+    if not sets.classes:
+        raise api.SettingsError("there must be a class")
+    for cls in sets.classes:
+        if cls.deadline <= 0 or cls.aim < 0 or cls.window < 0:
+            raise api.SettingsError(f"class {cls.name}: times must not be negative, its deadline above 0")
+    if min(sets.connect_timeout, sets.cold, sets.order_pause, sets.max_retry_after, sets.tip_after) < 0:
+        raise api.SettingsError("times must not be negative")
