--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -193,7 +193,7 @@
             self.batches[me] = []
         elif name == "STOP":
             for table in (self.senders, self.launches, self.batches):
-                table.pop(me, None)  # type: ignore[attr-defined]
+                table.pop(me, None)
         else:
             if me not in self.senders and me not in self.launches:
                 raise WireError(f"field SenderId names no running sender in line: {line[:200]}")
