--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -442,15 +442,25 @@
         if self.out >= self.sets.slots and self.backlog > self.bound.value:
             self._give_up(message)
             return
-        self._wake(max(self.now, message.deadline - self._call_time(dest)), "expire", message)
+        self._expiry(message)
         if not (cls.in_order and message.key) or self._has_turn(message):
             self._hold(message)
 
+    def _expiry(self, message: Message) -> None:
+        """Look again when its time, or the window of its key, is all but up; anew at each hold, since an
+        attempt may have been out at the last look (guards against messages lost between two looks)."""
+        at = message.deadline - self._call_time(message.dest)
+        if message.cls.effect is Effect.KEYED:
+            at = min(at, message.may_run + message.cls.window + self.sets.tick)
+        self._wake(max(at, self.now), "expire", message)
+
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
         if message.over or message.held or message.live:
             return
         message.held = True
+        if message.was_sent:
+            self._expiry(message)
         unsafe = message.cls.effect is Effect.UNSAFE
         heappush(message.dest.heaps[unsafe], (message.due, message.order, message))
         self._list(message.dest)
@@ -644,7 +654,8 @@
         if event.result in (Result.OK, Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             if message.may_run == INF:
                 message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
-        if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED) and message.key in self.keys:
+        unsure = event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
+        if unsure and message.cls.in_order and message.key:
             line = self.keys[message.key]
             line.rest = max(line.rest, self.now + self.sets.order_pause)
         if message.over:
@@ -655,8 +666,6 @@
         elif not message.live:
             if self._may_retry(message) and message.deadline - self.now > self._call_time(dest):
                 self._hold(message)
-                if message.may_run < INF and message.cls.effect is Effect.KEYED:
-                    self._wake(message.may_run + message.cls.window + self.sets.tick, "expire", message)
             else:
                 self._give_up(message)
         self._list(dest)
