--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -49,6 +49,7 @@
 PACE_CUT = 0.7  # x pace at a refusal over the limit
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
 PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
+PACE_FREE = 1.5  # x the believed limit: from there on no pace is kept
 BURST = 0.5  # seconds of the pace that may go out at once
 
 
@@ -114,10 +115,7 @@
 
     def limit(self, rate: float) -> None:
         """Learn the limit from the list's weight or a report."""
-        if rate > 0:
-            if self.pace == INF or abs(self.pace - self.rate) < 1e-9:
-                self.pace = rate
-            self.rate, self.pace = rate, min(self.pace, rate)
+        self.rate = max(rate, 0.0)
 
     def believed(self) -> float:
         """The rate that the destination takes from all senders, as far as known."""
@@ -195,15 +193,15 @@
             self.last_fail = now
         if not self.shut:
             even = self.believed() / self.sets.senders
-            self.pace = max(PACE_FLOOR * even, min(self.pace, 2.0 * self.believed()) * PACE_CUT)
+            self.pace = max(PACE_FLOOR * even, min(self.pace, self.believed() / PACE_CUT) * PACE_CUT)
             self.tokens = min(self.tokens, 0.0)
 
     def second(self) -> None:
         """Let the pace recover."""
         if self.pace < INF:
             self.pace *= 1.0 + PACE_GROWTH
-            top = self.rate if self.rate else INF
-            self.pace = min(self.pace, top)
+            if self.pace > PACE_FREE * self.believed():
+                self.pace = INF
 
 
 class Endpoint:
