Refusals of calls sent before the last refusal was known count once

Cause: clumps over a limit looked like a shut destination. Also guards against one burst deciding any destination's health; it could delay seeing a shut destination by one call time.

--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -99,7 +99,7 @@
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
     __slots__ = ("sets", "rng", "rate", "pace", "tokens", "stamp", "wait", "shut", "trial", "trial_out",
-                 "gap", "ramp", "fails", "fulls", "last_fail", "seen", "seen_at")
+                 "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "seen", "seen_at")
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
@@ -110,7 +110,7 @@
         self.gap = 0.0  # wait before the next trial
         self.ramp = -INF  # when the return was seen
         self.fails = self.fulls = 0
-        self.last_fail = -INF
+        self.last_fail = self.full_at = -INF
         self.seen, self.seen_at = 0.0, now  # calls a second that went through
 
     def limit(self, rate: float) -> None:
@@ -181,8 +181,13 @@
         if trial or (self.fails >= FAILS_SHUT and not self.shut):
             self.close(now)
 
-    def full(self, now: float, wait: float, trial: bool) -> None:
-        """The destination refused a call unseen: over a limit, or shut."""
+    def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
+        """The destination refused a call unseen: over a limit, or shut. Calls sent before the last refusal
+        was known are the same evidence (guards against taking a clump over the limit for an outage)."""
+        if sent < self.full_at and not trial:
+            self.wait = max(self.wait, now + wait + self.sets.tick) if wait > 0 else self.wait
+            return
+        self.full_at = now
         self.fulls += 1
         if wait > 0:
             self.wait = max(self.wait, now + wait + self.sets.tick)
@@ -648,7 +653,7 @@
             call.endpoint.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
-        self._learn(dest, call, event)
+        self._learn(dest, attempt, event)
         if event.result in (Result.OK, Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             if message.may_run == INF:
                 message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
@@ -668,10 +673,10 @@
                 self._give_up(message)
         self._list(dest)
 
-    def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
+    def _learn(self, dest: Destination, attempt: Attempt, event: api.AttemptEnded) -> None:
         """Tell the kinds of evidence apart; each has its own place."""
-        endpoint, result = call.endpoint, event.result
-        gate = endpoint.gate
+        call, result = attempt.call, event.result
+        endpoint, gate = call.endpoint, call.endpoint.gate
         if event.limit is not None:
             gate.limit(event.limit)
         if result is Result.OK:
@@ -681,7 +686,7 @@
             endpoint.fails = 0
             gate.passed(self.now)
         elif result is Result.FULL:
-            gate.full(self.now, event.wait, call.trial)
+            gate.full(self.now, event.wait, call.trial, attempt.sent)
         elif result is Result.NO_CONNECTION and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
             endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
