--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -98,11 +98,12 @@
 class Gate:
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
-    __slots__ = ("sets", "rng", "rate", "pace", "tokens", "stamp", "wait", "shut", "trial", "trial_out",
+    __slots__ = ("sets", "rng", "rate", "told", "pace", "tokens", "stamp", "wait", "shut", "trial", "trial_out",
                  "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "seen", "seen_at")
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
+        self.told = False  # a report named the limit
         self.rate = 0.0  # limit in calls a second from all senders; 0 if unknown
         self.pace, self.tokens, self.stamp = INF, 1.0, now
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
@@ -113,9 +114,14 @@
         self.last_fail = self.full_at = -INF
         self.seen, self.seen_at = 0.0, now  # calls a second that went through
 
-    def limit(self, rate: float) -> None:
-        """Learn the limit from the list's weight or a report."""
-        self.rate = max(rate, 0.0)
+    def limit(self, rate: float, told: bool) -> None:
+        """Learn the limit from a report, which is heeded at once, or the list's weight until one came."""
+        if rate <= 0 or (self.told and not told):
+            return
+        self.told = told
+        self.rate = rate
+        if self.told:
+            self.pace = min(self.pace, rate)
 
     def believed(self) -> float:
         """The rate that the destination takes from all senders, as far as known."""
@@ -205,7 +211,9 @@
         """Let the pace recover."""
         if self.pace < INF:
             self.pace *= 1.0 + PACE_GROWTH
-            if self.pace > PACE_FREE * self.believed():
+            if self.told:
+                self.pace = min(self.pace, self.rate)
+            elif self.pace > PACE_FREE * self.believed():
                 self.pace = INF
 
 
@@ -414,7 +422,7 @@
             known.info = info
             known.usable = info.state is State.READY
             if self.sets.weights != "none":
-                known.gate.limit(info.rate)
+                known.gate.limit(info.rate, False)
             self._list(dest)
 
     def _dest(self, ident: int) -> Destination:
@@ -678,7 +686,7 @@
         call, result = attempt.call, event.result
         endpoint, gate = call.endpoint, call.endpoint.gate
         if event.limit is not None:
-            gate.limit(event.limit)
+            gate.limit(event.limit, True)
         if result is Result.OK:
             dest.mean.add(event.latency)
             self.mean.add(event.latency)
