Ill destinations stand apart: own share of slots and room, out of the backlog and of t(k)

Cause: hung or slow destinations filled the slots together and their lateness shrank the one bound, so that healthy messages were refused. Also guards against any trouble that holds some destinations back; it can harm when most destinations are ill, since these then share half of the slots.

--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -34,6 +34,8 @@
 TIMEOUT_MEANS = 10.0  # x mean call time: beyond it an answer hardly comes
 TIMEOUT_LEAST = 2.0  # x connect time-out: shortest time-out, so that one heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
+ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
+USUAL_GAIN = 0.01  # weight of a slower call in the usual call time, which is to outlast an illness
 HUSH = 6.0  # x mean call time: no answer since a call that old means silence
 
 # Outages, trials and return.
@@ -56,14 +58,16 @@
 class Mean:
     """A running mean of call times, which starts at the first one seen."""
 
-    __slots__ = ("value",)
+    __slots__ = ("value", "usual")
 
     def __init__(self) -> None:
-        self.value = 0.0
+        self.value = self.usual = 0.0
 
     def add(self, sample: float) -> None:
         """Take one call time."""
         self.value += (sample - self.value) * (MEAN_GAIN if self.value else 1.0)
+        gain = 1.0 if not self.usual else USUAL_GAIN if sample > self.usual else MEAN_GAIN
+        self.usual += (min(sample, self.value) - self.usual) * gain
 
 
 class Bound:
@@ -98,8 +102,8 @@
 class Gate:
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
-    __slots__ = ("sets", "rng", "rate", "told", "pace", "tokens", "stamp", "wait", "shut", "trial", "trial_out",
-                 "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "seen", "seen_at")
+    __slots__ = ("sets", "rng", "rate", "told", "pace", "tokens", "stamp", "wait", "shut", "trial",
+                 "trial_out", "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "seen", "seen_at")
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
@@ -233,7 +237,7 @@
 class Destination:
     """One destination: its endpoints, its held messages by deadline and its calls."""
 
-    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "listed", "woken", "gate", "met", "last_pass")
+    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "backlog", "out", "woken", "gate", "last_pass")
 
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
@@ -241,9 +245,9 @@
         self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
-        self.listed = False  # stands in the ready heap
+        self.backlog = 0.0  # summed cost of its open messages
+        self.out = 0  # slots in use
         self.woken = INF  # next wake set
-        self.met = False
         self.last_pass = -INF
 
     def head(self) -> Message | None:
@@ -330,6 +334,7 @@
         self.keys: dict[str, KeyLine] = {}
         self.backlog = 0.0  # summed cost of open messages
         self.out = 0  # slots in use
+        self.ill: dict[int, Destination] = {}  # apart from the rest: see _judge
         self.order = 0
         self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
         self.wakes: list[tuple[float, int, str, Any]] = []
@@ -398,6 +403,8 @@
             gate.second()
         for endpoint in self.endpoints.values():
             endpoint.conns += 0.2
+        for dest in self.dests.values():
+            self._judge(dest)
         self._wake(self.now + PERIOD, "second", None)
 
     # ---- the endpoint list
@@ -448,9 +455,10 @@
         message.cost = dest.mean.value / self.mean.value if dest.mean.value and self.mean.value else 1.0
         self.messages[message.id] = message
         self.backlog += message.cost
+        dest.backlog += message.cost
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if self.out >= self.sets.slots and self.backlog > self.bound.value:
+        if not self._room(dest):
             self._give_up(message)
             return
         self._expiry(message)
@@ -465,6 +473,14 @@
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
         self._wake(max(at, self.now), "expire", message)
 
+    def _room(self, dest: Destination) -> bool:
+        """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
+        weighs only on messages for these, which may fill their share of the holding limit."""
+        apart = sum(ill.backlog for ill in self.ill.values())
+        if dest.id in self.ill:
+            return apart <= SICK_CAP * self.sets.max_open
+        return self.out < self.sets.slots or self.backlog - apart <= self.bound.value
+
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
         if message.over or message.held or message.live:
@@ -501,7 +517,6 @@
     def _list(self, dest: Destination) -> None:
         head = dest.head()
         if head is not None:
-            dest.listed = True
             heappush(self.ready, (head.due, head.order, dest.id))
 
     def _pump(self) -> None:
@@ -543,6 +558,17 @@
             return True
         return self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
 
+    def _judge(self, dest: Destination) -> bool:
+        """Ill: shut, failing lately, silent, or far slower than usual. Guards the bound and the slots of all
+        others: ill destinations together keep to the share of the slots that a sick one may hold."""
+        ill = (dest.gate.shut or self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+               or self._silent(dest) or dest.mean.value > ILL * dest.mean.usual > 0)
+        if ill:
+            self.ill[dest.id] = dest
+        else:
+            self.ill.pop(dest.id, None)
+        return ill
+
     def _silent(self, dest: Destination) -> bool:
         """No answer since a call sent long ago: guards against filling slots at a hung destination."""
         oldest = next(iter(dest.calls.values()), None)
@@ -551,10 +577,13 @@
 
     def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
         """The endpoint to use now, or when to look again (infinite: at the next event there)."""
-        used = sum(e.out for e in dest.endpoints.values())
         cap = max(1, math.floor(self.sets.slots * (SICK_CAP if self._sick(dest) else CAP)))
-        if used >= cap or (used and self._silent(dest)):
+        if dest.out >= cap or (dest.out and self._silent(dest)):
             return None, INF
+        if self._judge(dest):
+            held = sum(ill.out for ill in self.ill.values())
+            if held and held >= math.floor(self.sets.slots * SICK_CAP):
+                return None, self.now + UNMET * self.sets.connect_timeout
         best: Endpoint | None = None
         rank: tuple[Any, ...] = ()
         soonest = INF
@@ -603,6 +632,7 @@
             call.trial = endpoint.gate.sent(self.now)
             self.out += 1
             endpoint.out += 1
+            dest.out += 1
         call.messages += 1
         call.size += 1
         attempt = Attempt(self.now, call)
@@ -634,7 +664,8 @@
     def _over(self, message: Message) -> None:
         message.over, message.held = True, False
         self.backlog -= message.cost
-        if message.was_sent:
+        message.dest.backlog -= message.cost
+        if message.was_sent and message.dest.id not in self.ill:
             span = message.due - message.first
             self.bound.answered((self.now - message.first) / span if span > 0 else 1.0)
         if not message.live:
@@ -659,9 +690,11 @@
         if not call.messages:
             self.out -= 1
             call.endpoint.out -= 1
+            dest.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
         self._learn(dest, attempt, event)
+        self._judge(dest)
         if event.result in (Result.OK, Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             if message.may_run == INF:
                 message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
@@ -700,6 +733,8 @@
             endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
             endpoint.avoid = self.now + AVOID * self.sets.connect_timeout / 4
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
+            if result is Result.TIMEOUT:
+                dest.mean.add(max(event.latency, dest.mean.value))
             endpoint.fails += 1
             if endpoint.fails >= 2:
                 endpoint.avoid = self.now + AVOID * self.sets.connect_timeout
