--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -242,7 +242,7 @@
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
         self.endpoints: dict[str, Endpoint] = {}
-        self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe
+        self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe: (due, order, message)
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
         self.backlog = 0.0  # summed cost of its open messages
@@ -250,19 +250,27 @@
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
-    def head(self) -> Message | None:
-        """The held message with the earliest deadline."""
+    def head(self, now: float) -> Message | None:
+        """The held message with the earliest deadline. One that cannot make its aim any more goes by its last
+        deadline: guards against late messages making all others late too, as after an outage."""
         best: Message | None = None
         for heap in self.heaps:
-            while heap and not heap[0][2].held:
+            while heap:
+                message: Message = heap[0][2]
+                if message.held and message.due < message.deadline and now + self.mean.value > message.due:
+                    message.due = message.deadline
+                elif message.held and message.due == heap[0][0]:
+                    break
                 heappop(heap)
+                if message.held:
+                    heappush(heap, (message.due, message.order, message))
             if heap and (best is None or (heap[0][0], heap[0][1]) < (best.due, best.order)):
                 best = heap[0][2]
         return best
 
-    def trial_head(self) -> Message | None:
+    def trial_head(self, now: float) -> Message | None:
         """The same, but one that can be repeated first: a trial may get no answer."""
-        self.head()
+        self.head(now)
         heap = self.heaps[0] or self.heaps[1]
         return heap[0][2] if heap else None
 
@@ -290,7 +298,7 @@
 class Message:
     """A message taken and not yet over, or over with an attempt still out."""
 
-    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "due", "cost", "tries",
+    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "span", "due", "cost", "tries",
                  "live", "may_run", "zone", "held", "over", "was_sent")
 
     def __init__(self, event: api.NewMessage, cls: api.MessageClass, dest: Destination, order: int,
@@ -299,7 +307,8 @@
         self.dest, self.order = dest, order
         self.deadline = now + event.left
         self.first = min(now, self.deadline - cls.deadline)  # first hand-in
-        self.due = self.first + (cls.aim if 0 < cls.aim < cls.deadline else cls.deadline)
+        self.span = cls.aim if 0 < cls.aim < cls.deadline else cls.deadline
+        self.due = self.first + self.span
         self.cost = 1.0
         self.tries = 0
         self.live: dict[int, Attempt] = {}  # outstanding
@@ -515,7 +524,7 @@
     # ---- release
 
     def _list(self, dest: Destination) -> None:
-        head = dest.head()
+        head = dest.head(self.now)
         if head is not None:
             heappush(self.ready, (head.due, head.order, dest.id))
 
@@ -524,7 +533,7 @@
         while self.ready and self.out < self.sets.slots:
             due, order, ident = heappop(self.ready)
             dest = self.dests[ident]
-            head = dest.head()
+            head = dest.head(self.now)
             if head is None or (head.due, head.order) != (due, order):
                 continue
             self._release(dest, head)
@@ -540,7 +549,7 @@
                 dest.woken = at
                 self._wake(at, "dest", dest)
             return
-        message = dest.trial_head() if endpoint.gate.shut else head
+        message = dest.trial_head(self.now) if endpoint.gate.shut else head
         if message is None or not self._may_send(message, endpoint):
             head.held = False  # its own state forbids it: aside, so that it holds up no other
             if self._may_retry(head):
@@ -666,8 +675,7 @@
         self.backlog -= message.cost
         message.dest.backlog -= message.cost
         if message.was_sent and message.dest.id not in self.ill:
-            span = message.due - message.first
-            self.bound.answered((self.now - message.first) / span if span > 0 else 1.0)
+            self.bound.answered((self.now - message.first) / message.span)
         if not message.live:
             self._forget(message)
 
