--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -149,6 +149,7 @@
         ask_within=num("Rules.AskWithin", 10000.0),
         weights=get("Weights", "none"),
         over_share_worth=num("OverShareWorth", 1.0),
+        by_half=get("Specifics.Decay", "even") == "by_half",
         zones=tuple(words("Zones")),
         zone_fees=fees,
         cold=num("Rules.Cold", 0.0),
--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -251,14 +251,14 @@
         self.last_pass = -INF
 
     def head(self, now: float) -> Message | None:
-        """The held message with the earliest deadline. One that cannot make its aim any more goes by its last
-        deadline: guards against late messages making all others late too, as after an outage."""
+        """The held message with the earliest deadline. Where worth drops fastest just after the aim, one that
+        cannot make it goes by its last deadline: guards against the late making all others late too."""
         best: Message | None = None
         for heap in self.heaps:
             while heap:
                 message: Message = heap[0][2]
-                if message.held and message.due < message.deadline and now + self.mean.value > message.due:
-                    message.due = message.deadline
+                if message.held and now + self.mean.value > message.due and message.yields:
+                    message.due, message.yields = message.deadline, False
                 elif message.held and message.due == heap[0][0]:
                     break
                 heappop(heap)
@@ -298,17 +298,18 @@
 class Message:
     """A message taken and not yet over, or over with an attempt still out."""
 
-    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "span", "due", "cost", "tries",
-                 "live", "may_run", "zone", "held", "over", "was_sent")
+    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "span", "due", "yields",
+                 "cost", "tries", "live", "may_run", "zone", "held", "over", "was_sent")
 
     def __init__(self, event: api.NewMessage, cls: api.MessageClass, dest: Destination, order: int,
-                 now: float) -> None:
+                 now: float, yields: bool) -> None:
         self.id, self.cls, self.tenant, self.key = event.id, cls, event.tenant, event.key
         self.dest, self.order = dest, order
         self.deadline = now + event.left
         self.first = min(now, self.deadline - cls.deadline)  # first hand-in
         self.span = cls.aim if 0 < cls.aim < cls.deadline else cls.deadline
         self.due = self.first + self.span
+        self.yields = yields  # to messages that can still make their aim
         self.cost = 1.0
         self.tries = 0
         self.live: dict[int, Attempt] = {}  # outstanding
@@ -460,7 +461,7 @@
             raise api.MisuseError(f"message {event.id} has the unknown class {event.class_name!r}")
         dest = self._dest(event.destination)
         self.order += 1
-        message = Message(event, cls, dest, self.order, self.now)
+        message = Message(event, cls, dest, self.order, self.now, self.sets.by_half)
         message.cost = dest.mean.value / self.mean.value if dest.mean.value and self.mean.value else 1.0
         self.messages[message.id] = message
         self.backlog += message.cost
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -106,6 +106,7 @@
     ask_within: float = 10000.0
     weights: str = "none"
     over_share_worth: float = 1.0
+    by_half: bool = False  # worth halves with each further aim; else it falls evenly
     zones: tuple[str, ...] = ()
     zone_fees: tuple[float, ...] = ()
     cold: float = 10000.0
