--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -50,6 +50,9 @@
 # Pace under a limit.
 PACE_CUT = 0.7  # x pace at a refusal over the limit
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
+PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
+SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
+EVEN_START = 2.0  # x an even part of the limit: pace at the first report
 PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
 PACE_FREE = 1.5  # x the believed limit: from there on no pace is kept
 BURST = 0.5  # seconds of the pace that may go out at once
@@ -103,7 +106,7 @@
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
     __slots__ = ("sets", "rng", "rate", "told", "pace", "tokens", "stamp", "wait", "shut", "trial",
-                 "trial_out", "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "seen", "seen_at")
+                 "trial_out", "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "left")
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
@@ -116,20 +119,19 @@
         self.ramp = -INF  # when the return was seen
         self.fails = self.fulls = 0
         self.last_fail = self.full_at = -INF
-        self.seen, self.seen_at = 0.0, now  # calls a second that went through
+        self.left = 1.0  # share of the limit left, by the last report
 
     def limit(self, rate: float, told: bool) -> None:
         """Learn the limit from a report, which is heeded at once, or the list's weight until one came."""
         if rate <= 0 or (self.told and not told):
             return
-        self.told = told
-        self.rate = rate
-        if self.told:
-            self.pace = min(self.pace, rate)
+        if told and self.pace == INF:
+            self.pace = EVEN_START * rate / self.sets.senders
+        self.told, self.rate = told, rate
 
     def believed(self) -> float:
         """The rate that the destination takes from all senders, as far as known."""
-        return self.rate or max(self.seen, 1.0) * self.sets.senders
+        return self.rate or float(self.sets.senders)
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
@@ -198,7 +200,7 @@
             self.wait = max(self.wait, now + wait + self.sets.tick) if wait > 0 else self.wait
             return
         self.full_at = now
-        self.fulls += 1
+        self.fulls += self.left > SCARCE
         if wait > 0:
             self.wait = max(self.wait, now + wait + self.sets.tick)
         elif not self.shut:
@@ -214,7 +216,8 @@
     def second(self) -> None:
         """Let the pace recover."""
         if self.pace < INF:
-            self.pace *= 1.0 + PACE_GROWTH
+            self.pace *= 1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE)
+            self.pace = max(self.pace, PACE_FLOOR * self.believed() / self.sets.senders)
             if self.told:
                 self.pace = min(self.pace, self.rate)
             elif self.pace > PACE_FREE * self.believed():
@@ -729,6 +732,7 @@
         endpoint, gate = call.endpoint, call.endpoint.gate
         if event.limit is not None:
             gate.limit(event.limit, True)
+            gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
         if result is Result.OK:
             dest.mean.add(event.latency)
             self.mean.add(event.latency)
