--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -31,8 +31,9 @@
 # Call times and time-outs.
 MEAN_GAIN = 0.1  # weight of a new call time in its mean: some ten calls are remembered
 UNMET = 0.25  # x connect time-out: call time taken for an unmet destination when none was met
-TIMEOUT_MEANS = 10.0  # x mean call time: beyond it an answer hardly comes
-TIMEOUT_LEAST = 2.0  # x connect time-out: shortest time-out, so that one heavy call may end
+TIMEOUT_MEANS = 6.0  # x mean call time: beyond it an answer hardly comes
+TIMEOUT_LEAST = 1.0  # x connect time-out: shortest time-out
+TIMEOUT_GROWTH = 2.0  # x for each further attempt, so that a heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
 ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
 USUAL_GAIN = 0.01  # weight of a slower call in the usual call time, which is to outlast an illness
@@ -40,6 +41,7 @@
 
 # Outages, trials and return.
 FAILS_SHUT = 3  # failures in a row that mean an outage
+FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULLS_SHUT = 4  # refusals in a row that mean a shut destination
 TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
 TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
@@ -574,8 +576,8 @@
     def _judge(self, dest: Destination) -> bool:
         """Ill: shut, failing lately, silent, or far slower than usual. Guards the bound and the slots of all
         others: ill destinations together keep to the share of the slots that a sick one may hold."""
-        ill = (dest.gate.shut or self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
-               or self._silent(dest) or dest.mean.value > ILL * dest.mean.usual > 0)
+        ill = (dest.gate.shut or dest.gate.fails >= FAILS_ILL or self._silent(dest)
+               or dest.mean.value > ILL * dest.mean.usual > 0)
         if ill:
             self.ill[dest.id] = dest
         else:
@@ -654,8 +656,8 @@
         message.held, message.was_sent = False, True
         endpoint.used = self.now
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
-        if message.cls.effect is Effect.UNSAFE:
-            span *= TIMEOUT_UNSAFE
+        unsafe = message.cls.effect is Effect.UNSAFE
+        span *= TIMEOUT_UNSAFE if unsafe else TIMEOUT_GROWTH ** (message.tries - 1)
         self.actions.append(api.Send(message.id, endpoint.info.name, min(self.now + span, message.deadline)))
 
     def _give_up(self, message: Message) -> None:
@@ -746,7 +748,8 @@
             endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
             endpoint.avoid = self.now + AVOID * self.sets.connect_timeout / 4
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
-            if result is Result.TIMEOUT:
+            if result is Result.TIMEOUT and dest.last_pass < attempt.sent:
+                # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
             endpoint.fails += 1
             if endpoint.fails >= 2:
