--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -33,6 +33,7 @@
 UNMET = 0.25  # x connect time-out: call time taken for an unmet destination when none was met
 TIMEOUT_MEANS = 6.0  # x mean call time: beyond it an answer hardly comes
 TIMEOUT_LEAST = 1.0  # x connect time-out: shortest time-out
+TIMEOUT_PRESSED = 0.5  # x time-out while slots are scarce: a lost call must not hold what others need
 TIMEOUT_GROWTH = 2.0  # x for each further attempt, so that a heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
 ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
@@ -658,6 +659,8 @@
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
         unsafe = message.cls.effect is Effect.UNSAFE
         span *= TIMEOUT_UNSAFE if unsafe else TIMEOUT_GROWTH ** (message.tries - 1)
+        if self.out > CAP * self.sets.slots and not unsafe and dest.id not in self.ill:
+            span *= TIMEOUT_PRESSED
         self.actions.append(api.Send(message.id, endpoint.info.name, min(self.now + span, message.deadline)))
 
     def _give_up(self, message: Message) -> None:
