--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -28,14 +28,11 @@
 SLOW = 2.0  # x mean call time: a call out for longer makes its destination sick
 LATELY = 2.0  # x connect time-out: a failure counts as recent for so long
 
-KEPT = 0.8  # share of the worth that waiting may leave: below it refusing early is better
-
 # Call times and time-outs.
 MEAN_GAIN = 0.1  # weight of a new call time in its mean: some ten calls are remembered
 UNMET = 0.25  # x connect time-out: call time taken for an unmet destination when none was met
 TIMEOUT_MEANS = 6.0  # x mean call time: beyond it an answer hardly comes
 TIMEOUT_LEAST = 1.0  # x connect time-out: shortest time-out
-TIMEOUT_PRESSED = 0.5  # x time-out while slots are scarce: a lost call must not hold what others need
 TIMEOUT_GROWTH = 2.0  # x for each further attempt, so that a heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
 ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
@@ -494,7 +491,7 @@
     def _room(self, dest: Destination, message: Message) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
         weighs only on messages for these, which may fill their share of the holding limit. The bound also
-        ends at what the slots left work off while most worth remains: the loop sees lateness only once it is there,
+        ends at what the slots left work off within the aim: the loop sees lateness only once it is there,
         and while the bound does not bind it grows to the holding limit."""
         apart = sum(ill.backlog for ill in self.ill.values())
         if dest.id in self.ill:
@@ -502,18 +499,9 @@
         if self.out < self.sets.slots:
             return True
         free = self.sets.slots - sum(ill.out for ill in self.ill.values())
-        end = max(self.bound.low, free * (1.0 + self._patience(message.cls) / max(self.mean.value, 1.0)))
+        end = max(self.bound.low, free * (1.0 + SET_POINT * message.span / max(self.mean.value, 1.0)))
         return self.backlog - apart <= min(self.bound.value, end)
 
-    def _patience(self, cls: api.MessageClass) -> float:
-        """The time in which a message keeps most of its worth."""
-        if not 0 < cls.aim < cls.deadline:
-            return SET_POINT * cls.deadline
-        if self.sets.by_half:
-            return cls.aim * (1.0 - math.log2(KEPT))
-        fall = max(1.0 - cls.late_worth, 1.0 - KEPT)
-        return cls.aim + (cls.deadline - cls.aim) * (1.0 - KEPT) / fall
-
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
         if message.over or message.held or message.live:
@@ -676,8 +664,6 @@
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
         unsafe = message.cls.effect is Effect.UNSAFE
         span *= TIMEOUT_UNSAFE if unsafe else TIMEOUT_GROWTH ** (message.tries - 1)
-        if self.out > CAP * self.sets.slots and not unsafe and dest.id not in self.ill:
-            span *= TIMEOUT_PRESSED
         self.actions.append(api.Send(message.id, endpoint.info.name, min(self.now + span, message.deadline)))
 
     def _give_up(self, message: Message) -> None:
