--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -743,7 +743,8 @@
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
         if result is Result.OK:
             dest.mean.add(event.latency)
-            self.mean.add(event.latency)
+            if dest.id not in self.ill:
+                self.mean.add(event.latency)  # what healthy destinations need: the ill must not move costs
             dest.last_pass = endpoint.last_ok = self.now
             endpoint.fails = 0
             gate.passed(self.now)
