--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -473,7 +473,7 @@
         dest.backlog += message.cost
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(dest, message):
+        if not self._room(dest):
             self._give_up(message)
             return
         self._expiry(message)
@@ -488,19 +488,15 @@
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
         self._wake(max(at, self.now), "expire", message)
 
-    def _room(self, dest: Destination, message: Message) -> bool:
+    def _room(self, dest: Destination) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
-        weighs only on messages for these, which may fill their share of the holding limit. The bound also
-        ends at what the slots left work off within the aim: the loop sees lateness only once it is there,
-        and while the bound does not bind it grows to the holding limit."""
+        weighs only on messages for these, which may fill their share of the holding limit."""
         apart = sum(ill.backlog for ill in self.ill.values())
         if dest.id in self.ill:
             return apart <= SICK_CAP * self.sets.max_open
         if self.out < self.sets.slots:
             return True
-        free = self.sets.slots - sum(ill.out for ill in self.ill.values())
-        end = max(self.bound.low, free * (1.0 + SET_POINT * message.span / max(self.mean.value, 1.0)))
-        return self.backlog - apart <= min(self.bound.value, end)
+        return self.backlog - apart <= self.bound.value
 
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
