--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -242,7 +242,8 @@
 class Destination:
     """One destination: its endpoints, its held messages by deadline and its calls."""
 
-    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "backlog", "out", "woken", "gate", "last_pass")
+    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "backlog", "out", "open", "woken", "gate",
+                 "last_pass")
 
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
@@ -252,6 +253,7 @@
         self.mean = Mean()
         self.backlog = 0.0  # summed cost of its open messages
         self.out = 0  # slots in use
+        self.open = 0  # open messages
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
@@ -471,6 +473,7 @@
         self.messages[message.id] = message
         self.backlog += message.cost
         dest.backlog += message.cost
+        dest.open += 1
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
         if not self._room(dest):
@@ -491,9 +494,9 @@
     def _room(self, dest: Destination) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
         weighs only on messages for these, which may fill their share of the holding limit."""
-        apart = sum(ill.backlog for ill in self.ill.values())
         if dest.id in self.ill:
-            return apart <= SICK_CAP * self.sets.max_open
+            return sum(ill.open for ill in self.ill.values()) <= SICK_CAP * self.sets.max_open
+        apart = sum(ill.backlog for ill in self.ill.values())
         if self.out < self.sets.slots:
             return True
         return self.backlog - apart <= self.bound.value
@@ -682,6 +685,7 @@
         message.over, message.held = True, False
         self.backlog -= message.cost
         message.dest.backlog -= message.cost
+        message.dest.open -= 1
         if message.was_sent and message.dest.id not in self.ill:
             self.bound.answered((self.now - message.first) / message.span)
         if not message.live:
