--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -41,6 +41,8 @@
 
 # Outages, trials and return.
 FAILS_SHUT = 3  # failures in a row that mean an outage
+MOSTLY = 0.45  # running share of failures that means an outage, though some calls still pass
+BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULLS_SHUT = 4  # refusals in a row that mean a shut destination
 TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
@@ -63,8 +65,6 @@
 class Mean:
     """A running mean of call times, which starts at the first one seen."""
 
-    __slots__ = ("value", "usual")
-
     def __init__(self) -> None:
         self.value = self.usual = 0.0
 
@@ -78,8 +78,6 @@
 class Bound:
     """The backlog bound and its PI loop (paper, section 4)."""
 
-    __slots__ = ("value", "delta", "last", "low", "high", "total", "count")
-
     def __init__(self, slots: int, max_open: int) -> None:
         self.low, self.high = float(slots), float(max(slots, max_open))
         self.value = min(START_SLOTS * slots, self.high)
@@ -107,9 +105,6 @@
 class Gate:
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
-    __slots__ = ("sets", "rng", "rate", "told", "pace", "tokens", "stamp", "wait", "shut", "trial",
-                 "trial_out", "gap", "ramp", "fails", "fulls", "full_at", "last_fail", "left")
-
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
         self.told = False  # a report named the limit
@@ -120,6 +115,7 @@
         self.gap = 0.0  # wait before the next trial
         self.ramp = -INF  # when the return was seen
         self.fails = self.fulls = 0
+        self.bad = 0.0  # running share of failures
         self.last_fail = self.full_at = -INF
         self.left = 1.0  # share of the limit left, by the last report
 
@@ -185,14 +181,18 @@
     def passed(self, now: float) -> None:
         """A call was served."""
         self.fails = self.fulls = 0
+        self.bad -= BAD_GAIN * self.bad
         if self.shut:
             self.shut, self.ramp, self.tokens, self.stamp = False, now, 0.0, now
 
     def failed(self, now: float, trial: bool) -> None:
         """A call failed for good, ran out of time or found no connection."""
         self.fails += 1
+        self.bad += BAD_GAIN * (1.0 - self.bad)
         self.last_fail = now
-        if trial or (self.fails >= FAILS_SHUT and not self.shut):
+        if now - self.ramp < self.sets.cold:
+            self.ramp = now  # not back yet: a lucky trial must not let the ramp run ahead of the return
+        if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
             self.close(now)
 
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
@@ -229,8 +229,6 @@
 class Endpoint:
     """One endpoint: what the list says of it and how its last calls went."""
 
-    __slots__ = ("info", "usable", "gate", "out", "fails", "avoid", "used", "conns", "last_ok")
-
     def __init__(self, info: api.EndpointInfo, gate: Gate) -> None:
         self.info, self.gate = info, gate
         self.usable = True
@@ -242,9 +240,6 @@
 class Destination:
     """One destination: its endpoints, its held messages by deadline and its calls."""
 
-    __slots__ = ("id", "endpoints", "heaps", "calls", "mean", "backlog", "out", "open", "woken", "gate",
-                 "last_pass")
-
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
         self.endpoints: dict[str, Endpoint] = {}
@@ -257,6 +252,10 @@
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
+    def oldest(self) -> float:
+        """When the oldest call still out was sent."""
+        return next((attempt.sent for attempt in self.calls.values()), INF)
+
     def head(self, now: float) -> Message | None:
         """The held message with the earliest deadline. Where worth drops fastest just after the aim, one that
         cannot make it goes by its last deadline: guards against the late making all others late too."""
@@ -285,8 +284,6 @@
 class Call:
     """One call, which holds one slot until all messages in it have their outcomes."""
 
-    __slots__ = ("endpoint", "messages", "size", "trial")
-
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
         self.messages = self.size = 0
@@ -296,8 +293,6 @@
 class Attempt:
     """One attempt of a message."""
 
-    __slots__ = ("sent", "call")
-
     def __init__(self, sent: float, call: Call) -> None:
         self.sent, self.call = sent, call
 
@@ -305,9 +300,6 @@
 class Message:
     """A message taken and not yet over, or over with an attempt still out."""
 
-    __slots__ = ("id", "cls", "tenant", "key", "dest", "order", "first", "deadline", "span", "due", "yields",
-                 "cost", "tries", "live", "may_run", "zone", "held", "over", "was_sent")
-
     def __init__(self, event: api.NewMessage, cls: api.MessageClass, dest: Destination, order: int,
                  now: float, yields: bool) -> None:
         self.id, self.cls, self.tenant, self.key = event.id, cls, event.tenant, event.key
@@ -328,8 +320,6 @@
 class KeyLine:
     """The messages of one key in the order taken; the first has the turn."""
 
-    __slots__ = ("queue", "rest")
-
     def __init__(self) -> None:
         self.queue: deque[Message] = deque()
         self.rest = -INF  # the key pauses until then
@@ -368,8 +358,8 @@
     def handle(self, now: float, events: list[api.Event]) -> list[Action]:
         """Take the events of one moment and return what to do."""
         self.now, self.actions, self.calls = now, [], {}
-        if self.timer <= now:
-            self.timer = INF
+        if self.timer <= now or api.TimerDue() in events:
+            self.timer = INF  # due, perhaps by a rounded time: guards against waiting for it for ever
         self._wakes()
         for event in events:
             if isinstance(event, api.AttemptEnded):
@@ -383,8 +373,6 @@
                 message = self.messages.get(event.id)
                 if message is not None and not message.over:
                     self._over(message)
-            elif isinstance(event, api.ProbeEnded):
-                self._probed(event)
         self._pump()
         self._wakes()
         if self.wakes and self.wakes[0][0] < self.timer:
@@ -573,10 +561,11 @@
 
     def _sick(self, dest: Destination) -> bool:
         """Slow now (a call past twice the mean) or failing lately."""
-        oldest = next(iter(dest.calls.values()), None)
-        if oldest is not None and self.now - oldest.sent > SLOW * self._call_time(dest):
-            return True
-        return self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+        lately = self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+        return lately or self._overdue(dest, SLOW)
+
+    def _overdue(self, dest: Destination, means: float) -> bool:
+        return self.now - dest.oldest() > means * self._call_time(dest)
 
     def _judge(self, dest: Destination) -> bool:
         """Ill: shut, failing lately, silent, or far slower than usual. Guards the bound and the slots of all
@@ -591,9 +580,7 @@
 
     def _silent(self, dest: Destination) -> bool:
         """No answer since a call sent long ago: guards against filling slots at a hung destination."""
-        oldest = next(iter(dest.calls.values()), None)
-        return (oldest is not None and dest.last_pass < oldest.sent
-                and self.now - oldest.sent > HUSH * self._call_time(dest))
+        return dest.last_pass < dest.oldest() and self._overdue(dest, HUSH)
 
     def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
         """The endpoint to use now, or when to look again (infinite: at the next event there)."""
@@ -763,20 +750,11 @@
                 endpoint.avoid = self.now + AVOID * self.sets.connect_timeout
             gate.failed(self.now, call.trial)
 
-    def _probed(self, event: api.ProbeEnded) -> None:
-        endpoint = self.endpoints.get(event.endpoint)
-        if endpoint is not None and event.result is not Result.OK:
-            endpoint.gate.failed(self.now, False)
-
 
 def _check(sets: api.Settings) -> None:
     """Refuse settings that make no sense, in one clear error."""
-    if sets.slots < 1:
-        raise api.SettingsError("slots must be 1 or more")
-    if sets.max_open < 1 or sets.max_attempts < 1 or sets.senders < 1:
-        raise api.SettingsError("max_open, max_attempts and senders must be 1 or more")
-    if not sets.classes:
-        raise api.SettingsError("there must be a class")
+    if min(sets.slots, sets.max_open, sets.max_attempts, sets.senders, len(sets.classes)) < 1:
+        raise api.SettingsError("slots, max_open, max_attempts, senders and classes must be 1 or more")
     for cls in sets.classes:
         if cls.deadline <= 0 or cls.aim < 0 or cls.window < 0:
             raise api.SettingsError(f"class {cls.name}: times must not be negative, its deadline above 0")
