--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -41,6 +41,7 @@
 
 # Outages, trials and return.
 FAILS_SHUT = 3  # failures in a row that mean an outage
+LONG_WAIT = 2.0  # x connect time-out: a longer told wait means a shut destination, not a limit
 MOSTLY = 0.45  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
@@ -190,7 +191,7 @@
         self.fails += 1
         self.bad += BAD_GAIN * (1.0 - self.bad)
         self.last_fail = now
-        if now - self.ramp < self.sets.cold:
+        if now - self.ramp < self.sets.cold and self.bad > MOSTLY / 2:
             self.ramp = now  # not back yet: a lucky trial must not let the ramp run ahead of the return
         if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
             self.close(now)
@@ -198,7 +199,7 @@
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
         """The destination refused a call unseen: over a limit, or shut. Calls sent before the last refusal
         was known are the same evidence (guards against taking a clump over the limit for an outage)."""
-        if sent < self.full_at and not trial:
+        if sent < self.full_at and not trial and wait <= LONG_WAIT * self.sets.connect_timeout:
             self.wait = max(self.wait, now + wait + self.sets.tick) if wait > 0 else self.wait
             return
         self.full_at = now
@@ -207,7 +208,9 @@
             self.wait = max(self.wait, now + wait + self.sets.tick)
         elif not self.shut:
             self.wait = max(self.wait, now + 1000.0 / max(self.believed(), 1.0))
-        if trial or (self.fulls >= FULLS_SHUT and not self.shut):
+        # A wait far over any span of a limit means shut: guards against a burst of all at its end.
+        shut = self.fulls >= FULLS_SHUT or wait > LONG_WAIT * self.sets.connect_timeout
+        if trial or (shut and not self.shut):
             self.close(now)
             self.last_fail = now
         if not self.shut:
