--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -42,7 +42,7 @@
 # Outages, trials and return.
 FAILS_SHUT = 3  # failures in a row that mean an outage
 LONG_WAIT = 2.0  # x connect time-out: a longer told wait means a shut destination, not a limit
-MOSTLY = 0.45  # running share of failures that means an outage, though some calls still pass
+MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULLS_SHUT = 4  # refusals in a row that mean a shut destination
@@ -52,6 +52,11 @@
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
 
+ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
+CONNS_BACK = 0.2  # calls at once that an endpoint short of connections gets back each second
+ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint short of connections, set aside
+JITTER = 0.2  # share by which the wait before a trial varies, so that senders do not try together
+
 # Pace under a limit.
 PACE_CUT = 0.7  # x pace at a refusal over the limit
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
@@ -177,7 +182,7 @@
             self.gap = TRIAL_FIRST * self.sets.connect_timeout
         else:
             self.gap = min(self.gap * TRIAL_GROWTH, TRIAL_MOST * max(self.sets.cold, self.gap))
-        self.shut, self.trial = True, now + self.gap * (0.8 + 0.4 * self.rng.random())
+        self.shut, self.trial = True, now + self.gap * (1.0 + JITTER * (2.0 * self.rng.random() - 1.0))
 
     def passed(self, now: float) -> None:
         """A call was served."""
@@ -221,12 +226,10 @@
     def second(self) -> None:
         """Let the pace recover."""
         if self.pace < INF:
-            self.pace *= 1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE)
-            self.pace = max(self.pace, PACE_FLOOR * self.believed() / self.sets.senders)
-            if self.told:
-                self.pace = min(self.pace, self.rate)
-            elif self.pace > PACE_FREE * self.believed():
-                self.pace = INF
+            grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
+            self.pace = max(grown, PACE_FLOOR * self.believed() / self.sets.senders)
+            if self.told or self.pace > PACE_FREE * self.believed():
+                self.pace = min(self.pace, self.rate) if self.told else INF
 
 
 class Endpoint:
@@ -234,8 +237,7 @@
 
     def __init__(self, info: api.EndpointInfo, gate: Gate) -> None:
         self.info, self.gate = info, gate
-        self.usable = True
-        self.out = self.fails = 0
+        self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
 
@@ -249,9 +251,8 @@
         self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe: (due, order, message)
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
-        self.backlog = 0.0  # summed cost of its open messages
+        self.backlog, self.open = 0.0, 0  # its open messages: summed cost and number
         self.out = 0  # slots in use
-        self.open = 0  # open messages
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
@@ -289,8 +290,7 @@
 
     def __init__(self, endpoint: Endpoint) -> None:
         self.endpoint = endpoint
-        self.messages = self.size = 0
-        self.trial = False
+        self.messages, self.size, self.trial = 0, 0, False  # without outcome, all, is it the trial
 
 
 class Attempt:
@@ -313,8 +313,7 @@
         self.due = self.first + self.span
         self.yields = yields  # to messages that can still make their aim
         self.cost = 1.0
-        self.tries = 0
-        self.live: dict[int, Attempt] = {}  # outstanding
+        self.tries, self.live = 0, dict[int, Attempt]()  # attempts: all, outstanding
         self.may_run = INF  # send time of the first attempt that may have run
         self.zone = ""  # where that was
         self.held = self.over = self.was_sent = False
@@ -332,7 +331,6 @@
     """The decisions of one sender."""
 
     def __init__(self, settings: api.Settings, seed: int, now: float) -> None:
-        _check(settings)
         self.sets, self.rng = settings, Random(seed)
         self.classes = {cls.name: cls for cls in settings.classes}
         self.kinds = {kind.name: kind for kind in settings.kinds}
@@ -356,8 +354,6 @@
         if settings.ask_list:
             self._wake(now, "watch", None)
 
-    # ---- events in, actions out
-
     def handle(self, now: float, events: list[api.Event]) -> list[Action]:
         """Take the events of one moment and return what to do."""
         self.now, self.actions, self.calls = now, [], {}
@@ -410,18 +406,15 @@
         for gate in {id(e.gate): e.gate for e in self.endpoints.values()}.values():
             gate.second()
         for endpoint in self.endpoints.values():
-            endpoint.conns += 0.2
+            endpoint.conns += CONNS_BACK
         for dest in self.dests.values():
             self._judge(dest)
         self._wake(self.now + PERIOD, "second", None)
 
-    # ---- the endpoint list
-
     def _news(self, news: api.ListNews) -> None:
         if news.kind is api.ListKind.FAILED:
-            if self.sets.ask_list:
-                self._wake(self.now + self.sets.ask_within * (0.1 + 0.2 * self.rng.random()), "watch", None)
-            return
+            wait = ASK_AGAIN * self.sets.ask_within * (1.0 + self.rng.random())
+            return self._wake(self.now + wait, "watch", None) if self.sets.ask_list else None
         if news.kind is not api.ListKind.DELTA:
             named = {info.name for info in news.entries}
             for name, endpoint in self.endpoints.items():
@@ -431,8 +424,7 @@
             dest = self._dest(info.destination)
             known = self.endpoints.get(info.name)
             if known is None or known.info.destination != info.destination:
-                apart = info.kind in self.kinds and self.kinds[info.kind].apart
-                gate = Gate(self.sets, self.rng, self.now) if apart else dest.gate
+                gate = Gate(self.sets, self.rng, self.now) if self._kind(info).apart else dest.gate
                 known = self.endpoints[info.name] = dest.endpoints[info.name] = Endpoint(info, gate)
             known.info = info
             known.usable = info.state is State.READY
@@ -440,14 +432,15 @@
                 known.gate.limit(info.rate, False)
             self._list(dest)
 
+    def _kind(self, info: api.EndpointInfo) -> api.Kind:
+        return self.kinds.get(info.kind) or api.Kind(info.kind)
+
     def _dest(self, ident: int) -> Destination:
         dest = self.dests.get(ident)
         if dest is None:
             dest = self.dests[ident] = Destination(ident, Gate(self.sets, self.rng, self.now))
         return dest
 
-    # ---- admission
-
     def _call_time(self, dest: Destination) -> float:
         return dest.mean.value or self.mean.value or UNMET * self.sets.connect_timeout
 
@@ -503,8 +496,6 @@
         heappush(message.dest.heaps[unsafe], (message.due, message.order, message))
         self._list(message.dest)
 
-    # ---- turns of a key
-
     def _has_turn(self, message: Message) -> bool:
         line = self.keys[message.key]
         return line.queue[0] is message and (line.rest <= self.now or message.was_sent)
@@ -523,8 +514,6 @@
         elif not line.queue[0].over:
             self._hold(line.queue[0])
 
-    # ---- release
-
     def _list(self, dest: Destination) -> None:
         head = dest.head(self.now)
         if head is not None:
@@ -555,7 +544,7 @@
         if message is None or not self._may_send(message, endpoint):
             head.held = False  # its own state forbids it: aside, so that it holds up no other
             if self._may_retry(head):
-                self._wake(self.now + self.sets.connect_timeout / 2, "hold", head)
+                self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", head)
             else:
                 self._give_up(head)
         else:
@@ -612,7 +601,7 @@
         return best, soonest
 
     def _in_group(self, message: Message, endpoint: Endpoint) -> bool:
-        return (message.may_run == INF or message.cls.group == "all" or message.zone == endpoint.info.zone)
+        return message.may_run == INF or message.cls.group == "all" or message.zone == endpoint.info.zone
 
     # ---- the choke points: every send, every final answer
 
@@ -635,9 +624,8 @@
 
     def _send(self, message: Message, endpoint: Endpoint) -> None:
         dest = message.dest
-        kind = self.kinds.get(endpoint.info.kind)
         call = self.calls.get(endpoint.info.name)
-        if call is None or call.size >= (kind.batch if kind else 1):
+        if call is None or call.size >= self._kind(endpoint.info).batch:
             call = self.calls[endpoint.info.name] = Call(endpoint)
             call.trial = endpoint.gate.sent(self.now)
             self.out += 1
@@ -668,7 +656,8 @@
     def _retry_after(self, message: Message) -> float:
         """When it is worth coming back: once the excess is worked off, or the destination may be back."""
         excess = (self.backlog - self.bound.value) * (self.mean.value or UNMET * self.sets.connect_timeout)
-        at = max(excess / self.sets.slots, self._call_time(message.dest), message.dest.gate.wait - self.now)
+        back = max(message.dest.gate.wait, message.dest.gate.trial if message.dest.gate.shut else -INF)
+        at = max(excess / self.sets.slots, self._call_time(message.dest), back - self.now)
         return min(at, self.sets.max_retry_after)
 
     def _over(self, message: Message) -> None:
@@ -678,17 +667,16 @@
         message.dest.open -= 1
         if message.was_sent and message.dest.id not in self.ill:
             self.bound.answered((self.now - message.first) / message.span)
-        if not message.live:
-            self._forget(message)
+        self._forget(message)
 
     def _forget(self, message: Message) -> None:
-        """Nothing more can come for it."""
+        """Drop it once nothing more can come for it."""
+        if message.live:
+            return
         self.messages.pop(message.id, None)
         if message.cls.in_order and message.key:
             self._turn(message.key)
 
-    # ---- outcomes
-
     def _ended(self, event: api.AttemptEnded) -> None:
         message = self.messages.get(event.id)
         attempt = message.live.pop(event.attempt, None) if message is not None else None
@@ -705,16 +693,13 @@
                 call.endpoint.gate.trial_out = False
         self._learn(dest, attempt, event)
         self._judge(dest)
-        if event.result in (Result.OK, Result.ERROR, Result.TIMEOUT, Result.RESET, Result.CANCELLED):
-            if message.may_run == INF:
-                message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
+        if event.result not in (Result.FULL, Result.NO_CONNECTION, Result.MOOT) and message.may_run == INF:
+            message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
         unsure = event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
-        if unsure and message.cls.in_order and message.key:
-            line = self.keys[message.key]
-            line.rest = max(line.rest, self.now + self.sets.order_pause)
+        if unsure and message.key in self.keys and message.cls.in_order:
+            self.keys[message.key].rest = self.now + self.sets.order_pause
         if message.over:
-            if not message.live:
-                self._forget(message)
+            self._forget(message)
         elif event.closed or event.result is Result.OK:
             self._over(message)
         elif not message.live:
@@ -743,23 +728,11 @@
         elif result is Result.NO_CONNECTION and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
             endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
-            endpoint.avoid = self.now + AVOID * self.sets.connect_timeout / 4
+            endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
             if result is Result.TIMEOUT and dest.last_pass < attempt.sent:
                 # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
             endpoint.fails += 1
-            if endpoint.fails >= 2:
-                endpoint.avoid = self.now + AVOID * self.sets.connect_timeout
+            endpoint.avoid = self.now + AVOID * self.sets.connect_timeout if endpoint.fails > 1 else -INF
             gate.failed(self.now, call.trial)
-
-
-def _check(sets: api.Settings) -> None:
-    """Refuse settings that make no sense, in one clear error."""
-    if min(sets.slots, sets.max_open, sets.max_attempts, sets.senders, len(sets.classes)) < 1:
-        raise api.SettingsError("slots, max_open, max_attempts, senders and classes must be 1 or more")
-    for cls in sets.classes:
-        if cls.deadline <= 0 or cls.aim < 0 or cls.window < 0:
-            raise api.SettingsError(f"class {cls.name}: times must not be negative, its deadline above 0")
-    if min(sets.connect_timeout, sets.cold, sets.order_pause, sets.max_retry_after, sets.tip_after) < 0:
-        raise api.SettingsError("times must not be negative")
