--- /dev/null
+++ b/tests/test_parts.py
@@ -0,0 +1,288 @@
+"""The loop by hand-worked figures, and one small test for each defence."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from brassweir import interface as api
+from brassweir.control import Bound, Gate, Mean, Sender
+
+SAFE = api.MessageClass("safe", 2000.0, 20000.0, api.Effect.SAFE, late_worth=0.3)
+UNSAFE = api.MessageClass("unsafe", 2000.0, 20000.0, api.Effect.UNSAFE, late_worth=0.3)
+SETTINGS = api.Settings(
+    classes=(SAFE, UNSAFE), slots=4, max_open=40, senders=2, max_retry_after=3000.0, tick=5.0, cold=10000.0
+)
+
+
+def listed(*destinations: int) -> api.ListNews:
+    """A full list with one endpoint for each destination."""
+    return api.ListNews(
+        api.ListKind.FULL, tuple(api.EndpointInfo(f"e{d}", d, "k", rate=10.0) for d in destinations)
+    )
+
+
+def new(ident: int, destination: int = 1, name: str = "safe", left: float = 20000.0) -> api.NewMessage:
+    """A message."""
+    return api.NewMessage(ident, name, destination, left)
+
+
+def over(
+    ident: int, result: api.Result, destination: int = 1, attempt: int = 0, **more: float
+) -> api.AttemptEnded:
+    """An outcome."""
+    return api.AttemptEnded(
+        ident, attempt, f"e{destination}", result, more.pop("latency", 100.0), result is api.Result.OK, **more
+    )
+
+
+def sends(actions: list[api.Action]) -> list[int]:
+    """The ids sent."""
+    return [action.id for action in actions if isinstance(action, api.Send)]
+
+
+def test_loop_follows_the_paper() -> None:
+    bound = Bound(10, 100)
+    assert bound.value == 20
+    bound.answered(0.4)
+    bound.answered(0.6)
+    bound.step()  # e = 0.4; step 2.36 * 4.62 * 0.4 = 4.36128
+    assert bound.delta == pytest.approx(4.36128)
+    assert bound.value == 24
+    bound.answered(1.9)
+    bound.step()  # e = -1; step 4.36128 + 2.36 * (-4.62 - 0.4) = -7.48592
+    assert bound.delta == pytest.approx(-7.48592)
+    assert bound.value == 16
+
+
+def test_loop_rests_without_answers() -> None:
+    bound = Bound(10, 100)
+    bound.answered(0.4)
+    bound.step()
+    before = (bound.value, bound.delta, bound.last)
+    bound.step()
+    assert (bound.value, bound.delta, bound.last) == before
+
+
+@pytest.mark.parametrize(("ratio", "end"), [(0.0, 100.0), (5.0, 10.0)])
+def test_loop_does_not_wind_up_at_an_end(ratio: float, end: float) -> None:
+    bound = Bound(10, 100)
+    for _ in range(30):
+        bound.answered(ratio)
+        bound.step()
+    assert (bound.value, bound.delta) == (end, 0.0)
+
+
+def test_usual_call_time_outlasts_an_illness() -> None:
+    mean = Mean()
+    for _ in range(20):
+        mean.add(100.0)
+    for _ in range(20):
+        mean.add(2000.0)
+    assert mean.value > 4 * mean.usual
+
+
+def test_refuses_at_once_while_slots_are_busy_and_backlog_is_over() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1, 2, 3)])
+    actions = sender.handle(1.0, [new(i, 1 + i % 3) for i in range(9)])
+    assert len(sends(actions)) == 4
+    refused = [a for a in actions if isinstance(a, api.Refuse)]
+    assert [a.id for a in refused] == [8]  # the bound starts at twice the slots
+    assert 0 < refused[0].retry_after <= 3000.0
+
+
+def test_earliest_deadline_leaves_first() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1, 2)])
+    sender.handle(1.0, [new(i, 1 + i % 2) for i in range(4)])
+    sender.handle(2.0, [new(10), new(11, left=18500.0)])
+    assert sends(sender.handle(50.0, [over(0, api.Result.OK)]))[:1] == [11]
+
+
+def test_blocked_destination_holds_up_no_other() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1, 2)])
+    sender.handle(1.0, [new(1)])
+    sender.handle(2.0, [over(1, api.Result.FULL, wait=900.0)])
+    assert sends(sender.handle(3.0, [new(2), new(3, 2)])) == [3]
+
+
+def test_message_is_answered_though_the_last_look_fell_into_an_attempt() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(1, left=1000.0)])
+    sender.handle(800.0, [api.TimerDue()])  # the look shortly before the deadline
+    answers = list(sender.handle(850.0, [over(1, api.Result.FULL, wait=600.0)]))
+    for now in (900.0, 950.0, 1001.0):
+        answers += sender.handle(now, [api.TimerDue()])
+    assert [a.id for a in answers if isinstance(a, api.Refuse)] == [1]
+
+
+def test_timer_rounded_down_does_not_block_the_next() -> None:
+    sender = Sender(SETTINGS, 1, 0.0004)
+    due = [a.at for a in sender.handle(0.0004, []) if isinstance(a, api.SetTimer)]
+    again = sender.handle(due[0] - 0.0004, [api.TimerDue()])
+    assert any(isinstance(a, api.SetTimer) for a in again)
+
+
+def test_long_told_wait_means_shut() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.full(0.0, 12000.0, False, 0.0)
+    assert gate.shut
+    assert gate.when(100.0) > 12000.0
+    assert gate.sent(12100.0)  # a trial
+    assert gate.when(12100.0) == float("inf")  # and only one
+
+
+def test_burst_over_a_limit_is_no_outage() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    for at in range(100, 110):
+        gate.full(float(at), 0.0, False, 50.0)
+    assert not gate.shut
+    assert gate.pace < float("inf")
+
+
+def test_refusals_while_no_allowance_is_left_are_no_outage() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, True)
+    gate.left = 0.0
+    for at in range(0, 10000, 500):
+        gate.full(float(at), 0.0, False, float(at))
+    assert not gate.shut
+
+
+def test_most_calls_failing_is_an_outage_though_some_pass() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    for step in range(40):
+        if step % 3 == 2:
+            gate.passed(float(step))
+        else:
+            gate.failed(float(step), False)
+        if gate.shut:
+            break
+    assert gate.shut
+
+
+def test_ramp_stays_far_under_the_tipping_rate() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, False)
+    for at in range(3):
+        gate.failed(float(at), False)
+    gate.sent(2000.0)
+    gate.passed(2000.0)
+    limit = SETTINGS.tip_multiple * SETTINGS.start_capacity * 10.0 / SETTINGS.senders
+    assert gate.allowed(2000.0) < limit
+    assert gate.when(2000.0) > 2000.0
+    assert gate.allowed(2000.0 + SETTINGS.cold) == float("inf")
+
+
+def test_lost_call_does_not_lengthen_time_outs() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(1), new(2)])
+    sender.handle(101.0, [over(2, api.Result.OK)])
+    before = sender.dests[1].mean.value
+    sender.handle(1001.0, [over(1, api.Result.TIMEOUT, latency=1000.0)])
+    assert sender.dests[1].mean.value == before
+
+
+def test_ill_destinations_do_not_move_the_bound() -> None:
+    sender = Sender(replace(SETTINGS, slots=8), 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(i, name="unsafe") for i in range(3)])
+    sender.handle(3000.0, [over(i, api.Result.TIMEOUT) for i in range(3)])
+    assert sender.dests[1].gate.shut
+    assert 1 in sender.ill
+    assert sender.bound.count <= 2  # those answered before it was known to be ill
+
+
+def test_late_message_yields_only_where_worth_halves() -> None:
+    for by_half, first in ((True, [2]), (False, [1])):
+        sender = Sender(replace(SETTINGS, by_half=by_half), 1, 0.0)
+        sender.handle(0.0, [new(1)])
+        sender.handle(1900.0, [new(2)])
+        actions = sender.handle(2500.0, [listed(1), api.TimerDue()])
+        assert sends(actions)[:1] == first
+
+
+def test_misuse_and_bad_settings_are_named() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [new(1)])
+    with pytest.raises(api.MisuseError):
+        sender.handle(1.0, [new(1)])
+    with pytest.raises(api.MisuseError):
+        sender.handle(1.0, [new(2, name="nobody")])
+    with pytest.raises(api.SettingsError):
+        replace(SETTINGS, slots=0)
+    with pytest.raises(api.SettingsError):
+        replace(SETTINGS, cold=-1.0)
+
+
+def test_unknown_and_late_news_is_ignored() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [over(7, api.Result.OK), api.Withdrawn(9), api.TimerDue()])
+    sender.handle(1.0, [api.ProbeEnded("nobody", api.Result.OK, 3.0), api.ListNews(api.ListKind.FAILED)])
+
+
+LAUNCH = (
+    "LAUNCH SenderId=3 Salt=5 Allowed.ConnectTimeout=1000.0 Allowed.MaxAttempts=6 Allowed.MaxOpen=40 "
+    "Classes.count=1 Classes.0.Name=c Classes.0.Objective=2000.0 Classes.0.HardLimit=9000.0 "
+    "Classes.0.Idempotency=pure Specifics.CallSlots=4 Skus=k Unknown.Setting=1"
+)
+WIRE = "\n".join(
+    [
+        "ROUND AtTime=10.0 frame=1",
+        LAUNCH,
+        "INVENTORY SetId=0 Items=1",
+        "ITEM Endpoint=e Locality=z Sku=k Destination=57 Availability=2 CapacityHint=4",
+        "ANNOUNCE SenderId=3 How=2 Generation=1 SetId=0",
+        "ORDER SenderId=3 RequestId=8 Profile=c Budget=9000.0 ToExchange=57",
+        "FLUSH",
+        "",
+    ]
+)
+
+
+def adapter(text: str, **env: str) -> subprocess.CompletedProcess[str]:
+    """Run the adapter on a text."""
+    return subprocess.run(
+        [sys.executable, "-m", "brassweir.adapter"],
+        input=text,
+        capture_output=True,
+        text=True,
+        timeout=60,
+        cwd=Path(__file__).parent.parent,
+        env={**os.environ, **env},
+        check=False,
+    )
+
+
+def test_adapter_answers_the_same_whatever_the_hash_seed() -> None:
+    replies = {adapter(WIRE, PYTHONHASHSEED=seed).stdout for seed in ("1", "2", "77")}
+    assert len(replies) == 1
+    reply = replies.pop()
+    assert "TRANSMIT SenderId=3 RequestId=8 AbandonAt=" in reply
+    assert reply.endswith("READY frame=1\n")
+
+
+@pytest.mark.parametrize(
+    ("old", "new_text", "word"),
+    [
+        ("Budget=9000.0", "Budget=soon", "Budget"),
+        (" Profile=c", "", "Profile"),
+        ("ORDER", "ODER", "ODER"),
+        ("CallSlots=4", "CallSlots=0", "slots"),
+        ("SetId=0\nORDER", "SetId=7\nORDER", "SetId"),
+    ],
+)
+def test_adapter_names_what_is_malformed(old: str, new_text: str, word: str) -> None:
+    done = adapter(WIRE.replace(old, new_text))
+    assert done.returncode != 0
+    assert word in done.stderr
