--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -46,6 +46,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULLS_SHUT = 4  # refusals in a row that mean a shut destination
+FULL_SPAN = 2.0  # x connect time-out: and for so long, since a limit may count over a span of time
 TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
 TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
 TRIAL_MOST = 0.2  # x the cold time: longest wait between trials
@@ -122,7 +123,7 @@
         self.ramp = -INF  # when the return was seen
         self.fails = self.fulls = 0
         self.bad = 0.0  # running share of failures
-        self.last_fail = self.full_at = -INF
+        self.last_fail = self.full_at = self.full_since = -INF
         self.left = 1.0  # share of the limit left, by the last report
 
     def limit(self, rate: float, told: bool) -> None:
@@ -207,14 +208,15 @@
         if sent < self.full_at and not trial and wait <= LONG_WAIT * self.sets.connect_timeout:
             self.wait = max(self.wait, now + wait + self.sets.tick) if wait > 0 else self.wait
             return
-        self.full_at = now
+        self.full_at, self.full_since = now, self.full_since if self.fulls else now
         self.fulls += self.left > SCARCE
         if wait > 0:
             self.wait = max(self.wait, now + wait + self.sets.tick)
         elif not self.shut:
             self.wait = max(self.wait, now + 1000.0 / max(self.believed(), 1.0))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
-        shut = self.fulls >= FULLS_SHUT or wait > LONG_WAIT * self.sets.connect_timeout
+        lasting = now - self.full_since > FULL_SPAN * self.sets.connect_timeout
+        shut = (self.fulls >= FULLS_SHUT and lasting) or wait > LONG_WAIT * self.sets.connect_timeout
         if trial or (shut and not self.shut):
             self.close(now)
             self.last_fail = now
