--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -123,7 +123,7 @@
         self.ramp = -INF  # when the return was seen
         self.fails = self.fulls = 0
         self.bad = 0.0  # running share of failures
-        self.last_fail = self.full_at = self.full_since = -INF
+        self.last_fail = self.full_at = self.full_since = self.cut = -INF
         self.left = 1.0  # share of the limit left, by the last report
 
     def limit(self, rate: float, told: bool) -> None:
@@ -221,9 +221,10 @@
             self.close(now)
             self.last_fail = now
         if not self.shut:
-            even = self.believed() / self.sets.senders
-            self.pace = max(PACE_FLOOR * even, min(self.pace, self.believed() / PACE_CUT) * PACE_CUT)
             self.tokens = min(self.tokens, 0.0)
+            if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
+                floor, self.cut = PACE_FLOOR * self.believed() / self.sets.senders, now
+                self.pace = max(floor, min(self.pace, self.believed() / PACE_CUT) * PACE_CUT)
 
     def second(self) -> None:
         """Let the pace recover."""
@@ -280,12 +281,6 @@
                 best = heap[0][2]
         return best
 
-    def trial_head(self, now: float) -> Message | None:
-        """The same, but one that can be repeated first: a trial may get no answer."""
-        self.head(now)
-        heap = self.heaps[0] or self.heaps[1]
-        return heap[0][2] if heap else None
-
 
 class Call:
     """One call, which holds one slot until all messages in it have their outcomes."""
@@ -542,13 +537,14 @@
                 dest.woken = at
                 self._wake(at, "dest", dest)
             return
-        message = dest.trial_head(self.now) if endpoint.gate.shut else head
-        if message is None or not self._may_send(message, endpoint):
-            head.held = False  # its own state forbids it: aside, so that it holds up no other
-            if self._may_retry(head):
-                self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", head)
+        # A trial may get no answer: rather one that can be repeated.
+        message: Message = (dest.heaps[0] or dest.heaps[1])[0][2] if endpoint.gate.shut else head
+        if not self._may_send(message, endpoint):
+            message.held = False  # its own state forbids it: aside, so that it holds up no other
+            if self._may_retry(message):
+                self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", message)
             else:
-                self._give_up(head)
+                self._give_up(message)
         else:
             self._send(message, endpoint)
         self._list(dest)
