--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -197,8 +197,6 @@
         self.fails += 1
         self.bad += BAD_GAIN * (1.0 - self.bad)
         self.last_fail = now
-        if now - self.ramp < self.sets.cold and self.bad > MOSTLY / 2:
-            self.ramp = now  # not back yet: a lucky trial must not let the ramp run ahead of the return
         if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
             self.close(now)
 
