--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -25,7 +25,7 @@
 START_SLOTS = 2.0  # x slots: the bound before anything was seen
 CAP = 0.75  # share of the slots that one destination may hold
 SICK_CAP = 0.5  # the same while it is slow or failed lately
-LEAST_PART = 0.5  # share of the bound left to a class of little worth, so that none is starved
+CLIFF = 0.2  # worth left at the deadline: below it a late message has little to lose there, so it yields
 SLOW = 2.0  # x mean call time: a call out for longer makes its destination sick
 LATELY = 2.0  # x connect time-out: a failure counts as recent for so long
 
@@ -332,7 +332,6 @@
         self.kinds = {kind.name: kind for kind in settings.kinds}
         self.bound = Bound(settings.slots, settings.max_open)
         self.mean = Mean()
-        self.worth = max(sum(c.worth for c in settings.classes) / len(settings.classes), 1e-9)
         self.dests: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
@@ -449,7 +448,7 @@
             raise api.MisuseError(f"message {event.id} has the unknown class {event.class_name!r}")
         dest = self._dest(event.destination)
         self.order += 1
-        message = Message(event, cls, dest, self.order, self.now, self.sets.by_half)
+        message = Message(event, cls, dest, self.order, self.now, self.sets.by_half or cls.late_worth < CLIFF)
         message.cost = dest.mean.value / self.mean.value if dest.mean.value and self.mean.value else 1.0
         self.messages[message.id] = message
         self.backlog += message.cost
@@ -457,7 +456,7 @@
         dest.open += 1
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(dest, message):
+        if not self._room(dest):
             self._give_up(message)
             return
         self._expiry(message)
@@ -472,7 +471,7 @@
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
         self._wake(max(at, self.now), "expire", message)
 
-    def _room(self, dest: Destination, message: Message) -> bool:
+    def _room(self, dest: Destination) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
         weighs only on messages for these, which may fill their share of the holding limit."""
         if dest.id in self.ill:
@@ -480,8 +479,7 @@
         apart = sum(ill.backlog for ill in self.ill.values())
         if self.out < self.sets.slots:
             return True
-        part = min(1.0, max(LEAST_PART, message.cls.worth / self.worth))
-        return self.backlog - apart <= max(self.bound.low, part * self.bound.value)
+        return self.backlog - apart <= self.bound.value
 
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
