--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -32,8 +32,8 @@
 # Call times and time-outs.
 MEAN_GAIN = 0.1  # weight of a new call time in its mean: some ten calls are remembered
 UNMET = 0.25  # x connect time-out: call time taken for an unmet destination when none was met
-TIMEOUT_MEANS = 4.0  # x mean call time: beyond it an answer hardly comes
-TIMEOUT_LEAST = 0.75  # x connect time-out: shortest time-out
+TIMEOUT_MEANS = 6.0  # x mean call time: beyond it an answer hardly comes
+TIMEOUT_LEAST = 1.0  # x connect time-out: shortest time-out
 TIMEOUT_GROWTH = 2.0  # x for each further attempt, so that a heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
 ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -149,6 +149,25 @@
     assert gate.pace < float("inf")
 
 
+def test_refusals_mean_shut_only_when_they_last() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    for at in (0.0, 200.0, 400.0, 600.0, 800.0):
+        gate.full(at, 0.0, False, at)
+    assert not gate.shut  # a limit that counts over a span refuses all until its end
+    gate.full(2100.0, 0.0, False, 2100.0)
+    assert gate.shut
+
+
+def test_pace_is_cut_once_a_second() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, False)
+    for at in (0.0, 200.0, 400.0, 600.0):
+        gate.full(at, 0.0, False, at)
+    assert gate.pace == pytest.approx(10.0)
+    gate.full(1000.0, 0.0, False, 1000.0)
+    assert gate.pace == pytest.approx(7.0)
+
+
 def test_refusals_while_no_allowance_is_left_are_no_outage() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
     gate.limit(10.0, True)
