--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -190,7 +190,7 @@
         """A call was served."""
         self.fails = self.fulls = 0
         self.bad -= BAD_GAIN * self.bad
-        if self.shut:
+        if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
             self.shut, self.ramp, self.tokens, self.stamp = False, now, 0.0, now
 
     def failed(self, now: float, trial: bool) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -141,6 +141,13 @@
     assert gate.when(12100.0) == float("inf")  # and only one
 
 
+def test_late_pass_does_not_end_a_told_closing() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.full(0.0, 12000.0, False, 0.0)
+    gate.passed(50.0)
+    assert gate.shut
+
+
 def test_burst_over_a_limit_is_no_outage() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
     for at in range(100, 110):
