--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -140,6 +140,7 @@
         tenants=tenants,
         max_attempts=whole("Allowed.MaxAttempts"),
         connect_timeout=num("Allowed.ConnectTimeout"),
+        idle_close=num("Allowed.IdleClose", 0.0),
         max_retry_after=num("Allowed.MaxRetryAfter", 0.0) if told else 0.0,
         tick=num("Resolution", 1.0),
         probes=flag("Allowed.Probes"),
@@ -313,6 +314,8 @@
         return f"NOT_NOW SenderId={me} RequestId={action.id} ComeBack={action.retry_after:.1f}"
     if isinstance(action, api.Fail):
         return f"FAIL SenderId={me} RequestId={action.id}"
+    if isinstance(action, api.CloseIdle):
+        return f"LET_GO SenderId={me} Endpoint={action.endpoint}"
     if isinstance(action, api.Probe):
         return f"CHECK SenderId={me} Endpoint={action.endpoint}"
     if isinstance(action, api.CancelAttempt):
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -97,6 +97,7 @@
     tenants: tuple[Tenant, ...] = ()
     max_attempts: int = 6
     connect_timeout: float = 1000.0
+    idle_close: float = 0.0  # idle connections close by themselves after this; 0 if unknown
     max_retry_after: float = 0.0
     tick: float = 1.0
     probes: bool = False
@@ -119,7 +120,7 @@
         """Refuse settings that make no sense, in one clear error."""
         if min(self.slots, self.max_open, self.max_attempts, self.senders, len(self.classes)) < 1:
             raise SettingsError("slots, max_open, max_attempts, senders and classes must be 1 or more")
-        times = (self.connect_timeout, self.cold, self.order_pause, self.max_retry_after, self.tip_after)
+        times = (self.connect_timeout, self.idle_close, self.cold, self.order_pause, self.max_retry_after, self.tip_after)
         if min(times) < 0:
             raise SettingsError("times must not be negative")
         for cls in self.classes:
@@ -237,6 +238,13 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to an endpoint."""
+
+    endpoint: str
+
+
 @dataclass(frozen=True, slots=True)
 class WatchList:
     """Ask for changes of the endpoint list."""
@@ -249,4 +257,4 @@
     at: float
 
 
-Action = Send | Refuse | Fail | Probe | CancelAttempt | WatchList | SetTimer
+Action = Send | Refuse | Fail | Probe | CancelAttempt | CloseIdle | WatchList | SetTimer
