--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -56,7 +56,7 @@
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
 CONNS_BACK = 0.2  # calls at once that an endpoint short of connections gets back each second
-GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
+LACKED = 3.0  # x idle time: a missing connection is remembered for so long
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint short of connections, set aside
 JITTER = 0.2  # share by which the wait before a trial varies, so that senders do not try together
 
@@ -243,8 +243,6 @@
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
-        self.short = False  # its connections were all taken once
-        self.gap = 0.0  # usual time between two calls there
 
 
 class Destination:
@@ -341,6 +339,7 @@
         self.keys: dict[str, KeyLine] = {}
         self.backlog = 0.0  # summed cost of open messages
         self.out = 0  # slots in use
+        self.lacked: dict[str, float] = {}  # when a connection was last missing, by kind of destination
         self.ill: dict[int, Destination] = {}  # apart from the rest: see _judge
         self.order = 0
         self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
@@ -637,8 +636,6 @@
         message.live[message.tries] = dest.calls[message.id, message.tries] = attempt
         message.tries += 1
         message.held, message.was_sent = False, True
-        if endpoint.used > -INF:
-            endpoint.gap += (self.now - endpoint.used - endpoint.gap) * (GAP_GAIN if endpoint.gap else 1.0)
         endpoint.used = self.now
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
         unsafe = message.cls.effect is Effect.UNSAFE
@@ -713,9 +710,11 @@
         self._close(call.endpoint)
 
     def _close(self, endpoint: Endpoint) -> None:
-        """Give a connection back that the next call would hardly find open, or that others lack. Guards
-        against a large fleet filling an endpoint's connections with idle ones; costs handshakes."""
-        if not endpoint.out and (endpoint.short or not 0.0 < endpoint.gap < self.sets.idle_close):
+        """Give idle connections back while connections are missing at this kind of destination. Guards
+        against a large fleet filling an endpoint's connections with idle ones; costs handshakes, also while
+        destinations of the kind are merely down."""
+        lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
+        if lacked and not endpoint.out:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, attempt: Attempt, event: api.AttemptEnded) -> None:
@@ -725,6 +724,8 @@
         if event.limit is not None:
             gate.limit(event.limit, True)
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
+        if result is Result.NO_CONNECTION:
+            self.lacked[endpoint.info.kind] = self.now
         if result is Result.OK:
             dest.mean.add(event.latency)
             if dest.id not in self.ill:
@@ -736,7 +737,6 @@
             gate.full(self.now, event.wait, call.trial, attempt.sent)
         elif result is Result.NO_CONNECTION and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
-            endpoint.short = True
             endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
             endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
