--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -56,6 +56,8 @@
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
 CONNS_BACK = 0.2  # calls at once that an endpoint short of connections gets back each second
+KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
+GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint short of connections, set aside
 JITTER = 0.2  # share by which the wait before a trial varies, so that senders do not try together
@@ -243,6 +245,7 @@
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
+        self.gap = 0.0  # usual time between two calls there, up to the idle time
 
 
 class Destination:
@@ -636,6 +639,8 @@
         message.live[message.tries] = dest.calls[message.id, message.tries] = attempt
         message.tries += 1
         message.held, message.was_sent = False, True
+        gap = min(self.now - endpoint.used, self.sets.idle_close)
+        endpoint.gap += (gap - endpoint.gap) * GAP_GAIN
         endpoint.used = self.now
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
         unsafe = message.cls.effect is Effect.UNSAFE
@@ -714,7 +719,8 @@
         against a large fleet filling an endpoint's connections with idle ones; costs handshakes, also while
         destinations of the kind are merely down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
-        if lacked and not endpoint.out:
+        keep = KEEP / self.sets.senders * self.sets.idle_close
+        if lacked and not endpoint.out and not endpoint.gap < keep:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, attempt: Attempt, event: api.AttemptEnded) -> None:
