Trials of the whole fleet stay under the tipping rate; the ramp counts the own part and starts with a random token

Cause of the broken failbacks: each of hundreds of senders tried every two seconds. Could harm where a shut was seen wrongly: the next trial of a small sender is minutes away.

--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -51,6 +51,7 @@
 TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
 TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
 TRIAL_MOST = 0.2  # x the cold time: longest wait between trials
+TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
 
@@ -129,6 +130,7 @@
         self.bad = 0.0  # running share of failures
         self.last_fail = self.full_at = self.full_since = self.cut = -INF
         self.left = 1.0  # share of the limit left, by the last report
+        self.start, self.arrivals = now, 0.0  # messages handed in for it
 
     def limit(self, rate: float, told: bool) -> None:
         """Learn the limit from a report, which is heeded at once, or the list's weight until one came."""
@@ -142,6 +144,11 @@
         """The rate that the destination takes from all senders, as far as known."""
         return self.rate or float(self.sets.senders)
 
+    def part(self, now: float) -> float:
+        """This sender's part of the destination's rate: an even one, or its own part of the traffic."""
+        own = self.arrivals * 1000.0 / max(now - self.start, self.sets.cold, 1.0)
+        return max(self.believed() / self.sets.senders, own)
+
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
         into = now - self.ramp
@@ -149,7 +156,7 @@
             return self.pace
         start = self.sets.start_capacity
         share = start + (1.0 - start) * into / self.sets.cold
-        return min(self.pace, RAMP * self.sets.tip_multiple * share * self.believed() / self.sets.senders)
+        return min(self.pace, RAMP * self.sets.tip_multiple * share * self.part(now))
 
     def refill(self, now: float) -> float:
         """Bring the bucket up to date and return the rate in force."""
@@ -187,14 +194,17 @@
             self.gap = TRIAL_FIRST * self.sets.connect_timeout
         else:
             self.gap = min(self.gap * TRIAL_GROWTH, TRIAL_MOST * max(self.sets.cold, self.gap))
-        self.shut, self.trial = True, now + self.gap * (1.0 + JITTER * (2.0 * self.rng.random() - 1.0))
+        # All senders' trials together must not push a returning destination over: guards a large fleet.
+        safe = 1000.0 / (TRIAL_PART * self.sets.tip_multiple * self.sets.start_capacity * self.part(now))
+        gap = max(self.gap, safe)
+        self.shut, self.trial = True, now + gap * (0.5 + self.rng.random())
 
     def passed(self, now: float) -> None:
         """A call was served."""
         self.fails = self.fulls = 0
         self.bad -= BAD_GAIN * self.bad
         if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
-            self.shut, self.ramp, self.tokens, self.stamp = False, now, 0.0, now
+            self.shut, self.ramp, self.tokens, self.stamp = False, now, self.rng.random(), now
 
     def failed(self, now: float, trial: bool) -> None:
         """A call failed for good, ran out of time or found no connection."""
@@ -459,6 +469,8 @@
         self.backlog += message.cost
         dest.backlog += message.cost
         dest.open += 1
+        for endpoint in dest.endpoints.values():
+            endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
         if not self._room(dest):
