--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -255,7 +255,7 @@
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
-        self.gap = 0.0  # usual time between two calls there, up to the idle time
+        self.gap = INF  # usual time between two messages there, up to the idle time
 
 
 class Destination:
@@ -651,8 +651,9 @@
         message.live[message.tries] = dest.calls[message.id, message.tries] = attempt
         message.tries += 1
         message.held, message.was_sent = False, True
-        gap = min(self.now - endpoint.used, self.sets.idle_close)
-        endpoint.gap += (gap - endpoint.gap) * GAP_GAIN
+        if message.tries == 1:
+            gap = min(self.now - endpoint.used, self.sets.idle_close)
+            endpoint.gap = gap if endpoint.gap == INF else endpoint.gap + (gap - endpoint.gap) * GAP_GAIN
         endpoint.used = self.now
         span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
         unsafe = message.cls.effect is Effect.UNSAFE
@@ -731,8 +732,8 @@
         against a large fleet filling an endpoint's connections with idle ones; costs handshakes, also while
         destinations of the kind are merely down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
-        keep = KEEP / self.sets.senders * self.sets.idle_close
-        if lacked and not endpoint.out and not endpoint.gap < keep:
+        keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
+        if not endpoint.out and endpoint.gap >= keep:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, attempt: Attempt, event: api.AttemptEnded) -> None:
