--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -179,6 +179,11 @@
             at = max(at, now + (1.0 - self.tokens) * 1000.0 / rate)
         return at
 
+    def delay(self, now: float, queue: int) -> float:
+        """How long the last of so many held messages waits for its turn."""
+        rate = self.refill(now)
+        return max(self.wait - now, 0.0) + max(queue - self.tokens, 0.0) * 1000.0 / rate
+
     def sent(self, now: float) -> bool:
         """A call goes out; true if it is the trial."""
         if self.shut:
@@ -258,6 +263,19 @@
         self.gap = INF  # usual time between two messages there, up to the idle time
 
 
+class Load:
+    """What is open somewhere: summed cost, messages, slots in use."""
+
+    def __init__(self) -> None:
+        self.cost, self.open, self.out = 0.0, 0, 0
+
+    def add(self, cost: float, messages: int, slots: int, sign: int = 1) -> None:
+        """Count some in, or out with sign -1."""
+        self.cost += sign * cost
+        self.open += sign * messages
+        self.out += sign * slots
+
+
 class Destination:
     """One destination: its endpoints, its held messages by deadline and its calls."""
 
@@ -267,8 +285,8 @@
         self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe: (due, order, message)
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
-        self.backlog, self.open = 0.0, 0  # its open messages: summed cost and number
-        self.out = 0  # slots in use
+        self.load = Load()
+        self.ill = self.gated = False  # sick; held up by its gate
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
@@ -350,10 +368,8 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
         self.keys: dict[str, KeyLine] = {}
-        self.backlog = 0.0  # summed cost of open messages
-        self.out = 0  # slots in use
+        self.load, self.apart, self.sick = Load(), Load(), Load()  # of all, of those apart, of the ill
         self.lacked: dict[str, float] = {}  # when a connection was last missing, by kind of destination
-        self.ill: dict[int, Destination] = {}  # apart from the rest: see _judge
         self.order = 0
         self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
         self.wakes: list[tuple[float, int, str, Any]] = []
@@ -418,8 +434,6 @@
             gate.second()
         for endpoint in self.endpoints.values():
             endpoint.conns += CONNS_BACK
-        for dest in self.dests.values():
-            self._judge(dest)
         self._wake(self.now + PERIOD, "second", None)
 
     def _news(self, news: api.ListNews) -> None:
@@ -466,14 +480,12 @@
         message = Message(event, cls, dest, self.order, self.now, self.sets.by_half or cls.late_worth < CLIFF)
         message.cost = dest.mean.value / self.mean.value if dest.mean.value and self.mean.value else 1.0
         self.messages[message.id] = message
-        self.backlog += message.cost
-        dest.backlog += message.cost
-        dest.open += 1
+        self._count(dest, message.cost, 1, 0)
         for endpoint in dest.endpoints.values():
             endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(dest):
+        if not self._room(message):
             self._give_up(message)
             return
         self._expiry(message)
@@ -488,15 +500,37 @@
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
         self._wake(max(at, self.now), "expire", message)
 
-    def _room(self, dest: Destination) -> bool:
-        """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
-        weighs only on messages for these, which may fill their share of the holding limit."""
-        if dest.id in self.ill:
-            return sum(ill.open for ill in self.ill.values()) <= SICK_CAP * self.sets.max_open
-        apart = sum(ill.backlog for ill in self.ill.values())
-        if self.out < self.sets.slots:
+    def _count(self, dest: Destination, cost: float, messages: int, slots: int) -> None:
+        """The one place where totals move, so that no decision walks the destinations."""
+        self.load.add(cost, messages, slots)
+        dest.load.add(cost, messages, slots)
+        if dest.ill:
+            self.sick.add(cost, messages, slots)
+        if dest.ill or dest.gated:
+            self.apart.add(cost, messages, slots)
+
+    def _sort(self, dest: Destination, ill: bool, gated: bool) -> None:
+        """Set a destination apart from the rest, or take it back."""
+        load = (dest.load.cost, dest.load.open, dest.load.out)
+        if ill != dest.ill:
+            self.sick.add(*load, 1 if ill else -1)
+        if (ill or gated) != (dest.ill or dest.gated):
+            self.apart.add(*load, 1 if ill or gated else -1)
+        dest.ill, dest.gated = ill, gated
+
+    def _room(self, message: Message) -> bool:
+        """Is the backlog, with the new message in it, within the bound? What waits for destinations apart
+        weighs only on messages for these. They may fill their share of the holding limit, and where a
+        gate is the narrow place the wait there must leave the message in time."""
+        dest = message.dest
+        if dest.ill or dest.gated:
+            if self.apart.open > SICK_CAP * self.sets.max_open:
+                return False
+            queue = dest.load.open - len(dest.calls)
+            return dest.gate.shut or dest.gate.delay(self.now, queue) <= SET_POINT * message.span
+        if self.load.out < self.sets.slots:
             return True
-        return self.backlog - apart <= self.bound.value
+        return self.load.cost - self.apart.cost <= self.bound.value
 
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
@@ -529,12 +563,14 @@
 
     def _list(self, dest: Destination) -> None:
         head = dest.head(self.now)
-        if head is not None:
+        if head is None:
+            self._sort(dest, dest.ill, False)
+        else:
             heappush(self.ready, (head.due, head.order, dest.id))
 
     def _pump(self) -> None:
         """Send the earliest deadlines among destinations free to send while slots are free."""
-        while self.ready and self.out < self.sets.slots:
+        while self.ready and self.load.out < self.sets.slots:
             due, order, ident = heappop(self.ready)
             dest = self.dests[ident]
             head = dest.head(self.now)
@@ -548,6 +584,7 @@
             self._list(dest)
             return
         endpoint, at = self._route(dest, head)
+        self._sort(dest, dest.ill, endpoint is None and dest.gate.when(self.now) > self.now)
         if endpoint is None:
             if at < dest.woken and at < INF:
                 dest.woken = at
@@ -578,10 +615,7 @@
         others: ill destinations together keep to the share of the slots that a sick one may hold."""
         ill = (dest.gate.shut or dest.gate.fails >= FAILS_ILL or self._silent(dest)
                or dest.mean.value > ILL * dest.mean.usual > 0)
-        if ill:
-            self.ill[dest.id] = dest
-        else:
-            self.ill.pop(dest.id, None)
+        self._sort(dest, ill, dest.gated)
         return ill
 
     def _silent(self, dest: Destination) -> bool:
@@ -591,10 +625,10 @@
     def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
         """The endpoint to use now, or when to look again (infinite: at the next event there)."""
         cap = max(1, math.floor(self.sets.slots * (SICK_CAP if self._sick(dest) else CAP)))
-        if dest.out >= cap or (dest.out and self._silent(dest)):
+        if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
             return None, INF
         if self._judge(dest):
-            held = sum(ill.out for ill in self.ill.values())
+            held = self.sick.out
             if held and held >= math.floor(self.sets.slots * SICK_CAP):
                 return None, self.now + UNMET * self.sets.connect_timeout
         best: Endpoint | None = None
@@ -642,9 +676,8 @@
         if call is None or call.size >= self._kind(endpoint.info).batch:
             call = self.calls[endpoint.info.name] = Call(endpoint)
             call.trial = endpoint.gate.sent(self.now)
-            self.out += 1
+            self._count(dest, 0.0, 0, 1)
             endpoint.out += 1
-            dest.out += 1
         call.messages += 1
         call.size += 1
         attempt = Attempt(self.now, call)
@@ -672,17 +705,15 @@
 
     def _retry_after(self, message: Message) -> float:
         """When it is worth coming back: once the excess is worked off, or the destination may be back."""
-        excess = (self.backlog - self.bound.value) * (self.mean.value or UNMET * self.sets.connect_timeout)
+        excess = (self.load.cost - self.apart.cost - self.bound.value) * (self.mean.value or UNMET * self.sets.connect_timeout)
         back = max(message.dest.gate.wait, message.dest.gate.trial if message.dest.gate.shut else -INF)
         at = max(excess / self.sets.slots, self._call_time(message.dest), back - self.now)
         return min(at, self.sets.max_retry_after)
 
     def _over(self, message: Message) -> None:
         message.over, message.held = True, False
-        self.backlog -= message.cost
-        message.dest.backlog -= message.cost
-        message.dest.open -= 1
-        if message.was_sent and message.dest.id not in self.ill:
+        self._count(message.dest, -message.cost, -1, 0)
+        if message.was_sent and not (message.dest.ill or message.dest.gated):
             self.bound.answered((self.now - message.first) / message.span)
         self._forget(message)
 
@@ -703,9 +734,8 @@
         dest.calls.pop((message.id, event.attempt), None)
         call.messages -= 1
         if not call.messages:
-            self.out -= 1
+            self._count(dest, 0.0, 0, -1)
             call.endpoint.out -= 1
-            dest.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
         self._learn(dest, attempt, event)
@@ -747,7 +777,7 @@
             self.lacked[endpoint.info.kind] = self.now
         if result is Result.OK:
             dest.mean.add(event.latency)
-            if dest.id not in self.ill:
+            if not dest.ill:
                 self.mean.add(event.latency)  # what healthy destinations need: the ill must not move costs
             dest.last_pass = endpoint.last_ok = self.now
             endpoint.fails = 0
