--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -524,10 +524,7 @@
         gate is the narrow place the wait there must leave the message in time."""
         dest = message.dest
         if dest.ill or dest.gated:
-            if self.apart.open > SICK_CAP * self.sets.max_open:
-                return False
-            queue = dest.load.open - len(dest.calls)
-            return dest.gate.shut or dest.gate.delay(self.now, queue) <= SET_POINT * message.span
+            return self.apart.open <= SICK_CAP * self.sets.max_open
         if self.load.out < self.sets.slots:
             return True
         return self.load.cost - self.apart.cost <= self.bound.value
