--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -69,6 +69,7 @@
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
 EVEN_START = 2.0  # x an even part of the limit: pace at the first report
+PACE_FIRST = 3.0  # x this sender's part: highest pace that a first refusal is counted from
 PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
 PACE_FREE = 1.5  # x the believed limit: from there on no pace is kept
 BURST = 0.5  # seconds of the pace that may go out at once
@@ -179,11 +180,6 @@
             at = max(at, now + (1.0 - self.tokens) * 1000.0 / rate)
         return at
 
-    def delay(self, now: float, queue: int) -> float:
-        """How long the last of so many held messages waits for its turn."""
-        rate = self.refill(now)
-        return max(self.wait - now, 0.0) + max(queue - self.tokens, 0.0) * 1000.0 / rate
-
     def sent(self, now: float) -> bool:
         """A call goes out; true if it is the trial."""
         if self.shut:
@@ -240,14 +236,14 @@
         if not self.shut:
             self.tokens = min(self.tokens, 0.0)
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
-                floor, self.cut = PACE_FLOOR * self.believed() / self.sets.senders, now
-                self.pace = max(floor, min(self.pace, self.believed() / PACE_CUT) * PACE_CUT)
+                part, self.cut = self.part(now), now
+                self.pace = max(PACE_FLOOR * part, min(self.pace, PACE_FIRST * part) * PACE_CUT)
 
-    def second(self) -> None:
+    def second(self, now: float) -> None:
         """Let the pace recover."""
         if self.pace < INF:
             grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
-            self.pace = max(grown, PACE_FLOOR * self.believed() / self.sets.senders)
+            self.pace = max(grown, PACE_FLOOR * self.part(now))
             if self.told or self.pace > PACE_FREE * self.believed():
                 self.pace = min(self.pace, self.rate) if self.told else INF
 
@@ -286,7 +282,7 @@
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
         self.load = Load()
-        self.ill = self.gated = False  # sick; held up by its gate
+        self.ill = False  # apart from the rest: see Sender._judge
         self.woken = INF  # next wake set
         self.last_pass = -INF
 
@@ -368,7 +364,7 @@
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
         self.keys: dict[str, KeyLine] = {}
-        self.load, self.apart, self.sick = Load(), Load(), Load()  # of all, of those apart, of the ill
+        self.load, self.apart = Load(), Load()  # of all, of ill destinations
         self.lacked: dict[str, float] = {}  # when a connection was last missing, by kind of destination
         self.order = 0
         self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
@@ -431,7 +427,7 @@
     def _second(self) -> None:
         self.bound.step()
         for gate in {id(e.gate): e.gate for e in self.endpoints.values()}.values():
-            gate.second()
+            gate.second(self.now)
         for endpoint in self.endpoints.values():
             endpoint.conns += CONNS_BACK
         self._wake(self.now + PERIOD, "second", None)
@@ -505,25 +501,13 @@
         self.load.add(cost, messages, slots)
         dest.load.add(cost, messages, slots)
         if dest.ill:
-            self.sick.add(cost, messages, slots)
-        if dest.ill or dest.gated:
             self.apart.add(cost, messages, slots)
 
-    def _sort(self, dest: Destination, ill: bool, gated: bool) -> None:
-        """Set a destination apart from the rest, or take it back."""
-        load = (dest.load.cost, dest.load.open, dest.load.out)
-        if ill != dest.ill:
-            self.sick.add(*load, 1 if ill else -1)
-        if (ill or gated) != (dest.ill or dest.gated):
-            self.apart.add(*load, 1 if ill or gated else -1)
-        dest.ill, dest.gated = ill, gated
-
     def _room(self, message: Message) -> bool:
-        """Is the backlog, with the new message in it, within the bound? What waits for destinations apart
-        weighs only on messages for these. They may fill their share of the holding limit, and where a
-        gate is the narrow place the wait there must leave the message in time."""
+        """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
+        weighs only on messages for these, which may fill their share of the holding limit."""
         dest = message.dest
-        if dest.ill or dest.gated:
+        if dest.ill:
             return self.apart.open <= SICK_CAP * self.sets.max_open
         if self.load.out < self.sets.slots:
             return True
@@ -560,9 +544,7 @@
 
     def _list(self, dest: Destination) -> None:
         head = dest.head(self.now)
-        if head is None:
-            self._sort(dest, dest.ill, False)
-        else:
+        if head is not None:
             heappush(self.ready, (head.due, head.order, dest.id))
 
     def _pump(self) -> None:
@@ -581,7 +563,6 @@
             self._list(dest)
             return
         endpoint, at = self._route(dest, head)
-        self._sort(dest, dest.ill, endpoint is None and dest.gate.when(self.now) > self.now)
         if endpoint is None:
             if at < dest.woken and at < INF:
                 dest.woken = at
@@ -612,7 +593,9 @@
         others: ill destinations together keep to the share of the slots that a sick one may hold."""
         ill = (dest.gate.shut or dest.gate.fails >= FAILS_ILL or self._silent(dest)
                or dest.mean.value > ILL * dest.mean.usual > 0)
-        self._sort(dest, ill, dest.gated)
+        if ill != dest.ill:
+            self.apart.add(dest.load.cost, dest.load.open, dest.load.out, 1 if ill else -1)
+            dest.ill = ill
         return ill
 
     def _silent(self, dest: Destination) -> bool:
@@ -625,7 +608,7 @@
         if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
             return None, INF
         if self._judge(dest):
-            held = self.sick.out
+            held = self.apart.out
             if held and held >= math.floor(self.sets.slots * SICK_CAP):
                 return None, self.now + UNMET * self.sets.connect_timeout
         best: Endpoint | None = None
@@ -710,7 +693,7 @@
     def _over(self, message: Message) -> None:
         message.over, message.held = True, False
         self._count(message.dest, -message.cost, -1, 0)
-        if message.was_sent and not (message.dest.ill or message.dest.gated):
+        if message.was_sent and not message.dest.ill:
             self.bound.answered((self.now - message.first) / message.span)
         self._forget(message)
 
