--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -150,6 +150,10 @@
         own = self.arrivals * 1000.0 / max(now - self.start, self.sets.cold, 1.0)
         return max(self.believed() / self.sets.senders, own)
 
+    def floor(self, now: float) -> float:
+        """The pace is not cut further."""
+        return PACE_FLOOR * (self.part(now) if self.told else self.believed() / self.sets.senders)
+
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
         into = now - self.ramp
@@ -236,14 +240,15 @@
         if not self.shut:
             self.tokens = min(self.tokens, 0.0)
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
-                part, self.cut = self.part(now), now
-                self.pace = max(PACE_FLOOR * part, min(self.pace, PACE_FIRST * part) * PACE_CUT)
+                # Reports tell when there is room again; without them only calls can find it.
+                first = PACE_FIRST * self.part(now) if self.told else self.believed() / PACE_CUT
+                self.pace, self.cut = max(self.floor(now), min(self.pace, first) * PACE_CUT), now
 
     def second(self, now: float) -> None:
         """Let the pace recover."""
         if self.pace < INF:
             grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
-            self.pace = max(grown, PACE_FLOOR * self.part(now))
+            self.pace = max(grown, self.floor(now))
             if self.told or self.pace > PACE_FREE * self.believed():
                 self.pace = min(self.pace, self.rate) if self.told else INF
 
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -225,7 +225,7 @@
     sender.handle(1.0, [new(i, name="unsafe") for i in range(3)])
     sender.handle(3000.0, [over(i, api.Result.TIMEOUT) for i in range(3)])
     assert sender.dests[1].gate.shut
-    assert 1 in sender.ill
+    assert sender.dests[1].ill
     assert sender.bound.count <= 2  # those answered before it was known to be ill
 
 
