--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -47,6 +47,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULLS_SHUT = 4  # refusals in a row that mean a shut destination
+FULL_GROWTH = 2.0  # x wait without word for each further refusal in a row
 FULL_SPAN = 2.0  # x connect time-out: and for so long, since a limit may count over a span of time
 TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
 TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
@@ -127,7 +128,7 @@
         self.shut, self.trial, self.trial_out = False, INF, False
         self.gap = 0.0  # wait before the next trial
         self.ramp = -INF  # when the return was seen
-        self.fails = self.fulls = 0
+        self.fails = self.fulls = self.refused = 0  # in a row; refusals: that may mean shut, without a wait
         self.bad = 0.0  # running share of failures
         self.last_fail = self.full_at = self.full_since = self.cut = -INF
         self.left = 1.0  # share of the limit left, by the last report
@@ -150,6 +151,10 @@
         own = self.arrivals * 1000.0 / max(now - self.start, self.sets.cold, 1.0)
         return max(self.believed() / self.sets.senders, own)
 
+    def safe_gap(self, now: float) -> float:
+        """Calls so far apart cannot push a returning destination over, though all senders make them."""
+        return 1000.0 / (TRIAL_PART * self.sets.tip_multiple * self.sets.start_capacity * self.part(now))
+
     def floor(self, now: float) -> float:
         """The pace is not cut further."""
         return PACE_FLOOR * (self.part(now) if self.told else self.believed() / self.sets.senders)
@@ -199,14 +204,12 @@
             self.gap = TRIAL_FIRST * self.sets.connect_timeout
         else:
             self.gap = min(self.gap * TRIAL_GROWTH, TRIAL_MOST * max(self.sets.cold, self.gap))
-        # All senders' trials together must not push a returning destination over: guards a large fleet.
-        safe = 1000.0 / (TRIAL_PART * self.sets.tip_multiple * self.sets.start_capacity * self.part(now))
-        gap = max(self.gap, safe)
+        gap = max(self.gap, self.safe_gap(now))
         self.shut, self.trial = True, now + gap * (0.5 + self.rng.random())
 
     def passed(self, now: float) -> None:
         """A call was served."""
-        self.fails = self.fulls = 0
+        self.fails = self.fulls = self.refused = 0
         self.bad -= BAD_GAIN * self.bad
         if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
             self.shut, self.ramp, self.tokens, self.stamp = False, now, self.rng.random(), now
@@ -230,7 +233,11 @@
         if wait > 0:
             self.wait = max(self.wait, now + wait + self.sets.tick)
         elif not self.shut:
-            self.wait = max(self.wait, now + 1000.0 / max(self.believed(), 1.0))
+            # Longer with each refusal in a row: guards against a fleet hammering a full queue, which
+            # takes all attempts of its messages and pushes the destination over at its return.
+            wait = 1000.0 / max(self.believed(), 1.0) * FULL_GROWTH ** self.refused
+            self.refused = min(self.refused + 1, 30)
+            self.wait = max(self.wait, now + min(wait, self.safe_gap(now)) * (0.5 + self.rng.random()))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
         lasting = now - self.full_since > FULL_SPAN * self.sets.connect_timeout
         shut = (self.fulls >= FULLS_SHUT and lasting) or wait > LONG_WAIT * self.sets.connect_timeout
@@ -241,8 +248,8 @@
             self.tokens = min(self.tokens, 0.0)
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
-                first = PACE_FIRST * self.part(now) if self.told else self.believed() / PACE_CUT
-                self.pace, self.cut = max(self.floor(now), min(self.pace, first) * PACE_CUT), now
+                first = PACE_FIRST * self.part(now) if self.told else self.believed()
+                self.pace, self.cut = max(self.floor(now), min(self.pace * PACE_CUT, first)), now
 
     def second(self, now: float) -> None:
         """Let the pace recover."""
