--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -156,7 +156,6 @@
         cold=num("Rules.Cold", 0.0),
         start_capacity=num("Rules.StartCapacity", 1.0),
         tip_multiple=num("Rules.TipMultiple", 1.0),
-        tip_after=num("Rules.TipAfter", 0.0),
         order_pause=num("Rules.OrderPause", 0.0),
     )
 
--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -36,22 +36,22 @@
 TIMEOUT_LEAST = 1.0  # x connect time-out: shortest time-out
 TIMEOUT_GROWTH = 2.0  # x for each further attempt, so that a heavy call may end
 TIMEOUT_UNSAFE = 3.0  # x the time-out of others: giving up a call that can't be repeated loses the message
+LOST = 0.03  # running share of lost answers from which time-outs are short
+LOST_GAIN = 0.05  # weight of a call in that share
+LOST_MEANS = 4.0  # x mean call time: time-out then
+LOST_LEAST = 0.4  # x connect time-out: shortest time-out then
 ILL = 4.0  # x usual call time: a destination whose mean grew so much is ill
 USUAL_GAIN = 0.01  # weight of a slower call in the usual call time, which is to outlast an illness
 HUSH = 6.0  # x mean call time: no answer since a call that old means silence
 
 # Outages, trials and return.
 FAILS_SHUT = 3  # failures in a row that mean an outage
-LONG_WAIT = 2.0  # x connect time-out: a longer told wait means a shut destination, not a limit
+LONG_WAIT = 2.0  # x connect time-out: a longer wait, told or grown to, means shut and not a limit
 MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
-FULLS_SHUT = 4  # refusals in a row that mean a shut destination
 FULL_GROWTH = 4.0  # x wait without word for each further refusal in a row
-FULL_SPAN = 2.0  # x connect time-out: and for so long, since a limit may count over a span of time
-TRIAL_FIRST = 0.5  # x connect time-out: wait before the first trial
-TRIAL_GROWTH = 1.5  # each further failed trial waits so much longer
-TRIAL_MOST = 0.2  # x the cold time: longest wait between trials
+FULL_MOST = 10  # refusals in a row that are counted
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
@@ -62,7 +62,6 @@
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint short of connections, set aside
-JITTER = 0.2  # share by which the wait before a trial varies, so that senders do not try together
 
 # Pace under a limit.
 PACE_CUT = 0.7  # x pace at a refusal over the limit
@@ -126,11 +125,10 @@
         self.pace, self.tokens, self.stamp = INF, 1.0, now
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
         self.shut, self.trial, self.trial_out = False, INF, False
-        self.gap = 0.0  # wait before the next trial
         self.ramp = -INF  # when the return was seen
-        self.fails = self.fulls = self.refused = 0  # in a row; refusals: that may mean shut, without a wait
+        self.fails = self.refused = 0  # in a row
         self.bad = 0.0  # running share of failures
-        self.last_fail = self.full_at = self.full_since = self.cut = -INF
+        self.last_fail = self.full_at = self.cut = -INF
         self.left = 1.0  # share of the limit left, by the last report
         self.start, self.arrivals = now, 0.0  # messages handed in for it
 
@@ -200,16 +198,11 @@
 
     def close(self, now: float) -> None:
         """Take the destination for out: only single trials from here on."""
-        if not self.shut:
-            self.gap = TRIAL_FIRST * self.sets.connect_timeout
-        else:
-            self.gap = min(self.gap * TRIAL_GROWTH, TRIAL_MOST * max(self.sets.cold, self.gap))
-        gap = max(self.gap, self.safe_gap(now))
-        self.shut, self.trial = True, now + gap * (0.5 + self.rng.random())
+        self.shut, self.trial = True, now + self.safe_gap(now) * (0.5 + self.rng.random())
 
     def passed(self, now: float) -> None:
         """A call was served."""
-        self.fails = self.fulls = self.refused = 0
+        self.fails = self.refused = 0
         self.bad -= BAD_GAIN * self.bad
         if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
             self.shut, self.ramp, self.tokens, self.stamp = False, now, self.rng.random(), now
@@ -225,23 +218,20 @@
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
         """The destination refused a call unseen: over a limit, or shut. Calls sent before the last refusal
         was known are the same evidence (guards against taking a clump over the limit for an outage)."""
-        if sent < self.full_at and not trial and wait <= LONG_WAIT * self.sets.connect_timeout:
-            self.wait = max(self.wait, now + wait + self.sets.tick) if wait > 0 else self.wait
-            return
-        self.full_at, self.full_since = now, self.full_since if self.fulls else now
-        self.fulls += self.left > SCARCE
+        long = LONG_WAIT * self.sets.connect_timeout
         if wait > 0:
             self.wait = max(self.wait, now + wait + self.sets.tick)
-        elif not self.shut:
-            # Longer with each refusal in a row: guards against a fleet hammering a full queue, which
-            # takes all attempts of its messages and pushes the destination over at its return.
+        if sent < self.full_at and not trial and wait <= long:
+            return
+        self.full_at = now
+        if wait <= 0 and not self.shut:
+            # Longer with each refusal in a row while there should be room: guards against a fleet hammering
+            # a full queue, which burns its messages' attempts and pushes the destination over at its return.
             wait = 1000.0 / max(self.believed(), 1.0) * FULL_GROWTH ** self.refused
-            self.refused = min(self.refused + 1, 30)
+            self.refused = min(self.refused + (self.left > SCARCE), FULL_MOST)
             self.wait = max(self.wait, now + min(wait, self.safe_gap(now)) * (0.5 + self.rng.random()))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
-        lasting = now - self.full_since > FULL_SPAN * self.sets.connect_timeout
-        shut = (self.fulls >= FULLS_SHUT and lasting) or wait > LONG_WAIT * self.sets.connect_timeout
-        if trial or (shut and not self.shut):
+        if trial or (wait > long and not self.shut):
             self.close(now)
             self.last_fail = now
         if not self.shut:
@@ -290,13 +280,14 @@
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
         self.endpoints: dict[str, Endpoint] = {}
-        self.heaps: tuple[list[Any], list[Any]] = ([], [])  # repeatable, unsafe: (due, order, message)
+        self.heap: list[tuple[float, int, Message]] = []  # held: (due, order, message)
         self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
         self.mean = Mean()
         self.load = Load()
         self.ill = False  # apart from the rest: see Sender._judge
         self.woken = INF  # next wake set
         self.last_pass = -INF
+        self.unanswered = 0  # calls in a row
 
     def oldest(self) -> float:
         """When the oldest call still out was sent."""
@@ -305,20 +296,16 @@
     def head(self, now: float) -> Message | None:
         """The held message with the earliest deadline. Where worth drops fastest just after the aim, one that
         cannot make it goes by its last deadline: guards against the late making all others late too."""
-        best: Message | None = None
-        for heap in self.heaps:
-            while heap:
-                message: Message = heap[0][2]
-                if message.held and now + self.mean.value > message.due and message.yields:
-                    message.due, message.yields = message.deadline, False
-                elif message.held and message.due == heap[0][0]:
-                    break
-                heappop(heap)
-                if message.held:
-                    heappush(heap, (message.due, message.order, message))
-            if heap and (best is None or (heap[0][0], heap[0][1]) < (best.due, best.order)):
-                best = heap[0][2]
-        return best
+        while self.heap:
+            due, _, message = self.heap[0]
+            if message.held and now + self.mean.value > message.due and message.yields:
+                message.due, message.yields = message.deadline, False
+            elif message.held and message.due == due:
+                return message
+            heappop(self.heap)
+            if message.held:
+                heappush(self.heap, (message.due, message.order, message))
+        return None
 
 
 class Call:
@@ -375,6 +362,7 @@
         self.dests: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
+        self.lost = 0.0  # running share of calls whose answer got lost
         self.keys: dict[str, KeyLine] = {}
         self.load, self.apart = Load(), Load()  # of all, of ill destinations
         self.lacked: dict[str, float] = {}  # when a connection was last missing, by kind of destination
@@ -532,8 +520,7 @@
         message.held = True
         if message.was_sent:
             self._expiry(message)
-        unsafe = message.cls.effect is Effect.UNSAFE
-        heappush(message.dest.heaps[unsafe], (message.due, message.order, message))
+        heappush(message.dest.heap, (message.due, message.order, message))
         self._list(message.dest)
 
     def _has_turn(self, message: Message) -> bool:
@@ -580,16 +567,13 @@
                 dest.woken = at
                 self._wake(at, "dest", dest)
             return
-        # A trial may get no answer: rather one that can be repeated.
-        message: Message = (dest.heaps[0] or dest.heaps[1])[0][2] if endpoint.gate.shut else head
-        if not self._may_send(message, endpoint):
-            message.held = False  # its own state forbids it: aside, so that it holds up no other
-            if self._may_retry(message):
-                self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", message)
-            else:
-                self._give_up(message)
+        if self._may_send(head, endpoint):
+            self._send(head, endpoint)
+        elif self._may_retry(head):
+            head.held = False  # its own state forbids it now: aside, so that it holds up no other
+            self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", head)
         else:
-            self._send(message, endpoint)
+            self._give_up(head)
         self._list(dest)
 
     def _sick(self, dest: Destination) -> bool:
@@ -680,10 +664,20 @@
             gap = min(self.now - endpoint.used, self.sets.idle_close)
             endpoint.gap = gap if endpoint.gap == INF else endpoint.gap + (gap - endpoint.gap) * GAP_GAIN
         endpoint.used = self.now
-        span = max(TIMEOUT_MEANS * self._call_time(dest), TIMEOUT_LEAST * self.sets.connect_timeout)
-        unsafe = message.cls.effect is Effect.UNSAFE
-        span *= TIMEOUT_UNSAFE if unsafe else TIMEOUT_GROWTH ** (message.tries - 1)
-        self.actions.append(api.Send(message.id, endpoint.info.name, min(self.now + span, message.deadline)))
+        until = min(self.now + self._time_out(message), message.deadline)
+        self.actions.append(api.Send(message.id, endpoint.info.name, until))
+
+    def _time_out(self, message: Message) -> float:
+        """Short while answers get lost: guards against lost calls holding the slots. It fails some that are
+        merely heavy."""
+        call = self._call_time(message.dest)
+        if self.lost > LOST:
+            span = max(LOST_MEANS * call, LOST_LEAST * self.sets.connect_timeout)
+        else:
+            span = max(TIMEOUT_MEANS * call, TIMEOUT_LEAST * self.sets.connect_timeout)
+            if message.cls.effect is Effect.UNSAFE:
+                return span * TIMEOUT_UNSAFE
+        return span * TIMEOUT_GROWTH ** (message.tries - 1)
 
     def _give_up(self, message: Message) -> None:
         """The final answer, at once: a refusal where a repeat is harmless, else a failure."""
@@ -697,7 +691,8 @@
 
     def _retry_after(self, message: Message) -> float:
         """When it is worth coming back: once the excess is worked off, or the destination may be back."""
-        excess = (self.load.cost - self.apart.cost - self.bound.value) * (self.mean.value or UNMET * self.sets.connect_timeout)
+        call = self.mean.value or UNMET * self.sets.connect_timeout
+        excess = (self.load.cost - self.apart.cost - self.bound.value) * call
         back = max(message.dest.gate.wait, message.dest.gate.trial if message.dest.gate.shut else -INF)
         at = max(excess / self.sets.slots, self._call_time(message.dest), back - self.now)
         return min(at, self.sets.max_retry_after)
@@ -767,7 +762,13 @@
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
         if result is Result.NO_CONNECTION:
             self.lacked[endpoint.info.kind] = self.now
+        if result is Result.TIMEOUT:
+            dest.unanswered += 1
         if result is Result.OK:
+            # Unanswered calls before one that passes at the usual pace were lost, not slow or hung.
+            lost = dest.unanswered if event.latency < SLOW * dest.mean.usual else 0
+            self.lost = 1.0 - (1.0 - self.lost * (1.0 - LOST_GAIN)) * (1.0 - LOST_GAIN) ** lost
+            dest.unanswered = 0
             dest.mean.add(event.latency)
             if not dest.ill:
                 self.mean.add(event.latency)  # what healthy destinations need: the ill must not move costs
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -113,14 +113,13 @@
     cold: float = 10000.0
     start_capacity: float = 0.2
     tip_multiple: float = 1.5
-    tip_after: float = 2000.0
     order_pause: float = 0.0
 
     def __post_init__(self) -> None:
         """Refuse settings that make no sense, in one clear error."""
         if min(self.slots, self.max_open, self.max_attempts, self.senders, len(self.classes)) < 1:
             raise SettingsError("slots, max_open, max_attempts, senders and classes must be 1 or more")
-        times = (self.connect_timeout, self.idle_close, self.cold, self.order_pause, self.max_retry_after, self.tip_after)
+        times = (self.connect_timeout, self.idle_close, self.cold, self.order_pause, self.max_retry_after)
         if min(times) < 0:
             raise SettingsError("times must not be negative")
         for cls in self.classes:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -158,21 +158,89 @@
 
 def test_refusals_mean_shut_only_when_they_last() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
-    for at in (0.0, 200.0, 400.0, 600.0, 800.0):
+    gate.limit(10.0, False)
+    at, seen = 0.0, []
+    while not gate.shut:
+        seen.append(at)
         gate.full(at, 0.0, False, at)
-    assert not gate.shut  # a limit that counts over a span refuses all until its end
-    gate.full(2100.0, 0.0, False, 2100.0)
-    assert gate.shut
+        at = gate.wait
+    assert len(seen) >= 3  # a limit that counts over a span refuses all until its end
+    assert seen[-1] - seen[0] > 300.0
 
 
-def test_pace_is_cut_once_a_second() -> None:
+def test_waits_after_refusals_in_a_row_grow_and_end_with_a_pass() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
     gate.limit(10.0, False)
+    gate.full(0.0, 0.0, False, 0.0)
+    first = gate.wait
+    gate.full(first, 0.0, False, first)
+    assert gate.wait - first > first  # 400 ms give or take a half, after 100 ms
+    gate.passed(1000.0)
+    gate.full(2000.0, 0.0, False, 2000.0)
+    assert gate.wait <= 2150.0
+
+
+def test_trials_of_a_large_fleet_stay_under_the_tipping_rate() -> None:
+    fleet = replace(SETTINGS, senders=200)
+    gaps = []
+    for seed in range(200):
+        gate = Gate(fleet, Random(seed), 0.0)
+        gate.limit(10.0, False)
+        gate.close(0.0)
+        gaps.append(gate.trial / 1000.0)
+    tipping = fleet.tip_multiple * fleet.start_capacity * 10.0
+    assert sum(1.0 / gap for gap in gaps) <= 1.2 * tipping
+
+
+def test_own_part_of_the_traffic_speeds_up_the_ramp() -> None:
+    gate = Gate(replace(SETTINGS, senders=200), Random(1), 0.0)
+    gate.limit(10.0, False)
+    even = gate.part(10000.0)
+    gate.arrivals = 50.0
+    assert even == pytest.approx(0.05)
+    assert gate.part(10000.0) == pytest.approx(5.0)
+
+
+def test_pace_is_cut_once_a_second() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, True)
+    gate.pace, gate.left = 10.0, 0.0
     for at in (0.0, 200.0, 400.0, 600.0):
         gate.full(at, 0.0, False, at)
-    assert gate.pace == pytest.approx(10.0)
-    gate.full(1000.0, 0.0, False, 1000.0)
     assert gate.pace == pytest.approx(7.0)
+    gate.full(1000.0, 0.0, False, 1000.0)
+    assert gate.pace == pytest.approx(4.9)
+
+
+def closes(actions: list[api.Action]) -> list[str]:
+    """The endpoints whose idle connections are given back."""
+    return [action.endpoint for action in actions if isinstance(action, api.CloseIdle)]
+
+
+def test_idle_connections_are_given_back_where_some_lack() -> None:
+    sender = Sender(replace(SETTINGS, senders=200, idle_close=5000.0), 1, 0.0)
+    sender.handle(0.0, [listed(1, 2)])
+    sender.handle(1.0, [new(1), new(2)])
+    sender.handle(50.0, [over(1, api.Result.OK), over(2, api.Result.OK)])
+    sender.handle(1000.0, [new(3), new(4, 2)])
+    assert closes(sender.handle(1100.0, [over(3, api.Result.OK)])) == []
+    actions = sender.handle(1200.0, [over(4, api.Result.NO_CONNECTION, 2)])
+    sender.handle(2000.0, [new(5)])
+    assert closes(sender.handle(2100.0, [over(5, api.Result.OK)])) == ["e1"], actions
+
+
+def test_time_outs_are_short_only_while_answers_get_lost() -> None:
+    sender = Sender(replace(SETTINGS, slots=40), 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    first = {}
+    for ident in range(10):
+        now = 1.0 + 5000.0 * ident
+        actions = sender.handle(now, [new(ident, name="unsafe")])
+        first[ident] = [a.abandon_at - now for a in actions if isinstance(a, api.Send)][0]
+        lost = ident in (5, 6)
+        sender.handle(now + 1000.0, [over(ident, api.Result.TIMEOUT if lost else api.Result.OK)])
+    assert first[4] == first[6] == 3000.0  # no pass has told yet that those two were lost
+    assert first[8] == pytest.approx(400.0)
 
 
 def test_refusals_while_no_allowance_is_left_are_no_outage() -> None:
