--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -8,6 +8,7 @@
 
 import math
 from collections import deque
+from collections.abc import Callable
 from heapq import heappop, heappush
 from random import Random
 from typing import Any
@@ -57,7 +58,6 @@
 AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
-CONNS_BACK = 0.2  # calls at once that an endpoint short of connections gets back each second
 KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
@@ -128,7 +128,7 @@
         self.ramp = -INF  # when the return was seen
         self.fails = self.refused = 0  # in a row
         self.bad = 0.0  # running share of failures
-        self.last_fail = self.full_at = self.cut = -INF
+        self.last_fail = self.full_at = self.cut = self.recovered = -INF
         self.left = 1.0  # share of the limit left, by the last report
         self.start, self.arrivals = now, 0.0  # messages handed in for it
 
@@ -242,8 +242,9 @@
                 self.pace, self.cut = max(self.floor(now), min(self.pace * PACE_CUT, first)), now
 
     def second(self, now: float) -> None:
-        """Let the pace recover."""
-        if self.pace < INF:
+        """Let the pace recover; once, however many endpoints share it."""
+        if self.pace < INF and self.recovered < now:
+            self.recovered = now
             grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
             self.pace = max(grown, self.floor(now))
             if self.told or self.pace > PACE_FREE * self.believed():
@@ -257,7 +258,6 @@
         self.info, self.gate = info, gate
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
-        self.conns = INF  # calls at once that its connections allow
         self.gap = INF  # usual time between two messages there, up to the idle time
 
 
@@ -267,11 +267,9 @@
     def __init__(self) -> None:
         self.cost, self.open, self.out = 0.0, 0, 0
 
-    def add(self, cost: float, messages: int, slots: int, sign: int = 1) -> None:
-        """Count some in, or out with sign -1."""
-        self.cost += sign * cost
-        self.open += sign * messages
-        self.out += sign * slots
+    def add(self, cost: float, messages: int, slots: int) -> None:
+        """Count some in, or out if negative."""
+        self.cost, self.open, self.out = self.cost + cost, self.open + messages, self.out + slots
 
 
 class Destination:
@@ -281,7 +279,7 @@
         self.id, self.gate = ident, gate
         self.endpoints: dict[str, Endpoint] = {}
         self.heap: list[tuple[float, int, Message]] = []  # held: (due, order, message)
-        self.calls: dict[tuple[int, int], Attempt] = {}  # in the order of sending
+        self.calls: dict[tuple[int, int], Call] = {}  # in the order of sending
         self.mean = Mean()
         self.load = Load()
         self.ill = False  # apart from the rest: see Sender._judge
@@ -291,7 +289,7 @@
 
     def oldest(self) -> float:
         """When the oldest call still out was sent."""
-        return next((attempt.sent for attempt in self.calls.values()), INF)
+        return next((call.sent for call in self.calls.values()), INF)
 
     def head(self, now: float) -> Message | None:
         """The held message with the earliest deadline. Where worth drops fastest just after the aim, one that
@@ -311,18 +309,11 @@
 class Call:
     """One call, which holds one slot until all messages in it have their outcomes."""
 
-    def __init__(self, endpoint: Endpoint) -> None:
-        self.endpoint = endpoint
+    def __init__(self, endpoint: Endpoint, sent: float) -> None:
+        self.endpoint, self.sent = endpoint, sent
         self.messages, self.size, self.trial = 0, 0, False  # without outcome, all, is it the trial
 
 
-class Attempt:
-    """One attempt of a message."""
-
-    def __init__(self, sent: float, call: Call) -> None:
-        self.sent, self.call = sent, call
-
-
 class Message:
     """A message taken and not yet over, or over with an attempt still out."""
 
@@ -336,7 +327,7 @@
         self.due = self.first + self.span
         self.yields = yields  # to messages that can still make their aim
         self.cost = 1.0
-        self.tries, self.live = 0, dict[int, Attempt]()  # attempts: all, outstanding
+        self.tries, self.live = 0, dict[int, Call]()  # attempts: all, outstanding
         self.may_run = INF  # send time of the first attempt that may have run
         self.zone = ""  # where that was
         self.held = self.over = self.was_sent = False
@@ -368,14 +359,14 @@
         self.lacked: dict[str, float] = {}  # when a connection was last missing, by kind of destination
         self.order = 0
         self.ready: list[tuple[float, int, int]] = []  # (deadline, order, destination) free to send
-        self.wakes: list[tuple[float, int, str, Any]] = []
+        self.wakes: list[tuple[float, int, Callable[[Any], None], Any]] = []
         self.timer = INF  # earliest timer set
         self.calls: dict[str, Call] = {}  # calls of this reply that may be shared
         self.now = now
         self.actions: list[Action] = []
-        self._wake(now + PERIOD, "second", None)
+        self._wake(now + PERIOD, self._second)
         if settings.ask_list:
-            self._wake(now, "watch", None)
+            self._wake(now, self._watch)
 
     def handle(self, now: float, events: list[api.Event]) -> list[Action]:
         """Take the events of one moment and return what to do."""
@@ -402,40 +393,30 @@
             self.actions.append(api.SetTimer(self.timer))
         return self.actions
 
-    def _wake(self, at: float, what: str, arg: Any) -> None:
+    def _wake(self, at: float, what: Callable[[Any], None], arg: Any = None) -> None:
         self.order += 1
         heappush(self.wakes, (at, self.order, what, arg))
 
     def _wakes(self) -> None:
         while self.wakes and self.wakes[0][0] <= self.now:
             _, _, what, arg = heappop(self.wakes)
-            if what == "dest":
-                arg.woken = INF
-                self._list(arg)
-            elif what == "expire":
-                if arg.held or (not arg.over and not arg.live):
-                    self._give_up(arg)
-            elif what == "key":
-                self._turn(arg)
-            elif what == "hold":
-                self._hold(arg)
-            elif what == "watch":
-                self.actions.append(api.WatchList())
-            else:
-                self._second()
+            what(arg)
+
+    def _watch(self, _: None) -> None:
+        self.actions.append(api.WatchList())
 
-    def _second(self) -> None:
+    def _second(self, _: None) -> None:
         self.bound.step()
-        for gate in {id(e.gate): e.gate for e in self.endpoints.values()}.values():
-            gate.second(self.now)
         for endpoint in self.endpoints.values():
-            endpoint.conns += CONNS_BACK
-        self._wake(self.now + PERIOD, "second", None)
+            endpoint.gate.second(self.now)
+        self._wake(self.now + PERIOD, self._second)
 
     def _news(self, news: api.ListNews) -> None:
         if news.kind is api.ListKind.FAILED:
-            wait = ASK_AGAIN * self.sets.ask_within * (1.0 + self.rng.random())
-            return self._wake(self.now + wait, "watch", None) if self.sets.ask_list else None
+            if self.sets.ask_list:
+                wait = ASK_AGAIN * self.sets.ask_within * (1.0 + self.rng.random())
+                self._wake(self.now + wait, self._watch)
+            return
         if news.kind is not api.ListKind.DELTA:
             named = {info.name for info in news.entries}
             for name, endpoint in self.endpoints.items():
@@ -444,7 +425,10 @@
         for info in news.entries:
             dest = self._dest(info.destination)
             known = self.endpoints.get(info.name)
-            if known is None or known.info.destination != info.destination:
+            if known is not None and known.info.destination != info.destination:
+                del self.dests[known.info.destination].endpoints[info.name]  # it moved
+                known = None
+            if known is None:
                 gate = Gate(self.sets, self.rng, self.now) if self._kind(info).apart else dest.gate
                 known = self.endpoints[info.name] = dest.endpoints[info.name] = Endpoint(info, gate)
             known.info = info
@@ -481,7 +465,7 @@
             endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
         if cls.in_order and message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(message):
+        if not self._room(dest):
             self._give_up(message)
             return
         self._expiry(message)
@@ -494,7 +478,11 @@
         at = message.deadline - self._call_time(message.dest)
         if message.cls.effect is Effect.KEYED:
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
-        self._wake(max(at, self.now), "expire", message)
+        self._wake(max(at, self.now), self._expire, message)
+
+    def _expire(self, message: Message) -> None:
+        if message.held or not (message.over or message.live):
+            self._give_up(message)
 
     def _count(self, dest: Destination, cost: float, messages: int, slots: int) -> None:
         """The one place where totals move, so that no decision walks the destinations."""
@@ -503,15 +491,12 @@
         if dest.ill:
             self.apart.add(cost, messages, slots)
 
-    def _room(self, message: Message) -> bool:
+    def _room(self, dest: Destination) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
         weighs only on messages for these, which may fill their share of the holding limit."""
-        dest = message.dest
         if dest.ill:
             return self.apart.open <= SICK_CAP * self.sets.max_open
-        if self.load.out < self.sets.slots:
-            return True
-        return self.load.cost - self.apart.cost <= self.bound.value
+        return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
 
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
@@ -535,13 +520,14 @@
         while line.queue and line.queue[0].over and not line.queue[0].live:
             line.queue.popleft()
         if line.rest > self.now:
-            self._wake(line.rest, "key", key)
+            self._wake(line.rest, self._turn, key)
         elif not line.queue:
             del self.keys[key]
         elif not line.queue[0].over:
             self._hold(line.queue[0])
 
     def _list(self, dest: Destination) -> None:
+        dest.woken = INF if dest.woken <= self.now else dest.woken
         head = dest.head(self.now)
         if head is not None:
             heappush(self.ready, (head.due, head.order, dest.id))
@@ -565,13 +551,13 @@
         if endpoint is None:
             if at < dest.woken and at < INF:
                 dest.woken = at
-                self._wake(at, "dest", dest)
+                self._wake(at, self._list, dest)
             return
         if self._may_send(head, endpoint):
             self._send(head, endpoint)
         elif self._may_retry(head):
             head.held = False  # its own state forbids it now: aside, so that it holds up no other
-            self._wake(self.now + ASIDE * self.sets.connect_timeout, "hold", head)
+            self._wake(self.now + ASIDE * self.sets.connect_timeout, self._hold, head)
         else:
             self._give_up(head)
         self._list(dest)
@@ -590,8 +576,8 @@
         ill = (dest.gate.shut or dest.gate.fails >= FAILS_ILL or self._silent(dest)
                or dest.mean.value > ILL * dest.mean.usual > 0)
         if ill != dest.ill:
-            self.apart.add(dest.load.cost, dest.load.open, dest.load.out, 1 if ill else -1)
-            dest.ill = ill
+            sign, load, dest.ill = 1 if ill else -1, dest.load, ill
+            self.apart.add(sign * load.cost, sign * load.open, sign * load.out)
         return ill
 
     def _silent(self, dest: Destination) -> bool:
@@ -604,8 +590,7 @@
         if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
             return None, INF
         if self._judge(dest):
-            held = self.apart.out
-            if held and held >= math.floor(self.sets.slots * SICK_CAP):
+            if self.apart.out >= max(1, math.floor(self.sets.slots * SICK_CAP)):
                 return None, self.now + UNMET * self.sets.connect_timeout
         best: Endpoint | None = None
         rank: tuple[Any, ...] = ()
@@ -617,8 +602,6 @@
             if at > self.now:
                 soonest = min(soonest, at)
                 continue
-            if endpoint.out >= max(1.0, endpoint.conns):
-                continue
             mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.info.name)
             if best is None or mine < rank:
                 best, rank = endpoint, mine
@@ -650,14 +633,13 @@
         dest = message.dest
         call = self.calls.get(endpoint.info.name)
         if call is None or call.size >= self._kind(endpoint.info).batch:
-            call = self.calls[endpoint.info.name] = Call(endpoint)
+            call = self.calls[endpoint.info.name] = Call(endpoint, self.now)
             call.trial = endpoint.gate.sent(self.now)
             self._count(dest, 0.0, 0, 1)
             endpoint.out += 1
         call.messages += 1
         call.size += 1
-        attempt = Attempt(self.now, call)
-        message.live[message.tries] = dest.calls[message.id, message.tries] = attempt
+        message.live[message.tries] = dest.calls[message.id, message.tries] = call
         message.tries += 1
         message.held, message.was_sent = False, True
         if message.tries == 1:
@@ -714,10 +696,10 @@
 
     def _ended(self, event: api.AttemptEnded) -> None:
         message = self.messages.get(event.id)
-        attempt = message.live.pop(event.attempt, None) if message is not None else None
-        if message is None or attempt is None:
+        call = message.live.pop(event.attempt, None) if message is not None else None
+        if message is None or call is None:
             return
-        dest, call = message.dest, attempt.call
+        dest = message.dest
         dest.calls.pop((message.id, event.attempt), None)
         call.messages -= 1
         if not call.messages:
@@ -725,10 +707,10 @@
             call.endpoint.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
-        self._learn(dest, attempt, event)
+        self._learn(dest, call, event)
         self._judge(dest)
         if event.result not in (Result.FULL, Result.NO_CONNECTION, Result.MOOT) and message.may_run == INF:
-            message.may_run, message.zone = attempt.sent, call.endpoint.info.zone
+            message.may_run, message.zone = call.sent, call.endpoint.info.zone
         unsure = event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
         if unsure and message.key in self.keys and message.cls.in_order:
             self.keys[message.key].rest = self.now + self.sets.order_pause
@@ -753,10 +735,9 @@
         if not endpoint.out and endpoint.gap >= keep:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
-    def _learn(self, dest: Destination, attempt: Attempt, event: api.AttemptEnded) -> None:
+    def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
         """Tell the kinds of evidence apart; each has its own place."""
-        call, result = attempt.call, event.result
-        endpoint, gate = call.endpoint, call.endpoint.gate
+        result, endpoint, gate = event.result, call.endpoint, call.endpoint.gate
         if event.limit is not None:
             gate.limit(event.limit, True)
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
@@ -776,13 +757,13 @@
             endpoint.fails = 0
             gate.passed(self.now)
         elif result is Result.FULL:
-            gate.full(self.now, event.wait, call.trial, attempt.sent)
+            gate.full(self.now, event.wait, call.trial, call.sent)
         elif result is Result.NO_CONNECTION and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
-            endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
+            # Other calls pass: its connections are all taken.
             endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
-            if result is Result.TIMEOUT and dest.last_pass < attempt.sent:
+            if result is Result.TIMEOUT and dest.last_pass < call.sent:
                 # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
             endpoint.fails += 1
