--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,12 +52,12 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULL_GROWTH = 4.0  # x wait without word for each further refusal in a row
-FULL_MOST = 10  # refusals in a row that are counted
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 AVOID = 1.0  # x connect time-out: an endpoint that failed twice in a row is left alone so long
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
+CONNS_BACK = 0.2  # calls at once that an endpoint short of connections gets back each second
 KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
@@ -228,7 +228,7 @@
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
             wait = 1000.0 / max(self.believed(), 1.0) * FULL_GROWTH ** self.refused
-            self.refused = min(self.refused + (self.left > SCARCE), FULL_MOST)
+            self.refused += not self.told  # else reports tell when there is room
             self.wait = max(self.wait, now + min(wait, self.safe_gap(now)) * (0.5 + self.rng.random()))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
         if trial or (wait > long and not self.shut):
@@ -258,6 +258,7 @@
         self.info, self.gate = info, gate
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
+        self.conns = INF  # calls at once that its connections allow
         self.gap = INF  # usual time between two messages there, up to the idle time
 
 
@@ -325,6 +326,7 @@
         self.first = min(now, self.deadline - cls.deadline)  # first hand-in
         self.span = cls.aim if 0 < cls.aim < cls.deadline else cls.deadline
         self.due = self.first + self.span
+        self.turns = cls.in_order and bool(event.key)  # one at a time with others of its key
         self.yields = yields  # to messages that can still make their aim
         self.cost = 1.0
         self.tries, self.live = 0, dict[int, Call]()  # attempts: all, outstanding
@@ -409,6 +411,7 @@
         self.bound.step()
         for endpoint in self.endpoints.values():
             endpoint.gate.second(self.now)
+            endpoint.conns += CONNS_BACK
         self._wake(self.now + PERIOD, self._second)
 
     def _news(self, news: api.ListNews) -> None:
@@ -463,18 +466,19 @@
         self._count(dest, message.cost, 1, 0)
         for endpoint in dest.endpoints.values():
             endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
-        if cls.in_order and message.key:
+        if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
         if not self._room(dest):
             self._give_up(message)
             return
-        self._expiry(message)
-        if not (cls.in_order and message.key) or self._has_turn(message):
+        if not message.turns or self._has_turn(message):
             self._hold(message)
+        else:
+            self._expiry(message)
 
     def _expiry(self, message: Message) -> None:
         """Look again when its time, or the window of its key, is all but up; anew at each hold, since an
-        attempt may have been out at the last look (guards against messages lost between two looks)."""
+        attempt may have been out at the last look."""
         at = message.deadline - self._call_time(message.dest)
         if message.cls.effect is Effect.KEYED:
             at = min(at, message.may_run + message.cls.window + self.sets.tick)
@@ -503,8 +507,7 @@
         if message.over or message.held or message.live:
             return
         message.held = True
-        if message.was_sent:
-            self._expiry(message)
+        self._expiry(message)
         heappush(message.dest.heap, (message.due, message.order, message))
         self._list(message.dest)
 
@@ -543,17 +546,14 @@
             self._release(dest, head)
 
     def _release(self, dest: Destination, head: Message) -> None:
-        if head.deadline - self.now < self._call_time(dest):
-            self._give_up(head)
-            self._list(dest)
-            return
-        endpoint, at = self._route(dest, head)
-        if endpoint is None:
-            if at < dest.woken and at < INF:
+        late = head.deadline - self.now < self._call_time(dest)
+        endpoint, at = (None, INF) if late else self._route(dest, head)
+        if endpoint is None and not late:
+            if at < dest.woken:
                 dest.woken = at
                 self._wake(at, self._list, dest)
             return
-        if self._may_send(head, endpoint):
+        if endpoint is not None and self._may_send(head, endpoint):
             self._send(head, endpoint)
         elif self._may_retry(head):
             head.held = False  # its own state forbids it now: aside, so that it holds up no other
@@ -562,11 +562,6 @@
             self._give_up(head)
         self._list(dest)
 
-    def _sick(self, dest: Destination) -> bool:
-        """Slow now (a call past twice the mean) or failing lately."""
-        lately = self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
-        return lately or self._overdue(dest, SLOW)
-
     def _overdue(self, dest: Destination, means: float) -> bool:
         return self.now - dest.oldest() > means * self._call_time(dest)
 
@@ -586,7 +581,8 @@
 
     def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
         """The endpoint to use now, or when to look again (infinite: at the next event there)."""
-        cap = max(1, math.floor(self.sets.slots * (SICK_CAP if self._sick(dest) else CAP)))
+        lately = self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+        cap = max(1, math.floor(self.sets.slots * (SICK_CAP if lately or self._overdue(dest, SLOW) else CAP)))
         if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
             return None, INF
         if self._judge(dest):
@@ -599,8 +595,8 @@
             if not endpoint.usable or not self._in_group(message, endpoint):
                 continue
             at = max(endpoint.gate.when(self.now), endpoint.avoid if not endpoint.gate.shut else -INF)
-            if at > self.now:
-                soonest = min(soonest, at)
+            if at > self.now or endpoint.out >= max(1.0, endpoint.conns):
+                soonest = min(soonest, at if at > self.now else INF)
                 continue
             mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.info.name)
             if best is None or mine < rank:
@@ -627,7 +623,7 @@
         """The rules on sends, each once."""
         return (self._may_retry(message) and endpoint.usable and endpoint.gate.wait <= self.now
                 and self._in_group(message, endpoint) and self.now < message.deadline
-                and (not (message.cls.in_order and message.key) or self._has_turn(message)))
+                and (not message.turns or self._has_turn(message)))
 
     def _send(self, message: Message, endpoint: Endpoint) -> None:
         dest = message.dest
@@ -650,8 +646,7 @@
         self.actions.append(api.Send(message.id, endpoint.info.name, until))
 
     def _time_out(self, message: Message) -> float:
-        """Short while answers get lost: guards against lost calls holding the slots. It fails some that are
-        merely heavy."""
+        """Short while answers get lost: guards against lost calls holding slots; fails some heavy ones."""
         call = self._call_time(message.dest)
         if self.lost > LOST:
             span = max(LOST_MEANS * call, LOST_LEAST * self.sets.connect_timeout)
@@ -673,11 +668,10 @@
 
     def _retry_after(self, message: Message) -> float:
         """When it is worth coming back: once the excess is worked off, or the destination may be back."""
-        call = self.mean.value or UNMET * self.sets.connect_timeout
-        excess = (self.load.cost - self.apart.cost - self.bound.value) * call
+        call = self._call_time(message.dest)
+        excess = (self.load.cost - self.apart.cost - self.bound.value) * (self.mean.value or call)
         back = max(message.dest.gate.wait, message.dest.gate.trial if message.dest.gate.shut else -INF)
-        at = max(excess / self.sets.slots, self._call_time(message.dest), back - self.now)
-        return min(at, self.sets.max_retry_after)
+        return min(max(excess / self.sets.slots, call, back - self.now), self.sets.max_retry_after)
 
     def _over(self, message: Message) -> None:
         message.over, message.held = True, False
@@ -691,7 +685,7 @@
         if message.live:
             return
         self.messages.pop(message.id, None)
-        if message.cls.in_order and message.key:
+        if message.turns:
             self._turn(message.key)
 
     def _ended(self, event: api.AttemptEnded) -> None:
@@ -712,7 +706,7 @@
         if event.result not in (Result.FULL, Result.NO_CONNECTION, Result.MOOT) and message.may_run == INF:
             message.may_run, message.zone = call.sent, call.endpoint.info.zone
         unsure = event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
-        if unsure and message.key in self.keys and message.cls.in_order:
+        if unsure and message.turns and message.key in self.keys:
             self.keys[message.key].rest = self.now + self.sets.order_pause
         if message.over:
             self._forget(message)
@@ -727,9 +721,8 @@
         self._close(call.endpoint)
 
     def _close(self, endpoint: Endpoint) -> None:
-        """Give idle connections back while connections are missing at this kind of destination. Guards
-        against a large fleet filling an endpoint's connections with idle ones; costs handshakes, also while
-        destinations of the kind are merely down."""
+        """Give back idle connections that others at this kind of destination may lack. Guards against a
+        fleet filling an endpoint's connections with idle ones; costs handshakes, also where it is just down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
         keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
         if not endpoint.out and endpoint.gap >= keep:
@@ -760,12 +753,13 @@
             gate.full(self.now, event.wait, call.trial, call.sent)
         elif result is Result.NO_CONNECTION and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
-            # Other calls pass: its connections are all taken.
+            endpoint.conns = max(1.0, float(endpoint.out))  # other calls pass: its connections are all taken
             endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
         elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
             if result is Result.TIMEOUT and dest.last_pass < call.sent:
                 # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
             endpoint.fails += 1
-            endpoint.avoid = self.now + AVOID * self.sets.connect_timeout if endpoint.fails > 1 else -INF
+            if endpoint.fails > 1:
+                endpoint.avoid = self.now + AVOID * self.sets.connect_timeout
             gate.failed(self.now, call.trial)
