--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -67,7 +67,7 @@
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
-PACE_FIRST = 3.0  # x this sender's part: pace at the first report, and the highest after a refusal
+PACE_FIRST = 2.0  # x this sender's part: pace at the first report, and the highest after a refusal
 PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
 
 
