--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -68,6 +68,7 @@
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
 PACE_FIRST = 2.0  # x this sender's part: pace at the first report, and the highest after a refusal
+PACE_LEAST = 1.0  # calls a second: a lower pace at the first report would rest on chance, not evidence
 PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
 
 
@@ -133,7 +134,7 @@
         if rate <= 0 or (self.told and not told):
             return
         if told and self.pace == INF:
-            self.pace = PACE_FIRST * rate / self.sets.senders
+            self.pace = max(PACE_LEAST, PACE_FIRST * rate / self.sets.senders)
         self.told, self.rate, self.low = told, rate, PACE_FLOOR * rate / self.sets.senders
 
     def part(self, now: float) -> float:
@@ -704,7 +705,7 @@
         fleet filling an endpoint's connections with idle ones. Costs handshakes, also where it is down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
         keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
-        if not endpoint.out and endpoint.gap >= keep:
+        if not endpoint.out and 0.0 < keep <= endpoint.gap:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
