--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -51,7 +51,7 @@
 MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
-FULL_GROWTH = 4.0  # x wait without word for each further refusal in a row
+FULL_GROWTH = 8.0  # x wait without word for each further refusal in a row
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
