--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -1,7 +1,7 @@
 """All decisions of a sender. Its types, events and actions are in brassweir/interface.py.
 
-Clock, settings, seed and events in, actions out: no input or output, no global state. Times are in
-milliseconds. docs/design.md tells which part follows the paper and where, and why, it departs.
+Clock, settings, seed and events in, actions out: no input or output, no global state; times in milliseconds.
+docs/design.md tells which part follows the paper and where, and why, it departs.
 """
 
 from __future__ import annotations
@@ -51,7 +51,8 @@
 MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
-FULL_GROWTH = 8.0  # x wait without word for each further refusal in a row
+FULL_GROWTH = 4.0  # x 1/rate for each further refusal without word in a row: longer than LONG_WAIT means shut
+FULL_STEPS = 2.0  # refusals in a row over which our wait grows from 1/rate to the safe gap
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
@@ -143,8 +144,9 @@
         return max(self.rate / self.sets.senders, own)
 
     def safe_gap(self, now: float) -> float:
-        """Calls so far apart cannot push a returning destination over, though all senders make them."""
-        return 1000.0 / (TRIAL_PART * self.sets.tip_multiple * self.sets.start_capacity * self.part(now))
+        """Calls about so far apart cannot push a returning destination over, though all senders make them."""
+        tipping = self.sets.tip_multiple * self.sets.start_capacity * self.part(now)
+        return 1000.0 / (TRIAL_PART * tipping) * (0.5 + self.rng.random())
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
@@ -185,7 +187,7 @@
 
     def close(self, now: float) -> None:
         """Take the destination for out: only single trials from here on."""
-        self.shut, self.trial = True, now + self.safe_gap(now) * (0.5 + self.rng.random())
+        self.shut, self.last_fail, self.trial = True, now, now + self.safe_gap(now)
 
     def passed(self, now: float) -> None:
         """A call was served."""
@@ -214,13 +216,14 @@
         if wait <= 0 and not self.shut:
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
-            wait = 1000.0 / max(self.rate, 1.0) * FULL_GROWTH ** self.refused
+            base, safe = 1000.0 / max(self.rate, 1.0), self.safe_gap(now)
+            wait = base * FULL_GROWTH ** self.refused
+            ours = base * max(1.0, safe / base) ** min(1.0, self.refused / FULL_STEPS)
             self.refused += not self.told  # else reports tell when there is room
-            self.wait = max(self.wait, now + min(wait, self.safe_gap(now)) * (0.5 + self.rng.random()))
+            self.wait = max(self.wait, now + ours * (0.5 + self.rng.random()))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
         if trial or (wait > long and not self.shut):
             self.close(now)
-            self.last_fail = now
         if not self.shut:
             self.tokens = min(self.tokens, 0.0)
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
@@ -353,7 +356,7 @@
         self.actions: list[Action] = []
         self._wake(now + PERIOD, self._second)
         if settings.ask_list:
-            self._wake(now, self._act, api.WatchList())
+            self._wake(now, lambda _: self.actions.append(api.WatchList()))
 
     def handle(self, now: float, events: list[api.Event]) -> list[Action]:
         """Take the events of one moment and return what to do."""
@@ -388,9 +391,6 @@
             _, _, what, arg = heappop(self.wakes)
             what(arg)
 
-    def _act(self, action: Action) -> None:
-        self.actions.append(action)
-
     def _second(self, _: None) -> None:
         self.bound.step()
         for gate in dict.fromkeys(endpoint.gate for endpoint in self.endpoints.values()):
@@ -403,7 +403,7 @@
         if news.kind is api.ListKind.FAILED:
             if self.sets.ask_list:
                 wait = ASK_AGAIN * self.sets.ask_within * (1.0 + self.rng.random())
-                self._wake(self.now + wait, self._act, api.WatchList())
+                self._wake(self.now + wait, lambda _: self.actions.append(api.WatchList()))
             return
         if news.kind is not api.ListKind.DELTA:
             named = {info.name for info in news.entries}
@@ -569,8 +569,7 @@
             if self.apart.out >= max(1, math.floor(self.sets.slots * SICK_CAP)):
                 return None, self.now + UNMET * self.sets.connect_timeout
         best: Endpoint | None = None
-        rank: tuple[Any, ...] = ()
-        soonest = INF
+        rank, soonest = tuple[Any, ...](), INF
         for endpoint in dest.endpoints.values():
             if not endpoint.usable or not self._in_group(message, endpoint):
                 continue
