--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,7 +52,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 FULL_GROWTH = 4.0  # x 1/rate for each further refusal without word in a row: longer than LONG_WAIT means shut
-FULL_STEPS = 2.0  # refusals in a row over which our wait grows from 1/rate to the safe gap
+FULL_STEPS = 1.0  # refusals in a row over which our wait grows from 1/rate to the safe gap
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
