--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -204,12 +204,15 @@
         if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
             self.close(now)
 
+    def told_wait(self, now: float, wait: float) -> None:
+        """Heed a wait, whichever message of a shared call brought it."""
+        if wait > 0:
+            self.wait = max(self.wait, now + wait + self.sets.tick)
+
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
         """The destination refused a call unseen: over a limit, or shut. Calls sent before the last refusal
         was known are the same evidence (guards against taking a clump over the limit for an outage)."""
         long = LONG_WAIT * self.sets.connect_timeout
-        if wait > 0:
-            self.wait = max(self.wait, now + wait + self.sets.tick)
         if sent < self.full_at and not trial and wait <= long:
             return
         self.full_at = now
@@ -300,6 +303,7 @@
     def __init__(self, endpoint: Endpoint, sent: float) -> None:
         self.endpoint, self.sent = endpoint, sent
         self.messages, self.size, self.trial = 0, 0, False  # without outcome, all, is it the trial
+        self.learnt = False  # its fate is evidence once, however many messages it holds
 
 
 class Message:
@@ -524,6 +528,20 @@
             if head is None or (head.due, head.order) != (due, order):
                 continue
             self._release(dest, head)
+        for call in [*self.calls.values()]:
+            dest = self.dests[call.endpoint.info.destination]
+            while (head := dest.head(self.now)) is not None and self._joins(dest, head) is not None:
+                self._release(dest, head)
+
+    def _joins(self, dest: Destination, message: Message) -> Endpoint | None:
+        """Where a call of this reply still has room: a message that joins it takes no slot and no token of
+        its own. Guards against a limit on calls passing for one on messages. A trial stays small."""
+        for endpoint in dest.endpoints.values():
+            call = self.calls.get(endpoint.info.name)
+            if (call is not None and not call.trial and call.size < self.batch.get(endpoint.info.kind, 1)
+                    and self._may_send(message, endpoint)):
+                return endpoint
+        return None
 
     def _release(self, dest: Destination, head: Message) -> None:
         late = head.deadline - self.now < self._call_time(dest)
@@ -561,6 +579,9 @@
 
     def _route(self, dest: Destination, message: Message) -> tuple[Endpoint | None, float]:
         """The endpoint to use now, or when to look again (infinite: at the next event there)."""
+        joined = self._joins(dest, message)
+        if joined is not None:
+            return joined, self.now
         lately = self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
         cap = max(1, math.floor(self.sets.slots * (SICK_CAP if lately or self._overdue(dest, SLOW) else CAP)))
         if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
@@ -607,7 +628,7 @@
     def _send(self, message: Message, endpoint: Endpoint) -> None:
         dest = message.dest
         call = self.calls.get(endpoint.info.name)
-        if call is None or call.size >= self.batch.get(endpoint.info.kind, 1):
+        if call is None or call.trial or call.size >= self.batch.get(endpoint.info.kind, 1):
             call = self.calls[endpoint.info.name] = Call(endpoint, self.now)
             call.trial = endpoint.gate.sent(self.now)
             self._count(dest, 0.0, 0, 1)
@@ -680,7 +701,10 @@
             call.endpoint.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
-        self._learn(dest, call, event)
+        call.endpoint.gate.told_wait(self.now, event.wait)
+        if not call.learnt and (not call.messages or event.result is not Result.TIMEOUT):
+            call.learnt = True
+            self._learn(dest, call, event)
         self._judge(dest)
         if event.result not in (Result.FULL, Result.NO_CONNECTION, Result.MOOT) and message.may_run == INF:
             message.may_run, message.zone = call.sent, call.endpoint.info.zone
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -134,6 +134,7 @@
 
 def test_long_told_wait_means_shut() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.told_wait(0.0, 12000.0)
     gate.full(0.0, 12000.0, False, 0.0)
     assert gate.shut
     assert gate.when(100.0) > 12000.0
@@ -143,6 +144,7 @@
 
 def test_late_pass_does_not_end_a_told_closing() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.told_wait(0.0, 12000.0)
     gate.full(0.0, 12000.0, False, 0.0)
     gate.passed(50.0)
     assert gate.shut
@@ -212,6 +214,44 @@
     assert gate.pace == pytest.approx(4.9)
 
 
+BATCH = replace(SETTINGS, kinds=(api.Kind("k", batch=10),))
+
+
+def test_held_messages_join_a_call_already_paid_for() -> None:
+    sender = Sender(BATCH, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.dests[1].gate.pace, sender.dests[1].gate.tokens = 1.0, 0.0
+    assert not sends(sender.handle(1.0, [new(i) for i in range(6)]))
+    due = sender.handle(1100.0, [api.TimerDue()])
+    assert len(sends(due)) == 6
+    assert sender.load.out == 1  # one slot, one token
+    assert sender.dests[1].gate.tokens < 1.0
+
+
+def test_messages_join_though_all_slots_are_taken() -> None:
+    sender = Sender(replace(BATCH, slots=1), 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    assert len(sends(sender.handle(1.0, [new(1), new(2)]))) == 2
+    assert not sends(sender.handle(2.0, [new(3)]))
+
+
+def test_trial_carries_one_message() -> None:
+    sender = Sender(BATCH, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.dests[1].gate.close(0.0)
+    sender.handle(1.0, [new(1), new(2)])
+    assert len(sends(sender.handle(60000.0, [new(3), api.TimerDue()]))) == 1
+
+
+def test_a_lost_shared_call_is_one_failure() -> None:
+    sender = Sender(BATCH, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(i) for i in range(6)])
+    sender.handle(900.0, [over(i, api.Result.RESET) for i in range(6)])
+    assert sender.dests[1].gate.fails == 1
+    assert not sender.dests[1].gate.shut
+
+
 def closes(actions: list[api.Action]) -> list[str]:
     """The endpoints whose idle connections are given back."""
     return [action.endpoint for action in actions if isinstance(action, api.CloseIdle)]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -161,7 +161,7 @@
     return True
 
 
-def no_wait(self: Gate, now: float, wait: float, trial: bool, sent: float) -> None:
+def no_wait(self: Gate, now: float, wait: float) -> None:
     """A gate that hears no told wait."""
 
 
@@ -212,7 +212,7 @@
     (Sender, "_may_retry", always, "repeated|unsafe|attempt"),
     (Sender, "_has_turn", always, "turn|rests"),
     (Sender, "_in_group", always, "zone"),
-    (Gate, "full", no_wait, "wait"),
+    (Gate, "told_wait", no_wait, "wait"),
     (Sender, "_news", deaf, "drains or is gone"),
     (Sender, "_give_up", no_answer, "no answer"),
     (Sender, "_give_up", twice, "second answer"),
