--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -121,6 +121,7 @@
         self.told = False  # a report named the limit
         self.rate = float(sets.senders)  # believed limit in calls a second from all senders
         self.pace, self.low, self.tokens, self.stamp = INF, PACE_FLOOR, 1.0, now
+        self.span = 0.0  # longest short wait told: about the span over which the limit counts
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
         self.shut, self.trial, self.trial_out = False, INF, False
         self.ramp = -INF  # when the return was seen
@@ -207,6 +208,9 @@
     def told_wait(self, now: float, wait: float) -> None:
         """Heed a wait, whichever message of a shared call brought it."""
         if wait > 0:
+            if wait <= LONG_WAIT * self.sets.connect_timeout:
+                self.span = max(self.span, wait)
+                wait += self.span * self.rng.random()
             self.wait = max(self.wait, now + wait + self.sets.tick)
 
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
