--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -235,7 +235,7 @@
             self.tokens = min(self.tokens, 0.0)
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
-                first = PACE_FIRST * self.part(now) if self.told else self.rate
+                first = PACE_FIRST * self.part(now)
                 self.pace, self.cut = max(self.low, min(self.pace * PACE_CUT, first)), now
 
     def second(self) -> None:
