--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -550,7 +550,7 @@
     def _release(self, dest: Destination, head: Message) -> None:
         late = head.deadline - self.now < self._call_time(dest)
         endpoint, at = (None, INF) if late else self._route(dest, head)
-        if endpoint is None and not late:
+        if endpoint is None and not late and (at == INF or head.deadline - at >= self._call_time(dest)):
             if at < dest.woken:
                 dest.woken = at
                 self._wake(at, self._list, dest)
