--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -51,6 +51,7 @@
 MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
+RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
 FULL_GROWTH = 4.0  # x 1/rate for each further refusal without word in a row: longer than LONG_WAIT means shut
 FULL_STEPS = 1.0  # refusals in a row over which our wait grows from 1/rate to the safe gap
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
@@ -119,7 +120,7 @@
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
         self.told = False  # a report named the limit
-        self.rate = float(sets.senders)  # believed limit in calls a second from all senders
+        self.rate = RATE_UNTOLD  # believed limit in calls a second from all senders
         self.pace, self.low, self.tokens, self.stamp = INF, PACE_FLOOR, 1.0, now
         self.span = 0.0  # longest short wait told: about the span over which the limit counts
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
