--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,8 +52,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
-FULL_GROWTH = 4.0  # x 1/rate for each further refusal without word in a row: longer than LONG_WAIT means shut
-FULL_STEPS = 1.0  # refusals in a row over which our wait grows from 1/rate to the safe gap
+FULL_STEPS = 1.0  # refusals in a row before our wait is the safe gap, and one for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
@@ -220,17 +219,17 @@
         long = LONG_WAIT * self.sets.connect_timeout
         if sent < self.full_at and not trial and wait <= long:
             return
-        self.full_at = now
+        self.full_at, lasting = now, False
         if wait <= 0 and not self.shut:
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
-            base, safe = 1000.0 / max(self.rate, 1.0), self.safe_gap(now)
-            wait = base * FULL_GROWTH ** self.refused
-            ours = base * max(1.0, safe / base) ** min(1.0, self.refused / FULL_STEPS)
+            steps = FULL_STEPS + self.part(now) * self.sets.cold / 1000.0
+            wait = 1000.0 / max(self.rate, 1.0) * (0.5 + self.rng.random())
+            lasting = self.refused > steps
+            self.wait = max(self.wait, now + (wait if self.refused < steps else self.safe_gap(now)))
             self.refused += not self.told  # else reports tell when there is room
-            self.wait = max(self.wait, now + ours * (0.5 + self.rng.random()))
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
-        if trial or (wait > long and not self.shut):
+        if trial or ((wait > long or lasting) and not self.shut):
             self.close(now)
         if not self.shut:
             self.tokens = min(self.tokens, 0.0)
