--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -70,7 +70,7 @@
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
 PACE_FIRST = 2.0  # x this sender's part: pace at the first report, and the highest after a refusal
 PACE_LEAST = 1.0  # calls a second: a lower pace at the first report would rest on chance, not evidence
-PACE_FLOOR = 0.2  # share of an even part of the limit under which the pace is not cut
+PACE_FLOOR = 0.5  # share of this sender's part under which the pace is not cut
 
 
 class Mean:
@@ -120,7 +120,7 @@
         self.sets, self.rng = sets, rng
         self.told = False  # a report named the limit
         self.rate = RATE_UNTOLD  # believed limit in calls a second from all senders
-        self.pace, self.low, self.tokens, self.stamp = INF, PACE_FLOOR, 1.0, now
+        self.pace, self.tokens, self.stamp = INF, 1.0, now
         self.span = 0.0  # longest short wait told: about the span over which the limit counts
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
         self.shut, self.trial, self.trial_out = False, INF, False
@@ -137,7 +137,7 @@
             return
         if told and self.pace == INF:
             self.pace = max(PACE_LEAST, PACE_FIRST * rate / self.sets.senders)
-        self.told, self.rate, self.low = told, rate, PACE_FLOOR * rate / self.sets.senders
+        self.told, self.rate = told, rate
 
     def part(self, now: float) -> float:
         """This sender's part of the destination's rate: an even one, or its own part of the traffic."""
@@ -236,13 +236,13 @@
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
                 first = PACE_FIRST * self.part(now)
-                self.pace, self.cut = max(self.low, min(self.pace * PACE_CUT, first)), now
+                self.pace, self.cut = max(PACE_FLOOR * self.part(now), min(self.pace * PACE_CUT, first)), now
 
-    def second(self) -> None:
+    def second(self, now: float) -> None:
         """Let the pace recover."""
         if self.pace < INF:
             grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
-            self.pace = max(min(grown, self.rate) if self.told else grown, self.low)
+            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.part(now))
 
 
 class Endpoint:
@@ -402,7 +402,7 @@
     def _second(self, _: None) -> None:
         self.bound.step()
         for gate in dict.fromkeys(endpoint.gate for endpoint in self.endpoints.values()):
-            gate.second()
+            gate.second(self.now)
         for endpoint in self.endpoints.values():
             endpoint.conns += CONNS_BACK
         self._wake(self.now + PERIOD, self._second)
