--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -61,6 +61,7 @@
 KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
+QUEUE = 1.0  # x aim: a message that would queue for longer under a limit is refused
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
@@ -457,7 +458,7 @@
             endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
         if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(dest):
+        if not self._room(dest) or self._queue(dest) > QUEUE * message.span:
             self._give_up(message)
         elif not message.turns or self._has_turn(message):
             self._hold(message)
@@ -490,6 +491,16 @@
             return self.apart.open <= SICK_CAP * self.sets.max_open
         return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
 
+    def _queue(self, dest: Destination) -> float:
+        """How long the pace of its gates lets a new message wait. Guards against a standing queue under a limit,
+        in which earliest deadline first makes every message late."""
+        gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
+                 for endpoint in dest.endpoints.values() if endpoint.usable}
+        if not gates or any(gate.shut for gate in gates):
+            return 0.0
+        rate = sum(gate.allowed(self.now) * batch for gate, batch in gates.items())
+        return max(0, dest.load.open - 1 - len(dest.calls)) * 1000.0 / rate
+
     def _hold(self, message: Message) -> None:
         """Put a message that may go into its destination's heap."""
         if message.over or message.held or message.live:
