--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -63,7 +63,7 @@
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
 QUEUE = 1.0  # x aim: a message that would queue for longer under a limit is refused
 WORTH_GAIN = 0.02  # weight of a new message in the mean worth: some fifty are remembered
-VALUE = 2.0  # largest factor, and divisor, by which a message's worth moves the bound and the queue for it
+VALUE = 5.0  # largest factor, and divisor, by which a message's worth moves the bound and the queue for it
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
