--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -107,7 +107,6 @@
                 deadline=deadline,
                 effect=effect,
                 late_worth=num(at + "LateWorth", 0.0),
-                worth=num(at + "Points", 1.0),
                 group=get(at + "Group", "all"),
                 window=num(at + "Window", 0.0),
                 in_order=flag(at + "Sequential"),
--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -62,8 +62,6 @@
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
 QUEUE = 1.0  # x aim: a message that would queue for longer under a limit is refused
-WORTH_GAIN = 0.02  # weight of a new message in the mean worth: some fifty are remembered
-VALUE = 5.0  # largest factor, and divisor, by which a message's worth moves the bound and the queue for it
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
@@ -251,8 +249,10 @@
 class Endpoint:
     """One endpoint: what the list says of it and how its last calls went."""
 
-    def __init__(self, info: api.EndpointInfo, gate: Gate) -> None:
+    def __init__(self, info: api.EndpointInfo, gate: Gate, rng: Random) -> None:
         self.info, self.gate = info, gate
+        # Drawn so that a fleet of fresh senders spreads by rate: guards against all taking the same endpoint.
+        self.lot = rng.expovariate(1.0) / (info.rate or 1.0)
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
@@ -354,7 +354,6 @@
         self.dests: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
-        self.worth = 0.0  # mean worth of the messages handed in
         self.lost = 0.0  # running share of calls whose answer got lost
         self.keys: dict[str, KeyLine] = {}
         self.load, self.apart = Load(), Load()  # of all, of ill destinations
@@ -429,7 +428,7 @@
             known = dest.endpoints.get(info.name)
             if known is None:
                 gate = Gate(self.sets, self.rng, self.now) if info.kind in self.apart_kinds else dest.gate
-                known = dest.endpoints[info.name] = Endpoint(info, gate)
+                known = dest.endpoints[info.name] = Endpoint(info, gate, self.rng)
             known.info, self.endpoints[info.name] = info, known
             known.usable = info.state is State.READY
             if self.sets.weights != "none":
@@ -461,9 +460,7 @@
             endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
         if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        self.worth += (cls.worth - self.worth) * (WORTH_GAIN if self.worth else 1.0)
-        value = min(max(cls.worth / self.worth, 1.0 / VALUE), VALUE) if self.worth else 1.0
-        if not self._room(dest, value) or self._queue(dest) > QUEUE * value * message.span:
+        if not self._room(dest) or self._queue(dest) > QUEUE * message.span:
             self._give_up(message)
         elif not message.turns or self._has_turn(message):
             self._hold(message)
@@ -489,12 +486,12 @@
         if dest.ill:
             self.apart.add(cost, messages, slots)
 
-    def _room(self, dest: Destination, value: float) -> bool:
+    def _room(self, dest: Destination) -> bool:
         """Is the backlog, with the new message in it, within the bound? What waits for ill destinations
         weighs only on messages for these, which may fill their share of the holding limit."""
         if dest.ill:
             return self.apart.open <= SICK_CAP * self.sets.max_open
-        return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value * value
+        return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
 
     def _queue(self, dest: Destination) -> float:
         """How long the pace of its gates lets a new message wait. Guards against a standing queue under a limit,
@@ -618,7 +615,7 @@
             if at > self.now or endpoint.out >= max(1.0, endpoint.conns):
                 soonest = min(soonest, at if at > self.now else INF)
                 continue
-            mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.info.name)
+            mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.lot)
             if best is None or mine < rank:
                 best, rank = endpoint, mine
         return best, soonest
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -68,7 +68,6 @@
     deadline: float
     effect: Effect
     late_worth: float = 0.0
-    worth: float = 1.0  # of a message in time, against those of other classes
     group: str = "all"
     window: float = 0.0
     in_order: bool = False
@@ -119,7 +118,7 @@
         _check("kinds", self.kinds, len({kind.name for kind in self.kinds}) == len(self.kinds))
         for cls in self.classes:
             _check(f"{cls.name}.deadline", cls.deadline, 0 < cls.deadline < math.inf)
-            for name in ("aim", "window", "late_worth", "worth"):
+            for name in ("aim", "window", "late_worth"):
                 _check(f"{cls.name}.{name}", getattr(cls, name), 0 <= getattr(cls, name) < math.inf)
         for kind in self.kinds:
             _check(f"{kind.name}.batch", kind.batch, kind.batch >= 1)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -472,3 +472,38 @@
     done = adapter(WIRE.replace(old, new_text))
     assert done.returncode != 0
     assert word in done.stderr
+
+
+def test_a_fresh_fleet_spreads_over_routes_by_their_rates() -> None:
+    settings = replace(SETTINGS, kinds=(api.Kind("k", apart=True),), senders=200, weights="rough")
+    routes = (api.EndpointInfo("a", 1, "k", rate=9.0), api.EndpointInfo("b", 1, "k", rate=3.0))
+    first = []
+    for seed in range(200):
+        sender = Sender(settings, seed, 0.0)
+        sender.handle(0.0, [api.ListNews(api.ListKind.FULL, routes)])
+        actions = sender.handle(1.0, [new(1)])
+        first += [action.endpoint for action in actions if isinstance(action, api.Send)]
+    assert 30 < first.count("b") < 70
+    assert len(first) == 200
+
+
+def test_a_message_that_cannot_go_in_time_is_answered_at_once() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.dests[1].gate.told_wait(0.0, 30000.0)
+    assert any(isinstance(a, api.Refuse) for a in sender.handle(1.0, [new(1)]))
+
+
+def test_a_standing_queue_under_a_limit_is_refused_at_the_door() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.dests[1].gate.pace, sender.dests[1].gate.tokens = 2.0, 0.0
+    refused = sum(isinstance(a, api.Refuse) for a in sender.handle(1.0, [new(i) for i in range(20)]))
+    assert 14 <= refused <= 16  # two calls a second, an aim of two seconds
+
+
+def test_an_untold_limit_is_not_taken_for_a_call_a_second_of_each_sender() -> None:
+    gate = Gate(replace(SETTINGS, senders=300), Random(1), 0.0)
+    gate.arrivals = 1.0
+    gate.close(20000.0)
+    assert gate.trial - 20000.0 > 10000.0
