--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -744,8 +744,8 @@
         """Give back idle connections that others at this kind of destination may lack: guards against a
         fleet filling an endpoint's connections with idle ones. Costs handshakes, also where it is down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
-        keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
-        if not endpoint.out and 0.0 < keep <= endpoint.gap:
+        keep = KEEP / self.sets.senders * self.sets.idle_close
+        if lacked and not endpoint.out and 0.0 < keep <= endpoint.gap:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
