--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -494,8 +494,8 @@
         return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
 
     def _queue(self, dest: Destination) -> float:
-        """How long the pace of its gates lets a new message wait. Guards against a standing queue under a limit,
-        in which earliest deadline first makes every message late."""
+        """How long the pace of its gates lets a new message wait. Guards against a standing queue under a limit, in which
+        earliest deadline first makes every message late."""
         gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
                  for endpoint in dest.endpoints.values() if endpoint.usable}
         if not gates or any(gate.shut for gate in gates):
@@ -561,16 +561,16 @@
         return None
 
     def _release(self, dest: Destination, head: Message) -> None:
-        late = head.deadline - self.now < self._call_time(dest)
-        endpoint, at = (None, INF) if late else self._route(dest, head)
-        if endpoint is None and not late and (at == INF or head.deadline - at >= self._call_time(dest)):
+        last = head.deadline - self._call_time(dest)  # later it is not worth a call
+        endpoint, at = self._route(dest, head) if self.now <= last else (None, self.now)
+        if endpoint is None and self.now <= last and (at <= last or at == INF):
             if at < dest.woken:
                 dest.woken = at
                 self._wake(at, self._list, dest)
             return
         if endpoint is not None and self._may_send(head, endpoint):
             self._send(head, endpoint)
-        elif self._may_retry(head):
+        elif endpoint is not None and self._may_retry(head):
             head.held = False  # its own state forbids it now: aside, so that it holds up no other
             self._wake(self.now + ASIDE * self.sets.connect_timeout, self._hold, head)
         else:
@@ -744,8 +744,8 @@
         """Give back idle connections that others at this kind of destination may lack: guards against a
         fleet filling an endpoint's connections with idle ones. Costs handshakes, also where it is down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
-        keep = KEEP / self.sets.senders * self.sets.idle_close
-        if lacked and not endpoint.out and 0.0 < keep <= endpoint.gap:
+        keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
+        if not endpoint.out and 0.0 < keep <= endpoint.gap:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
     def _learn(self, dest: Destination, call: Call, event: api.AttemptEnded) -> None:
