--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,7 +52,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
-FULL_STEPS = 1.0  # refusals in a row before our wait is the safe gap, and one for each own message in the cold time
+FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
@@ -285,6 +285,10 @@
         self.last_pass = -INF
         self.unanswered = 0  # calls in a row
 
+    def gates(self) -> list[Gate]:
+        """The gates in use: one where its endpoints share a limit, else one for each route."""
+        return [endpoint.gate for endpoint in self.endpoints.values() if endpoint.usable] or [self.gate]
+
     def oldest(self) -> float:
         """When the oldest call still out was sent."""
         return next((call.sent for call in self.calls.values()), INF)
@@ -494,8 +498,8 @@
         return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
 
     def _queue(self, dest: Destination) -> float:
-        """How long the pace of its gates lets a new message wait. Guards against a standing queue under a limit, in which
-        earliest deadline first makes every message late."""
+        """How long the pace of its gates lets a new message wait. Guards against a standing queue under a
+        limit, in which earliest deadline first makes every message late."""
         gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
                  for endpoint in dest.endpoints.values() if endpoint.usable}
         if not gates or any(gate.shut for gate in gates):
@@ -583,7 +587,7 @@
     def _judge(self, dest: Destination) -> bool:
         """Ill: shut, failing lately, silent, or far slower than usual. Guards the bound and the slots of all
         others: ill destinations together keep to the share of the slots that a sick one may hold."""
-        ill = (dest.gate.shut or dest.gate.fails >= FAILS_ILL or self._silent(dest)
+        ill = (all(gate.shut or gate.fails >= FAILS_ILL for gate in dest.gates()) or self._silent(dest)
                or dest.mean.value > ILL * dest.mean.usual > 0)
         if ill != dest.ill:
             sign, load, dest.ill = 1 if ill else -1, dest.load, ill
@@ -599,7 +603,8 @@
         joined = self._joins(dest, message)
         if joined is not None:
             return joined, self.now
-        lately = self.now - dest.gate.last_fail < LATELY * self.sets.connect_timeout
+        recent = self.now - LATELY * self.sets.connect_timeout
+        lately = all(gate.last_fail > recent for gate in dest.gates())
         cap = max(1, math.floor(self.sets.slots * (SICK_CAP if lately or self._overdue(dest, SLOW) else CAP)))
         if dest.load.out >= cap or (dest.load.out and self._silent(dest)):
             return None, INF
@@ -687,7 +692,7 @@
         """When it is worth coming back: once the excess is worked off, or the destination may be back."""
         call = self._call_time(message.dest)
         excess = (self.load.cost - self.apart.cost - self.bound.value) * (self.mean.value or call)
-        back = max(message.dest.gate.wait, message.dest.gate.trial if message.dest.gate.shut else -INF)
+        back = min(max(gate.wait, gate.trial if gate.shut else -INF) for gate in message.dest.gates())
         return min(max(excess / self.sets.slots, call, back - self.now), self.sets.max_retry_after)
 
     def _over(self, message: Message) -> None:
