--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -129,6 +129,7 @@
         self.fails = self.refused = 0  # in a row
         self.bad = 0.0  # running share of failures
         self.last_fail = self.full_at = self.cut = -INF
+        self.served = False  # something passed since the pace was last looked at
         self.left = 1.0  # share of the limit left, by the last report
         self.start, self.arrivals = now, 0.0  # messages handed in for it
 
@@ -194,6 +195,7 @@
     def passed(self, now: float) -> None:
         """A call was served."""
         self.fails = self.refused = 0
+        self.served = True
         self.bad -= BAD_GAIN * self.bad
         if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
             self.shut, self.ramp, self.tokens, self.stamp = False, now, self.rng.random(), now
@@ -242,7 +244,9 @@
     def second(self, now: float) -> None:
         """Let the pace recover."""
         if self.pace < INF:
-            grown = self.pace * (1.0 + (PACE_GROWTH if self.left > SCARCE else -PACE_EASE))
+            room = self.left > SCARCE if self.told else self.served
+            self.served = False
+            grown = self.pace * (1.0 + (PACE_GROWTH if room else -PACE_EASE if self.told else 0.0))
             self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.part(now))
 
 
