--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -239,7 +239,7 @@
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
                 first = PACE_FIRST * self.part(now)
-                self.pace, self.cut = max(PACE_FLOOR * self.part(now), min(self.pace * PACE_CUT, first)), now
+                self.pace, self.cut = max(PACE_FLOOR * self.rate / self.sets.senders, min(self.pace * PACE_CUT, first)), now
 
     def second(self, now: float) -> None:
         """Let the pace recover."""
@@ -247,7 +247,7 @@
             room = self.left > SCARCE if self.told else self.served
             self.served = False
             grown = self.pace * (1.0 + (PACE_GROWTH if room else -PACE_EASE if self.told else 0.0))
-            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.part(now))
+            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.rate / self.sets.senders)
 
 
 class Endpoint:
