--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,6 +52,7 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
+FULL_GROWTH = 3.0  # x our wait for each refusal without word in a row before
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
@@ -227,7 +228,7 @@
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
             steps = FULL_STEPS + self.part(now) * self.sets.cold / 1000.0
-            wait = 1000.0 / max(self.rate, 1.0) * (0.5 + self.rng.random())
+            wait = 1000.0 / max(self.rate, 1.0) * FULL_GROWTH ** self.refused * (0.5 + self.rng.random())
             lasting = self.refused > steps
             self.wait = max(self.wait, now + (wait if self.refused < steps else self.safe_gap(now)))
             self.refused += not self.told  # else reports tell when there is room
@@ -239,7 +240,7 @@
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
                 first = PACE_FIRST * self.part(now)
-                self.pace, self.cut = max(PACE_FLOOR * self.rate / self.sets.senders, min(self.pace * PACE_CUT, first)), now
+                self.pace, self.cut = max(PACE_FLOOR * self.part(now), min(self.pace * PACE_CUT, first)), now
 
     def second(self, now: float) -> None:
         """Let the pace recover."""
@@ -247,7 +248,7 @@
             room = self.left > SCARCE if self.told else self.served
             self.served = False
             grown = self.pace * (1.0 + (PACE_GROWTH if room else -PACE_EASE if self.told else 0.0))
-            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.rate / self.sets.senders)
+            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.part(now))
 
 
 class Endpoint:
