--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -52,7 +52,6 @@
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
-FULL_GROWTH = 3.0  # x our wait for each refusal without word in a row before
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
@@ -228,7 +227,7 @@
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
             steps = FULL_STEPS + self.part(now) * self.sets.cold / 1000.0
-            wait = 1000.0 / max(self.rate, 1.0) * FULL_GROWTH ** self.refused * (0.5 + self.rng.random())
+            wait = 1000.0 / max(self.rate, 1.0) * (0.5 + self.rng.random())
             lasting = self.refused > steps
             self.wait = max(self.wait, now + (wait if self.refused < steps else self.safe_gap(now)))
             self.refused += not self.told  # else reports tell when there is room
