--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -54,6 +54,7 @@
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
+OTHERS = 0.3  # share of the load of senders that met no failure there which the others may add at a return
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
@@ -127,6 +128,7 @@
         self.shut, self.trial, self.trial_out = False, INF, False
         self.ramp = -INF  # when the return was seen
         self.fails = self.refused = 0  # in a row
+        self.since, self.met = INF, 0.0  # start of that row, and how long it lasted when last looked at
         self.bad = 0.0  # running share of failures
         self.last_fail = self.full_at = self.cut = -INF
         self.served = False  # something passed since the pace was last looked at
@@ -148,8 +150,15 @@
 
     def safe_gap(self, now: float) -> float:
         """Calls about so far apart cannot push a returning destination over, though all senders make them."""
-        tipping = self.sets.tip_multiple * self.sets.start_capacity * self.part(now)
-        return 1000.0 / (TRIAL_PART * tipping) * (0.5 + self.rng.random())
+        return 1000.0 / self.safe_rate(now, TRIAL_PART * self.sets.start_capacity) * (0.5 + self.rng.random())
+
+    def safe_rate(self, now: float, share: float) -> float:
+        """This sender's part of the tipping rate at a share of the capacity. The rule looks at what comes from
+        senders that met the outage: while these are few, since each calls there rarely, the load is made by
+        the others, and theirs may be a fraction of it."""
+        part = self.part(now)
+        unaware = math.exp(-part * max(self.met, self.sets.connect_timeout) / 1000.0)
+        return part * max(share * self.sets.tip_multiple, OTHERS * unaware / (1.0 - unaware))
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
@@ -157,7 +166,7 @@
         if into >= self.sets.cold or self.ramp == -INF:
             return self.pace
         share = self.sets.start_capacity + (1.0 - self.sets.start_capacity) * into / self.sets.cold
-        return min(self.pace, RAMP * self.sets.tip_multiple * share * self.part(now))
+        return min(self.pace, self.safe_rate(now, RAMP * share))
 
     def refill(self, now: float) -> float:
         """Bring the bucket up to date and return the rate in force."""
@@ -195,6 +204,7 @@
     def passed(self, now: float) -> None:
         """A call was served."""
         self.fails = self.refused = 0
+        self.since = INF
         self.served = True
         self.bad -= BAD_GAIN * self.bad
         if self.shut and now >= self.wait:  # an earlier call's late pass ends no told closing
@@ -203,6 +213,8 @@
     def failed(self, now: float, trial: bool) -> None:
         """A call failed for good, ran out of time or found no connection."""
         self.fails += 1
+        self.since = min(self.since, now)
+        self.met = now - self.since
         self.bad += BAD_GAIN * (1.0 - self.bad)
         self.last_fail = now
         if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
@@ -223,6 +235,8 @@
         if sent < self.full_at and not trial and wait <= long:
             return
         self.full_at, lasting = now, False
+        self.since = min(self.since, now)
+        self.met = now - self.since
         if wait <= 0 and not self.shut:
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
