--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -54,7 +54,7 @@
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
-OTHERS = 0.3  # share of the load of senders that met no failure there which the others may add at a return
+OTHERS = 0.4  # share of the load of senders that met no failure there which the others may add at a return
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
@@ -154,9 +154,10 @@
 
     def safe_rate(self, now: float, share: float) -> float:
         """This sender's part of the tipping rate at a share of the capacity. Where senders call so rarely
-        that few met the outage, the others make the load, and those few may add a fraction of it."""
+        that few met the outage, the others make the load, and those few may add a fraction of it. It is taken to
+        have lasted the cold time already: guards against a burst of messages all meeting its last seconds."""
         part = self.part(now)
-        unaware = math.exp(-part * max(self.met, self.sets.connect_timeout) / 1000.0)
+        unaware = math.exp(-part * max(self.met, self.sets.cold, 1.0) / 1000.0)
         return part * max(share * self.sets.tip_multiple, OTHERS * unaware / (1.0 - unaware))
 
     def allowed(self, now: float) -> float:
