--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -54,7 +54,8 @@
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
-OTHERS = 0.4  # share of the load of senders that met no failure there which the others may add at a return
+OTHERS = 0.3  # share of the load of senders that met no failure there which the others may add at a return
+MET_LEAST = 3.0  # x connect time-out: an outage is taken to last so long: a burst may meet its last moments
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
@@ -67,6 +68,7 @@
 
 # Pace under a limit.
 PACE_CUT = 0.7  # x pace at a refusal over the limit
+TOKENS_SPREAD = 2.0  # calls: the most by which a refusal puts off the next one beyond the pace
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
@@ -123,7 +125,6 @@
         self.told = False  # a report named the limit
         self.rate = RATE_UNTOLD  # believed limit in calls a second from all senders
         self.pace, self.tokens, self.stamp = INF, 1.0, now
-        self.span = 0.0  # longest short wait told: about the span over which the limit counts
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
         self.shut, self.trial, self.trial_out = False, INF, False
         self.ramp = -INF  # when the return was seen
@@ -154,10 +155,9 @@
 
     def safe_rate(self, now: float, share: float) -> float:
         """This sender's part of the tipping rate at a share of the capacity. Where senders call so rarely
-        that few met the outage, the others make the load, and those few may add a fraction of it. It is taken to
-        have lasted the cold time already: guards against a burst of messages all meeting its last seconds."""
+        that few met the outage, the others make the load, and those few may add a fraction of it."""
         part = self.part(now)
-        unaware = math.exp(-part * max(self.met, self.sets.cold, 1.0) / 1000.0)
+        unaware = math.exp(-part * max(self.met, MET_LEAST * self.sets.connect_timeout) / 1000.0)
         return part * max(share * self.sets.tip_multiple, OTHERS * unaware / (1.0 - unaware))
 
     def allowed(self, now: float) -> float:
@@ -223,9 +223,6 @@
     def told_wait(self, now: float, wait: float) -> None:
         """Heed a wait, whichever message of a shared call brought it."""
         if wait > 0:
-            if wait <= LONG_WAIT * self.sets.connect_timeout:
-                self.span = max(self.span, wait)
-                wait += self.span * self.rng.random()
             self.wait = max(self.wait, now + wait + self.sets.tick)
 
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
@@ -249,7 +246,8 @@
         if trial or ((wait > long or lasting) and not self.shut):
             self.close(now)
         if not self.shut:
-            self.tokens = min(self.tokens, 0.0)
+            # Drawn: guards against a burst refused as one coming back as one.
+            self.tokens = min(self.tokens, -TOKENS_SPREAD * self.rng.random())
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
                 first = PACE_FIRST * self.part(now)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -510,3 +510,15 @@
     gate = Gate(replace(SETTINGS, senders=300), Random(1), 0.0)
     gate.arrivals = 1.0
     assert gate.part(20000.0) == pytest.approx(0.05)  # its own message in twenty seconds, not one each second
+
+
+def test_a_burst_refused_as_one_does_not_come_back_as_one() -> None:
+    fleet, back = replace(SETTINGS, senders=170), []
+    for seed in range(60):
+        gate = Gate(fleet, Random(seed), 0.0)
+        gate.limit(20.0, False)
+        gate.full(1000.0, 0.0, False, 950.0)
+        back.append(gate.when(1000.0))
+    back.sort()
+    assert back[-1] - back[0] > 5000.0
+    assert max(sum(at <= b < at + 1500.0 for b in back) for at in back) < 25
