--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -49,7 +49,6 @@
 FAILS_SHUT = 3  # failures in a row that mean an outage
 LONG_WAIT = 2.0  # x connect time-out: a longer wait, told or grown to, means shut and not a limit
 MOSTLY = 0.55  # running share of failures that means an outage, though some calls still pass
-ZONE_SLOW = 0.25  # running share of far too long calls from which a zone's endpoints come after others
 BAD_GAIN = 0.1  # weight of a new outcome in that share
 FAILS_ILL = 2  # failures in a row that set a destination apart; a single one may be a lost call
 RATE_UNTOLD = 1.0  # calls a second from all senders while nothing told a limit: the own part counts then
@@ -64,7 +63,7 @@
 KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
-QUEUE = 1.0  # x aim: a message that would queue for longer under a limit is refused
+QUEUE = 2.0  # x aim: a message that would queue for longer under a limit is refused
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
@@ -375,7 +374,6 @@
         self.dests: dict[int, Destination] = {}
         self.endpoints: dict[str, Endpoint] = {}
         self.messages: dict[int, Message] = {}
-        self.zones: dict[str, float] = {}  # running share of calls there that took far longer than usual
         self.lost = 0.0  # running share of calls whose answer got lost
         self.keys: dict[str, KeyLine] = {}
         self.load, self.apart = Load(), Load()  # of all, of ill destinations
@@ -638,8 +636,7 @@
             if at > self.now or endpoint.out >= max(1.0, endpoint.conns):
                 soonest = min(soonest, at if at > self.now else INF)
                 continue
-            slow = self.zones.get(endpoint.info.zone, 0.0) > ZONE_SLOW
-            mine = (endpoint.fails, slow, endpoint.out, -endpoint.used, endpoint.lot)
+            mine = (endpoint.fails, endpoint.out, -endpoint.used, endpoint.lot)
             if best is None or mine < rank:
                 best, rank = endpoint, mine
         return best, soonest
@@ -781,10 +778,6 @@
         if result is Result.NO_CONNECTION:
             self.lacked[endpoint.info.kind] = self.now
         dest.unanswered += result is Result.TIMEOUT
-        if result in (Result.OK, Result.TIMEOUT) and dest.mean.usual:
-            share = self.zones.get(endpoint.info.zone, 0.0)
-            far = event.latency > ILL * dest.mean.usual
-            self.zones[endpoint.info.zone] = share + (far - share) * BAD_GAIN
         if result is Result.OK:
             # Unanswered calls before one that passes at the usual pace were lost, not slow or hung.
             lost = dest.unanswered if event.latency < SLOW * dest.mean.usual else 0
