--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -67,7 +67,7 @@
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
-PACE_CUT = 0.8  # x pace at a refusal over the limit
+PACE_CUT = 0.7  # x pace at a refusal over the limit
 TOKENS_SPREAD = 2.0  # calls: the most by which a refusal puts off the next one beyond the pace
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
