--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -218,6 +218,7 @@
                 destination=fields.whole("ToExchange"),
                 left=fields.number("Budget"),
                 key=fields.text("Entity", ""),
+                resent=fields.text("Resent", "0") == "1",
             )
         if name == "ENDED":
             row = [float(cell) for cell in fields.text("Stats", "").split(",") if cell not in ("", "-")]
--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -122,7 +122,7 @@
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
-        self.told = self.named = False  # a report named the limit; it or the list did
+        self.told = False  # a report named the limit
         self.rate = RATE_UNTOLD  # believed limit in calls a second from all senders
         self.pace, self.tokens, self.stamp = INF, 1.0, now
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
@@ -142,17 +142,13 @@
             return
         if told and self.pace == INF:
             self.pace = max(PACE_LEAST, PACE_FIRST * rate / self.sets.senders)
-        self.told, self.rate, self.named = told, rate, True
+        self.told, self.rate = told, rate
 
     def part(self, now: float) -> float:
         """This sender's part of the destination's rate: an even one, or its own part of the traffic."""
         own = self.arrivals * 1000.0 / max(now - self.start, self.sets.cold, 1.0)
         return max(self.rate / self.sets.senders, own)
 
-    def least(self, now: float) -> float:
-        """An even part of a named rate; retries swell the own traffic, which counts where nothing is named."""
-        return self.rate / self.sets.senders if self.named else self.part(now)
-
     def safe_gap(self, now: float) -> float:
         """Calls about so far apart cannot push a returning destination over, though all senders make them."""
         return 1000.0 / self.safe_rate(now, TRIAL_PART * self.sets.start_capacity) * (0.5 + self.rng.random())
@@ -254,8 +250,8 @@
             self.tokens = min(self.tokens, -TOKENS_SPREAD * self.rng.random())
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
-                first = PACE_FIRST * (self.least(now) if not self.told else self.part(now))
-                self.pace, self.cut = max(PACE_FLOOR * self.least(now), min(self.pace * PACE_CUT, first)), now
+                first = PACE_FIRST * self.part(now)
+                self.pace, self.cut = max(PACE_FLOOR * self.part(now), min(self.pace * PACE_CUT, first)), now
 
     def second(self, now: float) -> None:
         """Let the pace recover."""
@@ -263,7 +259,7 @@
             room = self.left > SCARCE if self.told else self.served
             self.served = False
             grown = self.pace * (1.0 + (PACE_GROWTH if room else -PACE_EASE if self.told else 0.0))
-            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.least(now))
+            self.pace = max(min(grown, self.rate) if self.told else grown, PACE_FLOOR * self.part(now))
 
 
 class Endpoint:
@@ -481,7 +477,7 @@
         self.messages[message.id] = message
         self._count(dest, message.cost, 1, 0)
         for endpoint in dest.endpoints.values():
-            endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
+            endpoint.gate.arrivals += (not event.resent) / len(dest.endpoints)  # tries again swell no part
         if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
         if not self._room(dest) or self._queue(dest) > QUEUE * message.span:
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -146,13 +146,15 @@
 
 @dataclass(frozen=True, slots=True)
 class NewMessage:
-    """A client hands in a message; ``left`` is the time in which it may still be delivered."""
+    """A client hands in a message; ``left`` is the time in which it may still be delivered, ``resent`` says
+    that the client marks it as another try."""
 
     id: int
     class_name: str
     destination: int
     left: float
     key: str = ""
+    resent: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,6 +13,7 @@
 import pytest
 
 from brassweir import interface as api
+from brassweir.adapter import Fields, Host
 from brassweir.control import OTHERS, Bound, Gate, Mean, Sender
 
 SAFE = api.MessageClass("safe", 2000.0, 20000.0, api.Effect.SAFE, late_worth=0.3)
@@ -522,3 +523,18 @@
     back.sort()
     assert back[-1] - back[0] > 5000.0
     assert max(sum(at <= b < at + 1500.0 for b in back) for at in back) < 25
+
+
+def test_messages_marked_as_tries_again_swell_no_part() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(1), replace(new(2), resent=True), replace(new(3), resent=True)])
+    assert sender.dests[1].gate.arrivals == 1.0
+
+
+@pytest.mark.parametrize(("mark", "resent"), [(" Resent=1", True), (" Resent=0", False), ("", False)])
+def test_adapter_passes_on_the_mark_of_another_try(mark: str, resent: bool) -> None:
+    line = "ORDER SenderId=0 RequestId=1 Profile=a Budget=900 ToExchange=4" + mark
+    event = Host().parse("ORDER", 0, Fields(line, line.split(" ")[1:]))
+    assert isinstance(event, api.NewMessage)
+    assert event.resent is resent
