--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -55,6 +55,7 @@
 FULL_STEPS = 1.0  # refusals in a row before the safe gap; one more for each own message in the cold time
 TRIAL_PART = 1.0  # share of the tipping rate at the return that trials of all senders may take
 OTHERS = 0.3  # share of the load of senders that met no failure there which the others may add at a return
+MET_LEAST = 3.0  # x connect time-out: an outage is taken to last so long: a burst may meet its last moments
 RAMP = 0.6  # share of the tipping rate used on return: other senders ramp too
 
 ASK_AGAIN = 0.1  # x the time in which a list must be asked for: wait after a failed call, up to doubled
@@ -62,11 +63,12 @@
 KEEP = 3.0  # x idle time / senders: where connections lack, one whose next call comes later is closed
 GAP_GAIN = 0.3  # weight of a new gap between two calls to an endpoint: some three are remembered
 LACKED = 3.0  # x idle time: a missing connection is remembered for so long
-QUEUE = 1.0  # x aim: a message that would queue for longer under a limit is refused
+QUEUE = 2.0  # x aim: a message that would queue for longer under a limit is refused
 ASIDE = 0.5  # x connect time-out: wait for a message, or an endpoint that failed twice, set aside
 
 # Pace under a limit.
 PACE_CUT = 0.7  # x pace at a refusal over the limit
+TOKENS_SPREAD = 2.0  # calls: the most by which a refusal puts off the next one beyond the pace
 PACE_GROWTH = 0.08  # share of the pace that comes back each second without one
 PACE_EASE = 0.1  # share of the pace given up each second while the report tells of no allowance left
 SCARCE = 0.2  # share of the allowance left under which the limit, not an outage, refuses calls
@@ -123,7 +125,6 @@
         self.told = False  # a report named the limit
         self.rate = RATE_UNTOLD  # believed limit in calls a second from all senders
         self.pace, self.tokens, self.stamp = INF, 1.0, now
-        self.span = 0.0  # longest short wait told: about the span over which the limit counts
         self.wait = -INF  # nothing may go before this: told, or ours after a refusal without a word
         self.shut, self.trial, self.trial_out = False, INF, False
         self.ramp = -INF  # when the return was seen
@@ -156,7 +157,7 @@
         """This sender's part of the tipping rate at a share of the capacity. Where senders call so rarely
         that few met the outage, the others make the load, and those few may add a fraction of it."""
         part = self.part(now)
-        unaware = math.exp(-part * max(self.met, self.sets.connect_timeout) / 1000.0)
+        unaware = math.exp(-part * max(self.met, MET_LEAST * self.sets.connect_timeout) / 1000.0)
         return part * max(share * self.sets.tip_multiple, OTHERS * unaware / (1.0 - unaware))
 
     def allowed(self, now: float) -> float:
@@ -222,9 +223,6 @@
     def told_wait(self, now: float, wait: float) -> None:
         """Heed a wait, whichever message of a shared call brought it."""
         if wait > 0:
-            if wait <= LONG_WAIT * self.sets.connect_timeout:
-                self.span = max(self.span, wait)
-                wait += self.span * self.rng.random()
             self.wait = max(self.wait, now + wait + self.sets.tick)
 
     def full(self, now: float, wait: float, trial: bool, sent: float) -> None:
@@ -248,7 +246,8 @@
         if trial or ((wait > long or lasting) and not self.shut):
             self.close(now)
         if not self.shut:
-            self.tokens = min(self.tokens, 0.0)
+            # Drawn: guards against a burst refused as one coming back as one.
+            self.tokens = min(self.tokens, -TOKENS_SPREAD * self.rng.random())
             if now - self.cut >= PERIOD:  # once: a limit that counts over a span refuses all until its end
                 # Reports tell when there is room again; without them only calls can find it.
                 first = PACE_FIRST * self.part(now)
@@ -269,7 +268,7 @@
     def __init__(self, info: api.EndpointInfo, gate: Gate, rng: Random) -> None:
         self.info, self.gate = info, gate
         # Drawn so that a fleet of fresh senders spreads by rate: guards against all taking the same endpoint.
-        self.lot = rng.expovariate(1.0) / (info.rate or 1.0)
+        self.lot = info.name
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
@@ -478,7 +477,7 @@
         self.messages[message.id] = message
         self._count(dest, message.cost, 1, 0)
         for endpoint in dest.endpoints.values():
-            endpoint.gate.arrivals += 1.0 / len(dest.endpoints)
+            endpoint.gate.arrivals += (not event.resent) / len(dest.endpoints)  # tries again swell no part
         if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
         if not self._room(dest) or self._queue(dest) > QUEUE * message.span:
