--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -268,7 +268,7 @@
     def __init__(self, info: api.EndpointInfo, gate: Gate, rng: Random) -> None:
         self.info, self.gate = info, gate
         # Drawn so that a fleet of fresh senders spreads by rate: guards against all taking the same endpoint.
-        self.lot = info.name
+        self.lot = rng.expovariate(1.0) / (info.rate or 1.0)
         self.usable, self.out, self.fails = True, 0, 0
         self.avoid = self.used = self.last_ok = -INF
         self.conns = INF  # calls at once that its connections allow
@@ -518,7 +518,7 @@
         limit, in which earliest deadline first makes every message late."""
         gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
                  for endpoint in dest.endpoints.values() if endpoint.usable}
-        if not gates or any(gate.shut for gate in gates):
+        if not gates or any(gate.shut or gate.told for gate in gates):
             return 0.0
         rate = sum(gate.allowed(self.now) * batch for gate, batch in gates.items())
         return max(0, dest.load.open - 1 - len(dest.calls)) * 1000.0 / rate
