--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -515,12 +515,13 @@
 
     def _queue(self, dest: Destination) -> float:
         """How long the pace of its gates lets a new message wait. Guards against a standing queue under a
-        limit, in which earliest deadline first makes every message late."""
+        limit, in which earliest deadline first makes every message late. Not where reports tell when there is
+        room, nor by the ramp after an outage: both soon grow, and what is held then still goes in time."""
         gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
                  for endpoint in dest.endpoints.values() if endpoint.usable}
         if not gates or any(gate.shut or gate.told for gate in gates):
             return 0.0
-        rate = sum(gate.allowed(self.now) * batch for gate, batch in gates.items())
+        rate = sum(gate.pace * batch for gate, batch in gates.items())
         return max(0, dest.load.open - 1 - len(dest.calls)) * 1000.0 / rate
 
     def _hold(self, message: Message) -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -507,6 +507,19 @@
     assert 10 <= refused <= 12  # two calls a second, twice an aim of two seconds
 
 
+@pytest.mark.parametrize("ramp", [True, False])
+def test_a_queue_is_kept_where_its_rate_will_grow(ramp: bool) -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    gate = sender.dests[1].gate
+    if ramp:
+        gate.ramp, gate.tokens = 0.0, 0.0
+    else:
+        gate.limit(10.0, True)
+        gate.pace, gate.tokens = 1.0, 0.0
+    assert not any(isinstance(a, api.Refuse) for a in sender.handle(1.0, [new(i) for i in range(20)]))
+
+
 def test_an_untold_limit_is_not_taken_for_a_call_a_second_of_each_sender() -> None:
     gate = Gate(replace(SETTINGS, senders=300), Random(1), 0.0)
     gate.arrivals = 1.0
