--- a/brassweir/adapter.py
+++ b/brassweir/adapter.py
@@ -221,7 +221,10 @@
                 resent=fields.text("Resent", "0") == "1",
             )
         if name == "ENDED":
-            row = [float(cell) for cell in fields.text("Stats", "").split(",") if cell not in ("", "-")]
+            try:
+                row = [float(cell) for cell in fields.text("Stats", "").split(",") if cell not in ("", "-")]
+            except ValueError:
+                raise fields.bad("Stats") from None
             at = self.reports.get(me, {})
             i, j = at.get("x0", 99), at.get("x1", 99)
             return api.AttemptEnded(
--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -157,8 +157,8 @@
         """This sender's part of the tipping rate at a share of the capacity. Where senders call so rarely
         that few met the outage, the others make the load, and those few may add a fraction of it."""
         part = self.part(now)
-        unaware = math.exp(-part * max(self.met, MET_LEAST * self.sets.connect_timeout) / 1000.0)
-        return part * max(share * self.sets.tip_multiple, OTHERS * unaware / (1.0 - unaware))
+        met = -math.expm1(-part * max(self.met, MET_LEAST * self.sets.connect_timeout) / 1000.0)
+        return part * max(share * self.sets.tip_multiple, OTHERS * (1.0 - met) / met)
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
@@ -740,7 +740,8 @@
             call.endpoint.out -= 1
             if call.trial:
                 call.endpoint.gate.trial_out = False
-        call.endpoint.gate.told_wait(self.now, event.wait)
+        if event.result is Result.FULL:
+            call.endpoint.gate.told_wait(self.now, event.wait)
         if not call.learnt and (not call.messages or event.result is not Result.TIMEOUT):
             call.learnt = True
             self._learn(dest, call, event)
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -13,7 +13,7 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.adapter import Fields, Host
+from brassweir.adapter import Fields, Host, WireError, read_settings
 from brassweir.control import OTHERS, Bound, Gate, Mean, Sender
 
 SAFE = api.MessageClass("safe", 2000.0, 20000.0, api.Effect.SAFE, late_worth=0.3)
@@ -551,3 +551,57 @@
     event = Host().parse("ORDER", 0, Fields(line, line.split(" ")[1:]))
     assert isinstance(event, api.NewMessage)
     assert event.resent is resent
+
+
+def test_adapter_names_a_malformed_report() -> None:
+    line = "ENDED SenderId=0 RequestId=1 Try=0 Status=pass Endpoint=e Stats=0.4,much"
+    with pytest.raises(WireError, match="Stats"):
+        Host().parse("ENDED", 0, Fields(line, line.split(" ")[1:]))
+
+
+LAUNCH = (
+    "Classes.count=1 Classes.0.Name=a Classes.0.Idempotency=pure Classes.0.HardLimit=9000 "
+    "Specifics.CallSlots=3 Allowed.MaxOpen=9 Allowed.MaxAttempts=6 Allowed.ConnectTimeout=1000 "
+    "Allowed.MaxRetryAfter=2000 Skus=k,l "
+)
+
+
+def launched(more: str) -> api.Settings:
+    """The settings of a launch line."""
+    return read_settings(Fields(LAUNCH + more, (LAUNCH + more).split()))
+
+
+def test_batch_sizes_for_fewer_kinds_are_filled_up() -> None:
+    kinds = launched("Specifics.KindBatch=20 Specifics.KindApart=false,true").kinds
+    assert [kind.batch for kind in kinds] == [20, 1]
+    assert [kind.apart for kind in kinds] == [False, True]
+
+
+@pytest.mark.parametrize(("batch", "word"), [("many,1", "KindBatch"), ("0,1", r"k\.batch")])
+def test_bad_batch_sizes_are_named(batch: str, word: str) -> None:
+    with pytest.raises((WireError, api.SettingsError), match=word):
+        launched(f"Specifics.KindBatch={batch}")
+
+
+def test_no_word_when_to_come_back_where_none_is_allowed() -> None:
+    sender = Sender(launched("Allowed.RetryAfter=false"), 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.dests[1].gate.told_wait(0.0, 30000.0)
+    refused = [a for a in sender.handle(1.0, [new(1, name="a", left=9000.0)]) if isinstance(a, api.Refuse)]
+    assert [a.retry_after for a in refused] == [0.0]
+
+
+def test_a_tiny_told_rate_is_no_exception() -> None:
+    gate = Gate(replace(SETTINGS, senders=340), Random(1), 0.0)
+    gate.limit(1e-200, False)
+    gate.close(0.0)
+    gate.full(0.0, 0.0, False, 0.0)
+    assert gate.when(1.0) > 1000.0
+
+
+def test_a_moot_send_tells_no_wait() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    sender.handle(1.0, [new(1)])
+    sender.handle(2.0, [over(1, api.Result.MOOT, wait=1.0)])
+    assert sender.dests[1].gate.wait == float("-inf")
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -28,12 +28,12 @@
         )
         for i, effect in enumerate(api.Effect)
     )
-    kinds = tuple(api.Kind(f"k{i}", rng.random() < 0.4, rng.choice([1, 1, 3])) for i in range(2))
+    kinds = tuple(api.Kind(f"k{i}", rng.random() < 0.4, rng.choice([1, 1, 3, 20])) for i in range(2))
     return api.Settings(
         classes=classes,
         slots=rng.choice([1, 2, 6]),
         max_open=rng.choice([1, 10, 60]),
-        senders=rng.choice([1, 3, 240]),
+        senders=rng.choice([1, 3, 340]),
         idle_close=rng.choice([0.0, 5000.0]),
         kinds=kinds,
         max_attempts=rng.choice([1, 3, 8]),
