Connections, their pools and budget stand apart from HTTP; lines and threads move to core

A second protocol needs the same pool, cap, budget, set-up line and honest endings under another wire format, and the same order of hand-ins by key while contents are opened on threads. net/links.py holds what no protocol owns, net/client.py what HTTP is, net/house.py what all endpoints share; core/lines.py and core/offload.py were AS2's.

--- a/benchmarks/as2_path.py
+++ b/benchmarks/as2_path.py
@@ -26,8 +26,8 @@
 from ruamel.yaml import YAML
 
 from brassweir.as2 import keys
-from brassweir.as2.offload import Offload
 from brassweir.as2.sending import letter, post
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.lab.fleet import HUB, Fleet, FleetPlan, free_port
 from brassweir.lab.partner import Manner, Partner
--- a/brassweir/as2/carrier.py
+++ b/brassweir/as2/carrier.py
@@ -11,15 +11,16 @@
 from brassweir.as2 import cms, endings, mdn, message, mime
 from brassweir.as2.errors import As2Error
 from brassweir.as2.message import Built
-from brassweir.as2.offload import Offload
 from brassweir.as2.partnership import Partner, Partnerships, onward_id, valid_now
 from brassweir.as2.receipts import Receipts
 from brassweir.core.carrying import Note, TaskCarrier
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Attempt, Outcome, Payload, Urls
 from brassweir.core.reading import Told, no_answer, told
 from brassweir.interface import Result
-from brassweir.net.client import CallFailed, Pools, Reply, Stage
+from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
+from brassweir.net.house import Pools
 
 
 class As2Carrier(TaskCarrier):
--- a/brassweir/as2/front.py
+++ b/brassweir/as2/front.py
@@ -20,13 +20,13 @@
 
 from brassweir.as2 import mdn, message, mime, partnership
 from brassweir.as2.errors import As2Error, Modifier
-from brassweir.as2.lines import Lines
 from brassweir.as2.mdn import Asked, Disposition, Mdn
-from brassweir.as2.offload import Offload
 from brassweir.as2.owed import Owed
 from brassweir.as2.partnership import Client, Partnerships, valid_now
 from brassweir.as2.receipts import Receipts, Verdict
 from brassweir.core.ledger import Record, Taken
+from brassweir.core.lines import Lines
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Answer, FinalAnswer, Submission
 from brassweir.net.headers import DuplicateHeader, Headers
 from brassweir.net.server import Request, Response
--- a/brassweir/as2/sending.py
+++ b/brassweir/as2/sending.py
@@ -11,7 +11,7 @@
 from brassweir.as2.errors import As2Error, Modifier
 from brassweir.as2.mdn import Mdn
 from brassweir.as2.message import Built, Identity, Security
-from brassweir.as2.offload import Offload
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.core.reading import told
 from brassweir.net.client import Pool, Reply
--- a/brassweir/cli/as2.py
+++ b/brassweir/cli/as2.py
@@ -19,9 +19,9 @@
 from brassweir.as2.inspect import explain
 from brassweir.as2.mdn import Disposition, Mdn
 from brassweir.as2.message import Identity, Security
-from brassweir.as2.offload import Offload
 from brassweir.as2.sending import Told, letter, post
 from brassweir.cli.keys import read_certificate
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.net.client import Address, CallFailed, Pool
 from brassweir.net.headers import Headers
--- a/brassweir/lab/client.py
+++ b/brassweir/lab/client.py
@@ -13,8 +13,8 @@
 from brassweir.as2 import mdn, mime
 from brassweir.as2.errors import As2Error
 from brassweir.as2.message import Identity
-from brassweir.as2.offload import Offload
 from brassweir.as2.sending import Letter, Told, letter, of_receipt, post
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.lab.tape import Answered, HandIn, Tape
 from brassweir.net.client import Address, CallFailed, Pool
--- a/brassweir/lab/fleet.py
+++ b/brassweir/lab/fleet.py
@@ -18,7 +18,7 @@
 
 from brassweir.as2.keys import file_name, make, write
 from brassweir.as2.message import Identity
-from brassweir.as2.offload import Offload
+from brassweir.core.offload import Offload
 from brassweir.lab.client import Client
 from brassweir.lab.partner import Manner, Partner
 from brassweir.lab.tape import Published, Tape
--- a/brassweir/lab/partner.py
+++ b/brassweir/lab/partner.py
@@ -16,7 +16,7 @@
 from brassweir.as2.errors import As2Error, Modifier
 from brassweir.as2.mdn import Disposition, Mdn
 from brassweir.as2.message import Identity
-from brassweir.as2.offload import Offload
+from brassweir.core.offload import Offload
 from brassweir.lab.tape import Arrival, Effect, Ended, Outage, Tape, Tipped
 from brassweir.net.client import Address, CallFailed, Pool
 from brassweir.net.headers import Headers
--- /dev/null
+++ b/brassweir/net/house.py
@@ -0,0 +1,148 @@
+"""What the connections to all endpoints share: one budget, and one line for those being set up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+from brassweir.destinations.budget import Budget
+from brassweir.destinations.setups import Setups
+from brassweir.net.client import Pool
+from brassweir.net.limits import Limits
+from brassweir.net.links import Address, House, Links, Short
+
+Make = Callable[[Address, "Pools"], Links]
+
+
+class Pools(House):
+    """The pools of all endpoints in use, under one budget of connections and one line for set-ups.
+
+    A pool without connections and calls is forgotten: an endpoint that is not used costs nothing here.
+    """
+
+    def __init__(self, limits: Limits, cap: int, idle: float, connect: float, budget: Budget | None = None,
+                 setups: Setups | None = None) -> None:
+        self.limits, self.cap, self.idle_time, self.connect_time = limits, cap, idle, connect
+        self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
+        self.pools: dict[str, Links] = {}
+        self.urls: dict[Links, str] = {}
+        self.rooms: deque[asyncio.Future[None]] = deque()  # wishes that found the budget spent
+        self.turns: dict[int, asyncio.Future[None]] = {}  # tickets in the line for set-ups
+
+    def of(self, url: str) -> Pool:
+        """The pool of an endpoint over HTTP. Raises ValueError on a bad URL."""
+        pool = self.links(url, _http)
+        assert isinstance(pool, Pool)  # a URL's scheme says what is spoken there
+        return pool
+
+    def links(self, url: str, make: Make) -> Links:
+        """The pool of an endpoint, made by ``make`` if there is none. Raises ValueError on a bad URL."""
+        pool = self.pools.get(url)
+        if pool is None:
+            pool = self.pools[url] = make(Address.of(url), self)
+            self.urls[pool] = url
+        return pool
+
+    def close_idle(self, url: str) -> int:
+        """Close the unused connections of an endpoint."""
+        pool = self.pools.get(url)
+        return pool.close_idle() if pool is not None else 0
+
+    def close(self) -> None:
+        """Close all that is unused."""
+        for pool in list(self.pools.values()):
+            pool.close_idle()
+
+    # ---- as the pools' house
+
+    @asynccontextmanager
+    async def room(self, pool: Links) -> AsyncIterator[None]:
+        """Wait for room in the budget and for a turn, and hold both while a connection is set up."""
+        url, loop = self.urls[pool], asyncio.get_running_loop()
+        while True:
+            step = self.budget.wish(url, loop.time() * 1000.0)
+            if step.close is not None and step.close in self.pools:
+                self.pools[step.close].close_idle(1)
+            if step.go:
+                break
+            await self._wait(self.rooms, loop)
+        self.budget.opened(url)
+        standing = good = False
+        ticket = self.setups.ask(url, pool.open > 1, loop.time() * 1000.0)
+        turn = self.turns[ticket] = loop.create_future()
+        try:
+            self._turn()
+            await turn
+            yield
+            standing = good = True
+        except BaseException as error:
+            # One whose time ran out in line, or that met our own shortage, says nothing of the destination.
+            good = isinstance(error, Short) or not turn.done() or turn.cancelled()
+            raise
+        finally:
+            self.turns.pop(ticket, None)
+            self.setups.done(ticket, good, loop.time() * 1000.0)
+            self._turn()
+            if not standing:
+                self.budget.closed(url)
+                self._room()
+
+    @staticmethod
+    async def _wait(line: deque[asyncio.Future[None]], loop: asyncio.AbstractEventLoop) -> None:
+        turn: asyncio.Future[None] = loop.create_future()
+        line.append(turn)
+        try:
+            await turn
+        finally:
+            if turn in line:
+                line.remove(turn)
+
+    def _turn(self) -> None:
+        while (ticket := self.setups.next()) is not None:
+            turn = self.turns.get(ticket)
+            if turn is not None and not turn.done():
+                turn.set_result(None)
+
+    def _room(self) -> None:
+        while self.rooms:
+            turn = self.rooms.popleft()
+            if not turn.done():
+                turn.set_result(None)
+                return
+
+    def opened(self, pool: Links) -> None:
+        """A connection stands after all, though its set-up was given up."""
+        self.budget.opened(self.urls[pool])
+
+    def closed(self, pool: Links) -> None:
+        """A connection is gone."""
+        self.budget.closed(self.urls[pool])
+        self._room()
+
+    def busy(self, pool: Links) -> None:
+        """A connection carries a call."""
+        self.budget.busy(self.urls[pool])
+
+    def idle(self, pool: Links) -> None:
+        """A connection carries none any more."""
+        self.budget.idle(self.urls[pool], pool.cost)
+        self._room()
+
+    def short(self) -> None:
+        """The system has no descriptor or port left."""
+        victim = self.budget.shortage(asyncio.get_running_loop().time() * 1000.0)
+        if victim is not None and victim in self.pools:
+            self.pools[victim].close_idle(1)
+
+    def left(self, pool: Links) -> None:
+        """Forget a pool that nobody uses."""
+        if not pool.users and not pool.open:
+            url = self.urls.pop(pool, None)
+            if url is not None and self.pools.get(url) is pool:
+                del self.pools[url]
+
+
+def _http(address: Address, house: Pools) -> Links:
+    return Pool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -17,21 +17,21 @@
 from brassweir import interface as api
 from brassweir.as2.carrier import As2Carrier
 from brassweir.as2.front import As2Front
-from brassweir.as2.offload import Offload
 from brassweir.as2.owed import Owed
 from brassweir.as2.receipts import Receipts
 from brassweir.config.load import ConfigError, load
 from brassweir.config.model import Config
 from brassweir.core.clock import LoopClock
 from brassweir.core.engine import Engine
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Carrier
 from brassweir.destinations import shown
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
-from brassweir.net.client import Pools
 from brassweir.net.headers import Headers
+from brassweir.net.house import Pools
 from brassweir.net.server import Request, Response, Server
 from brassweir.observe.metrics import Metrics
 from brassweir.service.descriptors import needed, plan, secure
--- a/brassweir/webhook/carrier.py
+++ b/brassweir/webhook/carrier.py
@@ -10,8 +10,9 @@
 from brassweir.core.ports import Attempt, Outcome, Payload, Urls
 from brassweir.core.reading import no_answer, told
 from brassweir.interface import Result
-from brassweir.net.client import CallFailed, Pools, Stage
+from brassweir.net.client import CallFailed, Stage
 from brassweir.net.headers import Headers
+from brassweir.net.house import Pools
 from brassweir.webhook import codec, endings
 
 
--- a/tests/service/test_asked.py
+++ b/tests/service/test_asked.py
@@ -20,9 +20,10 @@
 from brassweir.lab import hooks
 from brassweir.lab.idle import KEY, Plan, Quiet, write
 from brassweir.lab.load import Mix
-from brassweir.net import client
-from brassweir.net.client import CallFailed, Pools, Reply, Stage
+from brassweir.net import client, links
+from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
+from brassweir.net.house import Pools
 from brassweir.net.limits import Limits
 from brassweir.service.process import SenderProcess
 from tests.conftest import run
@@ -82,7 +83,7 @@
             nonlocal refused
             if sender.pools.budget.open > 8 and refused < 40:
                 refused += 1
-                raise client._Short
+                raise links.Short
             await dial(pool, of, connection)
 
         monkeypatch.setattr(client.Pool, "_dial", dial_short)
--- a/tests/service/test_bad_input.py
+++ b/tests/service/test_bad_input.py
@@ -9,8 +9,8 @@
 
 from brassweir.as2 import cms, keys, mdn, message, mime
 from brassweir.as2.message import Security
-from brassweir.as2.offload import Offload
 from brassweir.as2.sending import letter, post
+from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.interface import Result
 from brassweir.lab.fleet import HUB, Fleet, FleetPlan
