--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -18,11 +18,12 @@
 from brassweir.lab import idle
 from brassweir.lab.crash import Script, steps_of, sweep
 from brassweir.lab.disk import MODES
+from brassweir.lab.flood import Flood, FloodPlan
 from brassweir.lab.hooks import Strike
 from brassweir.lab.idle import Plan
 from brassweir.lab.load import Mix
 from brassweir.lab.play import Report, play
-from brassweir.lab.script import Day, bad, crash, demo
+from brassweir.lab.script import Day, bad, crash, demo, mixed
 
 
 @click.group()
@@ -51,15 +52,18 @@
 
 @lab.command("day")
 @click.argument("name", type=click.Choice(["bad"]))
+@click.option("--fronts", default="as2", show_default=True, type=click.Choice(["as2", "as2,forward"]),
+              help="Over what messages are handed in.")
 @_seed
 @_json
 @_keep
-def day_command(name: str, seed: int, as_json: bool, folder: Path | None) -> None:
+def day_command(name: str, fronts: str, seed: int, as_json: bool, folder: Path | None) -> None:
     """Play a scripted day: four senders as processes, eight partners, every trouble, for a minute.
 
-    Exits with 1 if a rule was broken.
+    With the forward front as well, four shippers and three forward destinations join in. Exits with 1 if a
+    rule was broken.
     """
-    _run(bad, seed, as_json, folder)
+    _run(bad if fronts == "as2" else mixed, seed, as_json, folder)
 
 
 @lab.command("crash")
@@ -138,6 +142,29 @@
     sys.exit(1 if any(tree["broken_rules"].values()) else 0)
 
 
+@lab.command("forward-flood")
+@click.option("--sources", default=50, show_default=True, type=click.IntRange(2, 2000))
+@click.option("--idle", "idle_sources", default=1000, show_default=True, type=click.IntRange(10, 2000))
+@click.option("--seconds", default=12.0, show_default=True, type=click.FloatRange(3.0, 120.0),
+              help="Of each phase.")
+@_seed
+@_json
+def flood_command(sources: int, idle_sources: int, seconds: float, seed: int, as_json: bool) -> None:
+    """Forward sources that never slow down, one of them greedy, beside AS2: memory, fairness, and what AS2
+    feels.
+
+    Exits with 1 if memory went over twice the room for chunks, or a source had under half its share.
+    """
+    plan = FloodPlan(sources=sources, idle=idle_sources, seconds=seconds)
+    with tempfile.TemporaryDirectory(prefix="brassweir-") as temporary:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            tree = runner.run(Flood(plan, seed, Path(temporary)).run())
+    good = all(tree[phase]["over_before_by_room"] <= 2.0 for phase in ("flood", "shut"))
+    good = good and (tree["flood"]["fairness_least_over_mean"] or 0.0) >= 0.5
+    click.echo(json.dumps(tree) if as_json else json.dumps(tree, indent=2))
+    sys.exit(0 if good else 1)
+
+
 def _run(make: Callable[[int], Day], seed: int, as_json: bool, folder: Path | None) -> None:
     if folder is not None and folder.exists() and any(folder.iterdir()):
         raise click.ClickException(f"{folder} is not empty: each run makes keys and settings of its own")
--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -14,6 +14,7 @@
 from brassweir.cli.as2 import as2
 from brassweir.cli.destinations import destinations
 from brassweir.cli.journal import journal
+from brassweir.cli.kept import kept
 from brassweir.cli.keys import keys
 from brassweir.cli.lab import lab
 from brassweir.config.load import ConfigError
@@ -74,5 +75,6 @@
 main.add_command(as2)
 main.add_command(destinations)
 main.add_command(journal)
+main.add_command(kept)
 main.add_command(keys)
 main.add_command(lab)
--- a/brassweir/config/model.py
+++ b/brassweir/config/model.py
@@ -215,12 +215,13 @@
     class_name: str = Field(alias="class")
     destination: str = Field(min_length=1, max_length=128, description="may hold {tag}, {0}, {1} ...")
     body: Literal["json-lines", "msgpack"] = "json-lines"
-    key: Literal["none", "source", "tag"] = "none"
+    key: str = Field("", max_length=128, description="orders chunks of one source; a template as well")
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
         matcher(self.tag)
         check_template(self.destination)
+        check_template(self.key)
         return self
 
 
--- a/brassweir/forward/connection.py
+++ b/brassweir/forward/connection.py
@@ -12,7 +12,7 @@
     from brassweir.forward.front import ForwardFront
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """States: greeting, open, closing. One timer serves them all; it stands still while we do not read."""
 
     def __init__(self, front: ForwardFront, session: Session, loop: asyncio.AbstractEventLoop) -> None:
@@ -125,8 +125,16 @@
             self.left = None
             self.consider()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """One buffer serves all connections: what is read is taken at once, and never more than a slice."""
+        return self.front.buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
         """Take bytes; stop reading where others are to have their turn."""
+        self.data_received(bytes(self.front.buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes."""
         if self.closing:
             return
         try:
--- a/brassweir/forward/decide/rules.py
+++ b/brassweir/forward/decide/rules.py
@@ -17,17 +17,11 @@
     PACKED = "msgpack"
 
 
-class Key(Enum):
-    """What orders the chunks of a class that keeps order."""
-
-    NONE = "none"
-    SOURCE = "source"
-    TAG = "tag"
-
-
 @dataclass(frozen=True, slots=True)
 class TagRule:
-    """Tags that ``pattern`` matches go so. ``destination`` may hold {tag} and {0}, {1}: parts of the tag.
+    """Tags that ``pattern`` matches go so. ``destination`` may hold {tag} and {0}, {1}: parts of the tag; so
+    may ``key``, which orders the chunks of a source in a class that keeps order, and is empty where nothing
+    does.
 
     Patterns are those of Fluentd's match directive: ``*`` is one part, ``**`` any number of parts, ``{a,b}``
     either; several stand apart by spaces. Raises ValueError for a pattern or destination that means nothing.
@@ -37,21 +31,22 @@
     class_name: str
     destination: str
     body: Body = Body.LINES
-    key: Key = Key.NONE
+    key: str = ""
     matcher: re.Pattern[str] = field(init=False, compare=False, repr=False)
 
     def __post_init__(self) -> None:
         object.__setattr__(self, "matcher", matcher(self.pattern))
         check_template(self.destination)
+        check_template(self.key)
 
-    def home(self, tag: str) -> str | None:
-        """The destination of a tag; None if the tag has not so many parts."""
+    def filled(self, template: str, tag: str) -> str | None:
+        """A template with the parts of a tag in it; None if the tag has not so many."""
         parts = tag.split(".")
-        wanted = {int(name) for name in re.findall(r"\{(\d+)\}", self.destination)}
+        wanted = {int(name) for name in re.findall(r"\{(\d+)\}", template)}
         if wanted and max(wanted) >= len(parts):
             return None
         return re.sub(r"\{(tag|\d+)\}",
-                      lambda found: tag if found[1] == "tag" else parts[int(found[1])], self.destination)
+                      lambda found: tag if found[1] == "tag" else parts[int(found[1])], template)
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,9 +64,8 @@
     for rule in rules:
         if rule.matcher.fullmatch(tag) is None:
             continue
-        home = rule.home(tag)
-        if home is None:
+        home, key = rule.filled(rule.destination, tag), rule.filled(rule.key, tag)
+        if home is None or key is None:
             return None
-        key = {Key.NONE: "", Key.SOURCE: source, Key.TAG: f"{source}\n{tag}"}[rule.key]
-        return Placed(rule.class_name, home, rule.body, key)
+        return Placed(rule.class_name, home, rule.body, f"{source}\n{key}" if key else "")
     return None
--- a/brassweir/forward/decide/turns.py
+++ b/brassweir/forward/decide/turns.py
@@ -9,9 +9,11 @@
   and halves with a refusal (additive increase, multiplicative decrease, Chiu and Jain 1989).
 - Time: after a refusal a source is not read from until the told wait is over.
 
-A chunk that has begun is let in before any that has not, and the oldest one begun may always go on while
-answers alone do not fill the room: halves that wait for one another's room would wait for ever. No I/O, no
-clock.
+Who is told to go on is promised a slice, so that many told at once do not count on the same room; who may
+read at any time (nothing held, nothing waited for) is not, so all together may go over the room by a slice
+each, once. A chunk that has begun is let in before any that has not, and the oldest one begun may always go
+on while answers alone do not fill the room: halves that wait for one another's room would wait for ever. No
+I/O, no clock.
 """
 
 from __future__ import annotations
@@ -28,6 +30,8 @@
 SHRINK_APART = 200.0  # ms: about the way there and back
 LOOKS = 16  # waiting connections looked at for each thing that happens: bounds the work of an event
 AGAIN = 20.0  # ms until the rest is looked at
+SLICE = 16_384  # bytes: the most that is read at once; small beside the room, many packets long
+LAPSE = 200.0  # ms: a promise not taken up by then is no longer counted
 
 
 @dataclass(slots=True)
@@ -65,6 +69,8 @@
     begun: OrderedDict[int, None] = field(default_factory=OrderedDict)  # readers within a chunk, oldest first
     line: OrderedDict[int, None] = field(default_factory=OrderedDict)  # readers that wait for room or window
     paused: list[tuple[float, int]] = field(default_factory=list)  # readers that wait for a time
+    promised: OrderedDict[int, float] = field(default_factory=OrderedDict)  # slices, and when promised
+    slice: int = SLICE
     last_id: int = 0
 
     # ---- facts
@@ -84,6 +90,7 @@
         self._count(reader, -reader.partial, 0)
         self.begun.pop(ident, None)
         self.line.pop(ident, None)
+        self.promised.pop(ident, None)
         reader.waiting, reader.gone = False, True
         self.sources[reader.source].connections -= 1
         if not reader.working:
@@ -92,6 +99,7 @@
     def came(self, ident: int, partial: int) -> None:
         """So many bytes are held of a chunk that is not whole; 0 between two."""
         reader = self.readers[ident]
+        self.promised.pop(ident, None)
         self._count(reader, partial - reader.partial, 0)
         if partial:
             self.begun.setdefault(ident)
@@ -147,11 +155,13 @@
     def next(self, now: float) -> tuple[list[int], float | None]:
         """Who may read on, and when to ask again (ms), if not only after something has happened."""
         go: list[int] = []
+        while self.promised and next(iter(self.promised.values())) <= now - LAPSE:
+            self.promised.popitem(last=False)
         oldest = next(iter(self.begun), None)
         if oldest is not None:
             reader = self.readers[oldest]
             if reader.waiting and self._may(oldest, reader, now):
-                self._release(oldest, go)
+                self._release(oldest, go, now)
         while self.paused and self.paused[0][0] <= now:
             _, ident = heappop(self.paused)
             if ident in self.readers and self.readers[ident].waiting:
@@ -163,7 +173,7 @@
             ident, _ = self.line.popitem(last=False)
             reader = self.readers[ident]
             if self._may(ident, reader, now):
-                self._release(ident, go)
+                self._release(ident, go, now)
             else:
                 looks += 1
                 self._wait(ident, reader, now)
@@ -176,7 +186,7 @@
                 return True
         elif now < source.until or source.open >= int(source.window):
             return False
-        return source.held < self.room - self.held
+        return source.held < self.room - self.held - len(self.promised) * self.slice
 
     def _wait(self, ident: int, reader: Reader, now: float) -> None:
         until = self.sources[reader.source].until
@@ -186,8 +196,9 @@
         else:
             self.line[ident] = None
 
-    def _release(self, ident: int, go: list[int]) -> None:
+    def _release(self, ident: int, go: list[int], now: float) -> None:
         self.readers[ident].waiting = False
+        self.promised[ident] = now
         self.line.pop(ident, None)
         go.append(ident)
 
--- a/brassweir/forward/events.py
+++ b/brassweir/forward/events.py
@@ -67,7 +67,7 @@
     """Read packed entries one by one, at most so many. Raises ForwardError, perhaps after some were given."""
     total = _count(data, most)
     reader = Unpacker(read_size=4096, max_buffer_size=max(4096, len(data)), strict_map_key=False,
-                      unicode_errors="replace")
+                      unicode_errors="replace", ext_hook=_ext)
     reader.feed(data)
     for number in range(total):
         try:
@@ -153,11 +153,14 @@
     return b"".join(out)
 
 
+def _ext(code: int, data: bytes) -> Any:
+    """Extension types within records: a map, which every form can hold; EventTime stands only beside one."""
+    return ExtType(code, data) if code == EVENT_TIME and len(data) == 8 else {"ext": code, "data": data}
+
+
 def _other(value: Any) -> Any:
     if isinstance(value, Timestamp):
         return value.to_datetime().isoformat()
-    if isinstance(value, ExtType):
-        return {"ext": value.code, "data": value.data}
     raise ForwardError(f"a record holds {type(value).__name__}, which has no JSON")
 
 
--- a/brassweir/forward/front.py
+++ b/brassweir/forward/front.py
@@ -45,6 +45,7 @@
         self.note, self.bounds, self.margin = note, bounds or Bounds(), margin
         self.counts: Counts = counts or NoCounts()
         self.turns = Turns(self.bounds.room)
+        self.buffer = memoryview(bytearray(self.turns.slice))
         self.lines = Lines()
         self.connections: set[Connection] = set()
         self.readers: dict[int, Connection] = {}  # by the number that the turns know them by
--- a/brassweir/lab/fleet.py
+++ b/brassweir/lab/fleet.py
@@ -20,10 +20,15 @@
 from brassweir.as2.message import Identity
 from brassweir.core.offload import Offload
 from brassweir.lab.client import Client
-from brassweir.lab.partner import Manner, Partner
+from brassweir.lab.partner import Manner, Partner, Works
+from brassweir.lab.shipper import Shipper
+from brassweir.lab.sink import Sink
 from brassweir.lab.tape import Published, Tape
+from brassweir.undelivered.item import Item
+from brassweir.undelivered.store import read_all
 
 HUB = "brassweir-hub"
+SINK_KEY = b"key of all sinks"
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +63,8 @@
     max_open: int = 300
     drain_grace: float = 6.0
     kind: str = "rsa2048"
+    sinks: dict[str, Manner] = field(default_factory=dict)  # forward destinations
+    shippers: int = 0  # forward sources
     classes: tuple[ClassPlan, ...] = CLASSES
 
 
@@ -149,6 +156,9 @@
         self.senders: list[Handle] = []
         self.partners: dict[str, Partner] = {}
         self.clients: list[Client] = []
+        self.sinks: dict[str, Sink] = {}
+        self.shippers: list[Shipper] = []
+        self.forward_ports: list[int] = []
         self.receipt_urls: dict[str, str] = {}
         self.locks = [asyncio.Lock() for _ in range(plan.senders)]  # one start or end of a sender at a time
         self.states: dict[str, str] = {}
@@ -171,6 +181,7 @@
                 port = await partner.listen(endpoint)
                 self.urls[endpoint] = (f"http://127.0.0.1:{port}/as2", name)
                 self.states[endpoint] = "ready"
+        await self._set_up_forward()
         for i in range(self.plan.clients):
             client = Client(made[f"office {i + 1}"], hub, self.tape, self.offload,
                             lambda n: f"http://127.0.0.1:{self.senders[n].port}/as2",
@@ -182,12 +193,47 @@
         for i in range(self.plan.senders):
             port, metrics = free_port(), free_port()
             name = f"s{i + 1}"
+            self.forward_ports.append(free_port())
             self.receipt_urls[name] = f"http://127.0.0.1:{port}/as2/receipts"
             path = self.folder / f"{name}.yaml"
             self._write(path, self.settings(name, port, metrics, made))
             self.senders.append(self.launch(name, path, port))
         await asyncio.gather(*(sender.start() for sender in self.senders))
 
+    async def _set_up_forward(self) -> None:
+        """Keys, sinks and shippers, where the plan has any."""
+        (self.folder / "sink.key").write_bytes(SINK_KEY + b"\n")
+        for number, (name, manner) in enumerate(self.plan.sinks.items()):
+            sink = self.sinks[name] = Sink(name, SINK_KEY, manner, self.tape, self.seed * 1000 + 500 + number)
+            for letter in "abcdefgh"[: self.plan.endpoints]:
+                port = await sink.listen(f"{name}-{letter}")
+                self.urls[f"{name}-{letter}"] = (f"forward://127.0.0.1:{port}", name)
+                self.states[f"{name}-{letter}"] = "ready"
+        for i in range(self.plan.shippers):
+            key = f"key of shipper {i + 1}".encode()
+            (self.folder / f"shipper-{i + 1}.key").write_bytes(key + b"\n")
+            self.shippers.append(Shipper(f"shipper-{i + 1}", key, self.tape, lambda n: self.forward_ports[n],
+                                         lambda n: self.senders[n].name, self.seed * 1000 + 700 + i))
+
+    def works(self) -> dict[str, Works]:
+        """All stand-in destinations."""
+        return {**self.partners, **self.sinks}
+
+    def kept(self) -> set[str]:
+        """Identities of the chunks that senders keep for the operator."""
+        folders = [self.folder / f"{sender.name}.kept" for sender in self.senders]
+        return {item.identity for folder in folders if folder.exists() for _, item in read_all(folder)
+                if isinstance(item, Item)}
+
+    def _forward(self, name: str, port: int) -> dict[str, Any]:
+        rules = [{"tag": f"{cls.name}.**", "class": cls.name, "destination": "{1}",
+                  "body": "msgpack" if cls.effect == "safe" else "json-lines",
+                  "key": "{1}.{2}" if cls.in_order else ""}
+                 for cls in self.plan.classes if cls.effect != "unsafe"]
+        return {"listen": f"127.0.0.1:{port}", "kept": f"{name}.kept", "sources": [
+            {"name": shipper.name, "shared_keys": [f"{shipper.name}.key"], "rules": rules}
+            for shipper in self.shippers]}
+
     def settings(self, name: str, port: int, metrics: int, made: dict[str, Identity]) -> dict[str, Any]:
         """The settings file of one sender, as a tree."""
         plan = self.plan
@@ -202,12 +248,14 @@
                 {"name": cls.name, "aim_ms": cls.aim * 1000, "deadline_ms": cls.deadline * 1000,
                  "effect": cls.effect, "window_ms": cls.window * 1000, "in_order": cls.in_order,
                  "late_worth": 0.3} for cls in plan.classes],
-            "kinds": [{"name": "partner"}],
+            "kinds": [{"name": "partner"}, {"name": "sink", "carrier": "forward", "shared_key": "sink.key",
+                                            "batch": 4}],
+            **({"forward": self._forward(name, self.forward_ports[-1])} if self.shippers else {}),
             "identity": {"as2_id": HUB, "key": f"{HUB}.key.pem", "certificate": f"{HUB}.crt.pem",
                          "receipt_url": self.receipt_urls[name]},
             "clients": [
                 {"as2_id": client.name, "certificates": [f"{file_name(client.name)}.crt.pem"],
-                 "may_send_to": list(self.partners),
+                 "may_send_to": [*self.partners, *(["*"] if self.sinks else [])],
                  **({"receipt_url": client.receipt_url} if client.receipt_url else {}),
                  "rules": [{"subject": rf"^{cls.name} \S+(?: key-(?P<key>\S+))?", "class": cls.name}
                            for cls in plan.classes]}
@@ -223,8 +271,10 @@
         """Write the endpoint list with some states changed; gone endpoints leave it."""
         self.states.update(change)
         tree = {"endpoints": [
-            {"name": name, "url": self.urls[name][0], "partner": self.urls[name][1], "kind": "partner",
-             "state": state} for name, state in self.states.items() if state != "gone"]}
+            {"name": name, "url": self.urls[name][0], "state": state,
+             **({"destination": self.urls[name][1], "kind": "sink"} if self.urls[name][1] in self.sinks
+                else {"partner": self.urls[name][1], "kind": "partner"})}
+            for name, state in self.states.items() if state != "gone"]}
         path = self.folder / "endpoints.yaml"
         fresh = path.with_suffix(".new")
         self._write(fresh, tree)
@@ -242,7 +292,9 @@
         ends = await asyncio.gather(*(sender.drain(self.plan.drain_grace + 2.0) for sender in running))
         for client in self.clients:
             client.stop()
-        for partner in self.partners.values():
-            partner.stop()
+        for shipper in self.shippers:
+            shipper.stop()
+        for one in self.works().values():
+            one.stop()
         self.offload.close()
         return [(sender.name, code, took) for sender, (code, took) in zip(running, ends, strict=True)]
--- a/brassweir/lab/partner.py
+++ b/brassweir/lab/partner.py
@@ -1,4 +1,4 @@
-"""A stand-in partner: an AS2 receiver with capacity, limits, a ledger of effects and scripted troubles."""
+"""Stand-in destinations: what all share, and the AS2 partner."""
 
 from __future__ import annotations
 
@@ -7,6 +7,7 @@
 import re
 import time
 from collections import OrderedDict, deque
+from collections.abc import Callable
 from dataclasses import dataclass, replace
 
 import numpy as np
@@ -59,18 +60,12 @@
     asynchronous: bool = False
 
 
-class Partner:
-    """One stand-in with one or more endpoints."""
+class Works:
+    """What every stand-in destination shares: capacity, limits, a ledger of effects, and the script."""
 
-    def __init__(self, identity: Identity, hub: x509.Certificate, manner: Manner, tape: Tape,
-                 offload: Offload, seed: int, receipt_urls: dict[str, str], stranger: Identity) -> None:
-        self.identity, self.hub, self.manner = identity, hub, manner
-        self.tape, self.offload = tape, offload
+    def __init__(self, name: str, manner: Manner, tape: Tape, seed: int) -> None:
+        self.name, self.manner, self.tape = name, manner, tape
         self.rng = np.random.default_rng(seed)
-        self.name = identity.as2_id
-        self.stranger = stranger  # whose key signs the receipts that the wrong one signed
-        self.receipt_urls = receipt_urls  # by sender
-        self.servers: dict[str, tuple[Server, int]] = {}
         self.troubles: list[Trouble] = []
         self.start = 0.0
         self.busy = self.queued = 0
@@ -85,21 +80,18 @@
         self.fallen = -1e9  # it lies until then
         self.number = 0
         self.tasks: set[asyncio.Task[None]] = set()
-        self.pools: dict[str, Pool] = {}
-
-    # ---- life
 
     async def listen(self, endpoint: str, port: int = 0) -> int:
         """Serve one endpoint and return its port."""
+        raise NotImplementedError
 
-        async def handler(request: Request) -> Response:
-            return await self._serve(endpoint, request)
+    def refuse(self) -> None:
+        """Take no connections, and drop those there are."""
+        raise NotImplementedError
 
-        limits = Limits(connections=self.manner.connections, idle_time=15_000.0)
-        server = Server(handler, limits)
-        got = await server.listen("127.0.0.1", port)
-        self.servers[endpoint] = (server, got)
-        return got
+    async def reopen(self) -> None:
+        """Listen again, at the same ports."""
+        raise NotImplementedError
 
     def begin(self, troubles: list[Trouble], start: float) -> None:
         """Play the script; ``start`` is the day's start in wall seconds."""
@@ -114,27 +106,29 @@
         cold, hidden = trouble.kind in DOWN, trouble.kind == "refuse"
         self.tape.add(Outage(time.time(), self.name, False, cold, hidden))
         if trouble.kind == "refuse":
-            for server, _ in self.servers.values():
-                server.abort()
+            self.refuse()
         await asyncio.sleep(max(0.0, self.start + trouble.end - time.time()))
         if trouble.kind == "refuse":
-            for endpoint, (_, port) in list(self.servers.items()):
-                await self.listen(endpoint, port)
+            await self.reopen()
         if cold:
             self.back = time.time()
             self.recent.clear()
         self.tape.add(Outage(time.time(), self.name, True, cold))
 
     def stop(self) -> None:
-        """End everything."""
+        """End the script."""
         for task in self.tasks:
             task.cancel()
-        for server, _ in self.servers.values():
-            server.abort()
-        for pool in self.pools.values():
-            pool.close_idle()
 
-    def _struck(self, now: float) -> Trouble | None:
+    def ender(self, number: int, sender: str) -> Callable[..., None]:
+        """Notes how one call ended, and what wait it was told (seconds)."""
+
+        def ended(how: str, waited: float = 0.0) -> None:
+            self.tape.add(Ended(time.time(), number, self.name, sender, how, waited))
+
+        return ended
+
+    def struck(self, now: float) -> Trouble | None:
         at = now - self.start
         for trouble in self.troubles:
             if trouble.start <= at < trouble.end:
@@ -146,77 +140,7 @@
         into = max(0.0, now - self.back) / self.manner.cold
         return min(1.0, self.manner.start_capacity + (1.0 - self.manner.start_capacity) * into)
 
-    # ---- one call
-
-    async def _serve(self, endpoint: str, request: Request) -> Response:
-        now = time.time()
-        self.number += 1
-        number = self.number
-        agent = re.search(r"\(([^)]*)\)", request.headers.first("user-agent"))
-        sender = agent[1] if agent else request.peer
-        ident = request.headers.first("message-id")
-        found = re.search(r"\b(p-[\w-]+)", request.headers.first("subject"))
-        payment = found[1] if found else ""
-        self.tape.add(Arrival(now, number, self.name, endpoint, sender, ident, payment))
-
-        def ended(how: str, waited: float = 0.0) -> None:
-            self.tape.add(Ended(time.time(), number, self.name, sender, how, waited))
-
-        trouble = self._struck(now)
-        kind = trouble.kind if trouble is not None else ""
-        if kind == "hang" or (kind == "refuse" and trouble is not None):
-            await asyncio.sleep(max(0.0, self.start + (trouble.end if trouble else 0.0) - time.time()))
-            ended("hung")
-            raise Abort(b"")
-        if kind == "fast_errors":
-            ended("error")
-            return Response(500)
-        if kind == "reset":
-            ended("reset")
-            raise Abort(b"")
-        if kind == "shut" and trouble is not None:
-            return self._full(ended, self.start + trouble.end - now, trouble.factor > 0.0, 503)
-        tipped = self._tips(now, sender)
-        if tipped or now < self.fallen:
-            ended("fallen")
-            return Response(500)
-        wait = self._limit(now)
-        if wait > 0.0:
-            return self._full(ended, wait, self.rng.random() < self.manner.tells_wait, 429)
-        if self.queued >= self.manner.queue:
-            return self._full(ended, 0.0, False, 429)
-        try:
-            entity = mime.of_http(request.headers.first("content-type"), "", request.body)
-            got = await self.offload(lambda: message.read(entity, self.identity, [self.hub], most=10_000_000))
-        except As2Error as error:
-            ended("rejected")
-            return await self._answer(request, sender, Mdn(ident, Disposition(
-                "processed", "error", error.modifier.value)), "")
-        document = json.loads(got.payload.content)
-        slow = trouble.factor if trouble is not None and kind == "slow" else 1.0
-        fresh = await self._carry_out(document, ident, slow)
-        disposition = Disposition()
-        if not fresh:
-            disposition = Disposition("processed", "warning", Modifier.DUPLICATE.value)
-        receipt = Mdn(ident, disposition, got.mic, got.micalg, self.name, self.name, "done")
-        ended(kind if kind in (*SPOILT, *BAD) else "done")
-        if kind in SPOILT:
-            if kind == "lost":
-                await asyncio.sleep(3.0)
-            raise Abort(b"" if kind != "cut_head" else b"HTTP/1.1 200 O")
-        return await self._answer(request, sender, receipt, kind)
-
-    def _full(self, ended: object, wait: float, tells: bool, status: int) -> Response:
-        assert callable(ended)
-        headers = Headers()
-        told = 0.0
-        if tells and wait > 0:
-            told = float(max(1, int(wait + 0.999)))
-            headers.add("Retry-After", str(int(told)))
-        ended("full", told)
-        return Response(status if tells else 429, headers)
-
-    def _tips(self, now: float, sender: str) -> bool:
+    def tips(self, now: float, sender: str) -> bool:
         """Is it pushed over by this call? Only while it comes back."""
         manner = self.manner
         if now - self.back > manner.cold or now < self.fallen:
@@ -236,7 +160,7 @@
         self.recent.clear()
         return True
 
-    def _limit(self, now: float) -> float:
+    def limited(self, now: float) -> float:
         """Seconds until the limit has room again, 0 if it has."""
         manner = self.manner
         if manner.rate <= 0:
@@ -254,7 +178,7 @@
         self.allowance -= 1.0
         return 0.0
 
-    async def _carry_out(self, document: dict[str, str], ident: str, slow: float) -> bool:
+    async def carry_out(self, document: dict[str, str], ident: str, slow: float) -> bool:
         """Do the work; false if it was a repeat of a keyed message, whose effect is not taken twice."""
         keyed = document["effect"] == "keyed"
         if keyed and ident in self.running:
@@ -284,6 +208,120 @@
                 running.set_result(None)
         return True
 
+
+class Partner(Works):
+    """One stand-in with one or more endpoints."""
+
+    def __init__(self, identity: Identity, hub: x509.Certificate, manner: Manner, tape: Tape,
+                 offload: Offload, seed: int, receipt_urls: dict[str, str], stranger: Identity) -> None:
+        super().__init__(identity.as2_id, manner, tape, seed)
+        self.identity, self.hub, self.offload = identity, hub, offload
+        self.stranger = stranger  # whose key signs the receipts that the wrong one signed
+        self.receipt_urls = receipt_urls  # by sender
+        self.servers: dict[str, tuple[Server, int]] = {}
+        self.pools: dict[str, Pool] = {}
+
+    # ---- life
+
+    async def listen(self, endpoint: str, port: int = 0) -> int:
+        """Serve one endpoint and return its port."""
+
+        async def handler(request: Request) -> Response:
+            return await self._serve(endpoint, request)
+
+        limits = Limits(connections=self.manner.connections, idle_time=15_000.0)
+        server = Server(handler, limits)
+        got = await server.listen("127.0.0.1", port)
+        self.servers[endpoint] = (server, got)
+        return got
+
+    def refuse(self) -> None:
+        """Take no connections, and drop those there are."""
+        for server, _ in self.servers.values():
+            server.abort()
+
+    async def reopen(self) -> None:
+        """Listen again, at the same ports."""
+        for endpoint, (_, port) in list(self.servers.items()):
+            await self.listen(endpoint, port)
+
+    def stop(self) -> None:
+        """End everything."""
+        super().stop()
+        for server, _ in self.servers.values():
+            server.abort()
+        for pool in self.pools.values():
+            pool.close_idle()
+
+    # ---- one call
+
+    async def _serve(self, endpoint: str, request: Request) -> Response:
+        now = time.time()
+        self.number += 1
+        number = self.number
+        agent = re.search(r"\(([^)]*)\)", request.headers.first("user-agent"))
+        sender = agent[1] if agent else request.peer
+        ident = request.headers.first("message-id")
+        found = re.search(r"\b(p-[\w-]+)", request.headers.first("subject"))
+        payment = found[1] if found else ""
+        self.tape.add(Arrival(now, number, self.name, endpoint, sender, ident, payment))
+
+        ended = self.ender(number, sender)
+        trouble = self.struck(now)
+        kind = trouble.kind if trouble is not None else ""
+        if kind == "hang" or (kind == "refuse" and trouble is not None):
+            await asyncio.sleep(max(0.0, self.start + (trouble.end if trouble else 0.0) - time.time()))
+            ended("hung")
+            raise Abort(b"")
+        if kind == "fast_errors":
+            ended("error")
+            return Response(500)
+        if kind == "reset":
+            ended("reset")
+            raise Abort(b"")
+        if kind == "shut" and trouble is not None:
+            return self._full(ended, self.start + trouble.end - now, trouble.factor > 0.0, 503)
+        tipped = self.tips(now, sender)
+        if tipped or now < self.fallen:
+            ended("fallen")
+            return Response(500)
+        wait = self.limited(now)
+        if wait > 0.0:
+            return self._full(ended, wait, self.rng.random() < self.manner.tells_wait, 429)
+        if self.queued >= self.manner.queue:
+            return self._full(ended, 0.0, False, 429)
+        try:
+            entity = mime.of_http(request.headers.first("content-type"), "", request.body)
+            got = await self.offload(lambda: message.read(entity, self.identity, [self.hub], most=10_000_000))
+        except As2Error as error:
+            ended("rejected")
+            return await self._answer(request, sender, Mdn(ident, Disposition(
+                "processed", "error", error.modifier.value)), "")
+        document = json.loads(got.payload.content.splitlines()[0])
+        document = document.get("record", document)  # a line of events, or the payment itself
+        slow = trouble.factor if trouble is not None and kind == "slow" else 1.0
+        fresh = await self.carry_out(document, ident, slow)
+        disposition = Disposition()
+        if not fresh:
+            disposition = Disposition("processed", "warning", Modifier.DUPLICATE.value)
+        receipt = Mdn(ident, disposition, got.mic, got.micalg, self.name, self.name, "done")
+        ended(kind if kind in (*SPOILT, *BAD) else "done")
+        if kind in SPOILT:
+            if kind == "lost":
+                await asyncio.sleep(3.0)
+            raise Abort(b"" if kind != "cut_head" else b"HTTP/1.1 200 O")
+        return await self._answer(request, sender, receipt, kind)
+
+    def _full(self, ended: object, wait: float, tells: bool, status: int) -> Response:
+        assert callable(ended)
+        headers = Headers()
+        told = 0.0
+        if tells and wait > 0:
+            told = float(max(1, int(wait + 0.999)))
+            headers.add("Retry-After", str(int(told)))
+        ended("full", told)
+        return Response(status if tells else 429, headers)
+
     # ---- receipts
 
     async def _answer(self, request: Request, sender: str, receipt: Mdn, spoil: str) -> Response:
--- a/brassweir/lab/play.py
+++ b/brassweir/lab/play.py
@@ -6,7 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -56,23 +56,26 @@
     """Set up a fleet, play the day, stop everything, and judge the tape."""
     fleet = fleet or Fleet(folder, day.plan, seed)
     say(f"setting up {day.plan.senders} senders, {len(day.plan.partners)} partners, "
-        f"{day.plan.clients} clients in {folder}")
+        f"{day.plan.clients} clients, {day.plan.shippers} shippers in {folder}")
     ends: list[dict[str, Any]] = []
     begun = time.time()
     try:
         await fleet.set_up()
         begun = time.time()
-        say(f"playing {day.seconds:.0f} s, {len(day.orders)} messages")
-        for name, partner in fleet.partners.items():
+        say(f"playing {day.seconds:.0f} s, {len(day.orders) + len(day.loads)} messages")
+        for name, partner in fleet.works().items():
             partner.begin(day.troubles.get(name, []), begun)
         work = [fleet.clients[client].hand_in(order, begun) for client, order in day.orders]
+        work += [fleet.shippers[shipper].hand_in(load, begun) for shipper, load in day.loads]
         side = [_lists(day, fleet, begun), *(_kill(fleet, begun + at, who) for at, who in day.kills),
+                *(_storm(fleet, begun + at) for at in day.storms),
                 *(_drain(fleet, begun + at, who, ends) for at, who in day.drains)]
         await asyncio.gather(*work, *side)
         await asyncio.sleep(max(0.0, begun + day.seconds - time.time()))
     finally:
         ends += [{"sender": name, "exit": code, "seconds": round(took, 2)}
                  for name, code, took in await fleet.stop()]
+    _look_up_kept(fleet)
     return report(day, seed, fleet.tape, time.time() - begun, ends)
 
 
@@ -90,6 +93,12 @@
     await sender.start()
 
 
+async def _storm(fleet: Fleet, at: float) -> None:
+    await asyncio.sleep(max(0.0, at - time.time()))
+    for shipper in fleet.shippers:
+        shipper.stop()
+
+
 async def _kill(fleet: Fleet, at: float, who: int) -> None:
     await asyncio.sleep(max(0.0, at - time.time()))
     sender = fleet.senders[who]
@@ -99,6 +108,15 @@
         await sender.start()
 
 
+def _look_up_kept(fleet: Fleet) -> None:
+    """An ack for a chunk that its sender keeps was no delivery: it stands for a failure that is kept."""
+    kept = fleet.kept()
+    fleet.tape.seen = [
+        replace(one, answer="failed", reason="kept")
+        if isinstance(one, Answered) and one.answer == "delivered" and one.ident in kept else one
+        for one in fleet.tape.seen]
+
+
 def report(day: Day, seed: int, tape: Tape, seconds: float, ends: list[dict[str, Any]]) -> Report:
     """Count a tape and judge it."""
     class_of = {one.payment: one.class_name for one in tape.seen if isinstance(one, HandIn)}
--- a/brassweir/lab/script.py
+++ b/brassweir/lab/script.py
@@ -6,9 +6,11 @@
 
 import numpy as np
 
+from brassweir.forward.message import Mode
 from brassweir.lab.client import Order
 from brassweir.lab.fleet import ClassPlan, FleetPlan
 from brassweir.lab.partner import Manner, Trouble
+from brassweir.lab.shipper import ACK_TIMEOUT, Load
 
 
 @dataclass(slots=True)
@@ -23,6 +25,8 @@
     lists: list[tuple[float, dict[str, str]]] = field(default_factory=list)
     drains: list[tuple[float, int]] = field(default_factory=list)
     kills: list[tuple[float, int]] = field(default_factory=list)  # senders ended with SIGKILL and restarted
+    loads: list[tuple[int, Load]] = field(default_factory=list)  # shipper, chunk
+    storms: list[float] = field(default_factory=list)  # all shippers drop their connections at once
     answer_grace: float = 1.0  # seconds that a final answer may take beyond a message's time
 
 
@@ -131,6 +135,61 @@
     return day
 
 
+# What a forward destination can do wrong; garbage and bad_mic (an ack for another chunk) come after the work.
+SINK_DAY = (
+    ("lost", 4.0, 7.0, 0.5, 1.0), ("hang", 4.0, 7.0, 1.0, 1.0), ("slow", 5.0, 8.0, 1.0, 6.0),
+    ("fast_errors", 4.0, 7.0, 0.6, 1.0), ("reset", 3.0, 6.0, 0.6, 1.0), ("refuse", 4.0, 7.0, 1.0, 1.0),
+    ("garbage", 3.0, 5.0, 0.5, 1.0), ("bad_mic", 3.0, 5.0, 0.5, 1.0), ("cut_head", 3.0, 5.0, 0.5, 1.0),
+    ("reset_after", 3.0, 5.0, 0.5, 1.0),
+)
+
+
+def mixed(seed: int, seconds: float = 66.0) -> Day:
+    """The bad day with both fronts: shippers and forward destinations beside clients and partners, everybody
+    sending to everybody, and shippers that reconnect all at once."""
+    day = bad(seed, seconds)
+    rng = np.random.default_rng([seed, 17])
+    sinks = {"log-store": Manner(workers=3, service=0.04), "metrics-hub": Manner(workers=2, service=0.04),
+             "audit-trail": Manner(workers=2, service=0.05, connections=12)}
+    day.plan.sinks, day.plan.shippers = sinks, 4
+    names = list(sinks)
+    free = {name: 3.0 for name in names}
+    for kind, low, high, share, factor in SINK_DAY:
+        _place(day, rng, free, names, kind, float(rng.uniform(low, high)), share, factor)
+    day.lists = sorted([*day.lists, (0.35 * seconds, {"log-store-b": "draining"}),
+                        (0.5 * seconds, {"log-store-b": "ready"})], key=lambda one: one[0])
+    day.storms = [float(rng.uniform(0.3, 0.4)) * seconds, float(rng.uniform(0.6, 0.7)) * seconds]
+    at, number = 0.5, 0
+    homes = [*names, *day.plan.partners]
+    shares = np.array([0.2] * len(names) + [0.4 / len(day.plan.partners)] * len(day.plan.partners))
+    allowed = [cls for cls in day.plan.classes if cls.effect != "unsafe"]
+    while (at := at + float(rng.exponential(1.0 / 14.0))) < seconds - 12.0:
+        number += 1
+        cls = allowed[int(rng.integers(len(allowed)))]
+        _load(day, rng, at, f"p-f{number}", cls, homes[int(rng.choice(len(homes), p=shares / shares.sum()))])
+    for i in range(40):  # a burst right after each storm, for one destination
+        at = day.storms[i % 2] + 0.3 + 0.02 * i
+        _load(day, rng, at, f"p-fburst{i}", allowed[i % len(allowed)], names[i % 2])
+    # AS2 clients send to forward destinations as well.
+    for i in range(int(4.0 * (seconds - 10.0))):
+        at = 0.5 + i / 4.0
+        _add(day, rng, at, f"p-x{i}", day.plan.classes[i % 3], names[int(rng.integers(len(names)))])
+    day.orders.sort(key=lambda one: one[1].at)
+    day.loads.sort(key=lambda one: one[1].at)
+    return day
+
+
+def _load(day: Day, rng: np.random.Generator, at: float, payment: str, cls: ClassPlan, home: str) -> None:
+    shipper = int(rng.integers(day.plan.shippers))
+    # Each shipper has one sender, as shippers do; a key's order is kept by one sender.
+    key = f"{home}.k{int(rng.integers(3))}" if cls.in_order else ""
+    mode = list(Mode)[int(rng.integers(4))]
+    tag = f"{cls.name}.{key or home}.{payment}"
+    day.loads.append((shipper, Load(at, payment, cls.name, cls.effect, home, tag,
+                                    shipper % day.plan.senders, ACK_TIMEOUT, mode,
+                                    int(rng.integers(1, 40)), key=key)))
+
+
 PATIENCE = 10.0  # seconds for which clients of a crash day go on asking
 
 
--- a/brassweir/service/wiring.py
+++ b/brassweir/service/wiring.py
@@ -20,7 +20,7 @@
 from brassweir.as2.partnership import Client, Partner, Partnerships, Rule
 from brassweir.config.load import ConfigError
 from brassweir.config.model import Config, ForwardModel, ForwardSourceModel, KindModel, PartnerModel
-from brassweir.forward.decide.rules import Body, Key, TagRule
+from brassweir.forward.decide.rules import Body, TagRule
 from brassweir.forward.link import Credentials
 from brassweir.forward.ports import Bounds
 from brassweir.net.limits import Limits
@@ -244,7 +244,7 @@
 
 def tag_rules(source: ForwardSourceModel) -> tuple[TagRule, ...]:
     """The rules of a source; the model has checked them."""
-    return tuple(TagRule(rule.tag, rule.class_name, rule.destination, Body(rule.body), Key(rule.key))
+    return tuple(TagRule(rule.tag, rule.class_name, rule.destination, Body(rule.body), rule.key)
                  for rule in source.rules)
 
 
--- /dev/null
+++ b/tests/forward/test_decide.py
@@ -0,0 +1,211 @@
+"""Rules, answers, joining, and who reads next: whatever the sources do."""
+
+from __future__ import annotations
+
+import re
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brassweir.config.tags import matcher
+from brassweir.core.ports import Answer, FinalAnswer
+from brassweir.forward.decide import answers
+from brassweir.forward.decide.answers import Tell
+from brassweir.forward.decide.joining import Joining
+from brassweir.forward.decide.rules import Body, TagRule, place
+from brassweir.forward.decide.turns import AGAIN, FIRST_WINDOW, WINDOW, Turns
+
+
+@pytest.mark.parametrize(("pattern", "yes", "no"), [
+    ("a.b", ["a.b"], ["a", "a.b.c", "axb"]), ("a.*", ["a.b"], ["a", "a.b.c"]), ("a.**", ["a", "a.b", "a.b.c"], ["ab", "b.a"]),
+    ("**", ["a", "a.b", ""], []), ("**.c", ["c", "a.c", "a.b.c"], ["ac", "c.a"]), ("a.**.c", ["a.c", "a.b.c", "a.x.y.c"], ["a", "c", "a.bc"]),
+    ("{a,b}.c", ["a.c", "b.c"], ["c", "ab.c"]), ("a.{b,c.**}", ["a.b", "a.c", "a.c.d"], ["a.b.d", "a"]), ("a b.*", ["a", "b.x"], ["b", "a b.x"]),
+    ("app-*.log", ["app-1.log", "app-.log"], ["app-1.x.log", "app.log"]), ("a+(b)", ["a+(b)"], ["aab"]),
+])
+def test_patterns_match_as_fluentd_has_them(pattern: str, yes: list[str], no: list[str]) -> None:
+    found = matcher(pattern)
+    assert [tag for tag in yes if not found.fullmatch(tag)] == []
+    assert [tag for tag in no if found.fullmatch(tag)] == []
+
+
+@pytest.mark.parametrize("pattern", ["", "  ", "a..b", ".a", "a.", "{a", "a}", "{a,}", "{a,{b}}"])
+def test_patterns_that_mean_nothing(pattern: str) -> None:
+    with pytest.raises(ValueError):
+        matcher(pattern)
+
+
+@given(st.text("ab.*{},", max_size=12))
+@settings(max_examples=300, deadline=None)
+def test_no_pattern_breaks_the_maker(pattern: str) -> None:
+    try:
+        assert isinstance(matcher(pattern), re.Pattern)
+    except ValueError:
+        pass
+
+
+def test_places() -> None:
+    rules = (TagRule("pay.*", "order", "bank-{1}", Body.PACKED, "{tag}"), TagRule("log.**", "status", "logs", key="all"),
+             TagRule("x.**", "status", "deep-{2}"), TagRule("y", "status", "all-{tag}"))
+    one = place(rules, "edge", "pay.north")
+    assert one is not None and (one.destination, one.class_name, one.body, one.key) == ("bank-north", "order", Body.PACKED, "edge\npay.north")
+    two = place(rules, "edge", "log.a.b")
+    assert two is not None and (two.destination, two.key) == ("logs", "edge\nall")
+    assert place(rules, "edge", "x.1") is None, "it has no third part"
+    three = place(rules, "edge", "y")
+    assert three is not None and three.destination == "all-y"
+    assert place(rules, "edge", "other") is None
+    with pytest.raises(ValueError):
+        TagRule("a", "status", "{who}")
+
+
+def test_answers_promise_no_more_than_is_so() -> None:
+    refused = FinalAnswer(Answer.REFUSED, "not now", 700.0)
+    assert answers.final(FinalAnswer(Answer.DELIVERED), True).tell is Tell.ACK
+    told = answers.final(refused, True)
+    assert (told.tell, told.pause) == (Tell.CLOSE, 700.0)
+    assert answers.final(refused, False).tell is Tell.KEEP, "nobody would send it again"
+    for asked in (True, False):
+        assert answers.final(FinalAnswer(Answer.FAILED, "no"), asked).tell is Tell.KEEP, "it may have run: never again"
+    assert answers.misplaced("no rule", True).tell is Tell.CLOSE
+    assert answers.misplaced("no rule", False).tell is Tell.KEEP
+    assert answers.unreadable("bad").tell is Tell.KEEP
+
+
+def test_joining_fills_calls() -> None:
+    joining = Joining(2)
+    assert joining.add("a", 1) is None and joining.add("b", 2) is None
+    assert joining.add("a", 3) == [1, 3]
+    assert joining.add("a", 4) is None
+    assert joining.rest() == [("b", [2]), ("a", [4])] and joining.rest() == []
+    assert Joining(1).add("a", 1) == [1]
+
+
+ROOM = 1_000_000
+
+
+def test_one_greedy_source_leaves_room_and_takes_half_at_most() -> None:
+    turns = Turns(ROOM)
+    greedy = [turns.opened("greedy") for _ in range(100)]
+    turns.sources["greedy"].window = 1000.0
+    for reader in greedy:
+        if turns.may_read(reader, 0.0):
+            turns.whole(reader, 20_000)
+    assert turns.held <= ROOM / 2 + 20_000
+    assert turns.may_read(turns.opened("late"), 0.0)
+
+
+def test_windows_grow_shrink_and_shrink_once_a_moment() -> None:
+    turns = Turns(ROOM)
+    reader = turns.opened("a")
+    for _ in range(int(FIRST_WINDOW)):
+        assert turns.may_read(reader, 0.0)
+        turns.whole(reader, 10)
+    assert not turns.may_read(reader, 0.0)
+    turns.done(reader, 10)
+    turns.delivered("a")
+    assert turns.next(0.0) == ([reader], None)
+    for _ in range(3):
+        turns.refused("a", 500.0, 1000.0)
+    assert turns.sources["a"].window == pytest.approx((FIRST_WINDOW + 1 / FIRST_WINDOW) / 2)
+    for _ in range(3):
+        turns.done(reader, 10)
+    assert not turns.may_read(reader, 1100.0)
+    assert turns.next(1100.0) == ([], 1500.0)
+    assert turns.next(1500.0) == ([reader], None)
+    for _ in range(20_000):
+        turns.delivered("a")
+    assert turns.sources["a"].window == WINDOW
+
+
+def test_halves_do_not_wait_for_each_other() -> None:
+    """A thousand sources, each within a chunk that is larger than its share of the room."""
+    turns = Turns(ROOM, slice=1000)
+    size, have = 20_000, dict[int, int]()
+    readers = [turns.opened(f"s{i}") for i in range(1000)]
+    go = [reader for reader in readers if turns.may_read(reader, 0.0)]
+    ended, now, most = 0, 0.0, 0
+    while ended < 1000:
+        assert go, "somebody may always go on"
+        for reader in go:
+            have[reader] = have.get(reader, 0) + 1000
+            if have[reader] >= size:
+                turns.came(reader, 0)
+                turns.whole(reader, size)
+                turns.done(reader, size)
+                ended += 1
+            else:
+                turns.came(reader, have[reader])
+        most = max(most, turns.held)
+        go = [reader for reader in go if have[reader] < size and turns.may_read(reader, now)]
+        more, again = turns.next(now)
+        go += more
+        now = again if again is not None and not go else now
+    assert most <= ROOM + size and turns.held == 0
+
+
+def test_answers_that_fill_the_room_stop_even_the_oldest() -> None:
+    turns = Turns(1000, slice=10)
+    first, second = turns.opened("a"), turns.opened("b")
+    turns.whole(first, 1200)
+    turns.came(second, 10)
+    assert not turns.may_read(second, 0.0)
+    turns.done(first, 1200)
+    assert turns.next(0.0) == ([second], None)
+
+
+@given(st.lists(st.tuples(st.sampled_from(["open", "close", "part", "whole", "done", "yes", "no", "look"]), st.integers(0, 9), st.integers(1, 400)),
+                max_size=120))
+@settings(max_examples=300, deadline=None)
+def test_books_stay_right_and_nobody_is_forgotten(steps: list[tuple[str, int, int]]) -> None:
+    turns, now = Turns(2000, slice=50), 0.0
+    live: dict[int, str] = {}
+    work: list[tuple[int, int]] = []
+    waiting: set[int] = set()
+    for what, which, amount in steps:
+        now += amount
+        names = sorted(live)
+        reader = names[which % len(names)] if names else 0
+        if what == "open":
+            name = f"s{which % 3}"
+            live[turns.opened(name)] = name
+        elif what == "look" or not reader:
+            pass
+        elif what == "close":
+            turns.closed(reader)
+            del live[reader]
+            waiting.discard(reader)
+        elif what in ("part", "whole") and reader not in waiting:
+            if what == "part":
+                turns.came(reader, turns.readers[reader].partial + amount)
+            else:
+                turns.came(reader, 0)
+                turns.whole(reader, amount)
+                work.append((reader, amount))
+            if not turns.may_read(reader, now):
+                waiting.add(reader)
+        elif what == "done" and work:
+            turns.done(*work.pop(which % len(work)))
+        elif what == "yes":
+            turns.delivered(live[reader])
+        elif what == "no":
+            turns.refused(live[reader], float(amount), now)
+        go, _ = turns.next(now)
+        assert set(go) <= waiting, "only who waits is told to go on"
+        waiting -= set(go)
+        assert turns.held == sum(source.held for source in turns.sources.values()) >= turns.working >= 0
+        assert turns.working == sum(size for _, size in work)
+        assert set(turns.readers) == set(live) | {one for one, _ in work}
+    # All is answered and the waits are over: whoever waits is let go on before long.
+    for one in work:
+        turns.done(*one)
+    for _ in range(50):
+        go, again = turns.next(now)
+        waiting -= set(go)
+        if not waiting:
+            break
+        for reader in go:  # what was begun is ended
+            if reader in live and turns.readers[reader].partial:
+                turns.came(reader, 0)
+        now = max(now + AGAIN, again or 0.0)
+    assert not waiting
