--- a/brassweir/forward/decide/turns.py
+++ b/brassweir/forward/decide/turns.py
@@ -6,14 +6,15 @@
   Choudhury and Hahne 1998, with factor one): alone it may fill half the room, with k greedy others each gets
   a like share of k / (k + 1) of it, and some always stays for who comes next.
 - Chunks: each source has a window of chunks without an answer, which grows by one with each window delivered
-  and halves with a refusal (additive increase, multiplicative decrease, Chiu and Jain 1989).
+  and halves with a refusal, or a delivery later than aimed at (additive increase, multiplicative decrease,
+  Chiu and Jain 1989).
 - Time: after a refusal a source is not read from until the told wait is over.
 
 Who is told to go on is promised a slice, so that many told at once do not count on the same room; who may
 read at any time (nothing held, nothing waited for) is not, so all together may go over the room by a slice
-each, once. A chunk that has begun is let in before any that has not, and the oldest one begun may always go
-on while answers alone do not fill the room: halves that wait for one another's room would wait for ever. No
-I/O, no clock.
+each, once. The oldest chunk begun may always go on while answers alone do not fill the room, unless its
+source waits for its own answers or a told wait: halves that wait for one another's room would wait for ever.
+No I/O, no clock.
 """
 
 from __future__ import annotations
@@ -21,6 +22,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
+from itertools import islice
 
 FIRST_WINDOW = 4.0  # chunks: a new source may show its pace before anything is known of it
 WINDOW = 64.0  # chunks at most: some sixteen shippers' threads, each with a chunk in either direction
@@ -124,11 +126,19 @@
         if reader.gone and not reader.working:
             del self.readers[ident]
 
-    def delivered(self, name: str) -> None:
-        """One of its chunks was delivered."""
+    def delivered(self, name: str, age: float, aim: float, now: float) -> None:
+        """One of its chunks was delivered ``age`` after it was taken; its class aims at ``aim`` (both ms).
+
+        Later than aimed at is the sign that comes before refusals: what is open already is more than goes
+        through. It counts once in the time that it took to come.
+        """
         source = self.sources.get(name)
-        if source is not None:
+        if source is None:
+            return
+        if age <= aim:
             source.window = min(WINDOW, source.window + 1.0 / source.window)
+        elif now - source.shrunk >= max(SHRINK_APART, age):
+            self._shrink(source, now)
 
     def refused(self, name: str, wait: float, now: float) -> None:
         """One of its chunks was refused, with a told wait."""
@@ -137,8 +147,12 @@
             return
         source.until = max(source.until, now + wait)
         if now - source.shrunk >= SHRINK_APART:
-            source.shrunk = now
-            source.window = max(1.0, source.window * SHRINK)
+            self._shrink(source, now)
+
+    @staticmethod
+    def _shrink(source: Source, now: float) -> None:
+        source.shrunk = now
+        source.window = max(1.0, source.window * SHRINK)
 
     # ---- decisions
 
@@ -157,7 +171,7 @@
         go: list[int] = []
         while self.promised and next(iter(self.promised.values())) <= now - LAPSE:
             self.promised.popitem(last=False)
-        oldest = next(iter(self.begun), None)
+        oldest = self._eldest(now)
         if oldest is not None:
             reader = self.readers[oldest]
             if reader.waiting and self._may(oldest, reader, now):
@@ -181,16 +195,28 @@
 
     def _may(self, ident: int, reader: Reader, now: float) -> bool:
         source = self.sources[reader.source]
-        if reader.partial:
-            if self.working < self.room and next(iter(self.begun), None) == ident:
-                return True
-        elif now < source.until or source.open >= int(source.window):
+        # Within a chunk as well: a source that never stops sending is within one at the end of every read.
+        if self._stopped(source, now):
             return False
+        if reader.partial and self.working < self.room and self._eldest(now) == ident:
+            return True
         return source.held < self.room - self.held - len(self.promised) * self.slice
 
+    @staticmethod
+    def _stopped(source: Source, now: float) -> bool:
+        """Its own answers or waits stop it, whatever room there is: they come to an end by themselves."""
+        return now < source.until or source.open >= int(source.window)
+
+    def _eldest(self, now: float) -> int | None:
+        """The oldest chunk begun that only room keeps from going on, of the first that are looked at."""
+        for ident in islice(self.begun, LOOKS):
+            if not self._stopped(self.sources[self.readers[ident].source], now):
+                return ident
+        return None
+
     def _wait(self, ident: int, reader: Reader, now: float) -> None:
         until = self.sources[reader.source].until
-        if not reader.partial and now < until:
+        if now < until:
             self.line.pop(ident, None)
             heappush(self.paused, (until, ident))
         else:
--- a/brassweir/forward/front.py
+++ b/brassweir/forward/front.py
@@ -162,6 +162,7 @@
             if placed is not None:
                 reason = f"no destination {placed.destination[:200]!r} is known"
             return answers.misplaced(reason, asked), nowhere
+        loop = asyncio.get_running_loop()
         cls = self.classes[placed.class_name]
         async with self.lines.turn(placed.key if cls.in_order else "") as turn:
             payload: Payload | None = None
@@ -175,12 +176,16 @@
             await turn()
             if payload is None and not self.engine.knows(source.name, identity):
                 payload = await self._opened(given, placed)  # forgotten while it stood in line
-            answered: asyncio.Future[FinalAnswer] = asyncio.get_running_loop().create_future()
+            answered: asyncio.Future[FinalAnswer] = loop.create_future()
+            taken = loop.time()
             submission = Submission(source.name, identity, placed.class_name, number,
                                     cls.deadline - self.margin, placed.key, payload=payload)
             self.engine.submit(submission, _setter(answered))
         answer = await answered
         told = answers.final(answer, asked)
+        if told.tell is Tell.ACK:
+            now = loop.time()
+            self.turns.delivered(source.name, (now - taken) * 1000.0, cls.aim, now * 1000.0)
         if told.tell is Tell.KEEP and payload is None:
             payload = await self._opened(given, placed)
         kept = payload or Payload(events.PACKED, given.data, given.tag)
@@ -223,8 +228,6 @@
                                          "reason": told.reason, "pause_ms": round(told.pause)})
             connection.close()
             return
-        if told.tell is Tell.ACK:
-            self.turns.delivered(name)
         if given.chunk:
             heard = connection.say(message.ack(given.chunk))
             self.counts.told("acked" if heard else "ack_unheard")
--- a/brassweir/lab/flood.py
+++ b/brassweir/lab/flood.py
@@ -15,10 +15,10 @@
 from typing import Any
 
 from brassweir.lab.client import Order
-from brassweir.lab.fleet import Fleet, FleetPlan, SenderHandle
+from brassweir.lab.fleet import SINK_KEY, Fleet, FleetPlan, SenderHandle
 from brassweir.lab.load import Latency
-from brassweir.lab.partner import Manner, Trouble
-from brassweir.lab.shipper import Load, Shipper
+from brassweir.lab.partner import Manner
+from brassweir.lab.pour import pour, start_sink
 from brassweir.lab.tape import Answered, HandIn
 
 TICKS = os.sysconf("SC_CLK_TCK")
@@ -35,6 +35,7 @@
     greed: int = 10
     entries: int = 200
     as2_rate: float = 10.0
+    manner: Manner = Manner(workers=4, service=0.04, queue=10_000)  # some hundred chunks a second
     room: int = 20_000_000
 
 
@@ -66,10 +67,11 @@
         self.plan = plan
         self.fleet = Fleet(folder, FleetPlan(
             senders=1, clients=1, async_clients=0, partners={"bank": Manner(workers=8, service=0.02)},
-            sinks={"store": Manner(workers=4, service=0.04, queue=10_000)}, slots=64, max_open=600,
+            sinks={"store": Manner()}, slots=64, max_open=600,
             shippers=max(plan.sources, plan.idle)), seed, self._launch)
         self.numbers = 0
         self.pid = 0
+        self.sink: Any = None
 
     def _launch(self, name: str, path: Path, port: int) -> SenderHandle:
         """The room is the run's own: small, so that the flood meets it."""
@@ -82,7 +84,12 @@
         """All phases; the figures of each."""
         plan, fleet = self.plan, self.fleet
         try:
+            self.sink, port = await asyncio.to_thread(start_sink, "store", SINK_KEY, plan.manner)
             await fleet.set_up()
+            for name in ("store-a", "store-b"):
+                fleet.urls[name] = (f"forward://127.0.0.1:{port}", "store")
+            fleet.publish({"store-b": "gone"})
+            await asyncio.sleep(0.5)
             handle = fleet.senders[0]
             assert isinstance(handle, SenderHandle) and handle.process is not None
             self.pid = handle.process.pid
@@ -93,6 +100,8 @@
             return {"as2_alone_ms": alone, "idle_sources": idle, "flood": flood, "shut": shut,
                     "room_bytes": plan.room}
         finally:
+            if self.sink is not None:
+                self.sink.kill()
             await fleet.stop()
 
     async def _as2(self, seconds: float) -> dict[str, float]:
@@ -131,42 +140,29 @@
 
     async def _flood(self, shut: bool) -> dict[str, Any]:
         plan, fleet = self.plan, self.fleet
+        if shut:
+            self.sink.kill()
+            self.sink.join()
         _reset_peak(self.pid)
         before, begun = usage(self.pid), time.time()
-        until = begun + plan.seconds
-        if shut:
-            fleet.sinks["store"].begin([Trouble("refuse", 0.0, plan.seconds)], begun)
-        shippers = fleet.shippers[: plan.sources]
-        for shipper in shippers:
-            shipper.tally.acked = 0
-        tasks = [asyncio.ensure_future(self._pour(shipper, until, plan.depth * (plan.greed if not i else 1)))
-                 for i, shipper in enumerate(shippers)]
-        latency = await self._as2(plan.seconds - 1.0)
-        await asyncio.sleep(max(0.0, until - time.time()))
-        acked = [shipper.tally.acked for shipper in shippers]
+        # Processes take a second to start: what they do before that is idle time.
+        until = begun + 1.0 + plan.seconds
+        sources = [(shipper.name, shipper.key, plan.depth * (plan.greed if not i else 1))
+                   for i, shipper in enumerate(fleet.shippers[: plan.sources])]
+        pouring = asyncio.ensure_future(pour(sources, fleet.forward_ports[0], plan.entries, until))
+        await asyncio.sleep(2.0)
+        latency = await self._as2(plan.seconds - 2.0)
         after = usage(self.pid)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
-        for shipper in shippers:
-            shipper.stop()
-        await asyncio.sleep(1.0)
+        found = await pouring
+        acked = [one for one, _ in found]
         mean = sum(acked) / len(acked)
-        return {"chunks_acked": sum(acked),
+        modest = acked[1:]
+        await asyncio.sleep(1.0)
+        return {"chunks_acked": sum(acked), "closes": sum(closed for _, closed in found),
                 "events_a_second": round(sum(acked) * plan.entries / plan.seconds),
                 "fairness_least_over_mean": round(min(acked) / mean, 3) if mean else None,
+                "fairness_among_modest": round(min(modest) * len(modest) / max(1, sum(modest)), 3),
                 "greedy_over_mean": round(acked[0] / mean, 2) if mean else None,
                 "rss_before": before.rss, "rss_peak": after.peak,
                 "over_before_by_room": round((after.peak - before.rss) / plan.room, 2),
-                "cpu_seconds": round(after.cpu - before.cpu, 2), "as2_ms": latency}
-
-    async def _pour(self, shipper: Shipper, until: float, depth: int) -> None:
-        async def one() -> None:
-            while time.time() < until:
-                self.numbers += 1
-                payment = f"p-w{self.numbers}"
-                load = Load(0.0, payment, "status", "safe", "store", f"status.store.{payment}", 0, 6.0,
-                            entries=self.plan.entries, patience=60.0)
-                await shipper.hand_in(load, time.time())
-
-        await asyncio.gather(*(one() for _ in range(depth)))
+                "cpu_share": round((after.cpu - before.cpu) / (plan.seconds + 1.0), 2), "as2_ms": latency}
