--- a/brassweir/lab/script.py
+++ b/brassweir/lab/script.py
@@ -211,6 +211,14 @@
                                    for i in range(int(span / 12))]}
     _orders(day, rng, rate, span, np.array([0.3, 0.3, 0.25, 0.15]))
     day.orders = [(client, replace(order, patience=PATIENCE)) for client, order in day.orders]
+    day.plan.sinks, day.plan.shippers = {"log-store": Manner(workers=4, service=0.05)}, 4
+    day.troubles["log-store"] = [Trouble("lost", 5.0 + 11.0 * i, 8.0 + 11.0 * i, 0.3)
+                                 for i in range(int(span / 11))]
+    allowed = [cls for cls in day.plan.classes if cls.effect != "unsafe"]
+    at, number, homes = 1.0, 0, ["log-store", "log-store", "north-bank"]
+    while (at := at + float(rng.exponential(2.0 / rate))) < span:
+        number += 1
+        _load(day, rng, at, f"p-f{number}", allowed[number % 2], homes[int(rng.integers(3))])
     return day
 
 
--- /dev/null
+++ b/tests/config/test_forward.py
@@ -0,0 +1,118 @@
+"""Settings of the forward front and its destinations: what stands alone, and every error with its line."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+
+import pytest
+
+from brassweir.config.load import ConfigError, parse
+from brassweir.config.model import Config
+from brassweir.service.forward_side import KeyFiles
+from brassweir.service.process import check
+
+GOOD = """\
+sender: {name: s1, slots: 8, max_open: 100}
+classes:
+  - {name: status, aim_ms: 1000, deadline_ms: 8000, effect: safe}
+  - {name: order, aim_ms: 1000, deadline_ms: 8000, effect: keyed, window_ms: 5000}
+  - {name: payment, aim_ms: 1000, deadline_ms: 8000, effect: unsafe}
+kinds:
+  - {name: collectors, carrier: forward, shared_key: out.key, batch: 4}
+forward:
+  listen: 127.0.0.1:0
+  sources:
+    - name: edge-1
+      shared_keys: [edge.key]
+      rules:
+        - {tag: "app.**", class: status, destination: "hook-{1}"}
+endpoints: endpoints.yaml
+"""
+LIST = "endpoints:\n  - {name: c-a, url: 'forward://127.0.0.1:9', destination: c, kind: collectors}\n"
+
+
+def folder(tmp_path: Path, text: str = GOOD, listed: str = LIST) -> Path:
+    (tmp_path / "s.yaml").write_text(text)
+    (tmp_path / "endpoints.yaml").write_text(listed)
+    (tmp_path / "edge.key").write_text("a key\n")
+    (tmp_path / "out.key").write_text("another\n")
+    return tmp_path / "s.yaml"
+
+
+def problems(path: Path) -> list[str]:
+    with pytest.raises(ConfigError) as caught:
+        check(path)
+    return caught.value.problems
+
+
+def test_a_sender_needs_no_as2(tmp_path: Path) -> None:
+    config = check(folder(tmp_path))
+    assert config.identity is None and config.forward is not None and config.forward.chunk_bytes == 16_000_000
+
+
+@pytest.mark.parametrize(("old", "new", "words"), [
+    ("class: status", "class: payment", "names the unsafe class payment: a source that hears nothing sends again"),
+    ("class: status", "class: nothing", "names no class: nothing"),
+    ('"app.**"', '"app..x"', ":14: forward.sources[0].rules[0]: Value error, tag pattern 'app..x': empty parts"),
+    ('"hook-{1}"', '"hook-{who}"', "{who} stands for nothing"),
+    ("shared_keys: [edge.key]", "shared_keys: []", ":12: forward.sources[0].shared_keys"),
+    ("shared_keys: [edge.key]", "shared_keys: [none.key]", "none.key: No such file"),
+    ("listen: 127.0.0.1:0", "listen: '24224'", ":9: forward.listen: Value error, an address is HOST:PORT"),
+    ("  listen: 127.0.0.1:0\n", "  listen: 127.0.0.1:0\n  colour: red\n", "forward.colour: is no known field"),
+    ("carrier: forward, ", "carrier: webhook, ", "batch, shared_key are for forward destinations"),
+    ("batch: 4", "username: ann", "username and password go together"),
+    ("shared_key: out.key, batch: 4", "username: ann, password: edge.key", "which needs shared_key"),
+    ("shared_key: out.key", "shared_key: gone.key", "shared_key: "),
+    ("forward:\n  listen", "other:\n  listen", "other: is no known field"),
+    ("    - name: edge-1\n", "    - name: edge-1\n      users: [{username: a, password: edge.key}]\n", ""),
+])
+def test_bad_settings(tmp_path: Path, old: str, new: str, words: str) -> None:
+    assert old in GOOD
+    path = folder(tmp_path, GOOD.replace(old, new, 1))
+    if not words:
+        check(path)
+        return
+    found = problems(path)
+    assert any(words in one for one in found), found
+    assert str(path) in found[0] or "kind " in found[0] or "forward" in found[0]
+
+
+def test_all_sources_have_users_or_none(tmp_path: Path) -> None:
+    second = "    - {name: b, shared_keys: [edge.key], users: [{username: a, password: edge.key}], rules: [{tag: x, class: status, destination: y}]}\nendpoints"
+    assert any("all have some or none has" in one for one in problems(folder(tmp_path, GOOD.replace("endpoints", second, 1))))
+    twice = "    - {name: edge-1, shared_keys: [edge.key], rules: [{tag: x, class: status, destination: y}]}\nendpoints"
+    assert any("edge-1 stands more than once" in one for one in problems(folder(tmp_path, GOOD.replace("endpoints", twice, 1))))
+
+
+@pytest.mark.parametrize(("listed", "words"), [
+    (LIST.replace("forward://127.0.0.1:9", "http://127.0.0.1:9/x"), "carries by forward, and its URL is http"),
+    (LIST.replace("forward://127.0.0.1:9", "forward://127.0.0.1:9/path"), "forward://HOST[:PORT]"),
+    (LIST.replace("destination: c", "partner: c"), "partner 'c' is not in the settings"),
+    (LIST.replace("kind: collectors", "kind: other"), "kind 'other' is not in the settings"),
+])
+def test_bad_lists(tmp_path: Path, listed: str, words: str) -> None:
+    assert any(words in one for one in problems(folder(tmp_path, listed=listed)))
+
+
+def test_nobody_to_hand_anything_in(tmp_path: Path) -> None:
+    text = GOOD[: GOOD.index("forward:")] + GOOD[GOOD.index("endpoints:"):]
+    with pytest.raises(ConfigError, match="nobody could hand anything in"):
+        parse(text, Config, "s.yaml")
+
+
+def test_key_files_are_read_again_and_keep_their_last_good_content(tmp_path: Path) -> None:
+    config = check(folder(tmp_path)).forward
+    assert config is not None
+    notes: list[str] = []
+    files = KeyFiles(config, tmp_path, lambda event, _: notes.append(event))
+    assert files.keys("edge-1") == (b"a key",) and files.keys("nobody") == () and not files.needs_user()
+    path = tmp_path / "edge.key"
+    path.write_text("a new key\n")
+    assert files.keys("edge-1") == (b"a new key",)
+    path.write_text("")
+    os.utime(path, ns=(1, 1))
+    assert files.keys("edge-1") == (b"a new key",)
+    path.unlink()
+    assert files.keys("edge-1") == (b"a new key",)
+    assert notes == ["key_changed", "key_unreadable", "key_unreadable"]
