--- a/benchmarks/forward_path.py
+++ b/benchmarks/forward_path.py
@@ -57,7 +57,7 @@
                 tree["sender"]["journaled"] = False
                 return tree
 
-            flood.fleet.settings = settings  # type: ignore[method-assign]
+            flood.fleet.settings = settings  # type: ignore[method-assign, assignment]
         sink, port = await asyncio.to_thread(start_sink, "store", SINK_KEY, replace(Manner(), workers=200, service=0.002, queue=100_000))
         try:
             await flood.fleet.set_up()
--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -10,14 +10,16 @@
 import resource
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 from brassweir import interface as api
 from brassweir.core.clock import SimClock
 from brassweir.core.engine import Engine
-from brassweir.core.ports import Attempt, Outcome, Payload, Store, Submission
+from brassweir.core.ports import Attempt, Fact, Outcome, Payload, Store, Submission
 from brassweir.journal import frame
+from brassweir.journal import store as journal_store
 from brassweir.journal.records import Ended, Final, Intent, Taken
 from brassweir.journal.recover import plan
 from brassweir.journal.scan import scan, segment_name
@@ -26,8 +28,11 @@
 from brassweir.journal.writer import Writer
 from brassweir.lab.disk import SimIo
 
-CLASSES = {"pay": api.MessageClass("pay", 1500.0, 600_000.0, api.Effect.UNSAFE)}
+CLASSES = {"pay": api.MessageClass("pay", 1500.0, 600_000.0, api.Effect.UNSAFE),
+           "key": api.MessageClass("key", 1500.0, 600_000.0, api.Effect.KEYED, window=600_000.0),
+           "safe": api.MessageClass("safe", 1500.0, 600_000.0, api.Effect.SAFE)}
 CONTENT = b"x" * 500
+Waiting = Callable[[Fact, api.Effect], bool]
 DISK = 2.0  # simulated ms that a commit takes, in which the next group gathers
 
 
@@ -97,8 +102,21 @@
         """Nothing."""
 
 
-def throughput(journal: bool, gap: float, count: int = 4000) -> dict[str, float]:
-    """Real seconds a message, with one hand-in each ``gap`` simulated ms."""
+def throughput(journal: bool, gap: float, count: int = 4000, cls: str = "pay", waiting: Waiting | None = None) -> dict[str, float]:
+    """Real seconds a message, with one hand-in each ``gap`` simulated ms, and how long answers take (simulated).
+
+    ``waiting`` takes the place of the table of what must be durable before what.
+    """
+    right = journal_store.waits
+    if waiting is not None:
+        journal_store.waits = waiting
+    try:
+        return _throughput(journal, gap, count, cls)
+    finally:
+        journal_store.waits = right
+
+
+def _throughput(journal: bool, gap: float, count: int, cls: str) -> dict[str, float]:
     clock = SimClock(1000.0)
     with tempfile.TemporaryDirectory() as temporary:
         store: Store | None = None
@@ -111,20 +129,18 @@
         sets = api.Settings(classes=tuple(CLASSES.values()), slots=2000, max_open=20_000)
         engine = Engine(sets, 1, clock, lambda _: Instant(clock), store=store)
         engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"e{i}", i, "") for i in range(50))))
-        answers = 0
-
-        def told(_: object) -> None:
-            nonlocal answers
-            answers += 1
-
+        latencies: list[float] = []
         for i in range(count):
-            submission = Submission("o", f"m{i}", "pay", i % 50, 500_000.0, payload=Payload("a/b", CONTENT))
-            clock.call_at(1000.0 + i * gap, lambda one=submission: engine.submit(one, told))  # type: ignore[misc]
+            submission = Submission("o", f"m{i}", cls, i % 50, 500_000.0, payload=Payload("a/b", CONTENT))
+            at = 1000.0 + i * gap
+            clock.call_at(at, lambda one=submission, at=at: engine.submit(  # type: ignore[misc]
+                one, lambda _: latencies.append(clock.now() - at)))
         begun = time.perf_counter()
         clock.run(1000.0 + count * gap + 5000.0)
         took = time.perf_counter() - begun
-        assert answers == count
-        found = {"ms_a_message": round(took / count * 1000, 3)}
+        assert len(latencies) == count
+        latencies.sort()
+        found = {"ms_a_message": round(took / count * 1000, 3), "p99_simulated_ms": round(latencies[count * 99 // 100], 1)}
         if writer is not None:
             found |= {"commits_a_message": round(writer.commits / count, 3), "bytes_a_message": round(writer.bytes / count)}
         return found
@@ -136,6 +152,18 @@
     found["peak_megabytes"] = round(resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024)
     for name, gap in (("low_load", 20.0), ("high_load", 0.05)):
         found[name] = {"without": throughput(False, gap), "with": throughput(True, gap)}
+    choices: dict[str, tuple[str, Waiting | None]] = {
+        "unsafe, as the table says": ("pay", None), "keyed": ("key", None), "safe": ("safe", None),
+        "unsafe, everything waits": ("pay", lambda fact, effect: True),
+        "unsafe, nothing waits (breaks the promise)": ("pay", lambda fact, effect: False),
+    }
+    for load, gap in (("low_load", 20.0), ("high_load", 0.05)):
+        bare = throughput(False, gap)
+        found[f"choices_{load}"] = {
+            name: {**(one := throughput(True, gap, cls=cls, waiting=waiting)),
+                   "cost_over_none": round(one["ms_a_message"] / bare["ms_a_message"], 2),
+                   "p99_over_none": round(one["p99_simulated_ms"] / bare["p99_simulated_ms"], 2)}
+            for name, (cls, waiting) in choices.items()}
     print(json.dumps(found, indent=2))
 
 
--- a/brassweir/cli/journal.py
+++ b/brassweir/cli/journal.py
@@ -6,17 +6,21 @@
 import sys
 import time
 from collections import Counter
+from collections.abc import Iterable, Iterator
+from itertools import islice
 from pathlib import Path
 from typing import Any
 
 import click
 
-from brassweir.journal import compact
+from brassweir.journal import compact, table
 from brassweir.journal.frame import Damage, FormatError, read
 from brassweir.journal.scan import Scan, scan
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.writer import Broken, Writer
 
+ROWS = 50_000  # written at a time
+
 
 @click.group()
 def journal() -> None:
@@ -114,6 +118,52 @@
     return found
 
 
+@journal.command("export")
+@_folder
+@click.option("--parquet", "path", required=True, type=click.Path(path_type=Path, dir_okay=False),
+              help="The file to write.")
+@_json
+def export_command(folder: Path, path: Path, as_json: bool) -> None:
+    """Write one row for each message to a Parquet file; columns are in docs/journal-format.md.
+
+    Safe beside a running sender. Of ended messages that a snapshot has passed over, attempts are not known.
+    """
+    try:
+        import pyarrow as pa
+        import pyarrow.parquet as pq
+    except ImportError:
+        raise click.ClickException("Parquet needs the extra: pip install 'brassweir[parquet]'") from None
+    found = _scan(folder)
+    types = {"int64": pa.int64(), "int32": pa.int32(), "string": pa.string(), "bool": pa.bool_(),
+             "timestamp": pa.timestamp("ms", tz="UTC"), "list": pa.list_(pa.string())}
+    schema = pa.schema([pa.field(name, types[kind], metadata={"meaning": meaning})
+                        for name, (kind, meaning) in table.COLUMNS.items()])
+    count = 0
+    fresh = path.with_name(path.name + ".new")
+    try:
+        with pq.ParquetWriter(fresh, schema, compression="zstd") as writer:
+            for part in batched(table.rows(found.lives, found.holes), ROWS):
+                for row in part:
+                    for name, (kind, _) in table.COLUMNS.items():
+                        if kind == "timestamp" and row[name] is not None:
+                            row[name] = round(row[name])
+                writer.write_batch(pa.RecordBatch.from_pylist(part, schema=schema))
+                count += len(part)
+        fresh.replace(path)
+    except OSError as error:
+        fresh.unlink(missing_ok=True)
+        raise click.ClickException(f"{path}: {error.strerror or error}") from None
+    tree = {"rows": count, "bytes": path.stat().st_size, "problems": found.problems}
+    click.echo(json.dumps(tree) if as_json else f"{count} messages written to {path}")
+
+
+def batched(rows: Iterable[dict[str, Any]], size: int) -> Iterator[list[dict[str, Any]]]:
+    """Rows by so many."""
+    source = iter(rows)
+    while part := list(islice(source, size)):
+        yield part
+
+
 @journal.command("compact")
 @_folder
 @click.option("--remember-hours", default=1.0, show_default=True, type=click.FloatRange(0.0, 10_000.0),
--- a/brassweir/journal/store.py
+++ b/brassweir/journal/store.py
@@ -64,7 +64,7 @@
                            self.name_of(detail.destination), detail.key, now + detail.left,
                            payload.content_type, payload.subject, payload.content, detail.reply,
                            0.0 if detail.ran_ago is None else now - detail.ran_ago)
-            self.writer.add(record, then, unable)
+            self._add(record, fact, then, unable)
         elif isinstance(detail, Attempt):
             self._add(Intent(message, self._number(detail), detail.endpoint.name, now), fact, then)
         elif isinstance(detail, FinalAnswer):
@@ -89,12 +89,13 @@
     def _number(self, attempt: Attempt) -> int:
         return attempt.number + self.before.get(attempt.id, 0)
 
-    def _add(self, record: Intent | Ended | Final, fact: Fact, then: Callable[[], None]) -> None:
+    def _add(self, record: Taken | Intent | Ended | Final, fact: Fact, then: Callable[[], None],
+             unable: Callable[[str], None] | None = None) -> None:
         effect = self.effects.get(self.classed.get(record.id, ""))
         if effect is None or waits(fact, effect):
-            self.writer.add(record, then)
+            self.writer.add(record, then, unable)
         else:
-            self.writer.add(record, None)
+            self.writer.add(record, None, unable)
             then()
 
     # ---- groups
--- /dev/null
+++ b/brassweir/journal/table.py
@@ -0,0 +1,59 @@
+"""Messages' lives as a table: one row each, for tools that count. No I/O: rows in, columns out."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+from brassweir.journal.life import Life, Lives
+from brassweir.journal.recover import Hole
+
+# Column: (type of the file, meaning). docs/journal-format.md has the same list.
+COLUMNS: dict[str, tuple[str, str]] = {
+    "id": ("int64", "the ledger's number"),
+    "owner": ("string", "who handed it in"),
+    "identity": ("string", "under which name"),
+    "class_name": ("string", "its class"),
+    "destination": ("string", "where it was to go"),
+    "key": ("string", "what orders it, if anything"),
+    "deadline": ("timestamp", "when its time was up"),
+    "content_bytes": ("int64", "size of its content; null once it is no longer held"),
+    "attempts": ("int32", "intents written, or endings where their intents were not"),
+    "results": ("list", "how each ended, in the order of their numbers; null while out"),
+    "first_may_have_run": ("timestamp", "when an attempt that may have run was first to go out"),
+    "answer": ("string", "delivered, refused, failed; null while open"),
+    "reason": ("string", "why"),
+    "answered": ("timestamp", "when"),
+    "receipt_owed": ("bool", "a receipt may still have to be brought"),
+    "behind_hole": ("bool", "damage may hide records of it"),
+}
+
+
+def rows(lives: Lives, holes: Iterable[Hole]) -> Iterator[dict[str, Any]]:
+    """One row for each message, in the order taken."""
+    hidden = max((hole.known for hole in holes), default=0)
+    for life in lives.by_id.values():
+        yield _row(life, hidden)
+
+
+def _row(life: Life, hidden: int) -> dict[str, Any]:
+    taken, final = life.taken, life.final
+    numbers = sorted(life.intents.keys() | life.ended.keys())
+    return {
+        "id": life.id,
+        "owner": taken.owner if taken else None,
+        "identity": taken.identity if taken else None,
+        "class_name": taken.class_name if taken else None,
+        "destination": taken.destination if taken else None,
+        "key": taken.key if taken else None,
+        "deadline": taken.deadline if taken else None,
+        "content_bytes": len(taken.content) if taken and taken.content_type else None,
+        "attempts": len(numbers),
+        "results": [life.ended[number].result if number in life.ended else None for number in numbers],
+        "first_may_have_run": life.first,
+        "answer": final.answer if final else None,
+        "reason": final.reason if final else None,
+        "answered": final.at if final else None,
+        "receipt_owed": bool(taken and taken.reply and not life.told),
+        "behind_hole": life.id <= hidden and final is None,
+    }
--- a/brassweir/lab/crash.py
+++ b/brassweir/lab/crash.py
@@ -15,7 +15,7 @@
 from brassweir import interface as api
 from brassweir.core.clock import SimClock
 from brassweir.core.engine import Engine
-from brassweir.core.ports import Attempt, FinalAnswer, Outcome, Payload, Submission
+from brassweir.core.ports import Attempt, Clock, FinalAnswer, Outcome, Payload, Submission
 from brassweir.journal.recover import plan
 from brassweir.journal.restart import carry_out
 from brassweir.journal.scan import scan
@@ -34,6 +34,8 @@
 REMEMBER = 600_000.0
 ENDPOINTS = tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3) for j in (0, 1))
 DOWN = 200.0  # ms from a crash to the next start
+ASYNC = 3  # every third client is told "accepted", waits for a receipt, and never asks again
+CONFIRMED = 0.9  # share of the receipts whose confirmation arrives
 COMMIT = 3.0  # ms in which a fact is surely durable here: a group under way, and its own
 
 
@@ -48,7 +50,8 @@
     effects: dict[str, int] = field(default_factory=lambda: defaultdict(int))
     waits: dict[int, tuple[float, float]] = field(default_factory=dict)  # destination: told at, until
     problems: list[str] = field(default_factory=list)
-    receipts: dict[str, int] = field(default_factory=lambda: defaultdict(int))
+    accepted: set[str] = field(default_factory=set)  # told "accepted": those clients wait and never ask again
+    receipts: dict[str, int] = field(default_factory=lambda: defaultdict(int))  # brought, by message
 
 
 class Partners:
@@ -136,12 +139,14 @@
         self.lives += 1
         mine = self.lives
         ended = False
+        alive = lambda: self.lives == mine and not ended  # noqa: E731 - it is passed on
         try:
-            engine, store = self._start(clock, lambda: self.lives == mine and not ended)
+            engine, store = self._start(clock, alive)
             for at, name, cls, destination, key in self.script.orders:
                 # Those before this life are asked for again, with the same identity, as clients do.
                 when = max(at + 1000.0, clock.now() + 1.0)
-                clock.call_at(when, self._hand_in(engine, name, cls, destination, key))
+                if name not in self.world.accepted:
+                    clock.call_at(when, self._hand_in(engine, store, alive, name, cls, destination, key))
             # Rewritten in the middle of all that goes on, again and again, and once more in peace.
             for at in range(1, 5):
                 clock.call_at(clock.now() + 500.0 * at, lambda: None if store.compacting else store.compact(
@@ -159,12 +164,42 @@
             self.now = clock.now() + DOWN
             return False
 
-    def _hand_in(self, engine: Engine, name: str, cls: str, destination: int, key: str) -> Callable[[], None]:
+    def _owing(self, clock: Clock, store: JournalStore, alive: Callable[[], bool], ident: int,
+               name: str) -> Callable[[FinalAnswer], None]:
+        """Brings the receipt of a client that was told "accepted"; now and then its confirmation is lost."""
+        rng = Random(f"{self.seed} {name} {self.lives}")
+
+        def bring(answer: FinalAnswer) -> None:
+            def brought() -> None:
+                if not alive():
+                    return
+                self.world.answers[name].append((clock.now(), answer))
+                self.world.receipts[name] += 1
+                if rng.random() < CONFIRMED:
+                    store.told(ident)
+
+            clock.call_at(clock.now() + rng.uniform(1.0, 30.0), brought)
+
+        return bring
+
+    def _hand_in(self, engine: Engine, store: JournalStore, alive: Callable[[], bool], name: str, cls: str,
+                 destination: int, key: str) -> Callable[[], None]:
+        def later(left: float, payload: Payload) -> None:
+            given = Submission("client", name, cls, destination, max(left, 1.0), key, payload=payload,
+                               reply=b"r")
+            bring: list[Callable[[FinalAnswer], None]] = []
+            _, record = engine.submit(given, lambda answer: bring[0](answer))
+            bring.append(self._owing(engine.clock, store, alive, record.id, name))
+            engine.whole(record, lambda: self.world.accepted.add(name))
+
         def go() -> None:
             world, now = self.world, engine.clock.now()
             world.messages.setdefault(name, (now, cls, destination, key))
             left = world.messages[name][0] + 5500.0 - now
             payload = Payload("a/b", name.encode())
+            if int(name[1:]) % ASYNC == 0:
+                later(left, payload)
+                return
             engine.submit(Submission("client", name, cls, destination, max(left, 1.0), key, payload=payload),
                           lambda answer: world.answers[name].append((engine.clock.now(), answer)))
 
@@ -187,7 +222,8 @@
         store.begin("sim")
         if made.pause:
             clock.run(clock.now() + made.pause)
-        carry_out(made, engine, store, int, lambda ident, submission: None)
+        carry_out(made, engine, store, int, lambda ident, submission: self._owing(
+            clock, store, alive, ident, submission.identity))
         return engine, store
 
     def check(self) -> list[str]:
@@ -197,8 +233,11 @@
         for name, (_, cls, _, _) in world.messages.items():
             answers = [answer for _, answer in world.answers[name]]
             if not answers:
-                problems.append(f"{name} never had an answer")
+                known = "was accepted and" if name in world.accepted else ""
+                problems.append(f"{name} {known} never had an answer")
                 continue
+            if world.receipts[name] > 1 + self.lives:
+                problems.append(f"{name} was brought {world.receipts[name]} receipts in {self.lives} lives")
             finals = {answer.answer.value for answer in answers if answer.answer.value != "refused"}
             if len(finals) > 1:
                 problems.append(f"{name} was told {' and '.join(sorted(finals))}")
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -15,7 +15,7 @@
 from brassweir.as2.message import Security
 from brassweir.cli.main import main
 from brassweir.core.ports import Payload
-from brassweir.journal.records import Final, Intent, Taken
+from brassweir.journal.records import Ended, Final, Intent, Taken
 from brassweir.journal.scan import scan
 from brassweir.journal.storage import Files
 from brassweir.journal.writer import Writer
@@ -117,3 +117,32 @@
     shut = json.loads(invoke(main, ["as2", "inspect", str(path), "--json"]).output)
     assert "decryption-failed" in shut["message"]["problem"]
     assert "application/pkcs7-mime" in invoke(main, ["as2", "inspect", str(path)]).output
+
+
+def test_a_journal_becomes_a_table(tmp_path: Path) -> None:
+    import pyarrow.parquet as pq
+
+    folder = tmp_path / "j"
+    storage = Files(folder)
+    writer = Writer(storage, scan(storage))
+    writer.open()
+    for ident, cls in ((1, "pay"), (2, "safe"), (3, "pay")):
+        writer.add(Taken(ident, "office", f"m{ident}", cls, "bank", "k", 9_000.0, "a/b", "s", b"content"), None)
+    writer.add(Intent(1, 0, "bank-a", 1_000.0), None)
+    writer.add(Ended(1, 0, "bank-a", "timeout", 1_500.0), None)
+    writer.add(Intent(2, 0, "bank-a", 1_000.5), None)
+    writer.add(Final(1, "failed", "not delivered in time", 0.0, 2_000.0), None)
+    group = writer.take()
+    assert group is not None
+    writer.commit(group)
+    path = tmp_path / "out.parquet"
+    done = CliRunner().invoke(main, ["journal", "export", str(folder), "--parquet", str(path), "--json"])
+    assert done.exit_code == 0 and json.loads(done.output)["rows"] == 3, done.output
+    storage.close()
+    first, second, third = pq.read_table(path).to_pylist()
+    assert (first["answer"], first["answered"].timestamp()) == ("failed", 2.0) and first["content_bytes"] is None
+    assert (second["attempts"], second["results"], second["answer"]) == (1, [None], None)
+    assert second["first_may_have_run"].timestamp() == 1.0 and second["content_bytes"] == 7
+    assert (third["attempts"], third["first_may_have_run"], third["behind_hole"]) == (0, None, False)
+    bad = CliRunner().invoke(main, ["journal", "export", str(folder), "--parquet", str(tmp_path / "none" / "x.parquet")])
+    assert bad.exit_code == 1 and "No such file" in bad.output and not (tmp_path / "none").exists()
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -23,6 +23,7 @@
 from brassweir.journal.scan import scan, segment_name
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.writer import Broken, Writer
+from brassweir.lab import crash
 from brassweir.lab.crash import BY_NAME, Run, Script, steps_of, sweep
 from brassweir.lab.disk import MODES, SimStorage
 
@@ -49,19 +50,29 @@
 
 
 @pytest.mark.parametrize(("fact", "words"), [
-    (Fact.INTENT, "was sent again"), (Fact.FINAL, "was told"), (Fact.TAKEN, "m")])
+    (Fact.INTENT, "was sent again"), (Fact.FINAL, "was told"), (Fact.TAKEN, "was accepted and never had an answer")])
 def test_a_barrier_left_out_is_caught(monkeypatch: pytest.MonkeyPatch, fact: Fact, words: str) -> None:
-    if fact is Fact.TAKEN:
-        # Nothing was promised to a client that still waits, so only one that was told "accepted" can be lost.
-        monkeypatch.setattr(recover, "_open", lambda *_: None)
-    else:
-        monkeypatch.setattr(store, "waits", lambda one, effect: one is not fact and durability.waits(one, effect))
+    monkeypatch.setattr(store, "waits", lambda one, effect: one is not fact and durability.waits(one, effect))
     problems: list[str] = []
     for seed in (1, 2):
         problems += sweep(seed, 30, ["lost"], range(1, TOTAL + 1, 2)).problems
     assert any(words in one for one in problems)
 
 
+def test_a_recovery_that_forgets_open_messages_is_caught(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(recover, "_open", lambda *_: None)
+    problems = sweep(1, 30, ["lost"], range(1, TOTAL + 1, 4)).problems
+    assert any("was accepted and never had an answer" in one for one in problems)
+
+
+def test_receipts_that_are_never_confirmed_are_brought_again_and_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+    """And a recovery that owes nothing leaves those who wait without their answer."""
+    monkeypatch.setattr(crash, "CONFIRMED", 0.0)
+    assert not sweep(SEED, COUNT, ["lost"], range(1, TOTAL + 1, 17)).problems
+    monkeypatch.setattr(crash.Run, "_owing", lambda *_: lambda answer: None)
+    assert any("accepted" in one for one in sweep(SEED, COUNT, ["lost"], range(1, TOTAL + 1, 17)).problems)
+
+
 def test_a_disk_that_only_says_it_synced_is_caught() -> None:
     def lie(keeper: store.JournalStore) -> None:
         keeper.writer.storage.skip_sync = True  # type: ignore[attr-defined]
