--- a/brassweir/as2/carrier.py
+++ b/brassweir/as2/carrier.py
@@ -63,7 +63,7 @@
         expected = endings.Expected(ident, built.mic, built.micalg, partner.signed_receipt, attempt.repeat)
         headers = self._headers(partner, payload, ident, built, self.book.receipt_url)
         last = until + self.linger / 1000.0
-        call = loop.create_task(self.pools.of(url).post(headers, built.body, last, until))
+        call = loop.create_task(self.pools.of(url).post(headers, built.body, last, until, attempt.going.go))
         try:
             if waiting is None:
                 done(await self._read(call, expected, partner))
--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -116,6 +116,8 @@
               help="KIND FIRST LAST START END: receivers hang, error, close or have lost answers.")
 @click.option("--replace", "lists", multiple=True, type=(float, float),
               help="SECOND SHARE: a list that replaces that share of the idle ones.")
+@click.option("--shortage", "shortages", multiple=True, type=(float, int, float),
+              help="SECOND LEFT SECONDS: the system gives the sender no more than LEFT further descriptors.")
 @click.option("--connections", default=4000, show_default=True, type=click.IntRange(1, 100_000))
 @click.option("--journal", is_flag=True, help="The sender keeps its journal; else nothing is kept.")
 @click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1.0, 600.0))
@@ -124,7 +126,7 @@
 def idle_command(destinations: int, busy: int, rate: float, wakes: float,
                  waves: tuple[tuple[float, int, float], ...],
                  strikes: tuple[tuple[str, int, int, float, float], ...],
-                 lists: tuple[tuple[float, float], ...],
+                 lists: tuple[tuple[float, float], ...], shortages: tuple[tuple[float, int, float], ...],
                  connections: int, journal: bool, seconds: float, seed: int, as_json: bool) -> None:
     """Very many idle webhook destinations beside a few busy ones: their cost and first message's latency.
 
@@ -132,7 +134,7 @@
     """
     mix = Mix(seconds, rate, busy, destinations, wakes, waves=waves)
     plan = Plan(mix, seed, connections=connections, strikes=[Strike(*one) for one in strikes],
-                lists=list(lists), journaled=journal)
+                lists=list(lists), shortages=list(shortages), journaled=journal)
     with tempfile.TemporaryDirectory(prefix="brassweir-") as temporary:
         try:
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -12,6 +12,7 @@
 
 from brassweir import interface as api
 from brassweir.control import Sender
+from brassweir.core import recall
 from brassweir.core.ledger import Ledger, Record, Taken, Waiter
 from brassweir.core.ports import (
     Answer,
@@ -77,6 +78,9 @@
         self.ledger = Ledger({cls.name: cls for cls in settings.classes}, remember, most)
         self.endpoints: dict[str, api.EndpointInfo] = {}
         self.facts: list[api.Event] = []
+        self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
+        # Attempts given to a carrier that may not have begun, by destination, each with its ending.
+        self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
         self.turning = False
         self.stopping = False
         self.traced: Callable[[float, list[api.Event], list[api.Action]], None] | None = None
@@ -143,6 +147,9 @@
         """Pass on news of the endpoint list."""
         for info in news.entries:
             self.endpoints[info.name] = info
+        homes = {info.destination for info in news.entries if info.state is not api.State.READY}
+        for home in homes & self.waiting.keys():
+            self._recall(recall.news(news.entries, self._unbegun(home)), recall.TOLD_OFF)
         self._fact(news)
 
     def _fact(self, event: api.Event) -> None:
@@ -193,6 +200,12 @@
         started = self.clock.now()
 
         def done(outcome: Outcome) -> None:
+            line = self.waiting.get(info.destination)
+            if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
+                del self.waiting[info.destination]
+            if outcome.wait > 0.0 and info.destination in self.waiting:
+                self._recall(recall.waits(attempt, outcome, self._unbegun(info.destination), self.apart),
+                             recall.TOLD_TO_WAIT)
             self._ended(attempt, started, outcome)
 
         def over() -> None:
@@ -202,6 +215,7 @@
             self.watcher.sent(attempt)
             # Kept here and not by the carrier: one that hangs must not hold an answer back.
             self.clock.call_at(attempt.abandon_at, over)
+            self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
             self.carrier_for(info).start(attempt, done)
 
         def unable(why: str) -> None:
@@ -209,6 +223,15 @@
 
         self.store.keep(Fact.INTENT, action.id, attempt, go, unable)
 
+    def _unbegun(self, destination: int) -> list[Attempt]:
+        return [attempt for attempt, _ in self.waiting[destination].values() if not attempt.going.begun]
+
+    def _recall(self, attempts: list[Attempt], why: str) -> None:
+        for attempt in attempts:
+            if attempt.going.recall():
+                _, done = self.waiting[attempt.endpoint.destination][attempt.id, attempt.number]
+                done(Outcome(api.Result.MOOT, why))
+
     def _ended(self, attempt: Attempt, started: float, outcome: Outcome) -> None:
         record = self.ledger.by_id.get(attempt.id)
         if record is not None and not self.ledger.outcome(attempt.id, attempt.number, outcome):
@@ -238,8 +261,8 @@
         It is recorded. If it says that the message was delivered after all, and no answer was given yet, that
         is the answer: another attempt could only do the work twice.
         """
-        if outcome.result is api.Result.TIMEOUT:
-            return  # the two clocks of one time-out
+        if outcome.result is api.Result.TIMEOUT or attempt.going.recalled:
+            return  # the two clocks of one time-out; or what a carrier makes of having been called back
         self.watcher.late(record, attempt.number, outcome)
         if outcome.result is api.Result.OK and not outcome.rejected and record.answer is None:
             self._finish(record, FinalAnswer(Answer.DELIVERED, "the receipt came late"))
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -61,9 +61,32 @@
     ran_ago: float | None = None  # ms since an attempt of an earlier hand-in may first have run
 
 
+class Going:
+    """Has an attempt's first byte gone out, or was it called back before? One of the two, never both."""
+
+    __slots__ = ("begun", "recalled")
+
+    def __init__(self) -> None:
+        self.begun = self.recalled = False
+
+    def go(self) -> bool:
+        """The carrier is about to write the first byte; false if it must not any more."""
+        self.begun = not self.recalled
+        return self.begun
+
+    def recall(self) -> bool:
+        """Call it back; false if it is under way."""
+        self.recalled = not self.begun
+        return self.recalled
+
+
 @dataclass(frozen=True, slots=True)
 class Attempt:
-    """One call that a carrier is to make; it must be over by ``abandon_at`` (engine clock, ms)."""
+    """One call that a carrier is to make; it must be over by ``abandon_at`` (engine clock, ms).
+
+    The carrier asks ``going.go()`` right before the first byte, and writes nothing where that is false: the
+    engine has then ended the attempt by itself.
+    """
 
     id: int
     number: int
@@ -71,6 +94,7 @@
     endpoint: EndpointInfo
     abandon_at: float
     repeat: bool  # an earlier attempt at this message may have run
+    going: Going = field(default_factory=Going, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/forward/carrier.py
+++ b/brassweir/forward/carrier.py
@@ -85,7 +85,7 @@
 
     async def _call(self, calls: list[tuple[Attempt, Done]], each: list[Done]) -> None:
         url = self.urls.url(calls[0][0].endpoint.name)
-        ready: list[tuple[str, bytes, float, Done]] = []
+        ready: list[tuple[Attempt, str, bytes, Done]] = []
         for (attempt, _), done in zip(calls, each, strict=True):
             given = attempt.submission
             if url is None or not isinstance(given.payload, Payload):
@@ -103,17 +103,17 @@
             except ForwardError as error:
                 done(Outcome(Result.NO_CONNECTION, f"cannot be built: {error}"))
                 continue
-            ready.append((chunk, data, (attempt.abandon_at + self.linger) / 1000.0, done))
+            ready.append((attempt, chunk, data, done))
         if not ready or url is None:
             return
         links = self.pools.links(url, self._make)
-        last = max(until for _, _, until, _ in ready)
+        last = (max(attempt.abandon_at for attempt, _, _, _ in ready) + self.linger) / 1000.0
         begin = min(attempt.abandon_at for attempt, _ in calls) / 1000.0
         try:
             async with links.link(last, begin) as link:
                 assert isinstance(link, ForwardLink)
                 try:
-                    out = [self._send(link, chunk, data, until, done) for chunk, data, until, done in ready]
+                    out = [self._send(link, *one) for one in ready]
                     await asyncio.gather(*out)
                 finally:
                     link.ended()
@@ -124,9 +124,11 @@
     def _make(self, address: Address, house: Pools) -> Links:
         return ForwardLinks(address, house, self.credentials)
 
-    @staticmethod
-    async def _send(link: ForwardLink, chunk: str, data: bytes, until: float, done: Done) -> None:
+    async def _send(self, link: ForwardLink, attempt: Attempt, chunk: str, data: bytes, done: Done) -> None:
         """One chunk of a call, to its own ending."""
+        until = (attempt.abandon_at + self.linger) / 1000.0
+        if not attempt.going.go():
+            return  # called back: the engine has ended it
         try:
             waiting = link.send(chunk, data)
         except CallFailed as failed:
--- a/brassweir/lab/crash.py
+++ b/brassweir/lab/crash.py
@@ -63,6 +63,8 @@
 
     def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
         """One call."""
+        if not attempt.going.go():
+            return
         world, now = self.world, self.clock.now()
         name = attempt.submission.identity
         cls = BY_NAME[attempt.submission.class_name]
--- a/brassweir/lab/idle.py
+++ b/brassweir/lab/idle.py
@@ -6,6 +6,7 @@
 import base64
 import gc
 import json
+import os
 import re
 import resource
 import time
@@ -78,6 +79,7 @@
     strikes: list[hooks.Strike] = field(default_factory=list)
     journaled: bool = False
     lists: list[tuple[float, float]] = field(default_factory=list)  # second, share of the idle replaced
+    shortages: list[tuple[float, int, float]] = field(default_factory=list)  # second, how many left, seconds
 
 
 def rss() -> int:
@@ -139,6 +141,7 @@
     answers: Counter[str] = field(default_factory=Counter)
     stalls: Latency = field(default_factory=Latency)
     tape: Tape = field(default_factory=Tape)
+    short: int = 0  # times that the system refused a descriptor
 
 
 async def play(plan: Plan, folder: Path) -> dict[str, Any]:
@@ -165,6 +168,14 @@
     gc.collect()
     loaded = rss()
     seen = Seen()
+    right = sender.pools.short
+
+    def short() -> None:
+        seen.short += 1
+        right()
+
+    sender.pools.short = short  # type: ignore[method-assign]
+
     arrivals = draw(plan.mix, plan.seed)
     plain = Pool(Address.of(f"http://127.0.0.1:{port}/begin"), Limits(), 1, 1000.0, 1000.0)
     await plain.post(Headers(), b"", loop.time() + 5.0)
@@ -172,6 +183,7 @@
     seen.tape.add(Published(time.time(), {f"hook-{i}-a": "ready" for i in range(total)}))
     swaps = [loop.create_task(_swap(at, folder, plan, port, int(share * plan.mix.idle), seen.tape))
              for at, share in plan.lists]
+    swaps += [loop.create_task(_shortage(*one, seen)) for one in plan.shortages]
     used = time.process_time()
     await _offer(sender, arrivals, seen, loop)
     spent = time.process_time() - used
@@ -189,6 +201,7 @@
         "list_seconds": round(list_took, 3),
         "bytes_per_destination": round((loaded - before) / total),
         "cpu_ms_per_message": round(spent / len(arrivals.at) * 1000, 3),
+        "descriptor_shortages_met": seen.short,
         "connections": {"open": budget.open, "gave_way": budget.given_way, "budget": budget.most},
         **_judge(plan, seen, report),
     }
@@ -244,6 +257,23 @@
         await done
 
 
+async def _shortage(at: float, left: int, span: float, seen: Seen) -> None:
+    """For a time the system gives this process no more than so many descriptors beyond those open now."""
+    await asyncio.sleep(at)
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    # The limit is on numbers, and the lowest free one is given: so many free ones are to lie below it.
+    taken = {int(name) for name in os.listdir("/proc/self/fd")}
+    limit = free = 0
+    while free < left:
+        free += limit not in taken
+        limit += 1
+    resource.setrlimit(resource.RLIMIT_NOFILE, (min(soft, limit), hard))
+    try:
+        await asyncio.sleep(span)
+    finally:
+        resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+
+
 async def _stalls(seen: Seen) -> None:
     loop = asyncio.get_running_loop()
     while True:
--- a/brassweir/lab/stage.py
+++ b/brassweir/lab/stage.py
@@ -198,12 +198,18 @@
             stage.clock.call_at(stage.clock.now() + way, heard)
 
         def go() -> None:
-            if clock.now() >= begin and setup:
-                links.back(clock.now(), True)
+            late = clock.now() >= begin and bool(setup)
+            going = [not late and attempt.going.go() for attempt, _ in calls]
+            if late:
                 self._tell(calls, [Outcome(Result.NO_CONNECTION, "its time was over")] * len(calls))
-            else:
-                # What is on the wire arrives, whatever becomes of its sender.
-                stage.clock.call_at(clock.now() + way, arrive)
+            if not any(going):
+                links.back(clock.now(), True)
+                return
+            # Those called back meanwhile are not among them; what is on the wire arrives, whatever becomes
+            # of its sender.
+            parcels[:] = [parcel for parcel, still in zip(parcels, going, strict=True) if still]
+            calls[:] = [call for call, still in zip(calls, going, strict=True) if still]
+            stage.clock.call_at(clock.now() + way, arrive)
 
         if setup:
             clock.call_at(clock.now() + setup, go)
@@ -230,6 +236,7 @@
         self.clock = Alive(stage.clock)
         self.cut: list[Callable[[], None]] = []  # clients' connections: who is to learn that they broke
         self.stale_until = -1.0
+        self.down = True
         self.recorder: Recorder | None = None
 
     def start(self) -> None:
@@ -237,6 +244,7 @@
         stage = self.stage
         clock = self.clock = Alive(stage.clock)
         self.lives += 1
+        self.down = False
         carrier = SimCarrier(self, clock)
         self.store = None
         found = None
@@ -292,6 +300,7 @@
     def end(self) -> None:
         """The process is gone, whatever it was doing."""
         self.clock.alive = False
+        self.down = True
         self.engine = None
         if self.storage is not None:
             self.storage = self.storage.after(
@@ -435,8 +444,9 @@
             call_at(strike.end, lambda: self._publish(names, api.State.READY))
 
     def _kill(self, sender: SimSender) -> None:
-        sender.end()
-        self.clock.call_at(self.clock.now() + DOWN, sender.start)
+        if not sender.down:  # one that is dead already cannot be killed
+            sender.end()
+            self.clock.call_at(self.clock.now() + DOWN, sender.start)
 
     def _publish(self, names: list[str], state: api.State) -> None:
         for name in names:
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import httptools
@@ -30,10 +31,11 @@
         """An HTTP connection."""
         return _Connection(self, loop)
 
-    async def post(self, headers: Headers, body: bytes, deadline: float, begin: float | None = None) -> Reply:
-        """Make one call, begun by ``begin`` and over by ``deadline`` (loop time, seconds). Raises
-        CallFailed."""
-        async with self.link(deadline, begin) as connection:
+    async def post(self, headers: Headers, body: bytes, deadline: float, begin: float | None = None,
+                   go: Callable[[], bool] = lambda: True) -> Reply:
+        """Make one call, begun by ``begin`` if ``go`` still says so, and over by ``deadline`` (loop time,
+        seconds). Raises CallFailed."""
+        async with self.link(deadline, begin, go) as connection:
             assert isinstance(connection, _Connection)
             return await connection.call(self._head(headers, len(body)) + body, deadline)
 
--- a/brassweir/net/links.py
+++ b/brassweir/net/links.py
@@ -9,7 +9,7 @@
 import asyncio
 import errno
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from enum import Enum
@@ -166,11 +166,13 @@
         self.cost = 1.0  # ms that setting up a connection took lately
 
     @asynccontextmanager
-    async def link(self, deadline: float, begin: float | None = None) -> AsyncIterator[Link]:
+    async def link(self, deadline: float, begin: float | None = None,
+                   go: Callable[[], bool] = lambda: True) -> AsyncIterator[Link]:
         """A connection for one call, which is over by ``deadline`` (loop time, seconds). Raises CallFailed.
 
-        Past ``begin`` no connection is given: a call whose caller has given it up must not go out all the
-        same. Nothing is repeated here: whether a call may go again is not this layer's to say.
+        Past ``begin``, or where ``go`` says no, none is given: a call whose caller has given it up, or called
+        it back while it waited here, must not go out all the same. Nothing is repeated here: whether a call
+        may go again is not this layer's to say.
         """
         loop = asyncio.get_running_loop()
         self.calls += 1
@@ -182,6 +184,8 @@
             try:
                 if loop.time() >= first:
                     raise CallFailed(Stage.CONNECT, "its time was over before it could be written", late=True)
+                if not go():
+                    raise CallFailed(Stage.CONNECT, "called back before anything was written")
                 yield connection
             finally:
                 self.house.idle(self)
--- a/brassweir/webhook/carrier.py
+++ b/brassweir/webhook/carrier.py
@@ -38,7 +38,7 @@
                           *codec.headers(ident, int(time.time()), payload, self.keys)])
         begin, until = attempt.abandon_at / 1000.0, (attempt.abandon_at + self.linger) / 1000.0
         try:
-            reply = await self.pools.of(url).post(fields, payload.content, until, begin)
+            reply = await self.pools.of(url).post(fields, payload.content, until, begin, attempt.going.go)
         except CallFailed as failed:
             done(no_answer(failed.stage is not Stage.CONNECT, True, failed.late, failed.reason))
         else:
