--- a/brassweir/cli/journal.py
+++ b/brassweir/cli/journal.py
@@ -132,7 +132,7 @@
         import pyarrow as pa
         import pyarrow.parquet as pq
     except ImportError:
-        raise click.ClickException("Parquet needs the extra: pip install 'brassweir[parquet]'") from None
+        raise click.ClickException("Parquet needs the extra: pip install 'brassweir[analysis]'") from None
     found = _scan(folder)
     types = {"int64": pa.int64(), "int32": pa.int32(), "string": pa.string(), "bool": pa.bool_(),
              "timestamp": pa.timestamp("ms", tz="UTC"), "list": pa.list_(pa.string())}
--- a/brassweir/cli/model.py
+++ b/brassweir/cli/model.py
@@ -68,14 +68,27 @@
     type=(str, click.Path(path_type=Path, dir_okay=False)),
     help="SENDER FILE: write down that sender's decisions, for retrace.",
 )
+@click.option("--report", "page", type=click.Path(path_type=Path, dir_okay=False), help="Write an HTML page.")
+@click.option("--bound", "bounded", is_flag=True, help="Also tell the best that could be done.")
 @_json
-def sim_command(day: Path, seed: int, traced: tuple[str, Path] | None, as_json: bool) -> None:
+def sim_command(
+    day: Path, seed: int, traced: tuple[str, Path] | None, page: Path | None, bounded: bool, as_json: bool
+) -> None:
     """Play DAY (its JSON, or a deployment's YAML to draw from) on simulated time; the six rules are judged.
 
     Exits with 1 if a rule was broken.
     """
     run = runs.play(_day(day, seed), traced)
     tree = runs.summary(run)
+    try:
+        if bounded:
+            tree |= _bounded(run)
+        if page is not None:
+            from brassweir.lab.report import run_page
+
+            page.write_text(run_page(run), encoding="utf-8")
+    except ImportError as error:
+        raise click.ClickException(f"{error.name} is needed: pip install 'brassweir[analysis]'") from None
     if as_json:
         click.echo(json.dumps(tree))
     else:
@@ -85,6 +98,16 @@
     sys.exit(0 if run.verdict.clean else 1)
 
 
+def _bounded(run: runs.Run) -> dict[str, Any]:
+    """The best that could be done, as a share of all worth, and the run's worth as a share of that."""
+    from brassweir.lab.models.bound import best
+
+    counted = [row for row in run.rows if row["at_ms"] >= run.day.warm]
+    full, most = sum(row["full_worth"] for row in counted), best(run.day)
+    got = sum(row["worth"] for row in counted)
+    return {"bound": round(most / full, 6), "share_of_bound": round(got / most, 6)} if most else {}
+
+
 @click.command("experiment")
 @click.argument("file", type=_path)
 @click.option(
--- a/brassweir/lab/experiment.py
+++ b/brassweir/lab/experiment.py
@@ -240,6 +240,9 @@
             import pyarrow.parquet as pq
         except ImportError:
             return
+        from brassweir.lab.report import experiment_page
+
+        (self.folder / "report.html").write_text(experiment_page(outcome, rows), encoding="utf-8")
         pq.write_table(pa.Table.from_pylist(rows), self.folder / "runs.parquet", compression="zstd")
 
 
--- a/tests/lab/models/test_models.py
+++ b/tests/lab/models/test_models.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import msgspec
+import numpy as np
 import pytest
 from click.testing import CliRunner
 
@@ -245,3 +246,38 @@
     assert bad.exit_code == 1 and "missing required field" in bad.output
     model.write_text("name: x\n")
     assert "rate: is missing" in invoke(main, ["lab", "draw", str(model), str(day)]).output
+
+
+def test_the_bound_is_one_where_nothing_is_short_and_holds_for_every_run() -> None:
+    from brassweir.lab.models import bound
+
+    calm = msgspec.structs.replace(draw(small(), 2), strikes=[])
+    calm = msgspec.structs.replace(calm, homes=[msgspec.structs.replace(home, manner=replace(home.manner, workers=50, rate=0.0)) for home in calm.homes])
+    full = sum({one.name: one.weight for one in calm.classes}[order.class_name] for order in calm.orders if order.at >= calm.warm)
+    assert bound.best(calm) == pytest.approx(full)
+    dead = msgspec.structs.replace(calm, strikes=[Strike("crash", list(range(1, len(calm.homes) + 1)), 0.0, calm.end * 2)])
+    assert bound.best(dead) == pytest.approx(0.0)
+    for seed in (1, 2, 3):
+        run = runs.play(draw(small(), seed))
+        got = sum(row["worth"] for row in run.rows if row["at_ms"] >= run.day.warm)
+        assert got <= bound.best(run.day) * 1.02, "capacities are expectations: luck may be a little better"
+
+
+def test_the_bound_of_one_server_by_hand() -> None:
+    """Two a second for two seconds at a destination that serves one: late ones are worth what the curve says."""
+    from brassweir.lab.models import bound
+
+    cls = ClassPlan("c", "safe", 500.0, 1000.0, 0.0, False, 0.0, 1.0)
+    caps = np.full(12, 1.0)
+    assert bound._programme({("c", 0): 2}, {"c": cls}, caps) == pytest.approx(2.0), "the second is served a slot later, within the aim"
+    assert bound._programme({("c", 0): 5}, {"c": cls}, caps) == pytest.approx(3.0 + 0.5), "slots 0 to 2 in full, slot 3 at half"
+
+
+def test_pages_stand_alone(tmp_path: Path) -> None:
+    model, page = tmp_path / "m.yaml", tmp_path / "r.html"
+    model.write_text(SMALL)
+    done = CliRunner().invoke(main, ["lab", "sim", str(model), "--bound", "--report", str(page), "--json"])
+    tree = json.loads(done.output)
+    assert 0.0 < tree["share_of_bound"] <= 1.02
+    text = page.read_text()
+    assert text.count("data:image/png;base64,") == 4 and "http" not in text.replace("data:", "") and text.count('class="says"') == 4
