--- a/brassweir/cli/model.py
+++ b/brassweir/cli/model.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import subprocess
 import sys
+import tempfile
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import click
+import uvloop
 from rich.console import Console
 
 from brassweir.config.load import ConfigError, load
 from brassweir.lab import runs, trace
+from brassweir.lab.compare import compare
 from brassweir.lab.experiment import Experiment
 from brassweir.lab.models.day import Day, decode, draw, encode, summary
 from brassweir.lab.models.deployment import Deployment
@@ -226,4 +230,23 @@
     return tree
 
 
-COMMANDS = (draw_command, sim_command, experiment_command, search_command, retrace_command)
+@click.command("compare")
+@click.argument("day", type=_path)
+@_seed
+@click.option("--folder", type=click.Path(path_type=Path, file_okay=False), help="Keep keys and logs here.")
+@_json
+def compare_command(day: Path, seed: int, folder: Path | None, as_json: bool) -> None:
+    """Play DAY on simulated time and over real sockets, and say where the two disagree.
+
+    Takes a small day: each sender is a process, and stand-ins share one. Exits with 1 if they disagree.
+    """
+    if folder is not None and folder.exists() and any(folder.iterdir()):
+        raise click.ClickException(f"{folder} is not empty: each run makes keys and settings of its own")
+    with tempfile.TemporaryDirectory(prefix="brassweir-") as temporary:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            tree = runner.run(compare(_day(day, seed), folder or Path(temporary)))
+    click.echo(json.dumps(tree) if as_json else json.dumps(tree, indent=2))
+    sys.exit(0 if tree["agrees"] else 1)
+
+
+COMMANDS = (compare_command, draw_command, sim_command, experiment_command, search_command, retrace_command)
--- a/brassweir/lab/partner.py
+++ b/brassweir/lab/partner.py
@@ -134,7 +134,7 @@
         self.queued += 1
         try:
             async with self.slots:
-                span = slow * self.desk.service(0.0, self.rng.random(), now)
+                span = slow * self.desk.service(float(self.rng.normal()), self.rng.random(), now)
                 await asyncio.sleep(span)
                 payment = document["payment"]
                 self.effects[payment] = self.effects.get(payment, 0) + 1
