Regions: an unsafe or keyed message is taken by the region that owns it, by epochs without a link

Senders of two regions may not speak to each other, and a payment handed to both must take effect once. Head office grants places of messages (a hash of client and identity) for a time; a sender that cannot show that a message is its own refuses it before any effect, with where and when to come back. Moves begin after the old owner's lease, the longest deadline and the clocks' errors; messages that another region may have carried out are not taken. An epoch counts once it is on disk, and an older or contradicting one never.

--- a/brassweir/as2/front.py
+++ b/brassweir/as2/front.py
@@ -118,7 +118,7 @@
                 destination = self.book.number(receiver)
                 assert destination is not None  # the partnership was found under this name
                 submission = Submission(sender, f"{receiver}\n{ident}", mapped.class_name, destination,
-                                        mapped.left, mapped.key, payload=payload)
+                                        mapped.left, mapped.key, payload=payload, born=mapped.born)
                 answered: asyncio.Future[FinalAnswer] = asyncio.get_running_loop().create_future()
                 receipt = _Receipt(self, client, receiver, ident, asked, opened.mic, opened.micalg)
                 if asked.wanted and asked.delivery and client.receipt_url:
--- a/brassweir/as2/partnership.py
+++ b/brassweir/as2/partnership.py
@@ -36,6 +36,7 @@
     signed: bool = True
     encrypted: bool = True
     legacy: bool = False
+    dated: bool = False  # its Date is the message's own, and the same over repeats
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,6 +100,7 @@
     class_name: str
     key: str
     left: float
+    born: float | None = None  # its Date, in ms since 1970
 
 
 def mapped(client: Client, classes: Mapping[str, MessageClass], header: Callable[[str], str],
@@ -129,7 +131,10 @@
     left -= margin
     if left <= 0.0:
         raise As2Error(Modifier.UNEXPECTED, "no time is left to deliver it")
-    return Mapped(rule.class_name, f"{client.as2_id}\n{key}" if key else "", left)
+    # Many clients date each post anew: a Date tells when a message was made only where that is agreed.
+    made = _date(header("date")) if client.dated else None
+    return Mapped(rule.class_name, f"{client.as2_id}\n{key}" if key else "", left,
+                  made * 1000.0 if made is not None else None)
 
 
 def _date(text: str) -> float | None:
--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -17,6 +17,7 @@
 from brassweir.cli.kept import kept
 from brassweir.cli.keys import keys
 from brassweir.cli.lab import lab
+from brassweir.cli.regions import regions
 from brassweir.config.load import ConfigError
 from brassweir.journal.writer import Broken
 from brassweir.observe.logs import set_up
@@ -78,3 +79,4 @@
 main.add_command(kept)
 main.add_command(keys)
 main.add_command(lab)
+main.add_command(regions)
--- a/brassweir/config/model.py
+++ b/brassweir/config/model.py
@@ -182,6 +182,7 @@
     signed: bool = True
     encrypted: bool = True
     legacy: bool = Field(False, description="SHA-1 and 3DES are taken from it")
+    dated: bool = Field(False, description="its Date is the message's own, and the same over repeats")
 
 
 class PartnerModel(Strict):
@@ -273,6 +274,15 @@
         return self
 
 
+class RegionModel(Strict):
+    """Which region this sender is of, and how it learns what that region owns."""
+
+    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,40}$")
+    epochs: Path = Field(description="the file that head office publishes")
+    clock_error_ms: Ms = 500.0
+    asks_on_ms: MsOrNone = Field(3_600_000.0, description="for how long clients ask for an answer")
+
+
 class Config(Strict):
     """A whole settings file."""
 
@@ -283,6 +293,7 @@
     identity: IdentityModel | None = None
     clients: tuple[ClientModel, ...] = ()
     forward: ForwardModel | None = None
+    region: RegionModel | None = None
     partners: tuple[PartnerModel, ...] = ()
     endpoints: Path
 
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -83,6 +83,8 @@
         self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
         self.turning = False
         self.stopping = False
+        # Asked of each new message before anything is kept of it: a refusal, if it is not to be taken here.
+        self.admits: Callable[[Submission], FinalAnswer | None] = lambda _: None
         self.traced: Callable[[float, list[api.Event], list[api.Action]], None] | None = None
         self._turn_soon()  # the first turn lets the module set its first timer
 
@@ -107,6 +109,10 @@
             if self.stopping:
                 self._finish(record, FinalAnswer(Answer.REFUSED, "the sender is stopping"))
                 return how, record
+            refusal = self.admits(record.submission)
+            if refusal is not None:
+                self._finish(record, refusal)
+                return how, record
             taken = record.submission
             new = api.NewMessage(record.id, taken.class_name, taken.destination, taken.left, taken.key,
                                  taken.resent)
--- a/brassweir/core/ledger.py
+++ b/brassweir/core/ledger.py
@@ -91,7 +91,8 @@
         fresh = Submission(submission.owner, submission.identity, submission.class_name,
                            submission.destination, left, submission.key,
                            submission.resent or known is not None, submission.payload, submission.reply,
-                           now - known.ran if known is not None and known.ran is not None else None)
+                           now - known.ran if known is not None and known.ran is not None else None,
+                           submission.born)
         record = Record(self.last_id, fresh, now, waiters=[waiter], ran=known.ran if known else None)
         if known is not None:
             self._drop(known)
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -59,6 +59,7 @@
     payload: object = field(default=None, repr=False)
     reply: bytes = field(default=b"", repr=False)  # the front's note of how to bring a receipt owed
     ran_ago: float | None = None  # ms since an attempt of an earlier hand-in may first have run
+    born: float | None = None  # when its client made it (wall ms), where its protocol tells
 
 
 class Going:
--- a/brassweir/observe/metrics.py
+++ b/brassweir/observe/metrics.py
@@ -43,6 +43,8 @@
                                      registry=self.registry)
         self.forward_connections = Gauge("brassweir_forward_connections", "Sources' connections",
                                          registry=self.registry)
+        self.not_here = Counter("brassweir_not_here", "Messages refused by ownership, by why", ["why"],
+                                registry=self.registry)
         self.stall = Gauge("brassweir_loop_stall_seconds", "Longest delay of the loop since the last look",
                            registry=self.registry)
 
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -30,11 +30,13 @@
 from brassweir.net.house import Pools
 from brassweir.net.server import Request, Response, Server
 from brassweir.observe.metrics import Metrics
+from brassweir.regions.ownership import Assumed
 from brassweir.service.as2_side import As2Side
 from brassweir.service.descriptors import needed, plan, secure
 from brassweir.service.forward_side import ForwardSide, KeyFiles
 from brassweir.service.journaling import Journaling
 from brassweir.service.listfile import ListFile, read_list
+from brassweir.service.regionfile import RegionFile
 from brassweir.service.sides import Parts, Side
 from brassweir.service.watch import Observer
 from brassweir.service.webhook_side import WebhookSide
@@ -84,6 +86,14 @@
         self.engine = Engine(given, seed, self.clock, lambda info: self.carriers[info.kind],
                              store=self.journal.store if self.journal is not None else None,
                              watcher=self.observer, remember=sender.remember_ms, most=sender.remember_most)
+        self.region: RegionFile | None = None
+        if config.region is not None:
+            assumed = Assumed(config.region.clock_error_ms, max(cls.deadline for cls in given.classes),
+                              config.region.asks_on_ms)
+            self.region = RegionFile(config.region.name, base / config.region.epochs,
+                                     base / f"{sender.name}.epoch", assumed, classes, note,
+                                     lambda why: self.metrics.not_here.labels(why).inc())
+            self.engine.admits = self.region.admits
         for side in self.sides:
             side.open(self.engine)
         self.plain = Server(self._plain, bounds, self._complain)
@@ -137,6 +147,8 @@
     async def start(self) -> None:
         """Read the list, then listen. Raises ConfigError and OSError."""
         self.list.read()
+        if self.region is not None:
+            self.region.look()
         await self._recover()
         said: dict[str, object] = {}
         for side in self.sides:
@@ -151,6 +163,8 @@
         sys.setswitchinterval(SWITCH)
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self.list.watch()), loop.create_task(self._stalls())]
+        if self.region is not None:
+            self.tasks.append(loop.create_task(self.region.watch()))
         self.log.info("started", metrics_port=self.metrics_port, **said)
 
     async def _plain(self, request: Request) -> Response:
--- a/brassweir/service/wiring.py
+++ b/brassweir/service/wiring.py
@@ -95,7 +95,7 @@
         clients[one.as2_id] = Client(
             one.as2_id, tuple(cert for cert in found if cert is not None), frozenset(one.may_send_to),
             tuple(Rule(re.compile(rule.subject), rule.class_name) for rule in one.rules),
-            one.receipt_url or "", one.signed, one.encrypted, one.legacy)
+            one.receipt_url or "", one.signed, one.encrypted, one.legacy, one.dated)
     partners: dict[str, Partner] = {}
     for number, other in enumerate(config.partners, 1):
         field = f"partner {other.as2_id}: certificates"
--- /dev/null
+++ b/tests/service/test_regions.py
@@ -0,0 +1,144 @@
+"""Two senders of two regions that cannot speak to each other: one takes a message, the other says where to go."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+from click.testing import CliRunner
+
+from brassweir.cli.main import main
+from brassweir.config.load import ConfigError, load
+from brassweir.config.model import Config
+from brassweir.core.ports import Answer, FinalAnswer, Payload, Submission
+from brassweir.lab.local import Lines
+from brassweir.regions import planning
+from brassweir.regions.epochs import Epoch, parse
+from brassweir.regions.ownership import Assumed
+from brassweir.service.process import SenderProcess
+from brassweir.service.regionfile import RegionFile
+from tests.config.test_forward import GOOD, folder
+from tests.conftest import run
+
+ASSUMED = Assumed(500.0, 8_000.0, 3_600_000.0)
+
+
+def first(now: float | None = None) -> Epoch:
+    return planning.first({"east": "http://east/as2", "west": "http://west/as2"}, now or time.time() * 1000.0, 60_000.0)
+
+
+def sender(tmp_path: Path, region: str, epoch: Epoch | None) -> SenderProcess:
+    home = tmp_path / region
+    home.mkdir(exist_ok=True)
+    path = folder(home, GOOD + f"region: {{name: {region}, epochs: epochs.json}}\n")
+    if epoch is not None:
+        (home / "epochs.json").write_bytes(msgspec.json.encode(epoch))
+    return SenderProcess(load(path, Config), home, Lines())
+
+
+async def answered(process: SenderProcess, cls: str, identity: str) -> FinalAnswer | None:
+    """The answer at once, or None if the message was taken on."""
+    got: list[FinalAnswer] = []
+    number = process.list.numbers.number("c")
+    assert number is not None
+    process.engine.submit(Submission("client", identity, cls, number, 5000.0, payload=Payload("a/b", b"x")), got.append)
+    await asyncio.sleep(0.05)
+    return got[0] if got and "here" in got[0].reason else None
+
+
+def test_a_message_handed_to_both_regions_is_taken_in_one(tmp_path: Path) -> None:
+    async def work() -> None:
+        epoch = first()
+        both = [sender(tmp_path, name, epoch) for name in ("east", "west")]
+        for one in both:
+            await one.start()
+        for number in range(12):
+            found = [await answered(one, "order", f"m{number}") for one in both]
+            assert [answer is None for answer in found].count(True) == 1, "one takes it, one does not"
+            away = next(answer for answer in found if answer is not None)
+            assert away.answer is Answer.REFUSED and ("http://west/as2" in away.reason or "http://east/as2" in away.reason)
+            assert [await answered(one, "status", f"s{number}") for one in both] == [None, None], "safe ones go anywhere"
+        text = both[0].metrics.text().decode()
+        assert 'brassweir_not_here_total{why="elsewhere"}' in text
+        for one in both:
+            one.stop()
+
+    run(work())
+
+
+def test_without_a_word_from_head_office_nothing_unsafe_is_taken(tmp_path: Path) -> None:
+    async def work() -> None:
+        one = sender(tmp_path, "east", None)
+        await one.start()
+        refused = await answered(one, "order", "m1")
+        assert refused is not None and "nothing is known yet" in refused.reason and refused.retry_after > 0
+        assert await answered(one, "status", "s1") is None
+        (tmp_path / "east" / "epochs.json").write_bytes(msgspec.json.encode(first()))
+        await asyncio.sleep(0.6)
+        taken = [await answered(one, "order", f"m{number}") is None for number in range(2, 20)]
+        assert any(taken) and not all(taken)
+        one.stop()
+
+    run(work())
+
+
+def test_a_restart_never_takes_an_older_epoch(tmp_path: Path) -> None:
+    now = time.time() * 1000.0
+    old = first(now)
+    new = planning.drained(old, "east", now, 60_000.0, ASSUMED).epoch
+    path, state, notes = tmp_path / "epochs.json", tmp_path / "s.epoch", list[str]()
+
+    def made() -> RegionFile:
+        one = RegionFile("east", path, state, ASSUMED, {}, lambda event, _: notes.append(event))
+        one.look()
+        return one
+
+    path.write_bytes(msgspec.json.encode(new))
+    assert made().own.epoch == new
+    path.write_bytes(msgspec.json.encode(old))
+    again = made()
+    assert again.own.epoch == new and notes == ["epoch", "epoch_refused"]
+    again.look()
+    assert notes == ["epoch", "epoch_refused"], "complained of once"
+    state.write_bytes(state.read_bytes()[:-5])
+    with pytest.raises(ConfigError, match="put it back"):
+        made()
+
+
+def test_an_epoch_that_cannot_be_kept_does_not_count(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    path, notes = tmp_path / "epochs.json", list[str]()
+    path.write_bytes(msgspec.json.encode(first()))
+    one = RegionFile("east", path, tmp_path / "s.epoch", ASSUMED, {}, lambda event, _: notes.append(event))
+
+    def sick(_: int) -> None:
+        raise OSError(5, "Input/output error")
+
+    monkeypatch.setattr("os.fsync", sick)
+    one.look()
+    assert one.own.epoch is None and notes == ["epoch_refused"]
+    monkeypatch.undo()
+    one.look()
+    assert one.own.epoch is not None
+
+
+def test_head_office_s_commands(tmp_path: Path) -> None:
+    invoke, a, b, c = CliRunner().invoke, tmp_path / "1.json", tmp_path / "2.json", tmp_path / "3.json"
+    made = invoke(main, ["regions", "first", str(a), "--region", "east", "http://e", "--region", "west", "http://w", "--json"])
+    assert json.loads(made.output)["share_owned_now"] == {"east": 0.5, "west": 0.5}
+    assert "exists" in invoke(main, ["regions", "first", str(a), "--region", "east", "u"]).output
+    moved = json.loads(invoke(main, ["regions", "plan-move", str(a), str(b), "--low", "0", "--high", "0.25", "--to", "west", "--json"]).output)
+    assert moved["number"] == 2 and 60.0 < moved["pause_s"] < 125.0 and moved["nobody_s_now"] == 0.25
+    assert parse(b.read_bytes()).past[0].region == "east"
+    assert json.loads(invoke(main, ["regions", "renew", str(b), str(c), "--lease-s", "90", "--json"]).output)["number"] == 2
+    lost = invoke(main, ["regions", "drain-region", str(c), str(c), "east", "--lost"])
+    assert lost.exit_code == 1 and "may still send" in lost.output
+    done = invoke(main, ["regions", "drain-region", str(c), str(c), "east", "--lost", "--its-senders-are-stopped", "--its-journals-are-kept", "--json"])
+    assert done.exit_code == 0 and json.loads(done.output)["share_owned_now"]["east"] == 0.0
+    shown = json.loads(invoke(main, ["regions", "show", str(c), "--json"]).output)
+    assert {one["region"] for one in shown["grants"]} == {"west"}
+    c.write_text("{}")
+    assert "no epoch" in invoke(main, ["regions", "show", str(c)]).output
