--- a/brassweir/lab/search.py
+++ b/brassweir/lab/search.py
@@ -179,7 +179,7 @@
 
 
 class Kept(msgspec.Struct, frozen=True):
-    """A found day in few bytes: the deployment and seed it was drawn from, its strikes, and what it came to."""
+    """A found day in few bytes: what it was drawn from, its strikes, and what it came to."""
 
     deployment: str
     seed: int
