--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -13,6 +13,7 @@
 from brassweir import __version__
 from brassweir.cli.as2 import as2
 from brassweir.cli.destinations import destinations
+from brassweir.cli.importing import importing
 from brassweir.cli.journal import journal
 from brassweir.cli.kept import kept
 from brassweir.cli.keys import keys
@@ -75,6 +76,7 @@
 
 main.add_command(as2)
 main.add_command(destinations)
+main.add_command(importing)
 main.add_command(journal)
 main.add_command(kept)
 main.add_command(keys)
--- /dev/null
+++ b/brassweir/importers/__init__.py
@@ -0,0 +1,1 @@
+"""Readers of other programs' files, and what their facts mean here."""
