Regions: each works out its part of partners' limits from its epoch, and ramps when it comes back

A limit holds over both regions, which may not speak to each other.

A listed rate of 100 is told as 12.5 at first and ramps. The two-sender test no longer hangs on how fast it starts.

--- a/brassweir/service/listfile.py
+++ b/brassweir/service/listfile.py
@@ -9,6 +9,7 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 from pathlib import Path
 
 from brassweir import interface as api
@@ -37,6 +38,7 @@
         self.urls: dict[str, str] = {}
         self.intake = Intake()
         self.seen: object = None
+        self.scale: Callable[[], float] = lambda: 1.0  # the part of each listed rate that is ours
 
     def url(self, endpoint: str) -> str | None:
         """Where an endpoint is."""
@@ -69,7 +71,9 @@
                 await asyncio.sleep(0)  # one step a turn: all else goes on between
 
     def _take(self, found: Listed) -> None:
-        count = self.intake.take(found.infos)
+        scale = self.scale()
+        infos = [replace(info, rate=info.rate * scale) if info.rate else info for info in found.infos]
+        count = self.intake.take(infos)
         # Removed endpoints keep their address while an attempt that is out may need it: until the next list.
         gone = {name: self.urls[name] for name in self.urls.keys() & self.intake.told.keys()
                 if name not in found.urls}
@@ -77,6 +81,10 @@
         self.note("list_taken", {"path": str(self.path), "endpoints": len(found.infos), "to_tell": count,
                                  "first_off": len(self.intake.off)})
 
+    def again(self) -> None:
+        """Read the list again at the next look: what is made of it has changed."""
+        self.seen = None
+
     def _identity(self) -> object:
         try:
             stat = self.path.stat()
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -146,9 +146,11 @@
 
     async def start(self) -> None:
         """Read the list, then listen. Raises ConfigError and OSError."""
-        self.list.read()
         if self.region is not None:
             self.region.look()
+            self.region.part_changed()
+            self.list.scale = self.region.part
+        self.list.read()
         await self._recover()
         said: dict[str, object] = {}
         for side in self.sides:
@@ -164,7 +166,7 @@
         loop = asyncio.get_running_loop()
         self.tasks = [loop.create_task(self.list.watch()), loop.create_task(self._stalls())]
         if self.region is not None:
-            self.tasks.append(loop.create_task(self.region.watch()))
+            self.tasks.append(loop.create_task(self.region.watch(self.list.again)))
         self.log.info("started", metrics_port=self.metrics_port, **said)
 
     async def _plain(self, request: Request) -> Response:
--- a/brassweir/service/regionfile.py
+++ b/brassweir/service/regionfile.py
@@ -20,7 +20,9 @@
 from brassweir.interface import MessageClass
 from brassweir.regions.epochs import Epoch, EpochError, parse
 from brassweir.regions.ownership import Assumed, Ownership, Why
+from brassweir.regions.shares import Shares
 
+LEAST = 0.001  # of a limit: a rate of nothing would read as no limit
 LOOK = 0.25  # seconds between two looks at the file
 WORDS = {
     Why.ELSEWHERE: "not here: this message belongs to region {region}, {url}",
@@ -48,6 +50,18 @@
                               ) from None
         self.own = Ownership(region, assumed, known)
         self.complained = ""
+        self.shares = Shares(region, assumed)
+
+    def part(self) -> float:
+        """The part of every partner's limit that this region may use now."""
+        return self.shares.told
+
+    def part_changed(self) -> bool:
+        """Is that part to be told anew? The least part keeps a told limit told: none would mean no limit."""
+        wall = time.time() * 1000.0
+        changed = self.shares.changed(self.own.epoch, wall, time.monotonic() * 1000.0, self.own.trusted(wall))
+        self.shares.told = max(LEAST, self.shares.told)
+        return changed
 
     def look(self) -> None:
         """Read the file once."""
@@ -81,11 +95,13 @@
         finally:
             os.close(folder)
 
-    async def watch(self) -> None:
-        """Look again and again, for ever."""
+    async def watch(self, part_changed: Callable[[], None] = lambda: None) -> None:
+        """Look again and again, for ever; ``part_changed`` is called when limits are to be told anew."""
         while True:
             await asyncio.sleep(LOOK)
             self.look()
+            if self.part_changed():
+                part_changed()
 
     def admits(self, given: Submission) -> FinalAnswer | None:
         """The refusal of a message that is not to be taken here, with where and when to come back; else
--- a/tests/service/test_regions.py
+++ b/tests/service/test_regions.py
@@ -28,7 +28,7 @@
 
 
 def first(now: float | None = None) -> Epoch:
-    return planning.first({"east": "http://east/as2", "west": "http://west/as2"}, now or time.time() * 1000.0, 60_000.0)
+    return planning.first({"east": "http://east/as2", "west": "http://west/as2"}, now or time.time() * 1000.0 - 5_000.0, 60_000.0)
 
 
 def sender(tmp_path: Path, region: str, epoch: Epoch | None) -> SenderProcess:
@@ -47,7 +47,7 @@
     assert number is not None
     process.engine.submit(Submission("client", identity, cls, number, 5000.0, payload=Payload("a/b", b"x")), got.append)
     await asyncio.sleep(0.05)
-    return got[0] if got and "here" in got[0].reason else None
+    return got[0] if got and got[0].reason.startswith(("not here", "not yet")) else None
 
 
 def test_a_message_handed_to_both_regions_is_taken_in_one(tmp_path: Path) -> None:
@@ -142,3 +142,21 @@
     assert {one["region"] for one in shown["grants"]} == {"west"}
     c.write_text("{}")
     assert "no epoch" in invoke(main, ["regions", "show", str(c)]).output
+
+
+def test_a_listed_rate_is_shared_between_the_regions(tmp_path: Path) -> None:
+    async def work() -> None:
+        one = sender(tmp_path, "east", first())
+        listed = tmp_path / "east" / "endpoints.yaml"
+        listed.write_text(listed.read_text().replace("kind: collectors", "kind: collectors, rate: 100"))
+        await one.start()
+        rate = one.engine.endpoints["c-a"].rate
+        assert 10.0 < rate < 15.0, "a quarter of its half at first"
+        for _ in range(40):
+            await asyncio.sleep(0.1)
+            if one.engine.endpoints["c-a"].rate > rate:
+                break
+        assert rate < one.engine.endpoints["c-a"].rate < 50.0, "it ramps"
+        one.stop()
+
+    run(work())
