A port in use is named for the forward front as well

A sender without AS2 whose forward port was taken said that it could not listen on None or None: the message knew the AS2 and metrics addresses only. It names each address that the settings give.

Measured: the test starts a sender on a taken port; it ends with 1 and names that port. It failed before the change.

--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -47,8 +47,9 @@
         click.echo(f"journal: {error}; nothing was answered or sent that is not written down", err=True)
         sys.exit(4)
     except OSError as error:
-        raise click.ClickException(f"cannot listen on {config.sender.listen} or "
-                                   f"{config.sender.metrics}: {error.strerror or error}") from None
+        forward = config.forward.listen if config.forward is not None else None
+        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics)))
+        raise click.ClickException(f"cannot listen on {places}: {error.strerror or error}") from None
 
 
 @main.command("check")
--- a/tests/config/test_forward.py
+++ b/tests/config/test_forward.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 import os
+import socket
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
@@ -116,3 +119,13 @@
     path.unlink()
     assert files.keys("edge-1") == (b"a new key",)
     assert notes == ["key_changed", "key_unreadable", "key_unreadable"]
+
+
+def test_a_port_in_use_is_named(tmp_path: Path) -> None:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        port = taken.getsockname()[1]
+        path = folder(tmp_path, GOOD.replace("127.0.0.1:0", f"127.0.0.1:{port}"))
+        done = subprocess.run([sys.executable, "-m", "brassweir", "serve", str(path)], capture_output=True, text=True, timeout=30, check=False)
+    assert done.returncode == 1 and f"cannot listen on 127.0.0.1:{port}: " in done.stderr and "None" not in done.stderr
