The product serves as a real sender on the platform: RESP front, relay side, node command

Need: the operators' machines speak RESP2 from clients and plain HTTP to endpoints and the platform; so far the module's decisions were measured in simulated time only.

--- /dev/null
+++ b/brassweir/cli/node.py
@@ -0,0 +1,34 @@
+"""``brassweir node``: one sender on the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import click
+import uvloop
+
+from brassweir.journal.writer import Broken
+from brassweir.observe.lines import Lines
+from brassweir.relay.settings import NodeError
+from brassweir.service.journaling import Unusable
+from brassweir.service.node import run
+
+
+@click.command()
+def node() -> None:
+    """Run one sender on the platform, until SIGTERM; SIGHUP reads the configuration again.
+
+    RELAY_CONFIG names the configuration, RELAY_STATE the folder that lasts.
+    """
+    try:
+        with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+            runner.run(run(Lines()))
+    except (NodeError, Unusable) as error:
+        click.echo(f"brassweir node: {error}", err=True)
+        sys.exit(1)
+    except Broken as error:
+        click.echo(f"journal: {error}; nothing was answered or sent that is not written down", err=True)
+        sys.exit(4)
+    except OSError as error:
+        raise click.ClickException(f"cannot listen: {error.strerror or error}") from None
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -21,12 +21,16 @@
     Clock,
     Fact,
     FinalAnswer,
+    Handle,
     MemoryStore,
     Outcome,
     Store,
     Submission,
 )
 
+LATE = 5.0  # ms: a time-out that comes later than this shows that the loop stood still
+READ_FIRST = 2.0  # ms until it counts then: the sockets are read before that
+
 
 class Watcher:
     """Sees what passes; for logs and metrics. This one sees nothing. Must not raise."""
@@ -81,6 +85,7 @@
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
         # Attempts given to a carrier that may not have begun, by destination, each with its ending.
         self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
+        self.promises: dict[int, Callable[[], None]] = {}  # see :meth:`held`
         self.turning = False
         self.stopping = False
         # Asked of each new message before anything is kept of it: a refusal, if it is not to be taken here.
@@ -118,6 +123,8 @@
                                  taken.resent)
 
             def kept() -> None:
+                if record.answer is not None:
+                    return  # withdrawn before it was written down: the module is not to hear of it
                 record.kept = True
                 for keeper in record.keepers:
                     keeper()
@@ -178,9 +185,20 @@
         self.watcher.turn(len(events), len(actions), thread_time() - before)
         if self.traced is not None:
             self.traced(now, events, actions)
+        if self.promises:
+            self._promise(events, actions)
         for action in actions:
             self._carry_out(action)
 
+    def _promise(self, events: list[api.Event], actions: list[api.Action]) -> None:
+        """Before anything goes out: tell who waits for it that a message is held."""
+        ended = {one.id for one in actions if isinstance(one, api.Refuse | api.Fail)}
+        for event in events:
+            if isinstance(event, api.NewMessage):
+                promise = self.promises.pop(event.id, None)
+                if promise is not None and event.id not in ended:
+                    promise()
+
     def _carry_out(self, action: api.Action) -> None:
         if isinstance(action, api.Send):
             self._send(action)
@@ -204,8 +222,11 @@
         number = self.ledger.sent(action.id, action.endpoint, self.clock.now())
         attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat)
         started = self.clock.now()
+        limit: Handle | None = None
 
         def done(outcome: Outcome) -> None:
+            if limit is not None:
+                limit.cancel()
             line = self.waiting.get(info.destination)
             if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
                 del self.waiting[info.destination]
@@ -215,12 +236,25 @@
             self._ended(attempt, started, outcome)
 
         def over() -> None:
-            done(Outcome(api.Result.TIMEOUT, "no whole answer in time"))
+            nonlocal limit
+            now = self.clock.now()
+            if now > attempt.abandon_at + LATE:
+                # The loop stood still: an answer that came in time may lie in its socket. It is read first.
+                limit = self.clock.call_at(now + READ_FIRST, end)
+            else:
+                end()
+
+        def end() -> None:
+            if attempt.going.recall():  # not a byte was written, so nothing can have run
+                done(Outcome(api.Result.NO_CONNECTION, "no connection in time"))
+            else:
+                done(Outcome(api.Result.TIMEOUT, "no whole answer in time"))
 
         def go() -> None:
+            nonlocal limit
             self.watcher.sent(attempt)
             # Kept here and not by the carrier: one that hangs must not hold an answer back.
-            self.clock.call_at(attempt.abandon_at, over)
+            limit = self.clock.call_at(attempt.abandon_at, over)
             self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
             self.carrier_for(info).start(attempt, done)
 
@@ -251,7 +285,7 @@
         def tell() -> None:
             closed = True
             if record is not None:
-                if served and record.answer is None:
+                if (served or outcome.rejected) and record.answer is None:
                     answer = Answer.FAILED if outcome.rejected else Answer.DELIVERED
                     self._finish(record, FinalAnswer(answer, outcome.reason))
                 self.ledger.shed(record)
@@ -308,6 +342,18 @@
         else:
             record.keepers.append(keeper)
 
+    def held(self, record: Record, promise: Callable[[], None]) -> None:
+        """Call ``promise`` once a message just handed in is written down and the module holds it: before any
+        attempt goes out, and never if its first turn ends it."""
+        self.promises[record.id] = promise
+
+    def withdraw(self, record: Record) -> None:
+        """Nobody waits for a message any more, and nobody was told that it is taken on."""
+        self.promises.pop(record.id, None)
+        if record.answer is None:
+            self._fact(api.Withdrawn(record.id))
+            self._finish(record, self.ledger.closing(record))
+
     def close(self) -> int:
         """Answer everything still open with what can be promised, and return how many that were."""
         left: Iterable[Record] = self.ledger.open()
--- a/brassweir/core/ledger.py
+++ b/brassweir/core/ledger.py
@@ -99,6 +99,11 @@
         self.by_name[name] = self.by_id[record.id] = record
         return Taken.NEW, record
 
+    @property
+    def held(self) -> int:
+        """How many messages have no answer yet."""
+        return len(self.by_id) - len(self.ended)
+
     def reopens(self, record: Record, now: float) -> float:
         """For how long (ms) an ended message may be tried again; 0 if not.
 
--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -10,16 +10,15 @@
 
 from brassweir.journal.life import Life, Lives
 from brassweir.journal.records import Ended, Record
+from brassweir.journal.sizes import LEAST
 
-SEGMENT = 16 * 1024 * 1024  # bytes after which a segment is closed
 GARBAGE = 2.0  # x what a snapshot would hold: the journal is rewritten when it is larger
-LEAST = 4 * 1024 * 1024  # bytes under which rewriting is not worth it
 ANSWER = 200  # bytes that an ended message takes in a snapshot, about
 
 
-def due(size: int, live: int) -> bool:
+def due(size: int, live: int, least: int = LEAST) -> bool:
     """Is it time to rewrite a journal of ``size`` bytes of which about ``live`` matter?"""
-    return size > LEAST and size > GARBAGE * live
+    return size > least and size > GARBAGE * live
 
 
 def matters(life: Life, now: float, remember: float) -> bool:
--- a/brassweir/journal/storage.py
+++ b/brassweir/journal/storage.py
@@ -12,7 +12,6 @@
 from pathlib import Path
 from typing import Protocol
 
-RESERVE = 1 << 20  # bytes set aside, so that open messages still end on a full disk
 RESERVE_NAME = "reserve"
 LOCK_NAME = "lock"
 
@@ -53,11 +52,15 @@
 
 
 class Files:
-    """A directory. One process at a time may write it; ``write=False`` reads a live or damaged one."""
+    """A directory. One process at a time may write it; ``write=False`` reads a live or damaged one.
 
-    def __init__(self, folder: Path, write: bool = True) -> None:
+    ``synced=False`` leaves out fsync. What is written then outlives the process, also one killed outright, but
+    not the machine: it is for folders that are lost with their machine anyhow.
+    """
+
+    def __init__(self, folder: Path, write: bool = True, synced: bool = True) -> None:
         """Open it. Raises Locked, and OSError if it cannot be made or written."""
-        self.folder = folder
+        self.folder, self.synced = folder, synced
         self.open: dict[str, int] = {}
         self.lock = -1
         if not write:
@@ -101,6 +104,8 @@
 
     def sync(self, name: str) -> None:
         """fsync the file and the directory."""
+        if not self.synced:
+            return
         if name not in self.open:
             self.open[name] = os.open(self.folder / name, os.O_WRONLY | os.O_APPEND)
         os.fsync(self.open[name])
@@ -132,6 +137,8 @@
             os.close(descriptor)
 
     def _sync_folder(self) -> None:
+        if not self.synced:
+            return
         descriptor = os.open(self.folder, os.O_RDONLY)
         try:
             os.fsync(descriptor)
--- a/brassweir/journal/store.py
+++ b/brassweir/journal/store.py
@@ -14,7 +14,6 @@
 
 
 SLICE = 2000  # lives gone through in one turn of the loop: a millisecond or two
-LOOK = 1000.0  # ms between two looks at whether it is time to rewrite
 
 
 class Disk(Protocol):
@@ -121,7 +120,7 @@
     def _snapshot(self) -> None:
         """Rewrite the journal if it is time; looked at once a second."""
         now = self.wall()
-        if self.compacting or abs(now - self.looked) < LOOK:
+        if self.compacting or abs(now - self.looked) < self.writer.limits.look:
             return
         self.looked = now
         if self.writer.due():
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -14,7 +14,8 @@
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Record, Taken, Whole
 from brassweir.journal.scan import Scan, segment_name
-from brassweir.journal.storage import RESERVE, RESERVE_NAME, Storage
+from brassweir.journal.sizes import Sizes
+from brassweir.journal.storage import RESERVE_NAME, Storage
 
 CHUNK = 512  # records of a snapshot written at once
 NO_ROOM = frozenset({errno.ENOSPC, errno.EDQUOT})
@@ -39,8 +40,8 @@
 class Writer:
     """The end of one journal."""
 
-    def __init__(self, storage: Storage, found: Scan) -> None:
-        self.storage = storage
+    def __init__(self, storage: Storage, found: Scan, sizes: Sizes | None = None) -> None:
+        self.storage, self.limits = storage, sizes or Sizes()
         self.lives: Lives = found.lives
         self.sequence, self.segment = found.next_sequence, found.next_segment
         self.name = ""
@@ -99,7 +100,7 @@
         admits = group.admits
         if self.full:
             self._try_room()
-        if self.full:
+        if self.full or not self._fits(group):
             refused, admits = [unable for _, _, unable in admits], []
         try:
             self._write([*(record for record, _, _ in admits), *group.records])
@@ -115,10 +116,17 @@
                 self._write(group.records)
             except OSError as again:
                 raise Broken(f"write failed on a full disk: {again}") from again
-        if self.size >= compact.SEGMENT:
+        if self.size >= self.limits.segment:
             self._rotate()
         return refused
 
+    def _fits(self, group: Group) -> bool:
+        """Is there room for what a group takes on, where the folder has a bound?"""
+        if not self.limits.most or not group.admits:
+            return True
+        wanted = sum(len(one.content) + compact.ANSWER for one, _, _ in group.admits if isinstance(one, Taken))
+        return self.total + wanted <= self.limits.most
+
     def _write(self, records: list[Record]) -> None:
         if not records:
             return
@@ -156,7 +164,7 @@
     def _reserve(self) -> None:
         try:
             self.storage.create(RESERVE_NAME)
-            self.storage.append(RESERVE_NAME, b"\0" * RESERVE)
+            self.storage.append(RESERVE_NAME, b"\0" * self.limits.reserve)
             self.storage.sync(RESERVE_NAME)
             self.full = False
         except OSError as error:
@@ -175,10 +183,12 @@
 
     def due(self) -> bool:
         """Is it time for a snapshot?"""
+        if self.total <= self.limits.least:
+            return False
         lives = self.lives.by_id.values()
         live = sum(len(life.taken.content) if life.taken is not None and life.final is None else 0
                    for life in lives) + compact.ANSWER * len(lives)
-        return compact.due(self.total, live) and not self.full
+        return compact.due(self.total, live, self.limits.least) and not self.full
 
     def close_segment(self) -> int:
         """Begin a segment; what is added from now on stands behind a snapshot of all before. Returns the number
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -10,7 +11,7 @@
 
 from brassweir.net.headers import Headers
 from brassweir.net.links import Address, CallFailed, House, Link, Links, Stage
-from brassweir.net.parse import Feed, TooLarge
+from brassweir.net.parse import Feed, Incoming, TooLarge
 
 __all__ = ["Address", "CallFailed", "House", "Pool", "Reply", "Stage"]
 
@@ -24,8 +25,17 @@
     body: bytes
 
 
+SETTLED = 0.03  # seconds that the rest of an answer has, once its first line has settled the call
+
+
 class Pool(Links):
-    """Connections to one endpoint over HTTP."""
+    """Connections to one endpoint over HTTP.
+
+    ``settling`` holds the statuses whose line alone is the answer, for peers that say so: whatever follows
+    it, and however spoilt, the call ends with that status, and with such fields as came whole.
+    """
+
+    settling: frozenset[int] = frozenset()
 
     def make(self, loop: asyncio.AbstractEventLoop) -> Link:
         """An HTTP connection."""
@@ -56,6 +66,8 @@
         self.feed = Feed(pool.limits)
         self.feed.parser = httptools.HttpResponseParser(self.feed)
         self.answer: asyncio.Future[Reply] | None = None
+        self.settling = pool.settling
+        self.settler: asyncio.TimerHandle | None = None
 
     def eof_received(self) -> bool:
         """The peer sends no more: an answer without length ends here (RFC 9112, section 6.3, rule 8)."""
@@ -87,10 +99,15 @@
             raise
         finally:
             self.answer = None
+            if self.settler is not None:
+                self.settler.cancel()
+                self.settler = None
 
     def fail(self, error: CallFailed) -> None:
         """End the call in work, if there is one."""
         self.usable = False
+        if self.settling and self.settle():
+            return
         if self.answer is not None and not self.answer.done():
             self.answer.set_exception(error)
 
@@ -102,28 +119,51 @@
         try:
             self.feed.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.fail(CallFailed(Stage.GARBLED, f"answer is no HTTP: {error}"))
+            queue = self.passed_over()
+            if queue and queue[0].done:  # a whole answer, with noise behind it
+                self.usable = False
+                self.finish()
+            else:
+                self.fail(CallFailed(Stage.GARBLED, f"answer is no HTTP: {error}"))
             self.drop()
             return
         except TooLarge as error:
             self.fail(CallFailed(Stage.GARBLED, str(error)))
             self.drop()
             return
-        queue = self.feed.queue
+        queue = self.passed_over()
         if queue:
             self.stage = Stage.BODY if queue[0].head_done else Stage.HEAD
         if queue and queue[0].done:
             self.finish()
+        elif self.settling and self.settler is None and queue and queue[0].status in self.settling:
+            self.settler = self.loop.call_later(SETTLED, self._late)
+
+    def passed_over(self) -> deque[Incoming]:
+        """What has come, without whole interim answers (RFC 9110, section 15.2)."""
+        queue = self.feed.queue
+        while queue and queue[0].done and queue[0].status < 200:
+            queue.popleft()
+            self.stage = Stage.SENT
+        return queue
+
+    def _late(self) -> None:
+        """The first line settled it and the rest did not come: the connection is of no further use."""
+        if self.settle():
+            self.drop()
+
+    def settle(self) -> bool:
+        """End the call by what its status line alone says, if that is enough."""
+        queue = self.passed_over()
+        if self.answer is None or self.answer.done() or not queue or queue[0].status not in self.settling:
+            return False
+        self.usable = False
+        self.answer.set_result(Reply(queue[0].status, queue[0].headers, b""))
+        return True
 
     def finish(self) -> None:
         """Give the whole answer to the call."""
         incoming = self.feed.queue.popleft()
-        status = incoming.status
-        if status < 200:  # interim answers are passed over (RFC 9110, section 15.2)
-            self.stage = Stage.SENT
-            if self.feed.queue and self.feed.queue[0].done:
-                self.finish()
-            return
         self.usable = self.usable and incoming.keep and not self.feed.queue
         if self.answer is not None and not self.answer.done():
-            self.answer.set_result(Reply(status, incoming.headers, bytes(incoming.body)))
+            self.answer.set_result(Reply(incoming.status, incoming.headers, bytes(incoming.body)))
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -31,23 +31,25 @@
         self.rooms: deque[asyncio.Future[None]] = deque()  # wishes that found the budget spent
         self.turns: dict[int, asyncio.Future[None]] = {}  # tickets in the line for set-ups
 
-    def of(self, url: str) -> Pool:
-        """The pool of an endpoint over HTTP. Raises ValueError on a bad URL."""
-        pool = self.links(url, _http)
+    def of(self, url: str, name: str = "") -> Pool:
+        """The pool of an endpoint over HTTP; ``name`` keeps apart endpoints that follow each other at one
+        address. Raises ValueError on a bad URL."""
+        pool = self.links(url, _http, name)
         assert isinstance(pool, Pool)  # a URL's scheme says what is spoken there
         return pool
 
-    def links(self, url: str, make: Make) -> Links:
+    def links(self, url: str, make: Make, name: str = "") -> Links:
         """The pool of an endpoint, made by ``make`` if there is none. Raises ValueError on a bad URL."""
-        pool = self.pools.get(url)
+        key = f"{url} {name}" if name else url
+        pool = self.pools.get(key)
         if pool is None:
-            pool = self.pools[url] = make(Address.of(url), self)
-            self.urls[pool] = url
+            pool = self.pools[key] = make(Address.of(url), self)
+            self.urls[pool] = key
         return pool
 
-    def close_idle(self, url: str) -> int:
+    def close_idle(self, url: str, name: str = "") -> int:
         """Close the unused connections of an endpoint."""
-        pool = self.pools.get(url)
+        pool = self.pools.get(f"{url} {name}" if name else url)
         return pool.close_idle() if pool is not None else 0
 
     def close(self) -> None:
--- a/brassweir/net/links.py
+++ b/brassweir/net/links.py
@@ -108,6 +108,7 @@
         self.usable = False
         self.stage = Stage.SENT
         self.timer: asyncio.TimerHandle | None = None
+        self.stale_at = float("inf")  # loop time from which the peer may have closed it
 
     async def greet(self) -> None:
         """What must pass before a first call; part of the set-up. Raises CallFailed."""
@@ -210,7 +211,8 @@
         while True:
             while self.idle:
                 connection = self.idle.pop()  # the one used last: the peer closes it last
-                if connection.usable:
+                # By the clock and not only by the timer, which a loop that stood still fires late.
+                if connection.usable and loop.time() < connection.stale_at:
                     connection.set_timer(None)
                     return connection
                 connection.drop()
@@ -273,6 +275,7 @@
     def _give_back(self, connection: Link) -> None:
         if connection.usable:
             self.idle.append(connection)
+            connection.stale_at = connection.loop.time() + self.idle_time / 1000.0
             connection.set_timer(self.idle_time)
             self._wake()
         else:
--- a/brassweir/net/parse.py
+++ b/brassweir/net/parse.py
@@ -73,6 +73,10 @@
         """The first byte of a message."""
         self.queue.append(Incoming())
 
+    def on_status(self, _: bytes) -> None:
+        """The status line is there, whatever comes of the rest."""
+        self.queue[-1].status = int(self.parser.get_status_code())
+
     def on_url(self, url: bytes) -> None:
         """Part of the request target."""
         now = self.queue[-1]
--- /dev/null
+++ b/brassweir/relay/notices.py
@@ -0,0 +1,89 @@
+"""Tells the platform of ends that are no delivery: ``POST /status``, one JSON object a line.
+
+A notice is owed until it was answered; until then it stands in the journal too. Notices that come while one
+post is under way go together in the next.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import msgspec
+
+from brassweir.core.ports import Answer, FinalAnswer
+from brassweir.net.client import CallFailed, Pool
+from brassweir.net.headers import Headers
+from brassweir.net.house import Pools
+
+MOST = 200  # notices of one post: some 20 KB, under the platform's bound on bodies
+WITHIN = 1.0  # seconds for one post; the platform answers at once
+FIRST, LONGEST = 0.05, 0.5  # seconds between tries, doubled up to the longest
+
+Note = Callable[[str, dict[str, object]], None]
+
+
+class Notice(msgspec.Struct, omit_defaults=True):
+    """One end."""
+
+    ref: str
+    result: str
+    wait_ms: int = 0
+
+
+def notice(ref: str, answer: FinalAnswer) -> Notice:
+    """The platform's words for a final answer that is no delivery."""
+    if answer.answer is Answer.REFUSED:
+        return Notice(ref, "bounced", int(answer.retry_after))
+    return Notice(ref, "dead")
+
+
+class Notices:
+    """The line of notices owed. ``told`` is called with the message's number once the platform has one."""
+
+    def __init__(self, pools: Pools, discovery: str, told: Callable[[int], None], note: Note) -> None:
+        self.pools, self.told, self.note = pools, told, note
+        self.owed: deque[tuple[int, Notice]] = deque()
+        self.task: asyncio.Task[None] | None = None
+        self.sent = 0
+        self.move(discovery)
+
+    def move(self, discovery: str) -> None:
+        """From now on the platform listens elsewhere."""
+        self.url = f"http://{discovery}/status"
+
+    def owe(self, message: int, one: Notice) -> None:
+        """A message has ended."""
+        self.owed.append((message, one))
+        if self.task is None or self.task.done():
+            self.task = asyncio.get_running_loop().create_task(self._run())
+
+    async def _run(self) -> None:
+        wait = FIRST
+        while self.owed:
+            batch = [self.owed[i] for i in range(min(MOST, len(self.owed)))]
+            if await self._post(batch):
+                for _ in batch:
+                    self.owed.popleft()
+                for message, _ in batch:
+                    self.told(message)
+                self.sent += len(batch)
+                wait = FIRST
+            else:
+                await asyncio.sleep(wait)
+                wait = min(2.0 * wait, LONGEST)
+
+    async def _post(self, batch: list[tuple[int, Notice]]) -> bool:
+        body = b"\n".join(msgspec.json.encode(one) for _, one in batch) + b"\n"
+        until = asyncio.get_running_loop().time() + WITHIN
+        try:
+            pool: Pool = self.pools.of(self.url)
+            reply = await pool.post(Headers([("Content-Type", "application/json")]), body, until)
+        except CallFailed as failed:
+            self.note("notice_failed", {"error": str(failed), "owed": len(self.owed)})
+            return False
+        if reply.status == 400:
+            self.note("notice_unreadable", {"refs": [one.ref for _, one in batch][:5]})
+            return True  # it will not be read the next time either
+        return 200 <= reply.status < 300
--- /dev/null
+++ b/brassweir/relay/settings.py
@@ -0,0 +1,100 @@
+"""The platform's configuration, JSON, as a sender is given it. Pure.
+
+Settings have one reader, the adapter's: what comes nested here is laid out as the simulator lays it out.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from brassweir.adapter import Fields, WireError, read_settings
+from brassweir.interface import Settings, SettingsError
+from brassweir.relay.listing import Change, ListError, address, checked
+
+
+class NodeError(ValueError):
+    """The configuration cannot be used; says which field."""
+
+
+class Limits(msgspec.Struct):
+    """What the machine gives."""
+
+    cores: float = 1.0
+    memory_mb: float = 192.0
+    sockets: int = 1024
+    disk_mb: float = 3.0
+
+
+class _File(msgspec.Struct):
+    name: str
+    listen: str
+    discovery: str
+    seed: str
+    settings: dict[str, Any]
+    limits: Limits = msgspec.field(default_factory=Limits)
+    known: Change | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfig:
+    """All that one sender on the platform is told."""
+
+    name: str
+    listen: str
+    discovery: str
+    seed: int
+    limits: Limits
+    known: Change | None
+    settings: Settings
+
+
+def read(data: bytes) -> NodeConfig:
+    """Read the file. Raises NodeError."""
+    try:
+        given = msgspec.json.decode(data, type=_File)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise NodeError(str(error)) from None
+    for field, value in (("listen", given.listen), ("discovery", given.discovery)):
+        if not address(value):
+            raise NodeError(f"{field}: {value!r} is no address and port")
+    limits = given.limits
+    if limits.sockets < 32 or limits.disk_mb <= 0 or limits.memory_mb <= 0:
+        raise NodeError("limits: sockets, disk_mb or memory_mb is too small to work in")
+    try:
+        seed = int(given.seed, 16)
+    except ValueError:
+        raise NodeError(f"seed: {given.seed!r} is no hexadecimal number") from None
+    try:
+        known = checked(given.known) if given.known is not None else None
+        pairs = [f"{name}={value}" for name, value in flat(given.settings)]
+        settings = read_settings(Fields("settings", pairs))
+    except (ListError, WireError, SettingsError) as error:
+        raise NodeError(str(error)) from None
+    return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings)
+
+
+def flat(tree: dict[str, Any], at: str = "") -> Iterator[tuple[str, str]]:
+    """Nested values as the simulator's paths: lists of plain values joined, of objects counted."""
+    for name, value in tree.items():
+        path = f"{at}{name}"
+        if isinstance(value, dict):
+            yield from flat(value, path + ".")
+        elif isinstance(value, list) and any(isinstance(one, dict) for one in value):
+            yield f"{path}.count", str(len(value))
+            for i, one in enumerate(value):
+                if isinstance(one, dict):
+                    yield from flat(one, f"{path}.{i}.")
+        elif isinstance(value, list):
+            yield path, ",".join(_plain(one) for one in value)
+        elif value is not None:
+            yield path, _plain(value)
+
+
+def _plain(value: object) -> str:
+    if isinstance(value, bool):
+        return "true" if value else "false"
+    return str(value).replace(" ", "_")
--- /dev/null
+++ b/brassweir/resp/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's client protocol: RESP2 commands in, one answer each."""
--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -4,17 +4,17 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-from brassweir.config.load import ConfigError
-from brassweir.config.model import Config
 from brassweir.interface import MessageClass
 from brassweir.journal.frame import FormatError
 from brassweir.journal.recover import Plan, plan
 from brassweir.journal.scan import Scan, scan
+from brassweir.journal.sizes import Sizes
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.store import JournalStore
 from brassweir.journal.writer import Broken, Writer
@@ -59,42 +59,85 @@
         self.pool.shutdown(wait=True)
 
 
+class LoopDisk:
+    """Runs the journal's I/O in a turn of the loop of its own.
+
+    For folders that are not synced: a write is then a copy into the system's memory, and costs less than the
+    way to a thread and back. What comes in one turn is written at once.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self.loop = loop
+
+    def run(self, work: Callable[[], Any], done: Callable[[Any], None],
+            failed: Callable[[BaseException], None]) -> None:
+        """Run ``work`` in the next turn."""
+
+        def turn() -> None:
+            try:
+                result = work()
+            except Exception as error:
+                failed(error)
+            else:
+                done(result)
+
+        self.loop.call_soon(turn)
+
+    def close(self) -> None:
+        """Nothing is left over."""
+
+
+class Unusable(ValueError):
+    """The journal's folder cannot be used, with what an operator can do."""
+
+
+@dataclass(frozen=True, slots=True)
+class Keeping:
+    """Where a sender keeps its journal and what it has to know for that; times in ms."""
+
+    folder: Path
+    sender: str
+    classes: Mapping[str, MessageClass]
+    remember: float
+    order_pause: float
+    sizes: Sizes = field(default_factory=Sizes)
+    synced: bool = True  # see storage.Files
+
+
 class Journaling:
     """One process's journal."""
 
-    def __init__(self, config: Config, base: Path, classes: dict[str, MessageClass],
-                 name_of: Callable[[int], str], broken: Callable[[BaseException], None], note: Note) -> None:
-        """Open and read it. Raises ConfigError with what an operator can do."""
-        sender = config.sender
-        folder = base / (sender.journal or Path(f"{sender.name}.journal"))
-        self.classes, self.remember = classes, sender.remember_ms
-        self.order_pause, self.sender = sender.order_pause_ms, sender.name
+    def __init__(self, keeping: Keeping, name_of: Callable[[int], str],
+                 broken: Callable[[BaseException], None], note: Note) -> None:
+        """Open and read it. Raises Unusable."""
+        self.keeping, self.classes = keeping, keeping.classes
+        folder = keeping.folder
         try:
-            self.storage = Files(folder)
+            self.storage = Files(folder, synced=keeping.synced)
             self.found: Scan = scan(self.storage)
-            self.writer = Writer(self.storage, self.found)
+            self.writer = Writer(self.storage, self.found, keeping.sizes)
+            for name in self.found.stale:
+                self.storage.remove(name)
             self.writer.open()
         except Locked as error:
-            raise ConfigError([f"journal: {error}"]) from None
-        except FormatError as error:
-            raise ConfigError([f"journal: {folder}: {error}"]) from None
-        except (OSError, Broken) as error:
-            raise ConfigError([f"journal: {folder}: {error}"]) from None
+            raise Unusable(f"journal: {error}") from None
+        except (FormatError, OSError, Broken) as error:
+            raise Unusable(f"journal: {folder}: {error}") from None
         for problem in self.found.problems:
             note("journal_damage", {"where": problem})
-        for name in self.found.stale:
-            self.storage.remove(name)
-        self.disk = ThreadDisk(asyncio.get_running_loop())
-        self.store = JournalStore(self.writer, self.disk, classes, wall, name_of, broken, self.remember)
-        self.store.begin(sender.name)
+        loop = asyncio.get_running_loop()
+        self.disk: ThreadDisk | LoopDisk = ThreadDisk(loop) if keeping.synced else LoopDisk(loop)
+        self.store = JournalStore(self.writer, self.disk, keeping.classes, wall, name_of, broken,
+                                  keeping.remember)
+        self.store.begin(keeping.sender)
 
     def plan(self, known: Callable[[str], int | None]) -> Plan:
         """What to do with what was found; ``known`` tells which destinations there still are."""
         lives = self.found.lives
         gone = {life.taken.destination for life in lives.by_id.values()
                 if life.taken is not None and known(life.taken.destination) is None}
-        return plan(lives, self.found.holes, self.classes, wall(), self.remember, self.order_pause,
-                    sorted(gone))
+        return plan(lives, self.found.holes, self.classes, wall(), self.keeping.remember,
+                    self.keeping.order_pause, sorted(gone))
 
     def close(self) -> None:
         """Write what is left and let go of the directory."""
--- /dev/null
+++ b/brassweir/service/node.py
@@ -0,0 +1,229 @@
+"""One sender on the platform: engine, journal and links as in ``serve``, with the platform's protocol around.
+
+Nothing else is imported here: memory is small, and time spent starting is time not served.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import os
+import signal
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+from brassweir import interface as api
+from brassweir.core.clock import LoopClock
+from brassweir.core.engine import Engine
+from brassweir.core.ledger import Waiter
+from brassweir.core.ports import Answer, FinalAnswer, Submission
+from brassweir.destinations.budget import Budget
+from brassweir.destinations.setups import Setups
+from brassweir.journal import sizes
+from brassweir.journal.restart import carry_out
+from brassweir.journal.writer import Broken
+from brassweir.net.client import Pool
+from brassweir.net.house import Pools
+from brassweir.net.limits import Limits
+from brassweir.net.links import Address, Links
+from brassweir.relay.carrier import RelayCarrier
+from brassweir.relay.discovery import Discovery
+from brassweir.relay.listing import Change, Listing
+from brassweir.relay.notices import Notices, notice
+from brassweir.relay.settings import NodeConfig, NodeError, read
+from brassweir.resp.crowd import Crowd
+from brassweir.resp.front import Front
+from brassweir.service.journaling import Journaling, Keeping
+from brassweir.service.node_watch import Counting, belief, usage
+
+REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
+REMEMBER_MOST = 4000  # of them
+SERVES_ON = 3.3  # seconds after SIGTERM: the platform kills no sooner than 3.7 s after it
+ENDS_IN = 0.25  # seconds for what was read to be answered, before the process ends
+CLIENTS = 0.6  # share of the descriptors that clients may hold; the platform's own take a third at most
+KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
+IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
+SETUPS = 64  # connections being made at once
+BELIEF = 1.0  # seconds between two lines of what the sender believes
+COLLECT = (5_000, 10, 1000)  # as in ``serve``: what is no longer used goes without the collector
+ANSWERS = Limits(head=16_384, headers=64, body=65_536)  # of endpoints and of the platform
+
+
+class _RelayPool(Pool):
+    """On the platform a first line with 200 is true whatever follows it."""
+
+    settling = frozenset({200})
+
+
+class _RelayPools(Pools):
+    def of(self, url: str, name: str = "") -> Pool:
+        """The pool of an endpoint."""
+        pool = self.links(url, _relay_pool, name)
+        assert isinstance(pool, Pool)
+        return pool
+
+
+def _relay_pool(address: Address, house: Pools) -> Links:
+    return _RelayPool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
+
+
+class NodeProcess:
+    """A running sender. Made inside the loop that it will run on."""
+
+    def __init__(self, config: NodeConfig, state: Path, log: Any) -> None:
+        """Wire everything together. Raises Unusable if the journal cannot be opened."""
+        loop = asyncio.get_running_loop()
+        self.config, self.log, self.loop = config, log, loop
+        given = config.settings
+        classes = {cls.name: cls for cls in given.classes}
+        self.clock, self.counts, self.listing = LoopClock(loop), Counting(), Listing()
+        sockets = config.limits.sockets
+        calls = max(8, int(sockets * (1.0 - CLIENTS)) - KEPT_BACK)
+        self.pools = _RelayPools(ANSWERS, calls, IDLE * given.idle_close or 4000.0, given.connect_timeout,
+                                 Budget(calls), Setups(SETUPS))
+        self.carrier = RelayCarrier(self.listing, self.pools, self.clock, self.note)
+        self.broken: asyncio.Future[BaseException] = loop.create_future()
+        keeping = Keeping(state, config.name, classes, REMEMBER, given.order_pause,
+                          sizes.within(int(config.limits.disk_mb * 1024 * 1024)), synced=False)
+        self.journal = Journaling(keeping, str, self._broken, self.note)
+        self.engine = Engine(given, config.seed, self.clock, lambda _: self.carrier, store=self.journal.store,
+                             watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
+        self.notices = Notices(self.pools, config.discovery, self.journal.store.told, self.note)
+        self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
+        self.front = Front(self.engine, Crowd(int(sockets * CLIENTS)), self.listing.listed,
+                           lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
+        self.telling: asyncio.TimerHandle | None = None
+        self.worst = 0.0  # the loop's longest delay since the last line of beliefs, in ms
+
+    def note(self, event: str, details: Mapping[str, object]) -> None:
+        """Something worth a line."""
+        self.log.warning(event, **details)
+
+    def _broken(self, error: BaseException) -> None:
+        self.log.error("journal_broken", error=str(error))
+        if not self.broken.done():
+            self.broken.set_result(error)
+
+    def _change(self, change: Change) -> None:
+        news = self.listing.take(change)
+        if news.entries:
+            self.engine.news(news)
+            for info in news.entries:
+                if info.state is api.State.GONE:
+                    self.engine.endpoints.pop(info.name, None)
+
+    def _waiter(self, message: int, submission: Submission) -> Waiter:
+        """Who waits for the end of a message that was taken on: the platform, unless it is a delivery."""
+
+        def tell(answer: FinalAnswer) -> None:
+            if answer.answer is Answer.DELIVERED:
+                self.journal.store.told(message)
+            else:
+                self.notices.owe(message, notice(submission.identity, answer))
+
+        return tell
+
+    def _recover(self) -> None:
+        """Go on where the process before this one was, whatever ended it."""
+        plan = self.journal.plan(lambda name: int(name) if name.isdigit() else None)
+        found = self.journal.found
+        self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
+                      owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
+                      torn_bytes=found.torn, holes=len(found.holes))
+        carry_out(plan, self.engine, self.journal.store, int, self._waiter)
+
+    async def start(self) -> None:
+        """Know the list, recover, watch, then listen. Raises OSError."""
+        if self.config.known is not None:
+            self.engine.news(self.listing.take(self.config.known, api.ListKind.CACHED))
+        self._recover()
+        self.discovery.start()
+        gc.collect()
+        gc.freeze()
+        gc.set_threshold(*COLLECT)
+        host, _, port = self.config.listen.rpartition(":")
+        await self.front.listen(host, int(port))
+        self._belief(self.loop.time())
+        self.log.info("started", listen=self.config.listen, endpoints=len(self.listing.known), **usage())
+
+    def _belief(self, due: float) -> None:
+        late = max(0.0, self.loop.time() - due)
+        front = self.front
+        self.log.info("belief", late_ms=round(late * 1000.0), **belief(self.engine.sender, self.clock.now()),
+                      **self.counts.take(), taken=front.taken, busy=front.busy, errors=front.errors,
+                      dropped=front.dropped, withdrawn=front.withdrawn, clients=len(front.connections),
+                      calls=self.pools.budget.open, owed=len(self.notices.owed), rev=self.listing.rev,
+                      journal=self.journal.writer.total, ledger=len(self.engine.ledger.by_id), **usage())
+        due = self.loop.time() + BELIEF
+        self.telling = self.loop.call_at(due, self._belief, due)
+
+    def reload(self, config: NodeConfig) -> None:
+        """The platform moves: the list and notices are elsewhere from now on."""
+        self.log.info("reloaded", discovery=config.discovery)
+        self.discovery.move(config.discovery)
+        self.notices.move(config.discovery)
+
+    async def leave(self) -> None:
+        """A planned restart: serve as long as there is time, answer what was read, and end."""
+        self.log.info("leaving", open=self.engine.ledger.held)
+        await asyncio.sleep(SERVES_ON)
+        self.front.close()
+        end = self.loop.time() + ENDS_IN
+        while self.front.open() and self.loop.time() < end:
+            await asyncio.sleep(0.01)
+
+    def stop(self) -> None:
+        """End everything at once."""
+        if self.telling is not None:
+            self.telling.cancel()
+        self.discovery.stop()
+        self.front.close()
+        self.journal.close()
+        self.log.info("stopped", open=self.engine.ledger.held, **usage())
+
+
+def configured() -> NodeConfig:
+    """The configuration that the environment names. Raises NodeError naming file and field."""
+    path = os.environ.get("RELAY_CONFIG", "")
+    if not path:
+        raise NodeError("RELAY_CONFIG is not set: it names the configuration file")
+    try:
+        return read(Path(path).read_bytes())
+    except OSError as error:
+        raise NodeError(f"{path}: {error.strerror or error}") from None
+    except NodeError as error:
+        raise NodeError(f"{path}: {error}") from None
+
+
+async def run(log: Any) -> None:
+    """Run a sender until SIGTERM or SIGINT. Raises NodeError, Unusable, OSError, and Broken."""
+    loop = asyncio.get_running_loop()
+    told, again = asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, told.set)
+    loop.add_signal_handler(signal.SIGHUP, again.set)
+    state = os.environ.get("RELAY_STATE", "")
+    if not state:
+        raise NodeError("RELAY_STATE is not set: it names the folder that lasts")
+    process = NodeProcess(configured(), Path(state), log)
+    await process.start()
+
+    async def reloads() -> None:
+        while True:
+            await again.wait()
+            again.clear()
+            try:
+                process.reload(configured())
+            except NodeError as error:
+                log.error("reload_refused", error=str(error))
+
+    reloading = loop.create_task(reloads())
+    leaving = loop.create_task(told.wait())
+    either: set[asyncio.Future[Any]] = {leaving, process.broken}
+    await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+    if process.broken.done():
+        raise Broken(str(process.broken.result()))
+    await process.leave()
+    reloading.cancel()
+    process.stop()
--- /dev/null
+++ b/brassweir/service/node_watch.py
@@ -0,0 +1,84 @@
+"""What a sender on the platform believes, in a log line a second, beside what it counts."""
+
+from __future__ import annotations
+
+import gc
+import math
+import resource
+from collections import Counter
+from typing import Any
+
+from brassweir.control import Sender
+from brassweir.core.engine import Watcher
+from brassweir.core.ledger import Record
+from brassweir.core.ports import Outcome
+
+MOST_SICK = 6  # destinations told of in one line
+
+
+class Counting(Watcher):
+    """Counts what passes since it was last asked."""
+
+    def __init__(self) -> None:
+        self.results: Counter[str] = Counter()
+        self.answers: Counter[str] = Counter()
+        self.turns, self.spent = 0, 0.0
+
+    def outcome(self, record: Record, number: int, outcome: Outcome, late: bool) -> None:
+        """An attempt ended."""
+        self.results[outcome.result.value] += 1
+
+    def final(self, record: Record) -> None:
+        """A message has its answer."""
+        answer = record.answer
+        assert answer is not None
+        self.answers[answer.answer.value] += 1
+
+    def turn(self, events: int, actions: int, spent: float) -> None:
+        """One call of the module."""
+        self.turns += 1
+        self.spent += spent
+
+    def take(self) -> dict[str, Any]:
+        """The counts, which begin anew."""
+        told = {"results": dict(self.results), "answers": dict(self.answers), "turns": self.turns,
+                "decisions_ms": round(self.spent * 1000.0, 1)}
+        self.results.clear()
+        self.answers.clear()
+        self.turns, self.spent = 0, 0.0
+        return told
+
+
+def belief(sender: Sender, now: float) -> dict[str, Any]:
+    """What the decisions rest on now. Reads the module's state; pure."""
+    sick = [dest for dest in sender.dests.values()
+            if dest.ill or any(gate.shut or gate.wait > now or gate.pace < math.inf for gate in dest.gates())]
+    sick.sort(key=lambda dest: -dest.load.open)
+    told = []
+    for dest in sick[:MOST_SICK]:
+        gate = dest.gates()[0]
+        told.append({
+            "destination": dest.id, "ill": dest.ill, "shut": gate.shut,
+            "wait_ms": max(0, round(gate.wait - now)) if gate.wait > now else 0,
+            "pace": None if gate.pace == math.inf else round(gate.pace, 2),
+            "open": dest.load.open, "out": dest.load.out, "mean_ms": round(dest.mean.value)})
+    return {"bound": sender.bound.value, "cost": round(sender.load.cost, 1), "open": sender.load.open,
+            "out": sender.load.out, "apart_cost": round(sender.apart.cost, 1), "apart_out": sender.apart.out,
+            "mean_ms": round(sender.mean.value), "lost": round(sender.lost, 3), "sick": told,
+            "awake": len(sender.dests)}
+
+
+def usage() -> dict[str, Any]:
+    """Memory and CPU of this process."""
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    return {"rss_mb": round(resident() / 1e6, 1), "cpu_s": round(used.ru_utime + used.ru_stime, 2),
+            "collections": gc.get_stats()[2]["collections"]}
+
+
+def resident() -> int:
+    """Bytes resident now, or the most so far where the system does not tell."""
+    try:
+        with open("/proc/self/statm", encoding="ascii") as file:
+            return int(file.read().split()[1]) * resource.getpagesize()
+    except OSError:
+        return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss * 1024
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -34,7 +34,7 @@
 from brassweir.service.as2_side import As2Side
 from brassweir.service.descriptors import needed, plan, secure
 from brassweir.service.forward_side import ForwardSide, KeyFiles
-from brassweir.service.journaling import Journaling
+from brassweir.service.journaling import Journaling, Keeping, Unusable
 from brassweir.service.listfile import ListFile, read_list
 from brassweir.service.regionfile import RegionFile
 from brassweir.service.sides import Parts, Side
@@ -80,8 +80,7 @@
         for side in self.sides:
             self.carriers.update(side.carriers)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
-        self.journal = Journaling(config, base, classes, self.list.numbers.name, self._broken,
-                                  note) if sender.journaled else None
+        self.journal = self._journal(base, classes) if sender.journaled else None
         seed = sender.seed if sender.seed is not None else random.SystemRandom().getrandbits(48)
         self.engine = Engine(given, seed, self.clock, lambda info: self.carriers[info.kind],
                              store=self.journal.store if self.journal is not None else None,
@@ -100,6 +99,15 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.metrics_port = 0
 
+    def _journal(self, base: Path, classes: dict[str, api.MessageClass]) -> Journaling:
+        sender = self.config.sender
+        keeping = Keeping(base / (sender.journal or Path(f"{sender.name}.journal")), sender.name, classes,
+                          sender.remember_ms, sender.order_pause_ms)
+        try:
+            return Journaling(keeping, self.list.numbers.name, self._broken, self.observer.note)
+        except Unusable as error:
+            raise ConfigError([str(error)]) from None
+
     @property
     def port(self) -> int:
         """Where AS2 clients come."""
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -107,6 +107,24 @@
             ran[attempt.id] = 1.0
 
 
+def written(calls: list[tuple[Attempt, Callable[[Outcome], None]]]) -> Callable[..., None]:
+    """A carrier that writes each attempt and says nothing more of it."""
+    def start(attempt: Attempt, done: Callable[[Outcome], None]) -> None:
+        attempt.going.go()
+        calls.append((attempt, done))
+
+    return start
+
+
+def test_an_attempt_of_which_nothing_was_written_in_its_time_found_no_connection() -> None:
+    engine, clock, carrier = make()
+    carrier.start = lambda attempt, done: None  # type: ignore[method-assign]
+    got: list[FinalAnswer] = []
+    engine.submit(Submission("o", "m", "pay", 1, 2000.0), got.append)
+    clock.run(6000.0)
+    assert [answer.answer for answer in got] == [Answer.REFUSED]  # unsafe, and yet a later try is harmless
+
+
 def test_an_outcome_after_the_answer_is_recorded_and_changes_nothing() -> None:
     seen: list[str] = []
 
@@ -122,13 +140,13 @@
             seen.append("after")
 
     engine, clock, carrier = make(watcher=Watch())
-    late: list[Callable[[Outcome], None]] = []
-    carrier.start = lambda attempt, done: late.append(done)  # type: ignore[method-assign]
+    calls: list[tuple[Attempt, Callable[[Outcome], None]]] = []
+    carrier.start = written(calls)  # type: ignore[method-assign]
     got: list[FinalAnswer] = []
     engine.submit(Submission("o", "m", "pay", 1, 2000.0), got.append)
     clock.run(6000.0)
     assert [answer.answer for answer in got] == [Answer.FAILED]
-    late[0](Outcome(api.Result.OK))
+    calls[0][1](Outcome(api.Result.OK))
     clock.run(7000.0)
     assert len(got) == 1 and seen == ["outcome", "after"] and len(late) == 1
     assert engine.sender.load.out == 0, "its slot is free again"
@@ -137,7 +155,7 @@
 def test_a_receipt_after_its_time_still_delivers_a_message_without_answer() -> None:
     engine, clock, carrier = make()
     calls: list[tuple[Attempt, Callable[[Outcome], None]]] = []
-    carrier.start = lambda attempt, done: calls.append((attempt, done))  # type: ignore[method-assign]
+    carrier.start = written(calls)  # type: ignore[method-assign]
     got: list[FinalAnswer] = []
     engine.submit(Submission("o", "m", "key", 1, 4900.0), got.append)
     clock.run(1100.0)
