--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -148,7 +148,7 @@
     assert [answer.answer for answer in got] == [Answer.FAILED]
     calls[0][1](Outcome(api.Result.OK))
     clock.run(7000.0)
-    assert len(got) == 1 and seen == ["outcome", "after"] and len(late) == 1
+    assert len(got) == 1 and seen == ["outcome", "after"] and len(calls) == 1
     assert engine.sender.load.out == 0, "its slot is free again"
 
 
