--- /dev/null
+++ b/tests/relay/test_pure.py
@@ -0,0 +1,97 @@
+"""The platform's tables: endings, reports, the list, the configuration."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+import pytest
+
+from brassweir.core.ports import Answer, FinalAnswer
+from brassweir.interface import ListKind, Result, State
+from brassweir.relay import endings, settings
+from brassweir.relay.listing import Change, ListError, Listing, Target, read
+from brassweir.relay.notices import notice
+from tests.relay.world import configuration
+
+
+@pytest.mark.parametrize(("code", "fields", "result", "wait", "may_have_run", "over"), [
+    (200, {}, Result.OK, 0.0, True, False),
+    (500, {}, Result.ERROR, 0.0, True, False),
+    (429, {}, Result.FULL, 0.0, False, False),
+    (429, {"X-Backoff-Ms": "480"}, Result.FULL, 480.0, False, False),
+    (429, {"X-Backoff-Ms": "soon"}, Result.FULL, 0.0, False, False),
+    (503, {}, Result.FULL, 0.0, False, False),
+    (503, {"X-Egress-Full": "1"}, Result.MOOT, 0.0, False, False),
+    (504, {}, Result.MOOT, 0.0, False, False),
+    (410, {}, Result.MOOT, 0.0, False, True),
+    (302, {}, Result.ERROR, 0.0, True, False),
+])
+def test_each_row(code: int, fields: dict[str, str], result: Result, wait: float, may_have_run: bool, over: bool) -> None:
+    found = endings.status(code, lambda name: fields.get(name, ""))
+    assert (found.result, found.wait, found.may_have_run, found.rejected) == (result, wait, may_have_run, over)
+
+
+@pytest.mark.parametrize(("text", "told"), [
+    ("x0=0.4,x1=25", (0.4, 25.0)), ("x1=25, x0=0", (0.0, 25.0)), ("x0=0.4", (0.4, None)), ("", (None, None)),
+    ("x0=0.4,x1=", (None, None)), ("x0=nan,x1=2", (None, None)), ("x0=7,x1=2", (None, None)), ("x0=0.1,x0=0.2", (None, None)),
+    ("{]", (None, None)), ("x0=0.4,x1=-2", (None, None)), ("x0=1" + "0" * 400, (None, None)),
+])
+def test_reports_that_cannot_be_read_are_passed_over(text: str, told: tuple[float | None, float | None]) -> None:
+    assert endings.report(text) == told
+
+
+def test_notices() -> None:
+    assert notice("a", FinalAnswer(Answer.REFUSED, "", 480.7)).wait_ms == 480
+    assert (notice("a", FinalAnswer(Answer.FAILED)).result, notice("a", FinalAnswer(Answer.REFUSED)).result) == ("dead", "bounced")
+
+
+def target(uid: str, state: str = "active", port: int = 80, home: int = 1) -> Target:
+    return Target(uid, f"10.0.0.1:{port}", home, state, "a", "office", 4.0)
+
+
+def test_a_list_tells_what_differs_and_what_is_forbidden_first() -> None:
+    listing = Listing()
+    listing.take(Change(1, True, [target("a"), target("b"), target("c")]), ListKind.CACHED)
+    news = listing.take(Change(2, False, [target("d"), target("b", "leaving")]))
+    assert [(one.name, one.state) for one in news.entries] == [("b", State.DRAINING), ("d", State.READY)]
+    news = listing.take(Change(3, True, [target("a"), target("d"), target("e", "leaving", 81)]))
+    assert {(one.name, one.state) for one in news.entries} == {("b", State.GONE), ("c", State.GONE), ("e", State.DRAINING)}
+    assert listing.url("b") is None and listing.url("e") == "http://10.0.0.1:81/receive" and listing.rev == 3
+    assert listing.take(Change(4, False, [target("z", "left")])).entries == (), "never known, nothing to tell"
+    assert listing.listed(1) and not listing.listed(2) and set(listing.known) == {"a", "d", "e"} == set(listing.places)
+
+
+def test_an_address_that_moves() -> None:
+    listing = Listing()
+    listing.take(Change(1, True, [target("a")]))
+    assert listing.take(Change(2, False, [target("a", port=81)])).entries == ()
+    assert listing.url("a") == "http://10.0.0.1:81/receive"
+
+
+@pytest.mark.parametrize("change", [
+    {"state": "odd"}, {"uid": ""}, {"endpoint": "host:80"}, {"endpoint": "10.0.0.1"}, {"pod_group": "x"}, {"capacity_hint": -1},
+    {"endpoint": "10.0.0.1:99999"}, {"pod_group": -1},
+])
+def test_a_list_that_cannot_be_read_is_refused_whole(change: dict[str, Any]) -> None:
+    entry = {"uid": "a", "endpoint": "10.0.0.1:80", "pod_group": 1, "state": "active", **change}
+    with pytest.raises(ListError):
+        read(json.dumps({"rev": 1, "all": True, "targets": [entry]}).encode())
+    with pytest.raises(ListError):
+        read(b"\xff{")
+
+
+def test_settings_have_one_reader() -> None:
+    config = settings.read(json.dumps(configuration()).encode())
+    sets = config.settings
+    assert [cls.name for cls in sets.classes] == ["note", "order", "pay"] and sets.slots == 6 and sets.second_copies
+    assert sets.kinds[0].name == "office" and sets.weights == "rough" and config.seed == 0x1F and config.known is not None
+
+
+@pytest.mark.parametrize(("change", "field"), [
+    ({"listen": "somewhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"name": 3}, "name"), ({"limits": {"sockets": 3}}, "limits"),
+    ({"settings": {}}, "Classes.count"), ({"known": {"rev": 1, "all": True, "targets": [{"uid": "a"}]}}, "endpoint"),
+])
+def test_a_configuration_that_cannot_be_used_names_its_field(change: dict[str, Any], field: str) -> None:
+    with pytest.raises(settings.NodeError, match=field):
+        settings.read(json.dumps({**configuration(), **change}).encode())
--- /dev/null
+++ b/tests/relay/world.py
@@ -0,0 +1,126 @@
+"""A small platform on loopback for the tests of ``node``: figures of our own."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from brassweir.lab.platform import Client, Discovery, Endpoint, Seen, broken, wall
+
+CLASSES = [
+    {"Name": "note", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "pure", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
+    {"Name": "order", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "token", "Group": "all", "Window": 5000.0, "LateWorth": 0.3},
+    {"Name": "pay", "Objective": 1500.0, "HardLimit": 5000.0, "Idempotency": "side_effect", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
+]
+UNSAFE = frozenset({"pay"})
+
+
+def configuration(listen: str = "127.0.0.1:1", discovery: str = "127.0.0.1:2", entries: list[dict[str, Any]] | None = None) -> dict[str, Any]:
+    return {
+        "name": "n1", "listen": listen, "discovery": discovery, "seed": "1f",
+        "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256, "disk_mb": 2},
+        "known": {"rev": 1, "all": True, "targets": entries or []},
+        "settings": {
+            "Allowed": {"ConnectTimeout": 300.0, "IdleClose": 4000.0, "MaxAttempts": 8, "MaxOpen": 60, "MaxRetryAfter": 2000.0,
+                        "RetryAfter": True, "SecondCopies": True},
+            "Balancers": 1, "Classes": CLASSES, "RegistryMode": "push", "Report": {"Names": ["x0", "x1"]}, "Resolution": 5.0,
+            "Rules": {"Cold": 3000.0, "StartCapacity": 0.3, "TipMultiple": 1.5}, "Skus": ["office"], "Weights": "rough",
+            "Specifics": {"CallSlots": 6, "KindApart": [False], "KindBatch": [1], "Decay": "even"}, "Note": None,
+        },
+    }
+
+
+class World:
+    """Endpoints, discovery and one ``node`` in a process of its own."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.discovery = Discovery()
+        self.endpoints: list[Endpoint] = []
+        self.clients: list[Client] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.port = 0
+        (folder / "state").mkdir(exist_ok=True)
+
+    async def open(self, *endpoints: Endpoint) -> World:
+        """Start everything."""
+        await self.discovery.start()
+        for endpoint in endpoints:
+            await endpoint.start()
+            self.endpoints.append(endpoint)
+            self.discovery.entries[endpoint.uid] = endpoint.entry()
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            self.port = free.getsockname()[1]
+        self.write()
+        await self.start()
+        return self
+
+    def write(self, discovery: Discovery | None = None) -> None:
+        """Write the configuration."""
+        found = configuration(f"127.0.0.1:{self.port}", f"127.0.0.1:{(discovery or self.discovery).port}",
+                              list(self.discovery.entries.values()))
+        (self.folder / "config.json").write_text(json.dumps(found))
+
+    async def start(self) -> None:
+        """Start the sender, and wait until it answers."""
+        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_STATE": str(self.folder / "state")}
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "brassweir", "node", env=env, stderr=(self.folder / "log").open("ab"))
+        for _ in range(400):
+            try:
+                client = await Client("127.0.0.1", self.port).open()
+                assert await client.ask(Client.command(b"PING")) == b"+PONG\r\n"
+                return await client.close()
+            except ConnectionError:
+                assert self.process.returncode is None, self.log()
+                await asyncio.sleep(0.05)
+        raise AssertionError(f"it does not answer: {self.log()}")
+
+    async def client(self) -> Client:
+        """One more client."""
+        self.clients.append(await Client("127.0.0.1", self.port).open())
+        return self.clients[-1]
+
+    async def kill(self, number: signal.Signals = signal.SIGKILL) -> int:
+        """End the sender, and wait for its end."""
+        assert self.process is not None
+        self.process.send_signal(number)
+        return await asyncio.wait_for(self.process.wait(), 10.0)
+
+    def log(self) -> str:
+        """What it logged."""
+        return (self.folder / "log").read_text()
+
+    def seen(self) -> Seen:
+        """What passed."""
+        return Seen([one for client in self.clients for one in client.sent],
+                    [(endpoint.destination, call) for endpoint in self.endpoints for call in endpoint.calls],
+                    [ident for endpoint in self.endpoints for ident in endpoint.delivered], list(self.discovery.notices))
+
+    async def settled(self, count: int, within: float = 8.0) -> None:
+        """Wait until so many messages have ended."""
+        for _ in range(int(within / 0.02)):
+            seen = self.seen()
+            if len({*seen.delivered, *(one["ref"] for _, one in seen.notices)}) >= count:
+                return
+            await asyncio.sleep(0.02)
+        raise AssertionError(f"{count} were to end: {self.seen()}\n{self.log()[-2000:]}")
+
+    async def close(self) -> None:
+        """End everything, and judge."""
+        if self.process is not None and self.process.returncode is None:
+            await self.kill()
+        for endpoint in self.endpoints:
+            await endpoint.stop()
+        await self.discovery.stop()
+        for client in self.clients:
+            await client.close()
+        problems = broken(self.seen(), UNSAFE, wall())
+        assert problems == [], problems
--- /dev/null
+++ b/tests/resp/test_handin.py
@@ -0,0 +1,44 @@
+"""What a hand-in must hold."""
+
+from __future__ import annotations
+
+import pytest
+
+from brassweir.core.ports import Payload
+from brassweir.interface import Effect, MessageClass
+from brassweir.resp.handin import Unreadable, read
+
+CLASSES = {"note": MessageClass("note", 1000.0, 9000.0, Effect.SAFE),
+           "order": MessageClass("order", 1000.0, 9000.0, Effect.KEYED, window=4000.0)}
+
+
+def args(names: bytes, ident: bytes = b"ab12", body: bytes = b"\r\n\0x") -> list[bytes]:
+    return [b"MSG.PUT", b"0000", ident, names, body]
+
+
+def test_a_whole_one() -> None:
+    found = read(args(b"c=order,d=12000,k=k1,dest=7,again=1,new=thing"), CLASSES, {7}.__contains__)
+    assert (found.identity, found.class_name, found.destination, found.key) == ("ab12", "order", 7, "k1")
+    assert found.resent and found.left == 9000.0, "no longer than the class lets it be delivered"
+    assert found.payload == Payload("application/octet-stream", b"\r\n\0x")
+    assert not read(args(b"c=note,d=1.5,dest=7"), CLASSES, {7}.__contains__).resent
+
+
+@pytest.mark.parametrize("names", [
+    b"", b"c=note", b"c=note,d=100", b"c=none,d=100,dest=7", b"c=note,d=x,dest=7", b"c=note,d=-5,dest=7",
+    b"c=note,d=nan,dest=7", b"c=note,d=1e9,dest=7", b"c=note,d=,dest=7", b"c=note,d=0,dest=7", b"c=note,d=100,dest=8",
+    b"c=note,d=100,dest=-7", b"c=note,d=100,dest=7,d=200", b"c=note,d=100,dest=7,oops", b"c=order,d=100,dest=7",
+    b"c=order,d=100,dest=7,k=a b", b"c=note,d=100,dest=7,k=\r\nX: y", b"c=\xff,d=100,dest=7",
+])
+def test_bad_names(names: bytes) -> None:
+    with pytest.raises(Unreadable):
+        read(args(names), CLASSES, {7}.__contains__)
+
+
+@pytest.mark.parametrize("given", [
+    args(b"c=note,d=100,dest=7", ident=b""), args(b"c=note,d=100,dest=7", ident=b"a" * 65), args(b"c=note,d=100,dest=7", ident=b"a\r\nb"),
+    args(b"c=note,d=100,dest=7", body=b"x" * 65_537), args(b"c=note,d=100,dest=7")[:4], [*args(b"c=note,d=100,dest=7"), b""],
+])
+def test_bad_parts(given: list[bytes]) -> None:
+    with pytest.raises(Unreadable):
+        read(given, CLASSES, {7}.__contains__)
