--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -18,6 +18,7 @@
     Endpoint,
     Manner,
     Seen,
+    after,
     answer,
     broken,
     cut,
