--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterator
 
 from brassweir.journal.life import Life, Lives
-from brassweir.journal.records import Ended, Record
+from brassweir.journal.records import Ended, Record, Told
 from brassweir.journal.sizes import LEAST
 
 GARBAGE = 2.0  # x what a snapshot would hold: the journal is rewritten when it is larger
@@ -45,6 +45,8 @@
         yield from life.ended.values()
     else:
         yield life.final
+        if life.told:
+            yield Told(life.id)
 
 
 def trails(lives: Lives) -> Iterator[Record]:
--- a/brassweir/journal/scan.py
+++ b/brassweir/journal/scan.py
@@ -91,7 +91,10 @@
     """One segment's records; returns the sequence number due next."""
     found.segments.append(name)
     found.size += len(data)
-    if frame.read_header(data) is None:
+    head = frame.read_header(data)
+    if expected is None and head is not None:
+        expected = head[1]  # behind a snapshot, whose records have numbers of their own
+    if head is None:
         if last and len(data) < frame.HEADER:
             found.torn += len(data)
             return expected
@@ -117,7 +120,7 @@
         found.records += 1
         expected = part.sequence + 1
         found.next_sequence = max(found.next_sequence, expected)
-    return expected
+    return None if snapshot else expected
 
 
 __all__ = ["FormatError", "Scan", "scan", "segment_name"]
--- a/brassweir/resp/crowd.py
+++ b/brassweir/resp/crowd.py
@@ -1,7 +1,8 @@
 """Who may keep a connection while clients press. Pure: ids and times (seconds) in, ids out.
 
-A sender has few descriptors, and calls, the list and notices need some of them. Connections that have sent
-nothing of use go first, those that have been idle longest next; one with a command in work never goes.
+A sender has few descriptors, and calls, the list and notices need some of them. Whoever connects is let in,
+since a usual client sends its first command with its first packet: for it the one that has been silent
+longest goes. If none is silent, the longest idle goes; one with a command in work never does.
 """
 
 from __future__ import annotations
@@ -10,7 +11,6 @@
 
 SILENT = 1.8  # seconds: one that has sent nothing of use for so long is closed
 IDLE = 2.0  # seconds: after this the platform lets a sender close an idle connection
-FRESH = 0.25  # seconds that a new connection has for its first command before it may give way
 PRESSED = 0.7  # share of the room from which idle connections are closed
 
 
@@ -23,6 +23,7 @@
     heard: float
     proven: bool = False  # it has sent something of use
     working: bool = False  # a command of it has no answer yet
+    half: bool = False  # a command of it has begun and is not whole
 
 
 class Crowd:
@@ -32,7 +33,8 @@
         if most < 1:
             raise ValueError(f"room for {most} clients serves nobody")
         self.most = most
-        self.standing: dict[int, Standing] = {}  # in the order of coming
+        self.standing: dict[int, Standing] = {}
+        self.silent: dict[int, Standing] = {}  # those that have sent nothing of use, in the order of coming
 
     def enter(self, ident: int, now: float) -> tuple[bool, int | None]:
         """A connection comes: may it stay, and who has to go for it?"""
@@ -41,29 +43,38 @@
             victim = self._victim(now)
             if victim is None:
                 return False, None
-        self.standing[ident] = Standing(ident, now, now)
+        self.standing[ident] = self.silent[ident] = Standing(ident, now, now)
         return True, victim
 
+    def proved(self, ident: int) -> None:
+        """It has sent something of use."""
+        one = self.silent.pop(ident, None)
+        if one is not None:
+            one.proven = True
+
     def leave(self, ident: int) -> None:
         """A connection is gone."""
         self.standing.pop(ident, None)
+        self.silent.pop(ident, None)
 
     def _victim(self, now: float) -> int | None:
-        silent = next((one for one in self.standing.values()
-                       if not one.proven and not one.working and now - one.since >= FRESH), None)
-        if silent is not None:
-            return silent.id
-        idle = [one for one in self.standing.values() if not one.working and now - one.heard >= IDLE]
+        if self.silent:
+            return next(iter(self.silent))
+        idle = self._idle(now)
         return min(idle, key=lambda one: one.heard).id if idle else None
 
+    def _idle(self, now: float) -> list[Standing]:
+        return [one for one in self.standing.values()
+                if one.proven and not one.working and now - one.heard >= IDLE]
+
     def tired(self, now: float) -> list[int]:
-        """Those to be closed now: unproven and silent, and, while there is little room, the longest idle."""
-        gone = [one.id for one in self.standing.values()
-                if not one.proven and not one.working and now - one.since >= SILENT]
+        """Those to be closed now: the silent, those that stopped within a command, and, while there is little
+        room, the longest idle."""
+        gone = [one.id for one in self.silent.values() if now - one.since >= SILENT]
+        idle = self._idle(now)
+        gone += [one.id for one in idle if one.half]
         over = len(self.standing) - len(gone) - int(self.most * PRESSED)
         if over > 0:
-            idle = [one for one in self.standing.values()
-                    if one.proven and not one.working and now - one.heard >= IDLE]
-            idle.sort(key=lambda one: one.heard)
-            gone += [one.id for one in idle[:over]]
+            rest = sorted((one for one in idle if not one.half), key=lambda one: one.heard)
+            gone += [one.id for one in rest[:over]]
         return gone
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -187,7 +187,7 @@
                 break
             self.command(args)
         if self.standing is not None:
-            self.standing.working = bool(self.slots)
+            self.standing.working, self.standing.half = bool(self.slots), self.decoder.partial
         if not self.ending:
             self.pause(self.resting or len(self.slots) >= MOST_OPEN)
 
@@ -248,7 +248,7 @@
     def proven(self) -> None:
         """It has sent something of use."""
         if self.standing is not None:
-            self.standing.proven = True
+            self.front.crowd.proved(self.standing.id)
 
     def fault(self, reason: str) -> None:
         """Answer what cannot be used, and read no more from its sender for a while."""
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -21,6 +21,7 @@
 from brassweir.journal.records import Began, Ended, Final, Intent, Taken, Told, Whole
 from brassweir.journal.recover import Hole
 from brassweir.journal.scan import scan, segment_name
+from brassweir.journal.sizes import within
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.writer import Broken, Writer
 from brassweir.lab import crash
@@ -355,3 +356,81 @@
     assert sizes[1] < 1.6 * sizes[0] + 20_000
 
 
+
+
+# ---- small folders
+
+
+def test_what_stands_behind_a_snapshot_is_no_hole_and_what_was_told_stays_told(tmp_path: Path) -> None:
+    files = Files(tmp_path / "j", synced=False)
+    writer = Writer(files, scan(files))
+    writer.open()
+
+    def write(*facts: records.Record) -> None:
+        for fact in facts:
+            writer.add(fact, None)
+        group = writer.take()
+        assert group is not None
+        writer.done(group, writer.commit(group))
+
+    write(*(taken(ident, reply=b"n") for ident in range(1, 9)))
+    write(Final(1, "failed", "", 0.0, 5.0), Told(1))
+    writer.snapshot(list(compact.kept(writer.lives, 5.0, 1e9)), writer.close_segment())
+    write(Final(2, "failed", "", 0.0, 6.0))
+    files.close()
+    found = scan(Files(tmp_path / "j"))
+    assert not found.problems and not found.holes
+    assert found.lives.by_id[1].told and not found.lives.by_id[2].told
+    log = next(path for path in (tmp_path / "j").glob("*.log"))
+    data = log.read_bytes()
+    first = next(part.end for part in frame.read(data) if isinstance(part, Found))
+    log.write_bytes(data[:frame.HEADER] + data[first:] + frame.frame(99, taken(10)))
+    assert scan(Files(tmp_path / "j", write=False)).holes, "one that is missing there is still seen"
+
+
+@settings(max_examples=20, derandomize=True, deadline=None)
+@given(st.integers(0, 10**6))
+def test_a_small_folder_is_never_overfilled_and_open_messages_still_end(seed: int) -> None:
+    rng, bound, now = Random(seed), 256 * 1024, 0.0
+    disk = SimStorage()
+    sizes = within(bound)
+    writer = Writer(disk, scan(disk), sizes)
+    writer.open()
+    open_, refused, last, most = set[int](), list[int](), 0, 0
+
+    def held() -> int:
+        return sum(-(-len(disk.read(name)) // 512) * 512 for name in disk.names())
+
+    for _ in range(400):
+        now += 50.0
+        group_ids = []
+        for _ in range(rng.randint(0, 6)):
+            last += 1
+            fresh = Taken(last, "o", f"m{last}", "pay", "1", "k", 9e9, "a/b", "", bytes(rng.randint(0, 4000)), b"n")
+            group_ids.append(last)
+            writer.add(fresh, lambda ident=last: open_.add(ident), lambda why, ident=last: refused.append(ident))
+        for ident in [one for one in open_ if rng.random() < 0.1]:
+            open_.discard(ident)
+            writer.add(Final(ident, "failed", "", 0.0, now), None)
+            writer.add(Told(ident), None)
+        group = writer.take()
+        if group is not None:
+            writer.done(group, writer.commit(group))
+        for ident in refused:
+            writer.lives.forget(ident)
+        most = max(most, held())
+        if writer.due():
+            number = writer.close_segment()
+            for life in list(writer.lives.by_id.values()):
+                if not compact.matters(life, now, 300.0):
+                    writer.lives.forget(life.id)
+            writer.snapshot(list(compact.kept(writer.lives, now, 300.0)), number)
+            most = max(most, held())
+    assert most <= bound and last > len(refused) > 0
+    found = scan(disk)
+    assert not found.problems and open_ <= found.lives.by_id.keys()
+
+
+def test_a_folder_too_small_to_work_in_is_refused() -> None:
+    with pytest.raises(ValueError, match="262144"):
+        within(1000)
