Clients: a PING proves nothing; idle one-shot connections go at 2 s while usual ones lack them

Excluded: the module (busy 1 in 8 s), the loop (late 0 to 1 ms). Wrong: Crowd took a PING for use; idle ones were closed only from 0.7 of the room on, every 250 ms.

--- a/brassweir/resp/crowd.py
+++ b/brassweir/resp/crowd.py
@@ -9,9 +9,9 @@
 
 from dataclasses import dataclass
 
-SILENT = 1.8  # seconds: one that has sent nothing of use for so long is closed
 IDLE = 2.0  # seconds: after this the platform lets a sender close an idle connection
 PRESSED = 0.7  # share of the room from which idle connections are closed
+USUAL_PRESSED = 0.5  # the same of what usual clients may hold: they lack what others of them keep idle
 
 
 @dataclass(slots=True)
@@ -21,20 +21,21 @@
     id: int
     since: float
     heard: float
-    proven: bool = False  # it has sent something of use
+    proven: bool = False  # it has handed a message in; a PING costs a stranger nothing, and proves nothing
+    greeted: bool = False  # it has sent a PING
     working: bool = False  # a command of it has no answer yet
     half: bool = False  # a command of it has begun and is not whole
 
 
 class Crowd:
-    """All connections of clients; at most ``most``."""
+    """All connections of clients; at most ``most``, of which usual clients hold ``usual`` at once."""
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, usual: int) -> None:
         if most < 1:
             raise ValueError(f"room for {most} clients serves nobody")
-        self.most = most
+        self.most, self.usual = most, usual
         self.standing: dict[int, Standing] = {}
-        self.silent: dict[int, Standing] = {}  # those that have sent nothing of use, in the order of coming
+        self.silent: dict[int, Standing] = {}  # those that have handed nothing in, in the order of coming
 
     def enter(self, ident: int, now: float) -> tuple[bool, int | None]:
         """A connection comes: may it stay, and who has to go for it?"""
@@ -47,7 +48,7 @@
         return True, victim
 
     def proved(self, ident: int) -> None:
-        """It has sent something of use."""
+        """It has handed a message in."""
         one = self.silent.pop(ident, None)
         if one is not None:
             one.proven = True
@@ -70,10 +71,13 @@
     def tired(self, now: float) -> list[int]:
         """Those to be closed now: the silent, those that stopped within a command, and, while there is little
         room, the longest idle."""
-        gone = [one.id for one in self.silent.values() if now - one.since >= SILENT]
+        gone = [one.id for one in self.silent.values()
+                if now - (one.heard if one.greeted and not one.half else one.since) >= IDLE]
         idle = self._idle(now)
         gone += [one.id for one in idle if one.half]
         over = len(self.standing) - len(gone) - int(self.most * PRESSED)
+        if len(self.standing) - len(self.silent) > self.usual * USUAL_PRESSED:
+            over = len(idle)
         if over > 0:
             rest = sorted((one for one in idle if not one.half), key=lambda one: one.heard)
             gone += [one.id for one in rest[:over]]
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -21,7 +21,7 @@
 MOST_OPEN = 64  # commands of one connection being answered; more wait in its socket
 PENALTY = 0.2  # seconds for which one that sent what cannot be used is not read, doubled with each
 MOST_ERRORS = 6  # after so many it is closed
-LOOK = 0.25  # seconds between two looks at who has been silent for too long
+LOOK = 0.05  # seconds between two looks at who has been silent for too long
 
 Owe = Callable[[str, FinalAnswer], None]
 
@@ -37,7 +37,9 @@
         self.last = 0
         self.listener: asyncio.Server | None = None
         self.looking: asyncio.TimerHandle | None = None
-        self.taken = self.busy = self.errors = self.dropped = self.withdrawn = 0
+        self.taken = self.busy = self.errors = self.withdrawn = 0
+        self.opened = self.dropped = 0  # connections: all, and those closed for want of room
+        self.silenced = self.idled = 0  # and those closed since they said nothing, or no more
 
     async def listen(self, host: str, port: int) -> int:
         """Start to listen and return the port. Raises OSError."""
@@ -98,6 +100,7 @@
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass
         front = self.front
         front.last += 1
+        front.opened += 1
         go, victim = front.crowd.enter(front.last, self.loop.time())
         if victim is not None:
             front.connections[victim].drop()
@@ -147,6 +150,10 @@
 
     def tire(self) -> None:
         """It has been silent for too long: half a command gets its error line."""
+        if self.standing is not None and self.standing.proven:
+            self.front.idled += 1
+        else:
+            self.front.silenced += 1
         if self.decoder.partial:
             self.fault("the command did not come whole")
         self.end()
@@ -195,7 +202,8 @@
         """Take one command up."""
         name = args[0].upper()
         if name == b"PING" and len(args) == 1:
-            self.proven()
+            if self.standing is not None:
+                self.standing.greeted = True
             self.slots.append(_Slot(codec.PONG))
             self.flush()
         elif name == b"MSG.PUT":
@@ -246,7 +254,7 @@
         front.engine.held(record, promised)
 
     def proven(self) -> None:
-        """It has sent something of use."""
+        """It has handed a message in."""
         if self.standing is not None:
             self.front.crowd.proved(self.standing.id)
 
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -41,7 +41,7 @@
 REMEMBER_MOST = 4000  # of them
 SERVES_ON = 3.3  # seconds after SIGTERM: the platform kills no sooner than 3.7 s after it
 ENDS_IN = 0.25  # seconds for what was read to be answered, before the process ends
-CLIENTS = 0.6  # share of the descriptors that clients may hold; the platform's own take a third at most
+CLIENTS = 0.6  # share of the descriptors that clients may hold; usual ones take a third at most
 KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
 SETUPS = 64  # connections being made at once
@@ -91,7 +91,7 @@
                              watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
         self.notices = Notices(self.pools, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
-        self.front = Front(self.engine, Crowd(int(sockets * CLIENTS)), self.listing.listed,
+        self.front = Front(self.engine, Crowd(int(sockets * CLIENTS), sockets // 3), self.listing.listed,
                            lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
         self.telling: asyncio.TimerHandle | None = None
         self.worst = 0.0  # the loop's longest delay since the last line of beliefs, in ms
@@ -155,7 +155,8 @@
         front = self.front
         self.log.info("belief", late_ms=round(late * 1000.0), **belief(self.engine.sender, self.clock.now()),
                       **self.counts.take(), taken=front.taken, busy=front.busy, errors=front.errors,
-                      dropped=front.dropped, withdrawn=front.withdrawn, clients=len(front.connections),
+                      opened=front.opened, dropped=front.dropped, silenced=front.silenced, idled=front.idled,
+                      withdrawn=front.withdrawn, clients=len(front.connections),
                       calls=self.pools.budget.open, owed=len(self.notices.owed), rev=self.listing.rev,
                       journal=self.journal.writer.total, ledger=len(self.engine.ledger.by_id), **usage())
         due = self.loop.time() + BELIEF
