A trial that finds no connection closes its destination again; tests of what sockets taught

Beliefs: one destination shut, its trial made anew each millisecond. Excluded: the links (each refusal was a real one), the ordinary retry (set aside after two). Wrong line: control._learn took a trial without a connection, where a call had passed in the last two seconds, for a lack of connections: the gate was not closed again, and avoid does not count for one that is shut.

--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -923,7 +923,7 @@
             gate.passed(self.now)
         elif result is Result.FULL:
             gate.full(self.now, event.wait, call.trial, call.sent)
-        elif result is Result.NO_CONNECTION and (
+        elif result is Result.NO_CONNECTION and not call.trial and (
                 endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
             endpoint.fails += newer
             # Other calls pass. If one is missing twice before as many stood, its connections are all taken;
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -605,3 +605,74 @@
     sender.handle(1.0, [new(1)])
     sender.handle(2.0, [over(1, api.Result.MOOT, wait=1.0)])
     assert sender._dest(1).gate.wait == float("-inf")
+
+
+# ---- what the platform's sockets taught
+
+
+def warm(sender: Sender, count: int, start: float = 0.0) -> float:
+    """Calls out and passed again, one after the other; returns the time after them."""
+    now = start
+    for ident in range(count):
+        assert sends(sender.handle(now, [new(10_000 + ident)])) == [10_000 + ident]
+        sender.handle(now + 50.0, [over(10_000 + ident, api.Result.OK, latency=50.0)])
+        now += 60.0
+    return now
+
+
+def test_a_trial_that_finds_no_connection_is_not_made_again_at_once_though_a_call_passed_lately() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    now = warm(sender, 2)
+    gate = sender.dests[1].gate
+    gate.close(now)
+    gate.trial = now
+    assert sends(sender.handle(now, [new(1)])) == [1]
+    again = sender.handle(now + 1.0, [over(1, api.Result.NO_CONNECTION, latency=1.0)])
+    assert not sends(again) and gate.shut and gate.trial > now + 100.0
+
+
+def test_only_calls_newer_than_the_last_pass_count_in_a_row() -> None:
+    for older in (True, False):
+        sender = Sender(SETTINGS, 1, 0.0)
+        sender.handle(0.0, [listed(1)])
+        now = warm(sender, 3)
+        assert sends(sender.handle(now, [new(1), new(2), new(3)])) == [1, 2, 3]
+        first = now + 20.0 if older else now - 1.0
+        if older:
+            sender.handle(first, [over(1, api.Result.OK, latency=20.0)])
+        lost: list[api.Event] = [over(2, api.Result.RESET), over(3, api.Result.RESET)]
+        sender.handle(now + 30.0, lost)
+        endpoint = sender.dests[1].endpoints["e1"]
+        assert (endpoint.fails, sender.dests[1].gate.fails) == ((0, 0) if older else (2, 2))
+        assert (endpoint.avoid > now) is not older and sender.dests[1].gate.bad > 0.0
+
+
+def test_one_missing_connection_is_tried_again_before_it_is_believed() -> None:
+    def lose(sender: Sender, now: float, ident: int) -> None:
+        sender.handle(now, [new(ident), new(ident + 1)])
+        sender.handle(now + 1.0, [over(ident + 1, api.Result.NO_CONNECTION, latency=1.0)])
+
+    sender = Sender(replace(SETTINGS, slots=8), 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    now = warm(sender, 3)
+    lose(sender, now, 1)
+    endpoint = sender.dests[1].endpoints["e1"]
+    assert endpoint.conns == 2.0 and endpoint.avoid < now, "as many again are let stand"
+    assert 2 in sender.messages and sender.messages[2].live, "and the message is there already"
+    sender.handle(now + 60.0, [over(2, api.Result.OK, attempt=1, latency=50.0)])
+    assert endpoint.conns == math.inf, "they stood: it was an accident"
+    sender.handle(now + 61.0, [over(1, api.Result.OK, latency=60.0)])
+    lose(sender, now + 100.0, 11)
+    sender.handle(now + 102.0, [over(12, api.Result.NO_CONNECTION, attempt=1, latency=1.0)])
+    assert endpoint.conns == 1.0 and endpoint.avoid > now + 100.0, "twice in a row: they are all taken"
+
+
+def test_a_call_that_cannot_be_repeated_is_not_begun_where_the_end_of_its_sender_could_cut_it() -> None:
+    sender = Sender(SETTINGS, 1, 0.0)
+    sender.handle(0.0, [listed(1)])
+    now = warm(sender, 2)
+    assert not sender.handle(now, [api.Leaving(now + 200.0)])
+    assert sends(sender.handle(now, [new(1, name="unsafe")])) == [1], "50 ms a call: there is time"
+    assert sends(sender.handle(now + 100.0, [new(2, name="unsafe"), new(3)])) == [3], "what may be repeated goes"
+    assert 2 in sender.messages and not sender.messages[2].over, "and it is kept for after the restart"
