--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -599,7 +599,7 @@
             self.stirred[endpoint.gate] = None
         if message.turns:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
-        if not self._room(dest) or self._queue(dest) > QUEUE * message.span:
+        if not event.admitted and (not self._room(dest) or self._queue(dest) > QUEUE * message.span):
             self._give_up(message)
         elif not message.turns or self._has_turn(message):
             self._hold(message)
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -154,7 +154,8 @@
         taken = record.submission
         record.kept = True
         self.watcher.taken(record, Taken.NEW)
-        self._fact(api.NewMessage(record.id, taken.class_name, taken.destination, left, taken.key, True))
+        self._fact(api.NewMessage(record.id, taken.class_name, taken.destination, left, taken.key, True,
+                                  admitted=True))
 
     def news(self, news: api.ListNews) -> None:
         """Pass on news of the endpoint list."""
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -147,7 +147,7 @@
 @dataclass(frozen=True, slots=True)
 class NewMessage:
     """A client hands in a message; ``left`` is the time in which it may still be delivered, ``resent`` says
-    that the client marks it as another try."""
+    that the client marks it as another try, ``admitted`` that it was taken on before a restart."""
 
     id: int
     class_name: str
@@ -155,6 +155,7 @@
     left: float
     key: str = ""
     resent: bool = False
+    admitted: bool = False
 
 
 @dataclass(frozen=True, slots=True)
