--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -23,8 +23,6 @@
 MOST_ERRORS = 6  # after so many it is closed
 LOOK = 0.05  # seconds between two looks at who has been silent for too long
 
-Owe = Callable[[str, FinalAnswer], None]
-
 
 class Front:
     """Listens for clients. ``listed`` says which destinations there are; ``crowd`` decides who must go."""
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -72,7 +72,7 @@
     """A running sender. Made inside the loop that it will run on."""
 
     def __init__(self, config: NodeConfig, state: Path, log: Any) -> None:
-        """Wire everything together. Raises Unusable if the journal cannot be opened."""
+        """Wire everything together. Raises NodeError, and Unusable if the journal cannot be opened."""
         loop = asyncio.get_running_loop()
         self.config, self.log, self.loop = config, log, loop
         given = config.settings
@@ -84,8 +84,11 @@
                                  Budget(calls), Setups(SETUPS))
         self.carrier = RelayCarrier(self.listing, self.pools, self.clock, self.note)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
-        keeping = Keeping(state, config.name, classes, REMEMBER, given.order_pause,
-                          sizes.within(int(config.limits.disk_mb * 1024 * 1024)), synced=False)
+        try:
+            parts = sizes.within(int(config.limits.disk_mb * 1024 * 1024))
+        except ValueError as error:
+            raise NodeError(f"limits: disk_mb: {error}") from None
+        keeping = Keeping(state, config.name, classes, REMEMBER, given.order_pause, parts, synced=False)
         self.journal = Journaling(keeping, str, self._broken, self.note)
         self.engine = Engine(given, config.seed, self.clock, lambda _: self.carrier, store=self.journal.store,
                              watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
@@ -94,7 +97,6 @@
         self.front = Front(self.engine, Crowd(int(sockets * CLIENTS), sockets // 3), self.listing.listed,
                            lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
         self.telling: asyncio.TimerHandle | None = None
-        self.worst = 0.0  # the loop's longest delay since the last line of beliefs, in ms
 
     def note(self, event: str, details: Mapping[str, object]) -> None:
         """Something worth a line."""
