--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -29,10 +29,28 @@
         if place is None:
             return None
         module, _, name = place.partition(":")
-        command: click.Command = getattr(import_module(f"brassweir.cli.{module}"), name)
+        try:
+            command: click.Command = getattr(import_module(f"brassweir.cli.{module}"), name)
+        except ModuleNotFoundError as error:
+            if (error.name or "").partition(".")[0] == "brassweir":
+                raise
+            return _missing(cmd_name, error.name or "")
         return command
 
 
+def _missing(name: str, package: str) -> click.Command:
+    """Stands for a command whose packages are not installed, as beside a lean ``node``."""
+
+    @click.command(name, context_settings={"ignore_unknown_options": True},
+                   help=f"Not installed here: needs {package}, which comes with the whole of brassweir.")
+    @click.argument("_", nargs=-1, type=click.UNPROCESSED)
+    def missing(_: tuple[str, ...]) -> None:
+        raise click.ClickException(f"{name} needs {package}, which is not installed here; "
+                                   "pip install -e . brings all that brassweir needs")
+
+    return missing
+
+
 @click.group(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="brassweir")
 def main() -> None:
--- a/tests/cli/test_cli.py
+++ b/tests/cli/test_cli.py
@@ -146,3 +146,12 @@
     assert (third["attempts"], third["first_may_have_run"], third["behind_hole"]) == (0, None, False)
     bad = CliRunner().invoke(main, ["journal", "export", str(folder), "--parquet", str(tmp_path / "none" / "x.parquet")])
     assert bad.exit_code == 1 and "No such file" in bad.output and not (tmp_path / "none").exists()
+
+
+def test_a_lean_installation_helps_and_names_what_is_missing() -> None:
+    lean = ("import sys\nfor name in ('pydantic', 'cryptography', 'rich', 'lark', 'structlog'): sys.modules[name] = None\n"
+            "from brassweir.cli.main import main\nmain()")
+    found = subprocess.run([sys.executable, "-c", lean, "--help"], capture_output=True, text=True)
+    assert found.returncode == 0 and "node" in found.stdout and "Not installed here" in found.stdout
+    found = subprocess.run([sys.executable, "-c", lean, "serve", "x.yaml", "--plain-log"], capture_output=True, text=True)
+    assert found.returncode == 1 and found.stderr.startswith("Error: serve needs ") and found.stderr.count("\n") == 1
