Late answers, lists that are behind, floods after an error: eight faults of the node

An answer's second copy that came while a call's last byte was held back counted as that call's answer: a message would have been delivered in name only (client.call). An older list undid a drain (node._change). Requests sent on after an error stayed in memory while their sender was not read: 30 MB from 120 connections (front.fault). One notice that could not be read ended all of its post (notices). A folder of a sender of another kind ended the start (int of a name). Endpoints that are gone were forgotten before the module had heard: a send decided in that turn was a KeyError (now engine._forget). A promise for a message without room was kept for ever. Also: what settles a call is told to the one kind of pools, in place of a second kind in service/node.py.

--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -190,6 +190,16 @@
             self._promise(events, actions)
         for action in actions:
             self._carry_out(action)
+        for event in events:
+            if isinstance(event, api.ListNews):
+                self._forget(event)
+
+    def _forget(self, news: api.ListNews) -> None:
+        """Let go of endpoints that the module now knows to be gone: it names them no more."""
+        for info in news.entries:
+            known = self.endpoints.get(info.name)
+            if info.state is api.State.GONE and known is not None and known.state is api.State.GONE:
+                del self.endpoints[info.name]
 
     def _promise(self, events: list[api.Event], actions: list[api.Action]) -> None:
         """Before anything goes out: tell who waits for it that a message is held."""
@@ -320,6 +330,7 @@
         waiters = self.ledger.finish(record.id, answer, self.clock.now())
         if waiters is None:
             return  # it had one: the first stays
+        self.promises.pop(record.id, None)
         self.ledger.shed(record)
         self.watcher.final(record)
 
@@ -350,11 +361,11 @@
     def held(self, record: Record, promise: Callable[[], None]) -> None:
         """Call ``promise`` once a message just handed in is written down and the module holds it: before any
         attempt goes out, and never if its first turn ends it."""
-        self.promises[record.id] = promise
+        if record.answer is None:
+            self.promises[record.id] = promise
 
     def withdraw(self, record: Record) -> None:
         """Nobody waits for a message any more, and nobody was told that it is taken on."""
-        self.promises.pop(record.id, None)
         if record.answer is None:
             self._fact(api.Withdrawn(record.id))
             self._finish(record, self.ledger.closing(record))
--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -60,6 +60,7 @@
         self.last_id = 0
         self.last_at = 0.0  # latest wall time seen in a record
         self.runs = 0
+        self.sender = ""  # who wrote last
 
     def apply(self, record: Record) -> None:
         """Learn from one record."""
@@ -67,6 +68,7 @@
             return
         if isinstance(record, Began):
             self.runs += 1
+            self.sender = record.sender
             self.last_at = max(self.last_at, record.at)
             return
         if record.id == 0:  # an ending kept for what it says of its endpoint alone
--- a/brassweir/lab/platform.py
+++ b/brassweir/lab/platform.py
@@ -97,6 +97,7 @@
         self.connections = 0
         self.resets_kept = 0.0  # if set, share of a request after which a kept connection is reset
         self.resets = 0
+        self.repeats = False  # answer once more as the first bytes of the next request come
         self.writers: set[asyncio.StreamWriter] = set()
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -124,7 +125,11 @@
                     self.resets += 1
                     writer.transport.abort()
                     return
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+                begun = b""
+                if served and self.repeats:
+                    begun = await reader.readexactly(1)
+                    writer.write(answer(200))
+                head = (begun + await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 fields = _fields(head)
                 body = await reader.readexactly(int(fields["content-length"]))
                 assert head[0] == "POST /receive HTTP/1.1", head[0]
@@ -157,6 +162,7 @@
         self.watches: set[asyncio.StreamWriter] = set()
         self.asked: list[int] = []
         self.status = 204
+        self.refuses = b""  # answer 400 to posts that hold this
         self.silent = False
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -201,9 +207,10 @@
                 fields = _fields(head)
                 if head[0].startswith("POST /status "):
                     body = await reader.readexactly(int(fields["content-length"]))
-                    if self.status == 204:
+                    status = 400 if self.refuses and self.refuses in body else self.status
+                    if status == 204:
                         self.notices += [(wall(), json.loads(line)) for line in body.splitlines() if line]
-                    writer.write(f"HTTP/1.1 {self.status} X\r\n\r\n".encode())
+                    writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
                 elif not self.silent:
                     self.asked.append(int(head[0].partition("since=")[2].partition(" ")[0]))
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -98,11 +98,13 @@
             async with asyncio.timeout_at(deadline):
                 if hold:
                     await asyncio.sleep(hold)
-                    if not self.answer.done():
-                        self.stage = Stage.SENT
-                        self.transport.write(data[-1:])
-                    else:
-                        self.usable = False  # what it answered is not this call, or only part of it
+                    if self.answer.done():
+                        await self.answer  # the connection's end, if it has ended
+                        # Else an answer to a call that was not whole: another's, come twice or late.
+                        self.drop()
+                        raise CallFailed(Stage.CONNECT, "an answer came before the call was whole")
+                    self.stage = Stage.SENT
+                    self.transport.write(data[-1:])
                 return await self.answer
         except CallFailed as failed:
             failed.kept = kept
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -23,7 +23,8 @@
     """
 
     def __init__(self, limits: Limits, cap: int, idle: float, connect: float, budget: Budget | None = None,
-                 setups: Setups | None = None) -> None:
+                 setups: Setups | None = None, settling: frozenset[int] = frozenset()) -> None:
+        self.settling = settling  # see Pool
         self.limits, self.cap, self.idle_time, self.connect_time = limits, cap, idle, connect
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
         self.pools: dict[str, Links] = {}
@@ -147,4 +148,6 @@
 
 
 def _http(address: Address, house: Pools) -> Links:
-    return Pool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
+    pool = Pool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
+    pool.settling = house.settling
+    return pool
--- a/brassweir/relay/carrier.py
+++ b/brassweir/relay/carrier.py
@@ -16,6 +16,7 @@
 # Seconds for which a call's last byte is held back (see Pool.post): enough for a reset to come from the next
 # machine but one, and little beside a call. Without it every closing that crosses a call may have run it.
 HOLD = 0.005
+SETTLING = frozenset({200})  # a first line with this status is true, whatever follows it
 UNSURE = frozenset({Result.TIMEOUT, Result.RESET})  # endings without a word: the path may be gone
 
 
--- a/brassweir/relay/notices.py
+++ b/brassweir/relay/notices.py
@@ -47,6 +47,7 @@
         self.owed: deque[tuple[int, Notice]] = deque()
         self.task: asyncio.Task[None] | None = None
         self.sent = 0
+        self.alone = 0  # posts to come with one notice each: one of them could not be read
         self.move(discovery)
 
     def move(self, discovery: str) -> None:
@@ -62,7 +63,8 @@
     async def _run(self) -> None:
         wait = FIRST
         while self.owed:
-            batch = [self.owed[i] for i in range(min(MOST, len(self.owed)))]
+            batch = [self.owed[i] for i in range(min(1 if self.alone else MOST, len(self.owed)))]
+            self.alone = max(0, self.alone - 1)
             if await self._post(batch):
                 for _ in batch:
                     self.owed.popleft()
@@ -83,6 +85,9 @@
         except CallFailed as failed:
             self.note("notice_failed", {"error": str(failed), "owed": len(self.owed)})
             return False
+        if reply.status == 400 and len(batch) > 1:
+            self.alone = len(batch)  # the others must not go unread with it
+            return False
         if reply.status == 400:
             self.note("notice_unreadable", {"refs": [one.ref for _, one in batch][:5]})
             return True  # it will not be read the next time either
--- a/brassweir/resp/codec.py
+++ b/brassweir/resp/codec.py
@@ -33,6 +33,11 @@
         """Has a command begun that is not whole?"""
         return self.left > 0 or self.position < len(self.buffer)
 
+    @property
+    def held(self) -> int:
+        """Bytes that are not read yet."""
+        return len(self.buffer) - self.position
+
     def feed(self, data: bytes) -> None:
         """Take what came."""
         if not self.failed:
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -263,8 +263,9 @@
         slot = _Slot(codec.error(reason))
         self.slots.append(slot)
         self.flush()
-        if self.faults >= MOST_ERRORS:
-            self.end()
+        if self.faults >= MOST_ERRORS or self.decoder.held > codec.MOST_BYTES:
+            self.end()  # it does not stop, or sends on before it has read why: none of that is kept
+            self.decoder = codec.Decoder()
         elif not self.ending:
             self.resting = True
             self.loop.call_later(PENALTY * 2.0 ** (self.faults - 1), self.rested)
--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import time
+from collections import deque
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
@@ -68,10 +69,14 @@
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
+        self.waiting: deque[Callable[[], None]] = deque()
+        self.closed = False
 
     def run(self, work: Callable[[], Any], done: Callable[[Any], None],
             failed: Callable[[BaseException], None]) -> None:
-        """Run ``work`` in the next turn."""
+        """Run ``work`` in the next turn; after the end, never: nothing that waits for it goes on."""
+        if self.closed:
+            return
 
         def turn() -> None:
             try:
@@ -81,10 +86,18 @@
             else:
                 done(result)
 
-        self.loop.call_soon(turn)
+        self.waiting.append(turn)
+        self.loop.call_soon(self._next)
+
+    def _next(self) -> None:
+        if self.waiting:
+            self.waiting.popleft()()
 
     def close(self) -> None:
-        """Nothing is left over."""
+        """Write what still waits, and nothing more."""
+        while self.waiting:
+            self._next()
+        self.closed = True
 
 
 class Unusable(ValueError):
@@ -123,6 +136,8 @@
             raise Unusable(f"journal: {error}") from None
         except (FormatError, OSError, Broken) as error:
             raise Unusable(f"journal: {folder}: {error}") from None
+        if self.found.lives.sender not in ("", keeping.sender):
+            note("journal_of_another", {"sender": self.found.lives.sender})
         for problem in self.found.problems:
             note("journal_damage", {"where": problem})
         loop = asyncio.get_running_loop()
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -23,11 +23,9 @@
 from brassweir.journal import sizes
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
-from brassweir.net.client import Pool
 from brassweir.net.house import Pools
 from brassweir.net.limits import Limits
-from brassweir.net.links import Address, Links
-from brassweir.relay.carrier import RelayCarrier
+from brassweir.relay.carrier import SETTLING, RelayCarrier
 from brassweir.relay.discovery import Discovery
 from brassweir.relay.listing import Change, Listing
 from brassweir.relay.notices import Notices, notice
@@ -50,22 +48,9 @@
 ANSWERS = Limits(head=16_384, headers=64, body=65_536)  # of endpoints and of the platform
 
 
-class _RelayPool(Pool):
-    """On the platform a first line with 200 is true whatever follows it."""
-
-    settling = frozenset({200})
-
-
-class _RelayPools(Pools):
-    def of(self, url: str, name: str = "") -> Pool:
-        """The pool of an endpoint."""
-        pool = self.links(url, _relay_pool, name)
-        assert isinstance(pool, Pool)
-        return pool
-
-
-def _relay_pool(address: Address, house: Pools) -> Links:
-    return _RelayPool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
+def _number(destination: str) -> int | None:
+    """The number behind a destination's name in the journal; None if another kind of sender wrote it."""
+    return int(destination) if destination.isascii() and destination.isdigit() else None
 
 
 class NodeProcess:
@@ -80,8 +65,8 @@
         self.clock, self.counts, self.listing = LoopClock(loop), Counting(), Listing()
         sockets = config.limits.sockets
         calls = max(8, int(sockets * (1.0 - CLIENTS)) - KEPT_BACK)
-        self.pools = _RelayPools(ANSWERS, calls, IDLE * given.idle_close or 4000.0, given.connect_timeout,
-                                 Budget(calls), Setups(SETUPS))
+        self.pools = Pools(ANSWERS, calls, IDLE * given.idle_close or 4000.0, given.connect_timeout,
+                           Budget(calls), Setups(SETUPS), SETTLING)
         self.carrier = RelayCarrier(self.listing, self.pools, self.clock, self.note)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
         try:
@@ -108,12 +93,13 @@
             self.broken.set_result(error)
 
     def _change(self, change: Change) -> None:
+        if change.rev < self.listing.rev:
+            # An agent that is behind: what it tells was true before, and could undo a drain.
+            self.note("list_behind", {"rev": change.rev, "known": self.listing.rev})
+            return
         news = self.listing.take(change)
         if news.entries:
             self.engine.news(news)
-            for info in news.entries:
-                if info.state is api.State.GONE:
-                    self.engine.endpoints.pop(info.name, None)
 
     def _waiter(self, message: int, submission: Submission) -> Waiter:
         """Who waits for the end of a message that was taken on: the platform, unless it is a delivery."""
@@ -128,12 +114,12 @@
 
     def _recover(self) -> None:
         """Go on where the process before this one was, whatever ended it."""
-        plan = self.journal.plan(lambda name: int(name) if name.isdigit() else None)
+        plan = self.journal.plan(_number)
         found = self.journal.found
         self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
                       owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
                       torn_bytes=found.torn, holes=len(found.holes))
-        carry_out(plan, self.engine, self.journal.store, int, self._waiter)
+        carry_out(plan, self.engine, self.journal.store, _number, self._waiter)
 
     async def start(self) -> None:
         """Know the list, recover, watch, then listen. Raises OSError."""
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -294,3 +294,34 @@
     assert recall.waits(made[0], told, made, frozenset()) == made
     assert recall.waits(made[0], told, made, frozenset({"k"})) == [made[0]]
     assert recall.waits(made[0], Outcome(api.Result.FULL), made, frozenset()) == []
+
+
+def test_a_send_decided_just_before_its_endpoint_is_gone_finds_the_engine_knowing_it() -> None:
+    engine, clock, carrier = make(good=1.0)
+    clock.run(1100.0)
+    got: list[FinalAnswer] = []
+    for name in "abcdef":
+        engine.submit(Submission("o", name, "safe", 1, 4000.0), got.append)
+    engine.news(api.ListNews(api.ListKind.DELTA, tuple(
+        api.EndpointInfo(f"d1-{j}", 1, "", state=api.State.GONE) for j in (0, 1))))
+    clock.run(6200.0)
+    assert len(got) == 6, "none is left without its answer"
+    assert not {"d1-0", "d1-1"} & engine.endpoints.keys(), "and what is gone is forgotten"
+
+
+class Full:
+    """A store without room for a new message."""
+
+    def keep(self, fact: Fact, message: int, detail: object, then: Callable[[], None], unable: Callable[[str], None]) -> None:
+        (lambda: unable("no room"))() if fact is Fact.TAKEN else then()
+
+
+def test_a_promise_for_a_message_that_found_no_room_is_not_kept_for_ever() -> None:
+    engine, clock, _ = make(store=Full())
+    got: list[FinalAnswer] = []
+    told: list[int] = []
+    for number in range(5):
+        _, record = engine.submit(Submission("o", f"m{number}", "safe", 1, 4000.0), got.append)
+        engine.held(record, lambda: told.append(1))
+    clock.run(3000.0)
+    assert len(got) == 5 and not told and not engine.promises
--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -12,6 +12,10 @@
 
 import pytest
 
+from brassweir.journal.records import Began, Taken
+from brassweir.journal.scan import scan
+from brassweir.journal.storage import Files
+from brassweir.journal.writer import Writer
 from brassweir.lab.platform import (
     Call,
     Client,
@@ -171,6 +175,19 @@
     play(tmp_path, day, Endpoint("a", 1))
 
 
+def test_a_second_copy_of_an_answer_is_never_taken_for_the_next_calls(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        client = await world.client()
+        world.endpoints[0].repeats = True
+        for i in range(8):
+            assert await client.put(f"m{i}", "pay", 1, 3000.0) == b"+OK\r\n"
+            await asyncio.sleep(0.1)
+        await world.settled(8)
+        assert world.discovery.notices == []
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
 BAD = [
     b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$60000000\r\n" + b"x" * 100_000, b"*" + b"9" * 500, b"*1\r\n$-9\r\n", b"\x00" * 500,
     Client.command(b"MSG.PUT", b"0", b"x1", b"c=none,d=5,dest=1", b""), Client.command(b"MSG.PUT", b"0", b"x1", b"c=note,d=5,dest=99", b""),
@@ -211,6 +228,24 @@
     play(tmp_path, day, Endpoint("a", 1))
 
 
+def test_clients_that_send_on_and_on_after_an_error_do_not_fill_the_memory(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        bad = Client.command(b"MSG.PUT", b"0", b"x", b"c=none", b"") * 5000
+        flood = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(120)]
+        for _, writer in flood:
+            writer.write(bad)
+        await asyncio.sleep(1.2)
+        usual = await world.client()
+        assert await usual.put("m1", "pay", 1) == b"+OK\r\n"
+        lines = [json.loads(line) for line in world.log().splitlines() if '"belief"' in line]
+        assert max(line["rss_mb"] for line in lines) - lines[0]["rss_mb"] < 12.0, "a tenth of the limit"
+        await world.settled(1)
+        for _, writer in flood:
+            writer.transport.abort()
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
 def test_the_id_of_an_open_message_is_refused_and_answers_keep_their_order(tmp_path: Path) -> None:
     async def day(world: World) -> None:
         client, other = await world.client(), await world.client()
@@ -322,6 +357,41 @@
     play(tmp_path, day, Endpoint("a", 1, cut))
 
 
+def test_a_list_that_is_behind_undoes_no_drain(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        found, endpoint = world.discovery, world.endpoints[0]
+        await asyncio.sleep(0.2)
+        for _ in range(3):
+            found.change(endpoint.entry("leaving"))
+        await asyncio.sleep(0.2)
+        found.say(json.dumps({"rev": 2, "all": True, "targets": [endpoint.entry()]}).encode())
+        await asyncio.sleep(0.2)
+        client = await world.client()
+        await client.put("m1", "note", 1, 500.0)
+        await asyncio.sleep(0.9)
+        assert endpoint.calls == [] and "list_behind" in world.log()
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
+def test_one_notice_that_cannot_be_read_takes_no_other_with_it(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        world.discovery.status, world.discovery.refuses = 500, b"m2"
+        client = await world.client()
+        for i in range(5):
+            assert await client.put(f"m{i}", "pay", 1, 3000.0) == b"+OK\r\n"
+        await asyncio.sleep(0.4)
+        world.discovery.status = 204
+        for _ in range(200):
+            if len(world.discovery.notices) >= 4:
+                break
+            await asyncio.sleep(0.02)
+        assert sorted(one["ref"] for _, one in world.discovery.notices) == ["m0", "m1", "m3", "m4"]
+        assert "notice_unreadable" in world.log()
+
+    play(tmp_path, day, Endpoint("a", 1, cut), judged=False)
+
+
 def test_notices_outlast_a_platform_that_does_not_answer(tmp_path: Path) -> None:
     async def day(world: World) -> None:
         world.discovery.status = 500
@@ -410,6 +480,26 @@
     play(tmp_path, day, Endpoint("a", 1, hang), judged=False)
 
 
+def test_a_folder_of_another_kind_of_sender_is_survived_and_told(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        assert "journal_of_another" in world.log()
+        assert await (await world.client()).put("n1", "note", 1) == b"+OK\r\n"
+        await world.settled(2)
+        assert [one["ref"] for _, one in world.discovery.notices] == ["theirs"], "its end is owed all the same"
+
+    world = World(tmp_path)
+    files = Files(world.folder / "state", synced=False)
+    writer = Writer(files, scan(files))
+    writer.open()
+    writer.add(Began(1.0, "office"), None)
+    writer.add(Taken(1, "o", "theirs", "report", "bank", "", wall() + 9000.0, "a/b", "", b"x", b"n"), None)
+    group = writer.take()
+    assert group is not None
+    writer.done(group, writer.commit(group))
+    files.close()
+    play(tmp_path, day, Endpoint("a", 1))
+
+
 # ---- what it rests on
 
 
