--- a/brassweir/lab/platform.py
+++ b/brassweir/lab/platform.py
@@ -270,7 +270,11 @@
         """Hand one message in; returns the line of the answer."""
         names = f"c={class_name},d={span:.0f},dest={destination}" + (f",k={key}" if key else "") + more
         at = wall()
-        line = await self.ask(self.command(b"MSG.PUT", b"0" * 16, ident.encode(), names.encode(), body))
+        line = b""
+        try:
+            line = await self.ask(self.command(b"MSG.PUT", b"0" * 16, ident.encode(), names.encode(), body))
+        except ConnectionError:
+            pass  # the sender has died: nothing was promised
         self.sent.append(HandIn(at, ident, class_name, destination, span, key, body, line))
         return line
 
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -39,8 +39,8 @@
 class World:
     """Endpoints, discovery and one ``node`` in a process of its own."""
 
-    def __init__(self, folder: Path) -> None:
-        self.folder = folder
+    def __init__(self, folder: Path, disk_mb: float = 2.0) -> None:
+        self.folder, self.disk_mb = folder, disk_mb
         self.discovery = Discovery()
         self.endpoints: list[Endpoint] = []
         self.clients: list[Client] = []
@@ -48,8 +48,8 @@
         self.port = 0
         (folder / "state").mkdir(exist_ok=True)
 
-    async def open(self, *endpoints: Endpoint) -> World:
-        """Start everything."""
+    async def open(self, *endpoints: Endpoint, dies_at: int = 0) -> World:
+        """Start everything; the sender may be one that dies at a step of its storage."""
         await self.discovery.start()
         for endpoint in endpoints:
             await endpoint.start()
@@ -59,26 +59,29 @@
             free.bind(("127.0.0.1", 0))
             self.port = free.getsockname()[1]
         self.write()
-        await self.start()
+        await self.start(dies_at)
         return self
 
     def write(self, discovery: Discovery | None = None) -> None:
         """Write the configuration."""
         found = configuration(f"127.0.0.1:{self.port}", f"127.0.0.1:{(discovery or self.discovery).port}",
                               list(self.discovery.entries.values()))
+        found["limits"]["disk_mb"] = self.disk_mb
         (self.folder / "config.json").write_text(json.dumps(found))
 
-    async def start(self) -> None:
-        """Start the sender, and wait until it answers."""
+    async def start(self, dies_at: int = 0) -> None:
+        """Start the sender, and wait until it answers, or has died where it was to."""
         env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_STATE": str(self.folder / "state")}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "brassweir", "node", env=env, stderr=(self.folder / "log").open("ab"))
+            sys.executable, *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else ["-m", "brassweir", "node"]), env=env, stderr=(self.folder / "log").open("ab"))
         for _ in range(400):
             try:
                 client = await Client("127.0.0.1", self.port).open()
                 assert await client.ask(Client.command(b"PING")) == b"+PONG\r\n"
                 return await client.close()
-            except ConnectionError:
+            except (ConnectionError, AssertionError):
+                if dies_at and self.process.returncode is not None:
+                    return
                 assert self.process.returncode is None, self.log()
                 await asyncio.sleep(0.05)
         raise AssertionError(f"it does not answer: {self.log()}")
