--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -521,7 +521,7 @@
     def _past(self, event: api.Past) -> None:
         """What an attempt before a restart told is heeded as if it had just ended, less the time since."""
         home = self.homes.get(event.endpoint)
-        if home is None or event.result in (Result.OK, Result.MOOT, Result.CANCELLED):
+        if home is None or event.result in (Result.OK, Result.CROWDED, Result.MOOT, Result.CANCELLED):
             return
         gate = self._dest(home).endpoints[event.endpoint].gate
         self.stirred[gate] = None
@@ -871,7 +871,7 @@
             call.learnt = True
             self._learn(dest, call, event)
         self._judge(dest)
-        if event.result not in (Result.FULL, Result.NO_CONNECTION, Result.MOOT) and message.may_run == INF:
+        if event.result not in api.NEVER_RAN and message.may_run == INF:
             message.may_run, message.zone = call.sent, call.endpoint.info.zone
         unsure = event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED)
         if unsure and message.turns and message.key in self.keys:
@@ -889,10 +889,12 @@
         self._close(call.endpoint)
 
     def _close(self, endpoint: Endpoint) -> None:
-        """Give back idle connections that others at this kind of destination may lack: guards against a
-        fleet filling an endpoint's connections with idle ones. Costs handshakes, also where it is down."""
+        """Give back an idle connection that others may lack: guards against a fleet filling an endpoint's
+        connections with idle ones. Who holds one meets no lack, so where endpoints are known to hold few none
+        waits for that. Costs handshakes, also where the endpoint is down."""
         lacked = self.now - self.lacked.get(endpoint.info.kind, -INF) < LACKED * self.sets.idle_close
-        keep = min(1.0, KEEP / self.sets.senders if lacked else 1.0) * self.sets.idle_close
+        few = lacked or self.sets.few_connections
+        keep = min(1.0, KEEP / self.sets.senders if few else 1.0) * self.sets.idle_close
         if not endpoint.out and 0.0 < keep <= endpoint.gap:
             self.actions.append(api.CloseIdle(endpoint.info.name))
 
@@ -904,7 +906,7 @@
         if event.limit is not None:
             gate.limit(event.limit, True)
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
-        if result is Result.NO_CONNECTION:
+        if result in api.LACKING:
             self.lacked[endpoint.info.kind] = self.now
         dest.unanswered += result is Result.TIMEOUT
         if result is Result.OK:
@@ -923,8 +925,9 @@
             gate.passed(self.now)
         elif result is Result.FULL:
             gate.full(self.now, event.wait, call.trial, call.sent)
-        elif result is Result.NO_CONNECTION and not call.trial and (
-                endpoint.out or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
+        elif result in api.LACKING and not call.trial and (
+                result is Result.CROWDED or endpoint.out
+                or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
             endpoint.fails += newer
             # Other calls pass. If one is missing twice before as many stood, its connections are all taken;
             # once may be an accident: guards against a path that loses some for ever seeming short of them.
@@ -933,7 +936,7 @@
             self.short[endpoint] = None
             if again or (newer and endpoint.fails > 1):
                 endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
-        elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
+        elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, *api.LACKING):
             if result is Result.TIMEOUT and dest.last_pass < call.sent:
                 # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -10,9 +10,7 @@
 from enum import Enum
 from typing import Protocol
 
-from brassweir.interface import EndpointInfo, Result
-
-CANNOT_HAVE_RUN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.MOOT})
+from brassweir.interface import NEVER_RAN, EndpointInfo, Result
 
 
 class Answer(Enum):
@@ -117,7 +115,7 @@
     @property
     def may_have_run(self) -> bool:
         """Can the attempt have taken effect? The same reading as the decision module's."""
-        return self.result not in CANNOT_HAVE_RUN
+        return self.result not in NEVER_RAN
 
 
 class Handle(Protocol):
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -37,11 +37,17 @@
     FULL = "full"
     TIMEOUT = "timeout"
     NO_CONNECTION = "no_connection"
+    CROWDED = "crowded"  # answered on a new connection: the endpoint is well, and holds no more of them
     RESET = "reset"
     CANCELLED = "cancelled"
     MOOT = "moot"
 
 
+# Endings that prove that the message never ran.
+NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.CROWDED, Result.MOOT})
+LACKING = frozenset({Result.NO_CONNECTION, Result.CROWDED})  # endings for want of a connection
+
+
 class State(Enum):
     """What the endpoint list says of an endpoint."""
 
@@ -94,6 +100,7 @@
     max_attempts: int = 6
     connect_timeout: float = 1000.0
     idle_close: float = 0.0  # idle connections close by themselves after this; 0 if unknown
+    few_connections: bool = False  # the protocol says that endpoints hold only so many
     max_retry_after: float = 0.0
     tick: float = 1.0
     second_copies: bool = False
--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -9,7 +9,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from brassweir.core.ports import CANNOT_HAVE_RUN
+from brassweir.interface import NEVER_RAN
 from brassweir.interface import Result
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told, Whole
 
@@ -37,10 +37,10 @@
     def first(self) -> float | None:
         """When an attempt may first have run: one without an ending may have, and may still."""
         times = [one.at for number, one in self.intents.items()
-                 if number not in self.ended or Result(self.ended[number].result) not in CANNOT_HAVE_RUN]
+                 if number not in self.ended or Result(self.ended[number].result) not in NEVER_RAN]
         # An ending without its intent: the intent was lost or never waited for, and it went out before.
         times += [one.at for number, one in self.ended.items()
-                  if number not in self.intents and Result(one.result) not in CANNOT_HAVE_RUN]
+                  if number not in self.intents and Result(one.result) not in NEVER_RAN]
         if self.taken is not None and self.taken.ran:
             times.append(self.taken.ran)
         return min(times) if times else None
--- a/brassweir/journal/records.py
+++ b/brassweir/journal/records.py
@@ -10,7 +10,7 @@
 
 from brassweir.interface import Result
 
-VERSION = 1
+VERSION = 2  # 1 knew no crowded endpoints
 
 
 class Taken(msgspec.Struct, tag="t", array_like=True, frozen=True):
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -23,6 +23,7 @@
     status: int
     headers: Headers
     body: bytes
+    kept: bool = False  # the connection had carried calls before
 
 
 SETTLED = 0.03  # seconds that the rest of an answer has, once its first line has settled the call
@@ -105,7 +106,9 @@
                         raise CallFailed(Stage.CONNECT, "an answer came before the call was whole")
                     self.stage = Stage.SENT
                     self.transport.write(data[-1:])
-                return await self.answer
+                reply = await self.answer
+                reply.kept = kept
+                return reply
         except CallFailed as failed:
             failed.kept = kept
             raise
--- a/brassweir/relay/carrier.py
+++ b/brassweir/relay/carrier.py
@@ -57,4 +57,4 @@
                 pool.close_idle()  # the others to it may be as dead, and would say so no sooner
             done(outcome)
         else:
-            done(endings.status(reply.status, reply.headers.first))
+            done(endings.status(reply.status, reply.headers.first, reply.kept))
--- a/brassweir/relay/endings.py
+++ b/brassweir/relay/endings.py
@@ -7,6 +7,7 @@
 500                                      error          it may have
 429, perhaps with X-Backoff-Ms           full, a wait   never
 503                                      full           never
+503 that ends a new connection           crowded        never: the endpoint holds no more of them
 503 with X-Egress-Full: 1                moot           never: all slots of this sender were taken
 504                                      moot           never: no attempts are left; its end is owed
 410                                      moot, over     never: the message is over
@@ -32,18 +33,25 @@
 Field = Callable[[str], str]
 
 
-def status(code: int, field: Field) -> Outcome:
-    """What a whole answer says."""
+def status(code: int, field: Field, kept: bool) -> Outcome:
+    """What a whole answer says, on a connection that was kept from an earlier call or on a new one.
+
+    An endpoint that is over its limit, or shut, goes on with the connection and reports; one that holds too
+    many connections ends the new one unheard. Whoever takes that for the limit slows down, keeps the idle
+    connections it has, and so never learns why.
+    """
     left, limit = report(field("X-Backend-Load"))
     if code == 200:
         return Outcome(Result.OK, limit_left=left, limit=limit)
     reason = f"status {code}"
     if code == 429:
         return Outcome(Result.FULL, reason, wait=_wait(field("X-Backoff-Ms")), limit_left=left, limit=limit)
-    if code == 503 and field("X-Egress-Full").strip() != "1":
-        return Outcome(Result.FULL, reason, limit_left=left, limit=limit)
-    if code == 503:
+    if code == 503 and field("X-Egress-Full").strip() == "1":
         return Outcome(Result.MOOT, "all slots of this sender were taken", limit_left=left, limit=limit)
+    if code == 503 and not kept and left is None and field("Connection").strip().lower() == "close":
+        return Outcome(Result.CROWDED, "status 503, connection closed")
+    if code == 503:
+        return Outcome(Result.FULL, reason, limit_left=left, limit=limit)
     if code == 504:
         return Outcome(Result.MOOT, "no attempts are left", limit_left=left, limit=limit)
     if code == 410:
--- a/brassweir/relay/settings.py
+++ b/brassweir/relay/settings.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import msgspec
@@ -71,7 +71,7 @@
     try:
         known = checked(given.known) if given.known is not None else None
         pairs = [f"{name}={value}" for name, value in flat(given.settings)]
-        settings = read_settings(Fields("settings", pairs))
+        settings = replace(read_settings(Fields("settings", pairs)), few_connections=True)
     except (ListError, WireError, SettingsError) as error:
         raise NodeError(str(error)) from None
     return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings)
