--- a/tests/relay/test_pure.py
+++ b/tests/relay/test_pure.py
@@ -53,6 +53,10 @@
     assert (notice("a", FinalAnswer(Answer.FAILED)).result, notice("a", FinalAnswer(Answer.REFUSED)).result) == ("dead", "bounced")
 
 
+def configured(uid: str) -> dict[str, Any]:
+    return {"uid": uid, "endpoint": "10.0.0.1:80", "pod_group": 1, "state": "active", "az": "nowhere", "model": "unheard of"}
+
+
 def target(uid: str, state: str = "active", port: int = 80, home: int = 1) -> Target:
     return Target(uid, f"10.0.0.1:{port}", home, state, "a", "office", 4.0)
 
@@ -97,7 +101,10 @@
 
 @pytest.mark.parametrize(("change", "field"), [
     ({"listen": "somewhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"name": 3}, "name"), ({"limits": {"sockets": 3}}, "limits"),
-    ({"settings": {}}, "Classes.count"), ({"known": {"rev": 1, "all": True, "targets": [{"uid": "a"}]}}, "endpoint"),
+    ({"settings": {}}, "Classes.count"),
+    ({"settings": {**configuration()["settings"], "Balancers": 0}}, "senders"),
+    ({"settings": {**configuration()["settings"], "Specifics": {"CallSlots": 0}}}, "slots"),
+    ({"limits": {"disk_mb": 0}}, "limits"), ({"known": {"rev": 1, "all": True, "targets": [configured("a"), configured("a")]}}, "stands twice"), ({"known": {"rev": 1, "all": True, "targets": [{"uid": "a"}]}}, "endpoint"),
 ])
 def test_a_configuration_that_cannot_be_used_names_its_field(change: dict[str, Any], field: str) -> None:
     with pytest.raises(settings.NodeError, match=field):
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -44,6 +44,7 @@
         self.discovery = Discovery()
         self.endpoints: list[Endpoint] = []
         self.clients: list[Client] = []
+        self.senders = 1  # that the configuration tells of
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
         (folder / "state").mkdir(exist_ok=True)
@@ -67,6 +68,7 @@
         found = configuration(f"127.0.0.1:{self.port}", f"127.0.0.1:{(discovery or self.discovery).port}",
                               list(self.discovery.entries.values()))
         found["limits"]["disk_mb"] = self.disk_mb
+        found["settings"]["Balancers"] = self.senders
         (self.folder / "config.json").write_text(json.dumps(found))
 
     async def start(self, dies_at: int = 0) -> None:
