Order on the platform goes by the first word of MSG.PUT; a call carries one message

Causes: resp.handin.read dropped the first word and took k, the idempotency key, for the key of order; and relay.settings.read told the module of batches of 10 and 20, which sockets do not have: joined messages took no slot and no token and went out as calls of their own.

Change: the first word is the key of order where the class asks for it; k travels with the payload; batches are one.

--- a/brassweir/relay/carrier.py
+++ b/brassweir/relay/carrier.py
@@ -42,8 +42,8 @@
             done(Outcome(Result.NO_CONNECTION, "no address for this endpoint"))
             return
         fields = Headers([("X-Correlation-Id", given.identity)])
-        if given.key:
-            fields.add("Idempotency-Key", given.key)
+        if payload.subject:
+            fields.add("Idempotency-Key", payload.subject)
         fields.add("X-Time-Left", f"{max(1.0, attempt.abandon_at - self.clock.now()):.0f}m")
         pool, until = self.pools.of(url, name), attempt.abandon_at / 1000.0
         try:
--- a/brassweir/relay/settings.py
+++ b/brassweir/relay/settings.py
@@ -71,7 +71,10 @@
     try:
         known = checked(given.known) if given.known is not None else None
         pairs = [f"{name}={value}" for name, value in flat(given.settings)]
-        settings = replace(read_settings(Fields("settings", pairs)), few_connections=True)
+        settings = read_settings(Fields("settings", pairs))
+        # What the protocol says on sockets: a call carries one message, and endpoints hold few connections.
+        kinds = tuple(replace(kind, batch=1) for kind in settings.kinds)
+        settings = replace(settings, kinds=kinds, few_connections=True)
     except (ListError, WireError, SettingsError) as error:
         raise NodeError(str(error)) from None
     return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings)
--- a/brassweir/resp/handin.py
+++ b/brassweir/resp/handin.py
@@ -1,6 +1,7 @@
 """Reads ``MSG.PUT`` into a submission, or says what is wrong with it. Pure.
 
-``MSG.PUT zeros id names body``: names are ``c`` (class), ``d`` (ms from the sending in which it may still be
+``MSG.PUT key id names body``: messages of one key go in the order taken, in classes that ask for it, and a key of
+zeros orders nothing. Names are ``c`` (class), ``d`` (ms from the sending in which it may still be
 delivered), ``dest``, ``k`` (idempotency key of a keyed class), ``r=1`` and ``again=1`` (handed in before).
 """
 
@@ -29,7 +30,7 @@
     """One hand-in. Raises Unreadable."""
     if len(args) != 5:
         raise Unreadable("MSG.PUT takes a key, an id, names and a body")
-    _, ident, names, body = args[1:]
+    order, ident, names, body = args[1:]
     if not _TOKEN.fullmatch(ident):
         raise Unreadable("the id is not 1 to 64 printable characters")
     if len(body) > BODY:
@@ -39,6 +40,8 @@
     cls = classes.get(name)
     if cls is None:
         raise Unreadable("c names no class")
+    if cls.in_order and not _TOKEN.fullmatch(order):
+        raise Unreadable("the key is not 1 to 64 printable characters, which this class needs")
     span = fields.get(b"d", b"")
     if not _SPAN.fullmatch(span):
         raise Unreadable("d is not a number of milliseconds")
@@ -51,8 +54,10 @@
     left = min(float(span), cls.deadline)
     if left <= 0.0:
         raise Unreadable("d leaves no time")
-    return Submission(OWNER, ident.decode("ascii"), name, int(number), left, key.decode("ascii"),
-                      b"1" in (fields.get(b"r"), fields.get(b"again")), Payload(CONTENT, body), OWED)
+    line = order.decode("ascii") if cls.in_order and order.strip(b"0") else ""
+    return Submission(OWNER, ident.decode("ascii"), name, int(number), left, line,
+                      b"1" in (fields.get(b"r"), fields.get(b"again")),
+                      Payload(CONTENT, body, key.decode("ascii")), OWED)  # the idempotency key travels with it
 
 
 def _fields(names: bytes) -> dict[bytes, bytes]:
--- a/tests/relay/test_pure.py
+++ b/tests/relay/test_pure.py
@@ -92,6 +92,13 @@
         read(b"\xff{")
 
 
+def test_a_call_carries_one_message_whatever_a_kind_would_take() -> None:
+    given = configuration()
+    given["settings"]["Specifics"]["KindBatch"] = [20]
+    sets = settings.read(json.dumps(given).encode()).settings
+    assert [kind.batch for kind in sets.kinds] == [1] and sets.few_connections
+
+
 def test_settings_have_one_reader() -> None:
     config = settings.read(json.dumps(configuration()).encode())
     sets = config.settings
