--- a/brassweir/lab/platform.py
+++ b/brassweir/lab/platform.py
@@ -266,13 +266,13 @@
         return await asyncio.wait_for(self.reader.readline(), 5.0)
 
     async def put(self, ident: str, class_name: str, destination: int, span: float = 8000.0, key: str = "",
-                  body: bytes = b"text", more: str = "") -> bytes:
-        """Hand one message in; returns the line of the answer."""
+                  body: bytes = b"text", more: str = "", order: bytes = b"0" * 16) -> bytes:
+        """Hand one message in; returns the line of the answer. ``order`` is the key it goes in turn by."""
         names = f"c={class_name},d={span:.0f},dest={destination}" + (f",k={key}" if key else "") + more
         at = wall()
         line = b""
         try:
-            line = await self.ask(self.command(b"MSG.PUT", b"0" * 16, ident.encode(), names.encode(), body))
+            line = await self.ask(self.command(b"MSG.PUT", order, ident.encode(), names.encode(), body))
         except ConnectionError:
             pass  # the sender has died: nothing was promised
         self.sent.append(HandIn(at, ident, class_name, destination, span, key, body, line))
--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -17,6 +17,7 @@
 from brassweir.journal.storage import Files
 from brassweir.journal.writer import Writer
 from brassweir.lab.platform import (
+    SERVING,
     Call,
     Client,
     Discovery,
@@ -64,6 +65,29 @@
     play(tmp_path, day, Endpoint("a", 1), Endpoint("b", 2))
 
 
+@pytest.mark.parametrize(("order", "at_once"), [(b"00076fafbac6d1dd", 1), (b"0" * 16, 2)])
+def test_messages_of_one_key_go_one_after_the_other(tmp_path: Path, order: bytes, at_once: int) -> None:
+    open_now, most = 0, 0
+
+    async def counting(call: Call, writer: asyncio.StreamWriter) -> None:
+        nonlocal open_now, most
+        open_now += 1
+        most = max(most, open_now)
+        await asyncio.sleep(0.3)
+        open_now -= 1
+        await good(call, writer)
+
+    async def day(world: World) -> None:
+        client = await world.client()
+        for i in range(2):
+            assert await client.put(f"m{i}", "order", 1, key=f"k{i}", order=order) == b"+OK\r\n"
+        await world.settled(2)
+        assert [call.id for call in world.endpoints[0].calls] == ["m0", "m1"] and most == at_once
+
+    SERVING.add(counting)
+    play(tmp_path, day, Endpoint("a", 1, counting))
+
+
 def first(spoilt: Manner, then: Manner) -> Manner:
     """The first call meets the one, all others the other."""
     met: list[str] = []
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -15,7 +15,8 @@
 
 CLASSES = [
     {"Name": "note", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "pure", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
-    {"Name": "order", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "token", "Group": "all", "Window": 5000.0, "LateWorth": 0.3},
+    {"Name": "order", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "token", "Group": "all", "Window": 5000.0, "LateWorth": 0.3,
+     "Sequential": True},
     {"Name": "pay", "Objective": 1500.0, "HardLimit": 5000.0, "Idempotency": "side_effect", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
 ]
 UNSAFE = frozenset({"pay"})
