--- a/brassweir/control.py
+++ b/brassweir/control.py
@@ -245,6 +245,15 @@
         if trial or (not self.shut and (self.fails >= FAILS_SHUT or self.bad > MOSTLY)):
             self.close(now)
 
+    def crowded(self, now: float, trial: bool) -> None:
+        """Turned away for want of a connection. Where nothing has passed lately it may be out and say it so:
+        guards against a fleet pushing it over when it is back, and cold."""
+        self.since, self.refused = min(self.since, now), self.refused + 1
+        self.met = now - self.since
+        lasting = self.refused >= FAILS_SHUT and self.met >= LATELY * self.sets.connect_timeout
+        if trial or (lasting and not self.shut):
+            self.close(now)
+
     def told_wait(self, now: float, wait: float) -> None:
         """Heed a wait, whichever message of a shared call brought it."""
         if wait > 0:
@@ -906,6 +915,8 @@
         if event.limit is not None:
             gate.limit(event.limit, True)
             gate.left = event.limit_left if event.limit > 0 and event.limit_left is not None else 1.0
+        if result is Result.CROWDED:
+            gate.crowded(self.now, call.trial)
         if result in api.LACKING:
             self.lacked[endpoint.info.kind] = self.now
         dest.unanswered += result is Result.TIMEOUT
@@ -936,7 +947,7 @@
             self.short[endpoint] = None
             if again or (newer and endpoint.fails > 1):
                 endpoint.avoid = self.now + ASIDE * self.sets.connect_timeout
-        elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, *api.LACKING):
+        elif result in (Result.ERROR, Result.TIMEOUT, Result.RESET, Result.NO_CONNECTION):
             if result is Result.TIMEOUT and dest.last_pass < call.sent:
                 # Slow as a whole, not one lost call: lost calls must not lengthen the time-outs of all.
                 dest.mean.add(max(event.latency, dest.mean.value))
--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -9,8 +9,7 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from brassweir.interface import NEVER_RAN
-from brassweir.interface import Result
+from brassweir.interface import NEVER_RAN, Result
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told, Whole
 
 TRAIL = 8  # endings since the last pass that are kept of an endpoint: enough to see an outage
--- a/brassweir/lab/models/day.py
+++ b/brassweir/lab/models/day.py
@@ -26,7 +26,7 @@
     weight: float
 
 
-class Home(msgspec.Struct, frozen=True):
+class Home(msgspec.Struct, frozen=True, omit_defaults=True):  # so that days of before keep their digests
     """A destination; its number is its place in the list, from 1."""
 
     name: str
@@ -36,6 +36,7 @@
     near: float  # ms one way
     far: float
     zone: int
+    says_crowded: bool = False  # over its connections it answers so, and does not just refuse
 
 
 class Order(msgspec.Struct, frozen=True, array_like=True):
@@ -60,7 +61,7 @@
     factor: float = 1.0
 
 
-class SenderPlan(msgspec.Struct, frozen=True):
+class SenderPlan(msgspec.Struct, frozen=True, omit_defaults=True):
     """What all senders are set to."""
 
     count: int
@@ -75,6 +76,8 @@
     start_capacity: float
     tip_multiple: float
     commit: float
+    idle: float | None = None  # for which an unused connection stands; None: the stage's own
+    few_connections: bool = False
 
 
 class ClientPlan(msgspec.Struct, frozen=True):
@@ -145,6 +148,7 @@
                     kind.near_ms,
                     kind.far_ms,
                     int(rng.integers(deployment.senders.zones)),
+                    kind.says_crowded,
                 )
             )
     return homes, np.array(weights)
@@ -228,6 +232,8 @@
             sets.start_capacity,
             sets.tip_multiple,
             sets.journal_commit_ms,
+            sets.idle_ms,
+            sets.few_connections,
         ),
         ClientPlan(clients.tries, clients.honour_wait, clients.backoff_ms, clients.moves),
         orders,
--- a/brassweir/lab/models/deployment.py
+++ b/brassweir/lab/models/deployment.py
@@ -26,6 +26,7 @@
     "throttle",
     "burst",
     "slow_connect",
+    "crowded",
     "drain",
     "gone",
     "sender_crash",
@@ -64,6 +65,7 @@
     endpoints: int = Field(2, ge=1, le=20)
     limit: LimitModel | None = None
     connections: int = Field(200, ge=1)
+    says_crowded: bool = False
     batch: int = Field(1, ge=1)
     routes: Literal["together", "apart"] = "together"
     cold_s: Positive = 5.0
@@ -93,6 +95,8 @@
     zones: int = Field(1, ge=1, le=20)
     max_attempts: int = Field(6, ge=1)
     connect_timeout_ms: Positive = 1000.0
+    idle_ms: Positive | None = None
+    few_connections: bool = False
     max_retry_after_ms: NotNegative = 5000.0
     order_pause_ms: NotNegative = 200.0
     cold_ms: NotNegative = 5000.0
--- a/brassweir/relay/endings.py
+++ b/brassweir/relay/endings.py
@@ -36,9 +36,9 @@
 def status(code: int, field: Field, kept: bool) -> Outcome:
     """What a whole answer says, on a connection that was kept from an earlier call or on a new one.
 
-    An endpoint that is over its limit, or shut, goes on with the connection and reports; one that holds too
-    many connections ends the new one unheard. Whoever takes that for the limit slows down, keeps the idle
-    connections it has, and so never learns why.
+    One that is over its limit goes on with the connection, and reports if it ever does; one that holds too
+    many ends the new one unheard. Whoever takes that for the limit slows down, keeps the idle connections it
+    has, and so never learns why.
     """
     left, limit = report(field("X-Backend-Load"))
     if code == 200:
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -10,9 +10,12 @@
 import os
 import signal
 from collections.abc import Mapping
+from dataclasses import replace
 from pathlib import Path
 from typing import Any
 
+import msgspec
+
 from brassweir import interface as api
 from brassweir.core.clock import LoopClock
 from brassweir.core.engine import Engine
@@ -21,6 +24,7 @@
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
 from brassweir.journal import sizes
+from brassweir.journal.records import Taken
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
 from brassweir.net.house import Pools
@@ -53,6 +57,15 @@
     return int(destination) if destination.isascii() and destination.isdigit() else None
 
 
+def _as_now(taken: Taken, classes: Mapping[str, api.MessageClass]) -> Taken:
+    """Before format 2 the idempotency key stood where the key of order stands now. A keyed message that went
+    out without it could take effect twice."""
+    cls = classes.get(taken.class_name)
+    if taken.subject or cls is None or (cls.in_order and cls.effect is not api.Effect.KEYED):
+        return taken
+    return msgspec.structs.replace(taken, key="", subject=taken.key)
+
+
 class NodeProcess:
     """A running sender. Made inside the loop that it will run on."""
 
@@ -61,7 +74,7 @@
         loop = asyncio.get_running_loop()
         self.config, self.log, self.loop = config, log, loop
         given = config.settings
-        classes = {cls.name: cls for cls in given.classes}
+        self.classes = classes = {cls.name: cls for cls in given.classes}
         self.clock, self.counts, self.listing = LoopClock(loop), Counting(), Listing()
         sockets = config.limits.sockets
         calls = max(8, int(sockets * (1.0 - CLIENTS)) - KEPT_BACK)
@@ -115,6 +128,7 @@
     def _recover(self) -> None:
         """Go on where the process before this one was, whatever ended it."""
         plan = self.journal.plan(_number)
+        plan.again = [replace(one, taken=_as_now(one.taken, self.classes)) for one in plan.again]
         found = self.journal.found
         self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
                       owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
