The decision module is a package: eight modules named for what each decides

Change: brassweir/control/ with means, bound, gate, open, holding, choosing, ending and sender, the last as their sum (each adds its decisions to the one before).

--- a/brassweir/destinations/shown.py
+++ b/brassweir/destinations/shown.py
@@ -10,7 +10,9 @@
 from heapq import nlargest
 from typing import Any
 
-from brassweir.control import Destination, Endpoint, Gate, Sender
+from brassweir.control import Sender
+from brassweir.control.gate import Gate
+from brassweir.control.open import Destination, Endpoint
 
 ORDERS: dict[str, Callable[[Destination], float]] = {
     "open": lambda dest: dest.load.open,
--- a/brassweir/lab/experiment.py
+++ b/brassweir/lab/experiment.py
@@ -20,25 +20,11 @@
 from brassweir.lab.models import verdicts
 from brassweir.lab.models.day import draw
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.variants import VariantModel, constants, varied
 
 MEASURES = ("worth", "p99_ms", "p50_ms", "refused", "failed", "delivered", "calls")
 
 
-class VariantModel(Strict):
-    """One version: other settings of the senders, or another checkout of the code."""
-
-    name: str = Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,40}$")
-    senders: dict[str, float | int] = {}
-    constants: dict[str, float | int] = Field({}, description="tuned values of the decision module, by name")
-    code: Path | None = None
-
-    @model_validator(mode="after")
-    def _sound(self) -> Self:
-        if self.code is not None and self.constants:
-            raise ValueError("constants are set in this code: give a checkout its own")
-        return self
-
-
 class ExperimentModel(Strict):
     """A whole experiment. Paths count from its file."""
 
@@ -66,29 +52,6 @@
         return self
 
 
-def varied(deployment: Deployment, variant: VariantModel) -> Deployment:
-    """The deployment with a variant's settings. Raises ConfigError for settings there are not."""
-    tree = deployment.model_dump()
-    unknown = sorted(variant.senders.keys() - tree["senders"].keys())
-    if unknown:
-        raise ConfigError([f"variant {variant.name}: senders has no {', '.join(unknown)}"])
-    tree["senders"].update(variant.senders)
-    try:
-        return Deployment.model_validate(tree)
-    except ValueError as error:
-        raise ConfigError([f"variant {variant.name}: {error}"]) from None
-
-
-def constants(variant: VariantModel) -> None:
-    """Set tuned values of the module in this process. Raises ConfigError for one there is not."""
-    from brassweir import control
-
-    for name, value in variant.constants.items():
-        if not name.isupper() or not isinstance(getattr(control, name, None), int | float):
-            raise ConfigError([f"variant {variant.name}: the decision module has no tuned value {name}"])
-        setattr(control, name, value)
-
-
 def one_run(deployment: Deployment, variant: VariantModel, seed: int, folder: Path) -> dict[str, Any]:
     """A worker's whole job; its process ends with it where the variant has changed the module."""
     day = draw(varied(deployment, variant), seed)
--- a/tests/lab/models/test_fleet.py
+++ b/tests/lab/models/test_fleet.py
@@ -10,6 +10,7 @@
 from brassweir import control
 from brassweir import interface as api
 from brassweir.config.load import load
+from brassweir.control.gate import Gate
 from brassweir.lab import runs
 from brassweir.lab.models.day import Strike, draw
 from brassweir.lab.models.deployment import Deployment
@@ -42,7 +43,7 @@
 
 
 def test_without_its_guards_a_fleet_does_harm(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(control.Gate, "crowded", lambda self, now, trial: None)
+    monkeypatch.setattr(Gate, "crowded", lambda self, now, trial: None)
     assert pushed(played("crowded")[0]), "those that were turned away by it come back all at once"
     handle = control.Sender.handle
 
--- a/tests/lab/models/test_models.py
+++ b/tests/lab/models/test_models.py
@@ -19,8 +19,9 @@
 from brassweir import interface as api
 from brassweir.cli.main import main
 from brassweir.config.load import ConfigError, load, parse
-from brassweir.lab import runs, trace
-from brassweir.lab.experiment import Experiment, constants
+from brassweir.control import choosing, ending, gate
+from brassweir.lab import runs, trace, variants
+from brassweir.lab.experiment import Experiment
 from brassweir.lab.models import verdicts, worth
 from brassweir.lab.models.day import ClassPlan, Day, Strike, decode, draw, encode
 from brassweir.lab.models.deployment import Deployment
@@ -160,7 +161,7 @@
     runs.play(draw(small(), 3), ("s1", path))
     same = trace.retrace(path)
     assert same.difference is None and same.turns > 50
-    monkeypatch.setattr(control, "TIMEOUT_MEANS", 2.0)
+    monkeypatch.setattr(choosing, "TIMEOUT_MEANS", 2.0)
     other = trace.retrace(path)
     assert other.difference is not None and other.difference.recorded != other.difference.retraced and 0 < other.turns < same.turns
     result = CliRunner().invoke(main, ["lab", "retrace", str(path), "--json"])
@@ -223,10 +224,17 @@
 
 
 def test_tuned_values_must_be_there() -> None:
-    from brassweir.lab.experiment import VariantModel
     for name in ("NO_SUCH", "Sender", "min"):
         with pytest.raises(ConfigError, match="no tuned value"):
-            constants(VariantModel(name="x", constants={name: 1}))
+            variants.constants(variants.VariantModel(name="x", constants={name: 1}))
+
+
+def test_a_tuned_value_is_set_wherever_it_is_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    users = (gate, choosing, ending)
+    for module in users:
+        monkeypatch.setattr(module, "LATELY", module.LATELY)  # given back at the end
+    variants.constants(variants.VariantModel(name="x", constants={"LATELY": 9.0}))
+    assert [module.LATELY for module in users] == [9.0] * 3
 
 
 def test_a_bad_day_is_shrunk_to_what_matters() -> None:
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -10,7 +10,7 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.control import Gate
+from brassweir.control.gate import Gate
 from brassweir.core.ledger import Record
 from brassweir.core.ports import FinalAnswer
 from brassweir.lab.checker import Verdict
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -8,7 +8,10 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.control import DOZE, PERIOD, Destination, Sender
+from brassweir.control import Sender
+from brassweir.control.bound import PERIOD
+from brassweir.control.holding import DOZE
+from brassweir.control.open import Destination
 
 CLASSES = (
     api.MessageClass("safe", 500.0, 3000.0, api.Effect.SAFE),
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -14,7 +14,10 @@
 
 from brassweir import interface as api
 from brassweir.adapter import Fields, Host, WireError, read_settings
-from brassweir.control import OTHERS, Bound, Gate, Mean, Sender
+from brassweir.control import Sender
+from brassweir.control.bound import Bound
+from brassweir.control.gate import OTHERS, Gate
+from brassweir.control.means import Mean
 
 SAFE = api.MessageClass("safe", 2000.0, 20000.0, api.Effect.SAFE, late_worth=0.3)
 UNSAFE = api.MessageClass("unsafe", 2000.0, 20000.0, api.Effect.UNSAFE, late_worth=0.3)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,7 +8,10 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.control import INF, Gate, Message, Sender
+from brassweir.control import Sender
+from brassweir.control.gate import Gate
+from brassweir.control.means import INF
+from brassweir.control.open import Message
 from tests.checker import BrokenRule, Checked
 
 RESULTS = list(api.Result)
