--- /dev/null
+++ b/tests/control/test_gate.py
@@ -0,0 +1,157 @@
+"""Gates: waits that are told, outages, trials, ramps and paces."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from brassweir.control import OTHERS, Gate
+from tests.control.made import SETTINGS
+
+
+def test_long_told_wait_means_shut() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.told_wait(0.0, 12000.0)
+    gate.full(0.0, 12000.0, False, 0.0)
+    assert gate.shut
+    assert gate.when(100.0) > 12000.0
+    assert gate.sent(12100.0)  # a trial
+    assert gate.when(12100.0) == float("inf")  # and only one
+
+
+def test_late_pass_does_not_end_a_told_closing() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.told_wait(0.0, 12000.0)
+    gate.full(0.0, 12000.0, False, 0.0)
+    gate.passed(50.0)
+    assert gate.shut
+
+
+def test_burst_over_a_limit_is_no_outage() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    for at in range(100, 110):
+        gate.full(float(at), 0.0, False, 50.0)
+    assert not gate.shut
+    assert gate.pace < float("inf")
+
+
+def test_refusals_mean_shut_only_when_they_last() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, False)
+    at, seen = 0.0, []
+    while not gate.shut:
+        seen.append(at)
+        gate.full(at, 0.0, False, at)
+        at = gate.wait
+    assert len(seen) >= 3  # a limit that counts over a span refuses all until its end
+    assert seen[-1] - seen[0] > 300.0
+
+
+def test_waits_after_refusals_in_a_row_grow_and_end_with_a_pass() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, False)
+    gate.full(0.0, 0.0, False, 0.0)
+    first = gate.wait
+    gate.full(first, 0.0, False, first)
+    assert gate.wait - first > first  # 400 ms give or take a half, after 100 ms
+    gate.passed(1000.0)
+    gate.full(2000.0, 0.0, False, 2000.0)
+    assert gate.wait <= 2150.0
+
+
+@pytest.mark.parametrize("lasted", [1.0, 5.0, 20.0, 60.0])
+def test_trials_of_those_that_met_an_outage_stay_small(lasted: float) -> None:
+    fleet = replace(SETTINGS, senders=200)
+    trials, part = 0.0, 10.0 / fleet.senders
+    for seed in range(200):
+        gate = Gate(fleet, Random(seed), 0.0)
+        gate.limit(10.0, False)
+        gate.failed(0.0, False)
+        gate.failed(lasted * 1000.0, True)
+        trials += 1000.0 / (gate.trial - lasted * 1000.0)
+    met = 1.0 - math.exp(-part * lasted)  # share of the fleet that had a message for it meanwhile
+    tipping = fleet.tip_multiple * fleet.start_capacity * 10.0
+    assert trials * met <= 1.2 * max(tipping, OTHERS * 10.0 * (1.0 - met))
+
+
+def test_own_part_of_the_traffic_speeds_up_the_ramp() -> None:
+    gate = Gate(replace(SETTINGS, senders=200), Random(1), 0.0)
+    gate.limit(10.0, False)
+    even = gate.part(10000.0)
+    gate.arrivals = 50.0
+    assert even == pytest.approx(0.05)
+    assert gate.part(10000.0) == pytest.approx(5.0)
+
+
+def test_pace_is_cut_once_a_second() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, True)
+    gate.pace, gate.left = 10.0, 0.0
+    for at in (0.0, 200.0, 400.0, 600.0):
+        gate.full(at, 0.0, False, at)
+    assert gate.pace == pytest.approx(7.0)
+    gate.full(1000.0, 0.0, False, 1000.0)
+    assert gate.pace == pytest.approx(4.9)
+
+
+def test_refusals_while_no_allowance_is_left_are_no_outage() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, True)
+    gate.left = 0.0
+    for at in range(0, 10000, 500):
+        gate.full(float(at), 0.0, False, float(at))
+    assert not gate.shut
+
+
+def test_most_calls_failing_is_an_outage_though_some_pass() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    for step in range(40):
+        if step % 3 == 2:
+            gate.passed(float(step))
+        else:
+            gate.failed(float(step), False)
+        if gate.shut:
+            break
+    assert gate.shut
+
+
+def test_ramp_stays_far_under_the_tipping_rate() -> None:
+    gate = Gate(SETTINGS, Random(1), 0.0)
+    gate.limit(10.0, False)
+    for at in range(3):
+        gate.failed(float(at), False)
+    gate.sent(2000.0)
+    gate.passed(2000.0)
+    limit = SETTINGS.tip_multiple * SETTINGS.start_capacity * 10.0 / SETTINGS.senders
+    assert gate.allowed(2000.0) < limit
+    assert gate.when(2000.0) > 2000.0
+    assert gate.allowed(2000.0 + SETTINGS.cold) == float("inf")
+
+
+def test_an_untold_limit_is_not_taken_for_a_call_a_second_of_each_sender() -> None:
+    gate = Gate(replace(SETTINGS, senders=300), Random(1), 0.0)
+    gate.arrivals = 1.0
+    assert gate.part(20000.0) == pytest.approx(0.05)  # its own message in twenty seconds, not one each second
+
+
+def test_a_burst_refused_as_one_does_not_come_back_as_one() -> None:
+    fleet, back = replace(SETTINGS, senders=170), []
+    for seed in range(60):
+        gate = Gate(fleet, Random(seed), 0.0)
+        gate.limit(20.0, False)
+        gate.full(1000.0, 0.0, False, 950.0)
+        back.append(gate.when(1000.0))
+    back.sort()
+    assert back[-1] - back[0] > 5000.0
+    assert max(sum(at <= b < at + 1500.0 for b in back) for at in back) < 25
+
+
+def test_a_tiny_told_rate_is_no_exception() -> None:
+    gate = Gate(replace(SETTINGS, senders=340), Random(1), 0.0)
+    gate.limit(1e-200, False)
+    gate.close(0.0)
+    gate.full(0.0, 0.0, False, 0.0)
+    assert gate.when(1.0) > 1000.0
--- /dev/null
+++ b/tests/core/made.py
@@ -0,0 +1,54 @@
+"""An engine under simulated time with a scripted carrier."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+from brassweir import interface as api
+from brassweir.core.clock import SimClock
+from brassweir.core.engine import Engine
+from brassweir.core.ports import Attempt, Outcome
+
+CLASSES = (
+    api.MessageClass("pay", 1000.0, 5000.0, api.Effect.UNSAFE),
+    api.MessageClass("key", 1000.0, 5000.0, api.Effect.KEYED, window=3000.0, in_order=True),
+    api.MessageClass("safe", 1000.0, 5000.0, api.Effect.SAFE),
+)
+RESULTS = [api.Result.OK, api.Result.ERROR, api.Result.FULL, api.Result.RESET, api.Result.NO_CONNECTION,
+           api.Result.TIMEOUT]
+
+
+class Scripted:
+    """A carrier on the simulated clock: outcomes by a seeded draw, some twice, some long after their time."""
+
+    def __init__(self, clock: SimClock, seed: int, good: float) -> None:
+        self.clock, self.rng, self.good = clock, Random(seed), good
+        self.sent: list[Attempt] = []
+        self.closed: list[str] = []
+
+    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
+        assert attempt.going.go()
+        self.sent.append(attempt)
+        result = api.Result.OK if self.rng.random() < self.good else self.rng.choice(RESULTS)
+        rejected = result is api.Result.OK and self.rng.random() < 0.05
+        at = self.clock.now() + self.rng.expovariate(1 / 80.0)
+        if result is api.Result.TIMEOUT or at >= attempt.abandon_at:
+            result, at = api.Result.TIMEOUT, attempt.abandon_at
+        outcome = Outcome(result, rejected=rejected, wait=300.0 if result is api.Result.FULL else 0.0)
+        self.clock.call_at(at, lambda: done(outcome))
+        if self.rng.random() < 0.1:
+            self.clock.call_at(at + 500.0, lambda: done(Outcome(api.Result.OK)))
+
+    def close_idle(self, endpoint: str) -> None:
+        self.closed.append(endpoint)
+
+
+def make(seed: int = 1, good: float = 0.7, slots: int = 6, **more: object) -> tuple[Engine, SimClock, Scripted]:
+    clock = SimClock(1000.0)
+    carrier = Scripted(clock, seed, good)
+    sets = api.Settings(classes=CLASSES, slots=slots, max_open=80, max_retry_after=3000.0)
+    engine = Engine(sets, seed, clock, lambda _: carrier, **more)  # type: ignore[arg-type]
+    entries = tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3) for j in (0, 1))
+    engine.news(api.ListNews(api.ListKind.FULL, entries))
+    return engine, clock, carrier
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -5,59 +5,14 @@
 from collections.abc import Callable
 from random import Random
 
-import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from brassweir import interface as api
-from brassweir.core import recall
-from brassweir.core.clock import SimClock
-from brassweir.core.engine import Engine, Watcher
+from brassweir.core.engine import Watcher
 from brassweir.core.ledger import Record, Taken
 from brassweir.core.ports import Answer, Attempt, Fact, FinalAnswer, Outcome, Submission
-
-CLASSES = (
-    api.MessageClass("pay", 1000.0, 5000.0, api.Effect.UNSAFE),
-    api.MessageClass("key", 1000.0, 5000.0, api.Effect.KEYED, window=3000.0, in_order=True),
-    api.MessageClass("safe", 1000.0, 5000.0, api.Effect.SAFE),
-)
-RESULTS = [api.Result.OK, api.Result.ERROR, api.Result.FULL, api.Result.RESET, api.Result.NO_CONNECTION,
-           api.Result.TIMEOUT]
-
-
-class Scripted:
-    """A carrier on the simulated clock: outcomes by a seeded draw, some twice, some long after their time."""
-
-    def __init__(self, clock: SimClock, seed: int, good: float) -> None:
-        self.clock, self.rng, self.good = clock, Random(seed), good
-        self.sent: list[Attempt] = []
-        self.closed: list[str] = []
-
-    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
-        assert attempt.going.go()
-        self.sent.append(attempt)
-        result = api.Result.OK if self.rng.random() < self.good else self.rng.choice(RESULTS)
-        rejected = result is api.Result.OK and self.rng.random() < 0.05
-        at = self.clock.now() + self.rng.expovariate(1 / 80.0)
-        if result is api.Result.TIMEOUT or at >= attempt.abandon_at:
-            result, at = api.Result.TIMEOUT, attempt.abandon_at
-        outcome = Outcome(result, rejected=rejected, wait=300.0 if result is api.Result.FULL else 0.0)
-        self.clock.call_at(at, lambda: done(outcome))
-        if self.rng.random() < 0.1:
-            self.clock.call_at(at + 500.0, lambda: done(Outcome(api.Result.OK)))
-
-    def close_idle(self, endpoint: str) -> None:
-        self.closed.append(endpoint)
-
-
-def make(seed: int = 1, good: float = 0.7, slots: int = 6, **more: object) -> tuple[Engine, SimClock, Scripted]:
-    clock = SimClock(1000.0)
-    carrier = Scripted(clock, seed, good)
-    sets = api.Settings(classes=CLASSES, slots=slots, max_open=80, max_retry_after=3000.0)
-    engine = Engine(sets, seed, clock, lambda _: carrier, **more)  # type: ignore[arg-type]
-    entries = tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3) for j in (0, 1))
-    engine.news(api.ListNews(api.ListKind.FULL, entries))
-    return engine, clock, carrier
+from tests.core.made import make
 
 
 def test_the_whole_way_of_one_message() -> None:
@@ -208,94 +163,6 @@
     assert len(got) == 3
 
 
-class Slow:
-    """A carrier whose connections take a time that a test sets; told outcomes come 10 ms after the first byte."""
-
-    def __init__(self, clock: SimClock) -> None:
-        self.clock, self.connects = clock, list[float]()
-        self.written: list[tuple[float, str]] = []
-        self.outcomes: dict[str, Outcome] = {}
-
-    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
-        def write() -> None:
-            if not attempt.going.go():
-                done(Outcome(api.Result.NO_CONNECTION, "called back"))
-                return
-            name = attempt.submission.identity
-            self.written.append((self.clock.now(), name))
-            outcome = self.outcomes.get(name, Outcome(api.Result.OK))
-            self.clock.call_at(self.clock.now() + 10.0, lambda: done(outcome))
-
-        self.clock.call_at(self.clock.now() + (self.connects.pop(0) if self.connects else 1.0), write)
-
-    def close_idle(self, endpoint: str) -> None:
-        pass
-
-
-def slow(kinds: tuple[api.Kind, ...] = ()) -> tuple[Engine, SimClock, Slow]:
-    clock = SimClock(1000.0)
-    carrier = Slow(clock)
-    sets = api.Settings(classes=CLASSES, slots=6, max_open=80, max_retry_after=3000.0, kinds=kinds)
-    engine = Engine(sets, 1, clock, lambda _: carrier)
-    kind = kinds[0].name if kinds else ""
-    engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"d1-{j}", 1, kind) for j in (0, 1))))
-    return engine, clock, carrier
-
-
-def test_a_told_wait_calls_back_what_has_not_been_written() -> None:
-    """Found by a search for bad days: a call whose connection took long went out while its destination was waited for."""
-    engine, clock, carrier = slow()
-    carrier.connects = [200.0, 1.0]
-    carrier.outcomes["told"] = Outcome(api.Result.FULL, wait=500.0)
-    answers: list[FinalAnswer] = []
-    for name in ("early", "told"):
-        engine.submit(Submission("c", name, CLASSES[0].name, 1, 4000.0), answers.append)
-        clock.run(clock.now() + 5.0)
-    clock.run(5000.0)
-    early = [at for at, name in carrier.written if name == "early"]
-    told = next(at for at, name in carrier.written if name == "told")
-    assert len(early) == 1 and early[0] >= told + 10.0 + 500.0 and answers
-    assert not engine.waiting
-
-
-def test_without_the_call_back_it_would_go_out(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr("brassweir.core.recall.waits", lambda *_: [])
-    engine, clock, carrier = slow()
-    carrier.connects = [200.0, 1.0]
-    carrier.outcomes["told"] = Outcome(api.Result.FULL, wait=500.0)
-    for name in ("early", "told"):
-        engine.submit(Submission("c", name, CLASSES[0].name, 1, 4000.0), lambda _: None)
-        clock.run(clock.now() + 5.0)
-    clock.run(5000.0)
-    assert [at for at, name in carrier.written if name == "early"][0] < 1300.0
-
-
-def test_news_of_a_drain_calls_back_and_what_is_written_stays() -> None:
-    engine, clock, carrier = slow()
-    carrier.connects = [100.0]
-    engine.submit(Submission("c", "late", CLASSES[0].name, 1, 4000.0), lambda _: None)
-    clock.run(1050.0)
-    (attempt,) = [attempt for attempt, _ in engine.waiting[1].values()]
-    other = next(name for name in ("d1-0", "d1-1") if name != attempt.endpoint.name)
-    engine.news(api.ListNews(api.ListKind.DELTA, (api.EndpointInfo(attempt.endpoint.name, 1, "", state=api.State.DRAINING),)))
-    assert attempt.going.recalled and not attempt.going.go()
-    clock.run(1060.0)
-    sent = [note.endpoint for note in engine.ledger.by_name["c", "late"].attempts]
-    assert sent == [attempt.endpoint.name, other], "it goes elsewhere at once"
-    (again,) = [attempt for attempt, _ in engine.waiting[1].values()]
-    assert again.going.begun
-    engine.news(api.ListNews(api.ListKind.DELTA, (api.EndpointInfo(other, 1, "", state=api.State.GONE),)))
-    assert not again.going.recalled, "its first byte has gone out"
-
-
-def test_separate_routes_wait_separately() -> None:
-    made = [Attempt(i, 0, Submission("c", f"m{i}", "x", 1, 1.0), api.EndpointInfo(f"e{i}", 1, "k"), 5.0, False) for i in range(3)]
-    told = Outcome(api.Result.FULL, wait=5.0)
-    assert recall.waits(made[0], told, made, frozenset()) == made
-    assert recall.waits(made[0], told, made, frozenset({"k"})) == [made[0]]
-    assert recall.waits(made[0], Outcome(api.Result.FULL), made, frozenset()) == []
-
-
 def test_a_send_decided_just_before_its_endpoint_is_gone_finds_the_engine_knowing_it() -> None:
     engine, clock, carrier = make(good=1.0)
     clock.run(1100.0)
--- /dev/null
+++ b/tests/journal/test_plan.py
@@ -0,0 +1,95 @@
+"""The plan of a restart: what becomes of each message, key and destination."""
+
+from __future__ import annotations
+
+import pytest
+
+from brassweir import interface as api
+from brassweir.control import Sender
+from brassweir.interface import Result
+from brassweir.journal import records, recover
+from brassweir.journal.life import Lives
+from brassweir.journal.records import Began, Ended, Final, Intent, Taken, Told
+from brassweir.journal.recover import Hole
+from brassweir.lab.crash import BY_NAME
+from tests.journal.made import taken
+
+
+def made(*all_records: records.Record, wall: float = 2000.0, holes: tuple[Hole, ...] = (), remember: float = 1e9,
+         unknown: tuple[str, ...] = ()) -> recover.Plan:
+    lives = Lives()
+    for record in all_records:
+        lives.apply(record)
+    return recover.plan(lives, holes, BY_NAME, wall, remember, 100.0, unknown)
+
+
+@pytest.mark.parametrize(("cls", "seen", "wall", "answer", "left"), [
+    ("pay", [], 2000.0, "", 4000.0),
+    ("pay", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
+    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], 2000.0, "", 4000.0),
+    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "no_connection", 600.0)], 2000.0, "", 4000.0),
+    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], 2000.0, "failed", 0.0),
+    ("pay", [], 6001.0, "refused", 0.0),
+    ("key", [Intent(1, 0, "e", 500.0)], 2000.0, "", 2500.0),
+    ("key", [Intent(1, 0, "e", 500.0)], 4501.0, "failed", 0.0),
+    ("key", [Intent(1, 0, "e", 500.0)], 400.0, "", 4000.0),  # the clock stepped back: no window grows by it
+    ("safe", [Intent(1, 0, "e", 500.0)], 2000.0, "", 4000.0),
+    ("safe", [Intent(1, 0, "e", 500.0)], 7000.0, "refused", 0.0),
+    ("gone", [], 2000.0, "refused", 0.0),
+    ("gone", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
+])
+def test_what_becomes_of_an_open_message(cls: str, seen: list[records.Record], wall: float, answer: str, left: float) -> None:
+    plan = made(taken(1, cls), *seen, wall=wall)
+    if answer:
+        assert [one.final.answer for one in plan.answered] == [answer] and plan.answered[0].fresh
+        assert not plan.again
+    else:
+        assert [one.left for one in plan.again] == [left] and not plan.answered
+
+
+def test_answers_are_remembered_for_their_time_and_receipts_until_told() -> None:
+    final = Final(1, "delivered", "", 0.0, 1000.0)
+    assert made(taken(1), final, wall=1500.0, remember=1000.0).answered[0].ago == 500.0
+    assert not made(taken(1), final, wall=2500.0, remember=1000.0).answered
+    owed = made(taken(1, reply=b"x"), final, wall=9e9, remember=1000.0).answered
+    assert owed[0].owed and not owed[0].fresh
+    assert not made(taken(1, reply=b"x"), final, Told(1), wall=9e9, remember=1000.0).answered
+
+
+def test_of_a_message_handed_in_again_only_the_last_life_counts() -> None:
+    again = Taken(2, "o", "m1", "pay", "1", "k", 6000.0, "a/b", "s", b"content", b"reply")
+    plan = made(taken(1, reply=b"reply"), Final(1, "refused", "", 0.0, 100.0), again, Final(2, "delivered", "", 0.0, 200.0))
+    assert [(one.taken.id, one.final.answer) for one in plan.answered] == [(2, "delivered")]
+    plan = made(taken(1, reply=b"reply"), Final(1, "refused", "", 0.0, 100.0), again)
+    assert not plan.answered and [one.taken.id for one in plan.again] == [2]
+
+
+def test_what_a_hole_hides_counts_as_may_have_run() -> None:
+    hole = Hole("x", known=1)
+    plan = made(taken(1), taken(2), holes=(hole,))
+    assert [one.final.answer for one in plan.answered] == ["failed"]
+    assert [one.taken.id for one in plan.again] == [2], "one taken after the hole is not in doubt"
+    assert made(taken(1, "safe"), holes=(hole,)).again
+
+
+def test_keys_rest_if_one_was_out_and_destinations_may_be_gone() -> None:
+    assert made(taken(1, "key"), Intent(1, 0, "e", 500.0)).pause == 100.0
+    assert made(taken(1, "key")).pause == 0.0
+    assert made(taken(1), unknown=("1",)).answered[0].final.answer == "refused"
+
+
+def test_the_module_heeds_what_was_told_before_the_restart() -> None:
+    plan = made(*(Ended(i, 0, "e", "reset", 1000.0 + i) for i in range(1, 4)), Ended(9, 0, "w", "full", 1500.0, 2000.0),
+                Began(1600.0, "s"), Ended(10, 0, "w", "ok", 1700.0))
+    assert [(one.endpoint, one.result, one.ago, one.wait) for one in plan.past][-1] == ("w", Result.FULL, 500.0, 2000.0)
+    sets = api.Settings(classes=tuple(BY_NAME.values()), slots=4, max_open=40, max_retry_after=2000.0)
+    sender = Sender(sets, 1, 0.0)
+    entries = (api.EndpointInfo("e", 1, ""), api.EndpointInfo("w", 2, ""), api.EndpointInfo("n", 3, ""))
+    news = [api.NewMessage(i, "safe", i, 5000.0) for i in (1, 2, 3)]
+    actions = sender.handle(0.0, [api.ListNews(api.ListKind.FULL, entries), *plan.past, *news])
+    assert [one.endpoint for one in actions if isinstance(one, api.Send)] == ["n"], "one shut, one told to wait"
+    sent: list[float] = []
+    for now in range(100, 5000, 100):
+        actions = sender.handle(float(now), [api.TimerDue()])
+        sent += [float(now) for one in actions if isinstance(one, api.Send) and one.endpoint == "w"]
+    assert sent and 1500.0 < sent[0] < 5000.0, "its wait ran on while we were down, and is over now"
--- /dev/null
+++ b/tests/relay/test_node_list.py
@@ -0,0 +1,145 @@
+"""``node`` over real sockets: the endpoint list, its watch, and notices."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+from pathlib import Path
+
+import pytest
+
+from brassweir.lab.platform import Discovery, Endpoint, cut
+from tests.relay.plays import play
+from tests.relay.world import World
+
+
+def test_drains_new_endpoints_and_addresses_are_heard(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        old, new = world.endpoints
+        client = await world.client()
+        assert await client.put("m1", "note", 1) == b"+OK\r\n"
+        await world.settled(1)
+        assert (await client.put("x", "note", 2)).startswith(b"-ERR"), "not listed yet"
+        world.discovery.change(old.entry("leaving"), new.entry())
+        await asyncio.sleep(0.3)
+        before = len(old.calls)
+        for i in range(5):
+            assert await client.put(f"n{i}", "pay", 1) == b"+OK\r\n"
+        await world.settled(6)
+        assert len(old.calls) == before and len(new.calls) == 5
+        world.discovery.change({**old.entry(), "state": "left"})
+        await asyncio.sleep(0.2)
+
+    async def run() -> None:
+        world = World(tmp_path)
+        new = Endpoint("b", 1)
+        try:
+            await new.start()
+            await world.open(Endpoint("a", 1))
+            world.endpoints.append(new)
+            await day(world)
+        finally:
+            await world.close()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("trouble", ["cut", "garbled", "silent"])
+def test_a_watch_that_fails_is_opened_anew_from_the_last_version(tmp_path: Path, trouble: str) -> None:
+    async def day(world: World) -> None:
+        found = world.discovery
+        await asyncio.sleep(0.2)
+        assert found.asked == [1]
+        if trouble == "cut":
+            found.cut()
+        elif trouble == "garbled":
+            found.say(b'{"rev": 5, "all": true, "targets": [{"uid": "a"')
+        for _ in range(300):  # the stand-in sends no empty lines: silence ends the watch by itself
+            if len(found.asked) > 1:
+                break
+            await asyncio.sleep(0.02)
+        assert found.asked[:2] == [1, 1]
+        found.change(world.endpoints[0].entry("leaving"))
+        await asyncio.sleep(0.2)
+        client = await world.client()
+        assert await client.put("m1", "note", 1, 400.0) in (b"+OK\r\n", b"-BUSY\r\n")
+        await asyncio.sleep(0.9)
+        assert world.endpoints[0].calls == []
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
+def test_sighup_moves_the_list_and_notices_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        assert world.process is not None
+        other = Discovery()
+        await other.start()
+        other.rev, other.entries = 1, dict(world.discovery.entries)
+        (world.folder / "config.json").write_text("{")
+        world.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert "reload_refused" in world.log() and other.asked == []
+        world.write(other)
+        world.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.3)
+        assert other.asked == [1] and not world.discovery.watches
+        client = await world.client()
+        assert await client.put("m1", "pay", 1, 2500.0) == b"+OK\r\n"
+        for _ in range(300):
+            if other.notices:
+                break
+            await asyncio.sleep(0.02)
+        assert [one["ref"] for _, one in other.notices] == ["m1"]
+        world.discovery.notices += other.notices
+        await other.stop()
+
+    play(tmp_path, day, Endpoint("a", 1, cut))
+
+
+def test_a_list_that_is_behind_undoes_no_drain(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        found, endpoint = world.discovery, world.endpoints[0]
+        await asyncio.sleep(0.2)
+        for _ in range(3):
+            found.change(endpoint.entry("leaving"))
+        await asyncio.sleep(0.2)
+        found.say(json.dumps({"rev": 2, "all": True, "targets": [endpoint.entry()]}).encode())
+        await asyncio.sleep(0.2)
+        client = await world.client()
+        await client.put("m1", "note", 1, 500.0)
+        await asyncio.sleep(0.9)
+        assert endpoint.calls == [] and "list_behind" in world.log()
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
+def test_one_notice_that_cannot_be_read_takes_no_other_with_it(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        world.discovery.status, world.discovery.refuses = 500, b"m2"
+        client = await world.client()
+        for i in range(5):
+            assert await client.put(f"m{i}", "pay", 1, 3000.0) == b"+OK\r\n"
+        await asyncio.sleep(0.4)
+        world.discovery.status = 204
+        for _ in range(200):
+            if len(world.discovery.notices) >= 4:
+                break
+            await asyncio.sleep(0.02)
+        assert sorted(one["ref"] for _, one in world.discovery.notices) == ["m0", "m1", "m3", "m4"]
+        assert "notice_unreadable" in world.log()
+
+    play(tmp_path, day, Endpoint("a", 1, cut), judged=False)
+
+
+def test_notices_outlast_a_platform_that_does_not_answer(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        world.discovery.status = 500
+        client = await world.client()
+        assert await client.put("m1", "pay", 1, 3000.0) == b"+OK\r\n"
+        await asyncio.sleep(0.5)
+        assert world.discovery.notices == []
+        world.discovery.status = 204
+        await world.settled(1)
+
+    play(tmp_path, day, Endpoint("a", 1, cut))
