--- a/tests/relay/plays.py
+++ b/tests/relay/plays.py
@@ -12,19 +12,37 @@
 Play = Callable[[World], Awaitable[None]]
 
 
-def play(folder: Path, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
+async def played(world: World, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
     """Play one day. Where it is not judged by the rules, the day itself says what must hold."""
+    try:
+        await world.open(*endpoints)
+        await what(world)
+    finally:
+        await world.close(judged)
+
+
+def play(folder: Path, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
+    """Play one day by itself."""
     async def run() -> None:
-        world = World(folder)
-        try:
-            await world.open(*endpoints)
-            await what(world)
-        finally:
-            await world.close(judged)
+        await played(World(folder), what, *endpoints, judged=judged)
 
     asyncio.run(run())
 
 
+def together(days: list[Callable[[], Awaitable[None]]]) -> list[BaseException | None]:
+    """Play many days, four at a time since each mostly waits; what was wrong with each."""
+    async def run() -> list[BaseException | None]:
+        room = asyncio.Semaphore(4)
+
+        async def one(day: Callable[[], Awaitable[None]]) -> None:
+            async with room:
+                await day()
+
+        return await asyncio.gather(*map(one, days), return_exceptions=True)
+
+    return asyncio.run(run())
+
+
 def first(spoilt: Manner, then: Manner) -> Manner:
     """The first call meets the one, all others the other."""
     met: list[str] = []
--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -6,6 +6,7 @@
 import json
 import subprocess
 import sys
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -23,7 +24,8 @@
     hang,
     says,
 )
-from tests.relay.plays import GOOD, first, play
+from tests.relay.plays import GOOD, first, play, played, together
+from tests.relay.quicker import BELIEF, program
 from tests.relay.world import UNSAFE, World, configuration
 
 
@@ -73,7 +75,7 @@
     return manner
 
 
-@pytest.mark.parametrize(("manner", "cls", "calls", "end"), [
+ENDINGS: list[tuple[Manner, str, int, str]] = [
     (says(GOOD), "pay", 1, ""),
     (first(says(answer(500)), says(GOOD)), "note", 2, ""),
     (says(answer(500)), "pay", 1, "dead"),
@@ -100,8 +102,10 @@
     (slow(GOOD[:9], GOOD[9:]), "pay", 1, ""),
     (says(answer(200, "X-Backend-Load: x0=\x01,,=")), "pay", 1, ""),
     (says(answer(418)), "pay", 1, "dead"),
-])
-def test_each_ending(tmp_path: Path, manner: Manner, cls: str, calls: int, end: str) -> None:
+]
+
+
+async def ending(folder: Path, manner: Manner, cls: str, calls: int, end: str) -> None:
     """The manners here answer by themselves, so deliveries are read off the calls: as many as the row says."""
     async def day(world: World) -> None:
         client = await world.client()
@@ -113,7 +117,22 @@
         assert [one["result"] for _, one in world.discovery.notices] == ([end] if end else [])
         assert len(world.endpoints[0].calls) == calls
 
-    play(tmp_path, day, Endpoint("a", 1, manner), judged=False)
+    world = World(folder)
+    world.program = program(BELIEF)
+    await played(world, day, Endpoint("a", 1, manner), judged=False)
+
+
+@pytest.fixture(scope="module")
+def endings(tmp_path_factory: pytest.TempPathFactory) -> list[BaseException | None]:
+    """What was wrong with each row."""
+    return together([partial(ending, tmp_path_factory.mktemp("day"), *row) for row in ENDINGS])
+
+
+@pytest.mark.parametrize(("manner", "cls", "calls", "end"), ENDINGS)
+def test_each_ending(endings: list[BaseException | None], manner: Manner, cls: str, calls: int, end: str) -> None:
+    wrong = endings[ENDINGS.index((manner, cls, calls, end))]
+    if wrong is not None:
+        raise wrong
 
 
 def test_endpoints_that_refuse_or_never_come_up_have_not_run_anything(tmp_path: Path) -> None:
--- a/tests/relay/test_node_list.py
+++ b/tests/relay/test_node_list.py
@@ -10,7 +10,8 @@
 import pytest
 
 from brassweir.lab.platform import Discovery, Endpoint, cut
-from tests.relay.plays import play
+from tests.relay.plays import play, played
+from tests.relay.quicker import SILENT, program
 from tests.relay.world import World
 
 
@@ -67,7 +68,10 @@
         await asyncio.sleep(0.9)
         assert world.endpoints[0].calls == []
 
-    play(tmp_path, day, Endpoint("a", 1))
+    world = World(tmp_path)
+    if trouble == "silent":
+        world.program = program(SILENT)
+    asyncio.run(played(world, day, Endpoint("a", 1)))
 
 
 def test_sighup_moves_the_list_and_notices_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
--- a/tests/relay/test_node_restarts.py
+++ b/tests/relay/test_node_restarts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import signal
+from functools import partial
 from pathlib import Path
 
 import pytest
@@ -13,7 +14,7 @@
 from brassweir.journal.storage import Files
 from brassweir.journal.writer import Writer
 from brassweir.lab.platform import Endpoint, after, good, hang, wall
-from tests.relay.plays import play
+from tests.relay.plays import play, together
 from tests.relay.world import World
 
 
@@ -33,41 +34,54 @@
     play(tmp_path, day, Endpoint("a", 1, after(0.01)))
 
 
-@pytest.mark.parametrize("step", [*range(1, 12), *range(12, 90, 6), *range(90, 124, 2)])
-def test_killed_at_any_step_of_its_storage_it_loses_and_doubles_nothing(tmp_path: Path, step: int) -> None:
+STEPS = [*range(1, 12), *range(12, 90, 6), *range(90, 124, 2)]
+
+
+async def killed(folder: Path, step: int) -> None:
     """A small folder and large bodies, so that segments are closed and the journal is rewritten meanwhile."""
-    async def run() -> None:
-        world = World(tmp_path, disk_mb=0.25)
-        try:
-            await world.open(Endpoint("a", 1, after(0.01)), dies_at=step)
-            assert world.process is not None
-            for i in range(30):
-                if world.process.returncode is not None:
-                    break
-                if i % 10 == 0:
-                    await asyncio.sleep(0.15)  # long enough for a look at whether to rewrite
-                    try:
-                        client = await world.client()
-                    except ConnectionError:
-                        break
-                cls = ("note", "order", "pay")[i % 3]
-                await client.put(f"m{i}", cls, 1, 5000.0, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * 3500)
-            if world.process.returncode is None:
-                await world.kill()
-            await world.process.wait()
-            await world.start()
-            promised = {one.id for one in world.seen().hand_ins if one.line.startswith(b"+")}
-            for _ in range(300):
-                seen = world.seen()
-                if promised <= {*seen.delivered, *(one["ref"] for _, one in seen.notices)}:
+    world = World(folder, disk_mb=0.25)
+    try:
+        await world.open(Endpoint("a", 1, after(0.01)), dies_at=step)
+        assert world.process is not None
+        for i in range(30):
+            if world.process.returncode is not None:
+                break
+            if i % 10 == 0:
+                await asyncio.sleep(0.15)  # long enough for a look at whether to rewrite
+                try:
+                    client = await world.client()
+                except ConnectionError:
                     break
-                await asyncio.sleep(0.02)
-            held = sum(-(-path.stat().st_size // 512) * 512 for path in (tmp_path / "state").iterdir())
-            assert held <= 0.25 * 1024 * 1024 and "journal_damage" not in world.log()
-        finally:
-            await world.close()
-
-    asyncio.run(run())
+            cls = ("note", "order", "pay")[i % 3]
+            await client.put(f"m{i}", cls, 1, 5000.0, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * 3500)
+        if world.process.returncode is None:
+            await world.kill()
+        await world.process.wait()
+        await world.start()
+        promised = {one.id for one in world.seen().hand_ins if one.line.startswith(b"+")}
+        for _ in range(300):
+            seen = world.seen()
+            if promised <= {*seen.delivered, *(one["ref"] for _, one in seen.notices)}:
+                break
+            await asyncio.sleep(0.02)
+        held = sum(-(-path.stat().st_size // 512) * 512 for path in (folder / "state").iterdir())
+        assert held <= 0.25 * 1024 * 1024 and "journal_damage" not in world.log()
+    finally:
+        await world.close()
+
+
+@pytest.fixture(scope="module")
+def ends(tmp_path_factory: pytest.TempPathFactory) -> dict[int, BaseException | None]:
+    """What was wrong after the death at each step."""
+    found = together([partial(killed, tmp_path_factory.mktemp("day"), step) for step in STEPS])
+    return dict(zip(STEPS, found, strict=True))
+
+
+@pytest.mark.parametrize("step", STEPS)
+def test_killed_at_any_step_of_its_storage_it_loses_and_doubles_nothing(ends: dict[int, BaseException | None], step: int) -> None:
+    wrong = ends[step]
+    if wrong is not None:
+        raise wrong
 
 
 def test_an_unsafe_call_that_was_out_is_dead_and_what_is_over_has_its_notice_soon(tmp_path: Path) -> None:
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -46,6 +46,7 @@
         self.endpoints: list[Endpoint] = []
         self.clients: list[Client] = []
         self.senders = 1  # that the configuration tells of
+        self.program = ["-m", "brassweir", "node"]
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
         (folder / "state").mkdir(exist_ok=True)
@@ -76,7 +77,7 @@
         """Start the sender, and wait until it answers, or has died where it was to."""
         env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_STATE": str(self.folder / "state")}
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else ["-m", "brassweir", "node"]), env=env, stderr=(self.folder / "log").open("ab"))
+            sys.executable, *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else self.program), env=env, stderr=(self.folder / "log").open("ab"))
         for _ in range(400):
             try:
                 client = await Client("127.0.0.1", self.port).open()
