--- /dev/null
+++ b/tests/relay/plays.py
@@ -0,0 +1,57 @@
+"""A day with one ``node``, and manners of endpoints that several tests use."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from brassweir.lab.platform import Call, Endpoint, Manner, answer
+from tests.relay.world import World
+
+Play = Callable[[World], Awaitable[None]]
+
+
+async def played(world: World, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
+    """Play one day. Where it is not judged by the rules, the day itself says what must hold."""
+    try:
+        await world.open(*endpoints)
+        await what(world)
+    finally:
+        await world.close(judged)
+
+
+def play(folder: Path, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
+    """Play one day by itself."""
+    async def run() -> None:
+        await played(World(folder), what, *endpoints, judged=judged)
+
+    asyncio.run(run())
+
+
+def together(days: list[Callable[[], Awaitable[None]]]) -> list[BaseException | None]:
+    """Play many days, four at a time since each mostly waits; what was wrong with each."""
+    async def run() -> list[BaseException | None]:
+        room = asyncio.Semaphore(4)
+
+        async def one(day: Callable[[], Awaitable[None]]) -> None:
+            async with room:
+                await day()
+
+        return await asyncio.gather(*map(one, days), return_exceptions=True)
+
+    return asyncio.run(run())
+
+
+def first(spoilt: Manner, then: Manner) -> Manner:
+    """The first call meets the one, all others the other."""
+    met: list[str] = []
+
+    async def manner(call: Call, writer: asyncio.StreamWriter) -> None:
+        met.append(call.id)
+        await (spoilt if len(met) == 1 else then)(call, writer)
+
+    return manner
+
+
+GOOD = answer(200)
