The laboratory gets rooms: models, simulated, standins, rigs, judges, trials

No behaviour is touched; commands are the same; an experiment's variant finds the stage of older checkouts where it stood.

--- a/benchmarks/as2_path.py
+++ b/benchmarks/as2_path.py
@@ -29,10 +29,12 @@
 from brassweir.as2.sending import letter, post
 from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
-from brassweir.lab.fleet import HUB, Fleet, FleetPlan, free_port
+from brassweir.lab.judges.tape import Tape
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Partner
-from brassweir.lab.tape import Tape
+from brassweir.lab.rigs.fleet import HUB, Fleet
+from brassweir.lab.rigs.handle import free_port
+from brassweir.lab.rigs.plan import FleetPlan
+from brassweir.lab.standins.partner import Partner
 from brassweir.net.client import Address, CallFailed, Pool
 from brassweir.net.limits import Limits
 
--- a/benchmarks/forward_path.py
+++ b/benchmarks/forward_path.py
@@ -20,10 +20,11 @@
 from brassweir.forward import events, message
 from brassweir.forward.events import Event, EventTime
 from brassweir.forward.frames import Frames
-from brassweir.lab.fleet import SINK_KEY, SenderHandle
-from brassweir.lab.flood import Flood, FloodPlan, usage
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.pour import pour, start_sink
+from brassweir.lab.rigs.fleet import SINK_KEY
+from brassweir.lab.rigs.flood import Flood, FloodPlan, usage
+from brassweir.lab.rigs.handle import SenderHandle
+from brassweir.lab.standins.pour import pour, start_sink
 
 SECONDS = 8.0
 
--- a/benchmarks/idle_minute.py
+++ b/benchmarks/idle_minute.py
@@ -14,10 +14,10 @@
 import tempfile
 from pathlib import Path
 
-from brassweir.lab.fleet import SenderHandle, free_port
-from brassweir.lab.flood import usage
-from brassweir.lab.idle import Plan, write
-from brassweir.lab.load import Mix
+from brassweir.lab.rigs.flood import usage
+from brassweir.lab.rigs.handle import SenderHandle, free_port
+from brassweir.lab.rigs.idle_setup import Plan, write
+from brassweir.lab.rigs.load import Mix
 
 SPAN = 20.0  # seconds
 
--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -26,7 +26,7 @@
 from brassweir.journal.storage import Files
 from brassweir.journal.store import JournalStore
 from brassweir.journal.writer import Writer
-from brassweir.lab.disk import SimIo
+from brassweir.lab.simulated.disk import SimIo
 
 CLASSES = {"pay": api.MessageClass("pay", 1500.0, 600_000.0, api.Effect.UNSAFE),
            "key": api.MessageClass("key", 1500.0, 600_000.0, api.Effect.KEYED, window=600_000.0),
--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -16,15 +16,16 @@
 
 from brassweir.cli import model
 from brassweir.config.load import ConfigError
-from brassweir.lab import idle
-from brassweir.lab.crash import Script, steps_of, sweep
-from brassweir.lab.disk import MODES
-from brassweir.lab.flood import Flood, FloodPlan
-from brassweir.lab.hooks import Strike
-from brassweir.lab.idle import Plan
-from brassweir.lab.load import Mix
-from brassweir.lab.play import Report, play
-from brassweir.lab.script import Day, bad, crash, demo, mixed
+from brassweir.lab.rigs import idle
+from brassweir.lab.rigs.flood import Flood, FloodPlan
+from brassweir.lab.rigs.idle_setup import Plan
+from brassweir.lab.rigs.load import Mix
+from brassweir.lab.rigs.play import Report, play
+from brassweir.lab.rigs.script import Day, bad, crash, demo, mixed
+from brassweir.lab.simulated.crash import steps_of, sweep
+from brassweir.lab.simulated.crash_world import Script
+from brassweir.lab.simulated.disk import MODES
+from brassweir.lab.standins.hooks import Strike
 
 
 @click.group()
--- a/brassweir/cli/model.py
+++ b/brassweir/cli/model.py
@@ -16,12 +16,12 @@
 from rich.console import Console
 
 from brassweir.config.load import ConfigError, load
-from brassweir.lab import runs, trace
-from brassweir.lab.compare import compare
-from brassweir.lab.experiment import Experiment
 from brassweir.lab.models.day import Day, decode, draw, encode, summary
 from brassweir.lab.models.deployment import Deployment
-from brassweir.lab.search import explained, search, shrink
+from brassweir.lab.simulated import runs, trace
+from brassweir.lab.trials.compare import compare
+from brassweir.lab.trials.experiment import Experiment
+from brassweir.lab.trials.search import explained, search, shrink
 
 _json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 _path = click.Path(path_type=Path, exists=True, dir_okay=False)
@@ -88,7 +88,7 @@
         if bounded:
             tree |= _bounded(run)
         if page is not None:
-            from brassweir.lab.report import run_page
+            from brassweir.lab.trials.report import run_page
 
             page.write_text(run_page(run), encoding="utf-8")
     except ImportError as error:
@@ -185,9 +185,7 @@
     return {
         "turns": found.turns,
         "events": found.events,
-        "difference": None
-        if one is None
-        else {
+        "difference": None if one is None else {
             "turn": one.turn,
             "now_ms": one.now,
             "events": one.events,
--- a/brassweir/lab/models/partner.py
+++ b/brassweir/lab/models/partner.py
@@ -11,9 +11,9 @@
 from brassweir.core.clock import SimClock
 from brassweir.core.ports import Outcome
 from brassweir.interface import Result
+from brassweir.lab.judges.tape import Arrival, Effect, Ended, Outage, Tape, Tipped, Unheard
 from brassweir.lab.models.day import Home, Strike
 from brassweir.lab.models.desk import Desk
-from brassweir.lab.tape import Arrival, Effect, Ended, Outage, Tape, Tipped, Unheard
 
 RESET_SPAN = 5.0  # ms that a partner takes to cut a call or to answer with an error
 
--- a/brassweir/lab/fleet.py
+++ b/brassweir/lab/rigs/fleet.py
@@ -3,28 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import signal
-import socket
-import sys
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, Protocol
+from typing import Any
 
 from ruamel.yaml import YAML
 
 from brassweir.as2.keys import file_name, make, write
 from brassweir.as2.message import Identity
 from brassweir.core.offload import Offload
-from brassweir.lab.client import Client
-from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Partner, Works
-from brassweir.lab.shipper import Shipper
-from brassweir.lab.sink import Sink
-from brassweir.lab.tape import Published, Tape
+from brassweir.lab.judges.tape import Published, Tape
+from brassweir.lab.rigs.handle import Handle, SenderHandle, free_port
+from brassweir.lab.rigs.plan import FleetPlan
+from brassweir.lab.standins.client import Client
+from brassweir.lab.standins.partner import Partner
+from brassweir.lab.standins.shipper import Shipper
+from brassweir.lab.standins.sink import Sink
+from brassweir.lab.standins.works import Works
 from brassweir.undelivered.item import Item
 from brassweir.undelivered.store import read_all
 
@@ -32,120 +29,6 @@
 SINK_KEY = b"key of all sinks"
 
 
-@dataclass(frozen=True, slots=True)
-class ClassPlan:
-    """A class as settings and checker need it; times in seconds."""
-
-    name: str
-    effect: str
-    aim: float
-    deadline: float
-    window: float = 0.0
-    in_order: bool = False
-
-
-CLASSES = (
-    ClassPlan("payment", "unsafe", 3.0, 8.0),
-    ClassPlan("order", "keyed", 2.5, 8.0, window=10.0, in_order=True),
-    ClassPlan("status", "safe", 1.5, 6.0),
-)
-
-
-@dataclass(slots=True)
-class FleetPlan:
-    """What to set up. ``asynchronous`` names how many clients and partners use asynchronous receipts."""
-
-    senders: int = 1
-    clients: int = 2
-    partners: dict[str, Manner] = field(default_factory=dict)
-    endpoints: int = 2  # of each partner
-    async_clients: int = 1
-    slots: int = 24
-    max_open: int = 300
-    drain_grace: float = 6.0
-    kind: str = "rsa2048"
-    sinks: dict[str, Manner] = field(default_factory=dict)  # forward destinations
-    shippers: int = 0  # forward sources
-    classes: tuple[ClassPlan, ...] = CLASSES
-
-
-def free_port() -> int:
-    """A port of loopback that nobody listens on now."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
-class Handle(Protocol):
-    """A sender as the laboratory handles it."""
-
-    name: str
-    port: int
-
-    @property
-    def running(self) -> bool:
-        """Has it been started and not ended?"""
-
-    async def start(self) -> None:
-        """Start it and wait until it listens."""
-
-    async def drain(self, within: float) -> tuple[int, float]:
-        """Tell it to drain; its exit code (-1 if it had to be killed) and the seconds it took."""
-
-
-class SenderHandle:
-    """One sender as a process of its own."""
-
-    def __init__(self, name: str, settings: Path, port: int) -> None:
-        self.name, self.settings, self.port = name, settings, port
-        self.process: asyncio.subprocess.Process | None = None
-        self.log = settings.with_suffix(".log")
-
-    @property
-    def running(self) -> bool:
-        """Has it been started and not ended?"""
-        return self.process is not None and self.process.returncode is None
-
-    async def start(self) -> None:
-        """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "brassweir", "serve", str(self.settings), stderr=log, stdout=log,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)})
-        for _ in range(300):
-            if self.process.returncode is not None:
-                raise RuntimeError(f"{self.name} ended with {self.process.returncode}: "
-                                   f"{self.log.read_text()[-500:]}")
-            try:
-                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            except OSError:
-                await asyncio.sleep(0.05)
-                continue
-            writer.close()
-            return
-        raise RuntimeError(f"{self.name} does not listen")
-
-    async def kill(self) -> None:
-        """End it at once, as the machine might."""
-        assert self.process is not None
-        self.process.kill()
-        await self.process.wait()
-
-    async def drain(self, within: float) -> tuple[int, float]:
-        """Tell it to drain; its exit code (-1 if it took longer and was killed) and the seconds it took."""
-        assert self.process is not None
-        begun = time.monotonic()
-        self.process.send_signal(signal.SIGTERM)
-        try:
-            async with asyncio.timeout(within):
-                code = await self.process.wait()
-        except TimeoutError:
-            self.process.kill()
-            await self.process.wait()
-            code = -1
-        return code, time.monotonic() - begun
-
-
 class Fleet:
     """All parts of one run, in one folder."""
 
--- a/brassweir/lab/flood.py
+++ b/brassweir/lab/rigs/flood.py
@@ -14,12 +14,14 @@
 from pathlib import Path
 from typing import Any
 
-from brassweir.lab.client import Order
-from brassweir.lab.fleet import SINK_KEY, Fleet, FleetPlan, SenderHandle
-from brassweir.lab.load import Latency
+from brassweir.lab.judges.tape import Answered, HandIn
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.pour import pour, start_sink
-from brassweir.lab.tape import Answered, HandIn
+from brassweir.lab.rigs.fleet import SINK_KEY, Fleet
+from brassweir.lab.rigs.handle import SenderHandle
+from brassweir.lab.rigs.load import Latency
+from brassweir.lab.rigs.plan import FleetPlan
+from brassweir.lab.standins.client import Order
+from brassweir.lab.standins.pour import pour, start_sink
 
 TICKS = os.sysconf("SC_CLK_TCK")
 
--- /dev/null
+++ b/brassweir/lab/rigs/handle.py
@@ -0,0 +1,89 @@
+"""One sender as a process of its own: started, told to drain, killed."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+import time
+from pathlib import Path
+from typing import Protocol
+
+
+def free_port() -> int:
+    """A port of loopback that nobody listens on now."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Handle(Protocol):
+    """A sender as the laboratory handles it."""
+
+    name: str
+    port: int
+
+    @property
+    def running(self) -> bool:
+        """Has it been started and not ended?"""
+
+    async def start(self) -> None:
+        """Start it and wait until it listens."""
+
+    async def drain(self, within: float) -> tuple[int, float]:
+        """Tell it to drain; its exit code (-1 if it had to be killed) and the seconds it took."""
+
+
+class SenderHandle:
+    """One sender as a process of its own."""
+
+    def __init__(self, name: str, settings: Path, port: int) -> None:
+        self.name, self.settings, self.port = name, settings, port
+        self.process: asyncio.subprocess.Process | None = None
+        self.log = settings.with_suffix(".log")
+
+    @property
+    def running(self) -> bool:
+        """Has it been started and not ended?"""
+        return self.process is not None and self.process.returncode is None
+
+    async def start(self) -> None:
+        """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "brassweir", "serve", str(self.settings), stderr=log, stdout=log,
+                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)})
+        for _ in range(300):
+            if self.process.returncode is not None:
+                raise RuntimeError(f"{self.name} ended with {self.process.returncode}: "
+                                   f"{self.log.read_text()[-500:]}")
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            writer.close()
+            return
+        raise RuntimeError(f"{self.name} does not listen")
+
+    async def kill(self) -> None:
+        """End it at once, as the machine might."""
+        assert self.process is not None
+        self.process.kill()
+        await self.process.wait()
+
+    async def drain(self, within: float) -> tuple[int, float]:
+        """Tell it to drain; its exit code (-1 if it took longer and was killed) and the seconds it took."""
+        assert self.process is not None
+        begun = time.monotonic()
+        self.process.send_signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(within):
+                code = await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+            code = -1
+        return code, time.monotonic() - begun
--- a/brassweir/lab/play.py
+++ b/brassweir/lab/rigs/play.py
@@ -10,10 +10,12 @@
 from pathlib import Path
 from typing import Any
 
-from brassweir.lab.checker import ClassFigures, Figures, Verdict, judge
-from brassweir.lab.fleet import Fleet, SenderHandle
-from brassweir.lab.script import Day
-from brassweir.lab.tape import Answered, Arrival, Effect, HandIn, Tape
+from brassweir.lab.judges.checker import judge
+from brassweir.lab.judges.tape import Answered, Arrival, Effect, HandIn, Tape
+from brassweir.lab.judges.verdict import ClassFigures, Figures, Verdict
+from brassweir.lab.rigs.fleet import Fleet
+from brassweir.lab.rigs.handle import SenderHandle
+from brassweir.lab.rigs.script import Day
 
 
 @dataclass(slots=True)
--- a/brassweir/lab/script.py
+++ b/brassweir/lab/rigs/script.py
@@ -7,11 +7,11 @@
 import numpy as np
 
 from brassweir.forward.message import Mode
-from brassweir.lab.client import Order
-from brassweir.lab.fleet import ClassPlan, FleetPlan
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Trouble
-from brassweir.lab.shipper import ACK_TIMEOUT, Load
+from brassweir.lab.rigs.plan import ClassPlan, FleetPlan
+from brassweir.lab.standins.client import Order
+from brassweir.lab.standins.shipper import ACK_TIMEOUT, Load
+from brassweir.lab.standins.works import Trouble
 
 
 @dataclass(slots=True)
--- a/brassweir/lab/runs.py
+++ b/brassweir/lab/simulated/runs.py
@@ -12,10 +12,12 @@
 
 import numpy as np
 
-from brassweir.lab.checker import ClassFigures, Figures, Verdict, judge
+from brassweir.lab.judges.checker import judge
+from brassweir.lab.judges.verdict import ClassFigures, Figures, Verdict
 from brassweir.lab.models import worth
 from brassweir.lab.models.day import Day, encode
-from brassweir.lab.stage import PATIENCE, Stage
+from brassweir.lab.simulated.clients import PATIENCE
+from brassweir.lab.simulated.stage import Stage
 
 
 @dataclass(slots=True)
--- a/brassweir/lab/client.py
+++ b/brassweir/lab/standins/client.py
@@ -16,7 +16,7 @@
 from brassweir.as2.sending import Letter, Told, letter, of_receipt, post
 from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
-from brassweir.lab.tape import Answered, HandIn, Tape
+from brassweir.lab.judges.tape import Answered, HandIn, Tape
 from brassweir.net.client import Address, CallFailed, Pool
 from brassweir.net.limits import Limits
 from brassweir.net.server import Request, Response, Server
--- a/brassweir/lab/pour.py
+++ b/brassweir/lab/standins/pour.py
@@ -19,10 +19,10 @@
 from brassweir.forward import events, message
 from brassweir.forward.errors import ForwardError
 from brassweir.forward.events import Event, EventTime
+from brassweir.lab.judges.tape import Tape
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.shipper import Line, connect
-from brassweir.lab.sink import Sink
-from brassweir.lab.tape import Tape
+from brassweir.lab.standins.shipper import Line, connect
+from brassweir.lab.standins.sink import Sink
 
 PAUSE = 0.2  # seconds until a source that was closed connects again
 
--- a/brassweir/lab/shipper.py
+++ b/brassweir/lab/standins/shipper.py
@@ -19,7 +19,7 @@
 from brassweir.forward.events import Event, EventTime
 from brassweir.forward.frames import Frames
 from brassweir.forward.message import Mode
-from brassweir.lab.tape import Answered, HandIn, Tape
+from brassweir.lab.judges.tape import Answered, HandIn, Tape
 
 # Seconds: more than the longest deadline and the longest told wait together, as docs/operate-forward.md asks
 # for.
--- a/brassweir/lab/sink.py
+++ b/brassweir/lab/standins/sink.py
@@ -11,9 +11,9 @@
 from brassweir.forward.errors import ForwardError
 from brassweir.forward.message import Message
 from brassweir.forward.session import Admitted, Came, Denied, Session
+from brassweir.lab.judges.tape import Arrival, Tape
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import SPOILT, Works
-from brassweir.lab.tape import Arrival, Tape
+from brassweir.lab.standins.works import SPOILT, Works
 
 
 class Keys:
--- a/brassweir/lab/compare.py
+++ b/brassweir/lab/trials/compare.py
@@ -13,15 +13,16 @@
 
 import numpy as np
 
-from brassweir.lab import runs
-from brassweir.lab.client import Order as SocketOrder
-from brassweir.lab.fleet import ClassPlan, Fleet, FleetPlan
+from brassweir.lab.judges.tape import Answered, HandIn, Tape
 from brassweir.lab.models import worth
 from brassweir.lab.models.day import Day
-from brassweir.lab.partner import Trouble
-from brassweir.lab.play import play
-from brassweir.lab.script import Day as SocketDay
-from brassweir.lab.tape import Answered, HandIn, Tape
+from brassweir.lab.rigs.fleet import Fleet
+from brassweir.lab.rigs.plan import ClassPlan, FleetPlan
+from brassweir.lab.rigs.play import play
+from brassweir.lab.rigs.script import Day as SocketDay
+from brassweir.lab.simulated import runs
+from brassweir.lab.standins.client import Order as SocketOrder
+from brassweir.lab.standins.works import Trouble
 
 KINDS = {
     "crash": "refuse",
--- a/brassweir/lab/experiment.py
+++ b/brassweir/lab/trials/experiment.py
@@ -10,83 +10,14 @@
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from concurrent.futures.process import BrokenProcessPool
 from pathlib import Path
-from typing import Any, Self
-
-from pydantic import Field, model_validator
+from typing import Any
 
 from brassweir.config.load import ConfigError, load
-from brassweir.config.model import Strict
-from brassweir.lab import runs
 from brassweir.lab.models import verdicts
 from brassweir.lab.models.day import draw
 from brassweir.lab.models.deployment import Deployment
-
-MEASURES = ("worth", "p99_ms", "p50_ms", "refused", "failed", "delivered", "calls")
-
-
-class VariantModel(Strict):
-    """One version: other settings of the senders, or another checkout of the code."""
-
-    name: str = Field(pattern=r"^[a-z0-9][a-z0-9_.-]{0,40}$")
-    senders: dict[str, float | int] = {}
-    constants: dict[str, float | int] = Field({}, description="tuned values of the decision module, by name")
-    code: Path | None = None
-
-    @model_validator(mode="after")
-    def _sound(self) -> Self:
-        if self.code is not None and self.constants:
-            raise ValueError("constants are set in this code: give a checkout its own")
-        return self
-
-
-class ExperimentModel(Strict):
-    """A whole experiment. Paths count from its file."""
-
-    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,60}$")
-    question: str
-    deployment: Path
-    first_seed: int = Field(1, ge=0)
-    least: int = Field(8, ge=2, description="pairs before the first look")
-    most: int = Field(64, ge=2)
-    measure: str = "worth"
-    precision: float = Field(0.005, gt=0, description="differences within this are called alike")
-    variants: tuple[VariantModel, ...] = Field(
-        min_length=2, description="the first is what others are compared with"
-    )
-
-    @model_validator(mode="after")
-    def _sound(self) -> Self:
-        names = [one.name for one in self.variants]
-        if len(set(names)) < len(names):
-            raise ValueError("variants: a name stands more than once")
-        if self.measure not in MEASURES:
-            raise ValueError(f"measure is one of {', '.join(MEASURES)}")
-        if self.least > self.most:
-            raise ValueError("least is over most")
-        return self
-
-
-def varied(deployment: Deployment, variant: VariantModel) -> Deployment:
-    """The deployment with a variant's settings. Raises ConfigError for settings there are not."""
-    tree = deployment.model_dump()
-    unknown = sorted(variant.senders.keys() - tree["senders"].keys())
-    if unknown:
-        raise ConfigError([f"variant {variant.name}: senders has no {', '.join(unknown)}"])
-    tree["senders"].update(variant.senders)
-    try:
-        return Deployment.model_validate(tree)
-    except ValueError as error:
-        raise ConfigError([f"variant {variant.name}: {error}"]) from None
-
-
-def constants(variant: VariantModel) -> None:
-    """Set tuned values of the module in this process. Raises ConfigError for one there is not."""
-    from brassweir import control
-
-    for name, value in variant.constants.items():
-        if not name.isupper() or not isinstance(getattr(control, name, None), int | float):
-            raise ConfigError([f"variant {variant.name}: the decision module has no tuned value {name}"])
-        setattr(control, name, value)
+from brassweir.lab.simulated import runs
+from brassweir.lab.trials.variants import MEASURES, ExperimentModel, VariantModel, constants, varied
 
 
 def one_run(deployment: Deployment, variant: VariantModel, seed: int, folder: Path) -> dict[str, Any]:
@@ -111,7 +42,7 @@
         ]
         for one in self.variants:
             varied(self.deployment, one)
-            if one.code is not None and not (one.code / "brassweir" / "lab" / "stage.py").exists():
+            if one.code is not None and not any((one.code / "brassweir" / "lab").rglob("stage.py")):
                 raise ConfigError([f"variant {one.name}: {one.code} is no checkout that can simulate"])
         self.folder, self.jobs = folder, jobs or os.cpu_count() or 1
         (folder / "runs").mkdir(parents=True, exist_ok=True)
@@ -122,7 +53,7 @@
             self.deployment.model_dump_json(),
             variant.model_dump_json(),
             str(seed),
-            fingerprint(variant.code or Path(__file__).parent.parent.parent),
+            fingerprint(variant.code or Path(__file__).parents[3]),
         ]
         return hashlib.sha256("\0".join(told).encode()).hexdigest()[:24]
 
@@ -240,7 +171,7 @@
             import pyarrow.parquet as pq
         except ImportError:
             return
-        from brassweir.lab.report import experiment_page
+        from brassweir.lab.trials.report import experiment_page
 
         (self.folder / "report.html").write_text(experiment_page(outcome, rows), encoding="utf-8")
         pq.write_table(pa.Table.from_pylist(rows), self.folder / "runs.parquet", compression="zstd")
--- a/brassweir/lab/report.py
+++ b/brassweir/lab/trials/report.py
@@ -11,7 +11,7 @@
 import numpy as np
 
 from brassweir.lab.models.worth import LOSSES
-from brassweir.lab.runs import Run, summary
+from brassweir.lab.simulated.runs import Run, summary
 
 BIN = 500.0  # ms: one point of a curve over time
 COLOURS = {"offered": "#555555", "admitted": "#1f77b4", "delivered": "#2ca02c", "refused": "#ff7f0e",
--- a/brassweir/lab/search.py
+++ b/brassweir/lab/trials/search.py
@@ -16,9 +16,9 @@
 import msgspec
 import numpy as np
 
-from brassweir.lab import runs
 from brassweir.lab.models.day import Day, Order, Strike, decode, draw, encode
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.simulated import runs
 
 RULES = tuple(f"rule_{rule}_broken" for rule in range(1, 7))
 NEIGHBOURS = 8  # tried at each step
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -45,5 +45,5 @@
 @pytest.fixture(autouse=True, scope="session")
 def _cheap_keys() -> Iterator[None]:
     with pytest.MonkeyPatch.context() as patch:
-        patch.setattr("brassweir.lab.fleet.make", identity)
+        patch.setattr("brassweir.lab.rigs.fleet.make", identity)
         yield
--- a/tests/journal/made.py
+++ b/tests/journal/made.py
@@ -5,8 +5,9 @@
 from brassweir.journal.records import Ended, Final, Intent, Taken
 from brassweir.journal.scan import scan
 from brassweir.journal.writer import Writer
-from brassweir.lab.crash import Script, steps_of
-from brassweir.lab.disk import SimStorage
+from brassweir.lab.simulated.crash import steps_of
+from brassweir.lab.simulated.crash_world import Script
+from brassweir.lab.simulated.disk import SimStorage
 
 SEED, COUNT = 1, 24
 TOTAL = steps_of(Script.draw(SEED, COUNT, 2500.0), SEED)
--- a/tests/journal/test_crashes.py
+++ b/tests/journal/test_crashes.py
@@ -11,9 +11,10 @@
 from brassweir.journal import durability, recover, store
 from brassweir.journal.scan import scan
 from brassweir.journal.writer import Broken
-from brassweir.lab import crash
-from brassweir.lab.crash import Run, Script, sweep
-from brassweir.lab.disk import MODES, SimStorage
+from brassweir.lab.simulated import crash
+from brassweir.lab.simulated.crash import Run, sweep
+from brassweir.lab.simulated.crash_world import Script
+from brassweir.lab.simulated.disk import MODES, SimStorage
 from tests.journal.made import COUNT, SEED, TOTAL
 
 
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -19,8 +19,9 @@
 from brassweir.journal.sizes import within
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.writer import Writer
-from brassweir.lab.crash import Run, Script
-from brassweir.lab.disk import SimStorage
+from brassweir.lab.simulated.crash import Run
+from brassweir.lab.simulated.crash_world import Script
+from brassweir.lab.simulated.disk import SimStorage
 from tests.journal.made import taken
 
 
--- a/tests/journal/test_plan.py
+++ b/tests/journal/test_plan.py
@@ -11,7 +11,7 @@
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Began, Ended, Final, Intent, Taken, Told
 from brassweir.journal.recover import Hole
-from brassweir.lab.crash import BY_NAME
+from brassweir.lab.simulated.crash_world import BY_NAME
 from tests.journal.made import taken
 
 
--- a/tests/lab/models/test_fleet.py
+++ b/tests/lab/models/test_fleet.py
@@ -10,11 +10,11 @@
 from brassweir import control
 from brassweir import interface as api
 from brassweir.config.load import load
-from brassweir.lab import runs
+from brassweir.lab.judges.tape import Tipped
 from brassweir.lab.models.day import Strike, draw
 from brassweir.lab.models.deployment import Deployment
-from brassweir.lab.tape import Tipped
-from tests.lab.models.test_models import ROOT
+from brassweir.lab.simulated import runs
+from tests.lab.models.made import ROOT
 
 POOR, LIMITED, RETURNING = 1, 2, 3
 
--- a/tests/lab/runs.py
+++ b/tests/lab/runs.py
@@ -6,14 +6,15 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from brassweir.lab.client import Order
-from brassweir.lab.fleet import CLASSES, Fleet, FleetPlan
-from brassweir.lab.local import Lines, LocalSender
+from brassweir.lab.judges.tape import Answered, Arrival, Effect
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Trouble
-from brassweir.lab.play import Report, play
-from brassweir.lab.script import Day
-from brassweir.lab.tape import Answered, Arrival, Effect
+from brassweir.lab.rigs.fleet import Fleet
+from brassweir.lab.rigs.local import Lines, LocalSender
+from brassweir.lab.rigs.plan import CLASSES, FleetPlan
+from brassweir.lab.rigs.play import Report, play
+from brassweir.lab.rigs.script import Day
+from brassweir.lab.standins.client import Order
+from brassweir.lab.standins.works import Trouble
 from brassweir.service.process import SenderProcess
 
 Tamper = Callable[[SenderProcess], None]
--- a/tests/lab/test_compare.py
+++ b/tests/lab/test_compare.py
@@ -9,9 +9,10 @@
 import pytest
 
 from brassweir.config.load import load
-from brassweir.lab import compare, runs
 from brassweir.lab.models.day import Strike, draw
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.simulated import runs
+from brassweir.lab.trials import compare
 from tests.conftest import run
 
 QUAY = Path(__file__).parents[2] / "deploy" / "models" / "quay.yaml"
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -11,10 +11,10 @@
 from brassweir.control import Gate
 from brassweir.core.ledger import Record
 from brassweir.core.ports import FinalAnswer
-from brassweir.lab.checker import Verdict
+from brassweir.lab.judges.verdict import Verdict
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Trouble
-from brassweir.lab.script import Day
+from brassweir.lab.rigs.script import Day
+from brassweir.lab.standins.works import Trouble
 from brassweir.service.process import SenderProcess
 from tests.conftest import run
 from tests.lab.runs import Tamper, order, ran, short_day
--- a/tests/lab/test_forward_days.py
+++ b/tests/lab/test_forward_days.py
@@ -12,11 +12,11 @@
 from brassweir.forward.decide import answers
 from brassweir.forward.decide.answers import Tell, Told
 from brassweir.forward.message import Mode
-from brassweir.lab.checker import Verdict
+from brassweir.lab.judges.verdict import Verdict
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Trouble
-from brassweir.lab.script import Day
-from brassweir.lab.shipper import Load
+from brassweir.lab.rigs.script import Day
+from brassweir.lab.standins.shipper import Load
+from brassweir.lab.standins.works import Trouble
 from brassweir.service.process import SenderProcess
 from tests.conftest import run
 from tests.lab.runs import Tamper, ran, short_day
--- a/tests/lab/test_idle_run.py
+++ b/tests/lab/test_idle_run.py
@@ -7,10 +7,10 @@
 
 import pytest
 
-from brassweir.lab import idle
-from brassweir.lab.hooks import Strike
-from brassweir.lab.idle import Plan
-from brassweir.lab.load import Mix, draw
+from brassweir.lab.rigs import idle
+from brassweir.lab.rigs.idle_setup import Plan
+from brassweir.lab.rigs.load import Mix, draw
+from brassweir.lab.standins.hooks import Strike
 from tests.conftest import run
 from tests.lab.side import side_by_side
 
--- a/tests/lab/warm.py
+++ b/tests/lab/warm.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from brassweir.lab import fleet, idle
+from brassweir.lab.rigs import fleet, idle
 from tests.conftest import identity
 
 vars(fleet)["make"] = identity  # what is tested is never how keys are made
--- a/tests/relay/plays.py
+++ b/tests/relay/plays.py
@@ -6,7 +6,7 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
-from brassweir.lab.platform import Call, Endpoint, Manner, answer
+from brassweir.lab.standins.platform import Call, Endpoint, Manner, answer
 from tests.relay.world import World
 
 Play = Callable[[World], Awaitable[None]]
--- a/tests/relay/test_large.py
+++ b/tests/relay/test_large.py
@@ -5,7 +5,7 @@
 import asyncio
 from pathlib import Path
 
-from brassweir.lab.platform import Endpoint
+from brassweir.lab.standins.platform import Endpoint
 from tests.relay.world import World
 
 MANY = 1100
--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -11,19 +11,8 @@
 
 import pytest
 
-from brassweir.lab.platform import (
-    SERVING,
-    Call,
-    Endpoint,
-    Manner,
-    Seen,
-    answer,
-    broken,
-    cut,
-    good,
-    hang,
-    says,
-)
+from brassweir.lab.judges.platform_rules import Seen, broken
+from brassweir.lab.standins.platform import SERVING, Call, Endpoint, Manner, answer, cut, good, hang, says
 from tests.relay.plays import GOOD, first, play, played, together
 from tests.relay.quicker import BELIEF, program
 from tests.relay.world import UNSAFE, World, configuration
@@ -214,7 +203,7 @@
 
 
 def test_the_judge_sees_what_is_broken() -> None:
-    from brassweir.lab.platform import HandIn
+    from brassweir.lab.standins.relay_client import HandIn
 
     one = HandIn(0.0, "m", "pay", 1, 1000.0, "", b"x", b"+OK\r\n")
     call = Call(5.0, "a", "m", "", "1m", b"x", 1)
--- a/tests/relay/test_node_clients.py
+++ b/tests/relay/test_node_clients.py
@@ -8,7 +8,8 @@
 
 import pytest
 
-from brassweir.lab.platform import Client, Endpoint, good, hang
+from brassweir.lab.standins.platform import Endpoint, good, hang
+from brassweir.lab.standins.relay_client import Client
 from tests.relay.plays import play
 from tests.relay.world import World
 
--- a/tests/relay/test_node_list.py
+++ b/tests/relay/test_node_list.py
@@ -9,7 +9,8 @@
 
 import pytest
 
-from brassweir.lab.platform import Discovery, Endpoint, cut
+from brassweir.lab.standins.discovery import Discovery
+from brassweir.lab.standins.platform import Endpoint, cut
 from tests.relay.plays import play, played
 from tests.relay.quicker import SILENT, program
 from tests.relay.world import World
--- a/tests/relay/test_node_restarts.py
+++ b/tests/relay/test_node_restarts.py
@@ -13,7 +13,7 @@
 from brassweir.journal.scan import scan
 from brassweir.journal.storage import Files
 from brassweir.journal.writer import Writer
-from brassweir.lab.platform import Endpoint, after, good, hang, wall
+from brassweir.lab.standins.platform import Endpoint, after, good, hang, wall
 from tests.relay.plays import play, together
 from tests.relay.world import World
 
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -11,7 +11,10 @@
 from pathlib import Path
 from typing import Any
 
-from brassweir.lab.platform import Client, Discovery, Endpoint, Seen, broken, wall
+from brassweir.lab.judges.platform_rules import Seen, broken
+from brassweir.lab.standins.discovery import Discovery
+from brassweir.lab.standins.platform import Endpoint, wall
+from brassweir.lab.standins.relay_client import Client
 
 CLASSES = [
     {"Name": "note", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "pure", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from brassweir.lab.platform import Client
+from brassweir.lab.standins.relay_client import Client
 from brassweir.resp import codec
 
 PARTS = st.lists(st.lists(st.binary(max_size=60), min_size=1, max_size=6), min_size=1, max_size=5)
--- a/tests/service/test_asked.py
+++ b/tests/service/test_asked.py
@@ -17,9 +17,9 @@
 from brassweir.core.ports import Answer, FinalAnswer, Payload, Submission
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
-from brassweir.lab import hooks
-from brassweir.lab.idle import KEY, Plan, Quiet, write
-from brassweir.lab.load import Mix
+from brassweir.lab.rigs.idle_setup import KEY, Plan, Quiet, write
+from brassweir.lab.rigs.load import Mix
+from brassweir.lab.standins import hooks
 from brassweir.net import client, links
 from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
--- a/tests/service/test_bad_input.py
+++ b/tests/service/test_bad_input.py
@@ -13,9 +13,10 @@
 from brassweir.core.offload import Offload
 from brassweir.core.ports import Payload
 from brassweir.interface import Result
-from brassweir.lab.fleet import HUB, Fleet, FleetPlan
-from brassweir.lab.local import LocalSender
 from brassweir.lab.models.desk import Manner
+from brassweir.lab.rigs.fleet import HUB, Fleet
+from brassweir.lab.rigs.local import LocalSender
+from brassweir.lab.rigs.plan import FleetPlan
 from brassweir.net.client import Address, CallFailed, Pool, Reply
 from brassweir.net.headers import Headers
 from brassweir.net.limits import Limits
--- a/tests/service/test_hard_cases.py
+++ b/tests/service/test_hard_cases.py
@@ -8,8 +8,8 @@
 import pytest
 
 from brassweir.lab.models.desk import Manner
-from brassweir.lab.partner import Trouble
-from brassweir.lab.script import Day
+from brassweir.lab.rigs.script import Day
+from brassweir.lab.standins.works import Trouble
 from tests.conftest import run
 from tests.lab.runs import Ran, order, ran, short_day
 from tests.lab.side import side_by_side
--- a/tests/service/test_regions.py
+++ b/tests/service/test_regions.py
@@ -15,7 +15,7 @@
 from brassweir.config.load import ConfigError, load
 from brassweir.config.model import Config
 from brassweir.core.ports import Answer, FinalAnswer, Payload, Submission
-from brassweir.lab.local import Lines
+from brassweir.lab.rigs.local import Lines
 from brassweir.regions import planning
 from brassweir.regions.epochs import Epoch, parse
 from brassweir.regions.ownership import Assumed
