--- a/brassweir/lab/rigs/plan.py
+++ b/brassweir/lab/rigs/plan.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from brassweir.lab.models.desk import Manner
+from brassweir.lab.standins.shipper import ACK_TIMEOUT
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,4 +42,5 @@
     kind: str = "rsa2048"
     sinks: dict[str, Manner] = field(default_factory=dict)  # forward destinations
     shippers: int = 0  # forward sources
+    ack_timeout: float = ACK_TIMEOUT  # of sources, in seconds
     classes: tuple[ClassPlan, ...] = CLASSES
