--- a/brassweir/lab/experiment.py
+++ b/brassweir/lab/trials/experiment.py
@@ -10,46 +10,14 @@
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from concurrent.futures.process import BrokenProcessPool
 from pathlib import Path
-from typing import Any, Self
-
-from pydantic import Field, model_validator
+from typing import Any
 
 from brassweir.config.load import ConfigError, load
-from brassweir.config.model import Strict
-from brassweir.lab import runs
 from brassweir.lab.models import verdicts
 from brassweir.lab.models.day import draw
 from brassweir.lab.models.deployment import Deployment
-from brassweir.lab.variants import VariantModel, constants, varied
-
-MEASURES = ("worth", "p99_ms", "p50_ms", "refused", "failed", "delivered", "calls")
-
-
-class ExperimentModel(Strict):
-    """A whole experiment. Paths count from its file."""
-
-    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,60}$")
-    question: str
-    deployment: Path
-    first_seed: int = Field(1, ge=0)
-    least: int = Field(8, ge=2, description="pairs before the first look")
-    most: int = Field(64, ge=2)
-    measure: str = "worth"
-    precision: float = Field(0.005, gt=0, description="differences within this are called alike")
-    variants: tuple[VariantModel, ...] = Field(
-        min_length=2, description="the first is what others are compared with"
-    )
-
-    @model_validator(mode="after")
-    def _sound(self) -> Self:
-        names = [one.name for one in self.variants]
-        if len(set(names)) < len(names):
-            raise ValueError("variants: a name stands more than once")
-        if self.measure not in MEASURES:
-            raise ValueError(f"measure is one of {', '.join(MEASURES)}")
-        if self.least > self.most:
-            raise ValueError("least is over most")
-        return self
+from brassweir.lab.simulated import runs
+from brassweir.lab.trials.variants import MEASURES, ExperimentModel, VariantModel, constants, varied
 
 
 def one_run(deployment: Deployment, variant: VariantModel, seed: int, folder: Path) -> dict[str, Any]:
@@ -74,7 +42,7 @@
         ]
         for one in self.variants:
             varied(self.deployment, one)
-            if one.code is not None and not (one.code / "brassweir" / "lab" / "stage.py").exists():
+            if one.code is not None and not any((one.code / "brassweir" / "lab").rglob("stage.py")):
                 raise ConfigError([f"variant {one.name}: {one.code} is no checkout that can simulate"])
         self.folder, self.jobs = folder, jobs or os.cpu_count() or 1
         (folder / "runs").mkdir(parents=True, exist_ok=True)
@@ -85,7 +53,7 @@
             self.deployment.model_dump_json(),
             variant.model_dump_json(),
             str(seed),
-            fingerprint(variant.code or Path(__file__).parent.parent.parent),
+            fingerprint(variant.code or Path(__file__).parents[3]),
         ]
         return hashlib.sha256("\0".join(told).encode()).hexdigest()[:24]
 
@@ -203,7 +171,7 @@
             import pyarrow.parquet as pq
         except ImportError:
             return
-        from brassweir.lab.report import experiment_page
+        from brassweir.lab.trials.report import experiment_page
 
         (self.folder / "report.html").write_text(experiment_page(outcome, rows), encoding="utf-8")
         pq.write_table(pa.Table.from_pylist(rows), self.folder / "runs.parquet", compression="zstd")
--- a/brassweir/lab/variants.py
+++ b/brassweir/lab/trials/variants.py
@@ -1,4 +1,4 @@
-"""Variants of a deployment: other settings, other tuned values, or another checkout of the code."""
+"""An experiment's file, and what makes one version of it differ from another."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 from brassweir.config.model import Strict
 from brassweir.lab.models.deployment import Deployment
 
+MEASURES = ("worth", "p99_ms", "p50_ms", "refused", "failed", "delivered", "calls")
+
 
 class VariantModel(Strict):
     """One version: other settings of the senders, or another checkout of the code."""
@@ -30,6 +32,33 @@
         return self
 
 
+class ExperimentModel(Strict):
+    """A whole experiment. Paths count from its file."""
+
+    name: str = Field(pattern=r"^[a-z0-9][a-z0-9-]{0,60}$")
+    question: str
+    deployment: Path
+    first_seed: int = Field(1, ge=0)
+    least: int = Field(8, ge=2, description="pairs before the first look")
+    most: int = Field(64, ge=2)
+    measure: str = "worth"
+    precision: float = Field(0.005, gt=0, description="differences within this are called alike")
+    variants: tuple[VariantModel, ...] = Field(
+        min_length=2, description="the first is what others are compared with"
+    )
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        names = [one.name for one in self.variants]
+        if len(set(names)) < len(names):
+            raise ValueError("variants: a name stands more than once")
+        if self.measure not in MEASURES:
+            raise ValueError(f"measure is one of {', '.join(MEASURES)}")
+        if self.least > self.most:
+            raise ValueError("least is over most")
+        return self
+
+
 def varied(deployment: Deployment, variant: VariantModel) -> Deployment:
     """The deployment with a variant's settings. Raises ConfigError for settings there are not."""
     tree = deployment.model_dump()
