What the agreed log holds: grants, pins, verdicts and members, alike on every copy

Need: commands that all versions side by side apply alike, and grants that a race or a wrong clock cannot make overlap.

--- /dev/null
+++ b/brassweir/agreed/commands.py
@@ -0,0 +1,143 @@
+"""The commands that the log carries, their bytes, and the words of their results. Pure.
+
+Bytes: MessagePack of [level, command]. A command's level is that of the version that brought it in. While the
+agreed level is lower, a command is refused by all versions alike, whether they know it or not; the level
+rises by a ``Format`` command, once all copies can read it. Whatever is changed of what a command does, or of
+when one is refused, is a new level. So versions side by side never differ in what they apply.
+Times are the proposer's wall clock (ms), stated in the command: none is read where commands are applied.
+"""
+
+from __future__ import annotations
+
+from typing import Annotated, Literal
+
+import msgspec
+
+from brassweir.regions.epochs import Epoch
+
+LEVEL = 1  # the newest that this version knows
+MOST = 6_000  # bytes of a command: it must fit into one message between copies, with the log's own words
+
+_Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9._-]{1,60}\Z")]
+_Place = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,40}\Z")]
+_Word = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Version = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+_Time = Annotated[float, msgspec.Meta(ge=0.0, le=1e15)]
+Standing = Literal["well", "suspected", "lost", "returning"]
+
+
+class Command(msgspec.Struct, frozen=True, tag_field="do", forbid_unknown_fields=True):
+    """One change. ``after`` is the version that it was made from: another one has come first otherwise."""
+
+
+class Publish(Command, frozen=True, tag="publish"):
+    """The next epoch. ``lost`` names a region that an operator has stated to be gone for good."""
+
+    epoch: Epoch
+    after: _Version
+    lost: Annotated[str, msgspec.Meta(max_length=41)] = ""
+
+
+class Pin(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where a shard may be: strictly there, or preferably in this order."""
+
+    mode: Literal["strict", "preferred"]
+    regions: Annotated[tuple[_Place, ...], msgspec.Meta(min_length=1, max_length=16)]
+
+
+class Place(Command, frozen=True, tag="place"):
+    """Set a customer's pin of a shard; ``pin`` None drops it."""
+
+    customer: _Word
+    shard: _Word
+    pin: Pin | None
+    after: _Version
+
+
+class Judge(Command, frozen=True, tag="judge"):
+    """The verdict on a site, by which copy, and since when."""
+
+    site: _Place
+    standing: Standing
+    since: _Time
+    by: _Name
+    after: _Version
+
+
+class Join(Command, frozen=True, tag="join"):
+    """A copy is a member, here, and reads commands up to the level ``reads``."""
+
+    name: _Name
+    site: _Place
+    region: _Place
+    reads: Annotated[int, msgspec.Meta(ge=1, le=1000)]
+
+
+class Leave(Command, frozen=True, tag="leave"):
+    """A copy is a member no longer."""
+
+    name: _Name
+
+
+class Format(Command, frozen=True, tag="format"):
+    """Commands up to ``level`` may be used from here on."""
+
+    level: Annotated[int, msgspec.Meta(ge=1, le=1000)]
+
+
+Known = Publish | Place | Judge | Join | Leave | Format
+
+
+class Result(msgspec.Struct, frozen=True, omit_defaults=True):
+    """What came of a command: done, with the new version; or which field stands against it, and why.
+
+    ``version`` of a refusal is the one that is there, for another try.
+    """
+
+    ok: bool
+    version: int = 0
+    field: str = ""
+    why: str = ""
+
+
+class CommandError(ValueError):
+    """Bytes that are no command of their level."""
+
+
+_decoder = msgspec.msgpack.Decoder(tuple[int, msgspec.Raw])
+_known = msgspec.msgpack.Decoder(Known)
+
+
+def encode(command: Command, level: int = LEVEL) -> bytes:
+    """A command as the log carries it. Raises CommandError if it, or a number in it, is too large."""
+    try:
+        data = msgspec.msgpack.encode((level, command))
+    except OverflowError as error:
+        raise CommandError(str(error)) from None
+    if len(data) > MOST:
+        raise CommandError(f"a command of {len(data)} bytes; {MOST} are the most")
+    return data
+
+
+def split(data: bytes) -> tuple[int, bytes]:
+    """Level and body. Raises CommandError."""
+    if len(data) > MOST:
+        raise CommandError(f"{len(data)} bytes; {MOST} are the most")
+    try:
+        level, body = _decoder.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        raise CommandError("no level and command") from None
+    return level, bytes(body)
+
+
+def decode(body: bytes) -> Known:
+    """A body of a level that this version knows. Raises CommandError."""
+    try:
+        return _known.decode(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError):
+        raise CommandError("no command of its level") from None  # a library's words may change
+
+
+def result(data: bytes) -> Result:
+    """Read a result."""
+    return msgspec.json.decode(data, type=Result)
--- /dev/null
+++ b/brassweir/agreed/wanted.py
@@ -0,0 +1,96 @@
+"""From a file that an operator made to the epoch that is proposed: planned anew on what the log holds. Pure.
+
+Leases in the log move on every few seconds, so an epoch that was planned beside it is always made from an
+older state. Proposed as it is it would cut leases short, and the machine refuses that. So what the file says
+counts as the wish: which places go to whom, with which pause; the epoch is planned from what is there now.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import msgspec
+
+from brassweir.regions import planning
+from brassweir.regions.epochs import Epoch, EpochError, Grant, check
+from brassweir.regions.ownership import Assumed
+from brassweir.regions.planning import Lost
+from brassweir.regions.sources import Source, publisher
+
+
+def proposal(wish: Epoch, there: Epoch | None, now: float, lease: float,
+             assumed: Assumed) -> tuple[Epoch, str] | None:
+    """The epoch to propose, and the region that it states as lost ("" for none); None if there is nothing to
+    do. Raises EpochError with the reason where the wish does not follow."""
+    check(wish)
+    if there is None or publisher(there) is not Source.AGREED:
+        if publisher(wish) is not Source.AGREED:
+            raise EpochError(f"epoch {wish.number} is the file's to publish (turn {wish.turn}): hand over "
+                             "first")
+        return wish, ""
+    if wish.number <= there.number:
+        return None
+    if wish.number != there.number + 1:
+        raise EpochError(f"epoch {wish.number} does not follow {there.number}, which the log holds")
+    if wish.turn != there.turn:
+        return _handed(wish, there, now), ""
+    lost = _lost(wish, there)
+    if lost:
+        move = planning.taken_over(there, lost, now, lease, assumed, Lost(True, True))
+        return move.epoch, lost
+    return _moved(wish, there, now, lease, _pausing(wish, assumed)), ""
+
+
+def _handed(wish: Epoch, there: Epoch, now: float) -> Epoch:
+    if wish.turn != there.turn + 1:
+        raise EpochError(f"epoch {wish.number} is of turn {wish.turn}, and {there.turn} is reached")
+    if _owners(wish) != _owners(there):
+        raise EpochError(f"epoch {wish.number} hands over and changes grants: it may do one only")
+    return planning.handed_over(there, now)
+
+
+def _owners(epoch: Epoch) -> list[tuple[str, int, int]]:
+    return [(one.region, one.low, one.high) for one in sorted(epoch.grants, key=lambda one: one.low)]
+
+
+def _lost(wish: Epoch, there: Epoch) -> str:
+    """The region that was taken over from, by an operator's statement: what it held ends when it was made."""
+    holders = {one.region for one in there.grants}
+    gone = holders - {one.region for one in wish.grants}
+    cut = {one.region for one in wish.past if one.ends == wish.issued}
+    return next(iter(sorted(gone & cut)), "")
+
+
+def _pausing(wish: Epoch, assumed: Assumed) -> Assumed:
+    """What the operator assumed shows in the pause of the move; the longer one counts."""
+    pauses = [one.begins - max(before.ends, wish.issued) for one in wish.grants for before in wish.past
+              if one.region != before.region and before.low < one.high and one.low < before.high
+              and one.begins > wish.issued]
+    shown = min(pauses, default=0.0) - 2.0 * assumed.clock_error
+    return replace(assumed, longest=max(assumed.longest, shown))
+
+
+def _moved(wish: Epoch, there: Epoch, now: float, lease: float, assumed: Assumed) -> Epoch:
+    """Every piece that has another owner in the wish is moved, all in one epoch."""
+    made = there
+    for one in wish.grants:
+        if any(other.region != one.region for other in _within(there, one)):
+            made = planning.moved(made, one.low, one.high, one.region, now, lease, assumed).epoch
+    if _owners(_joined(made)) == _owners(_joined(there)):
+        raise EpochError(f"epoch {wish.number} changes no owner: renewals are the leader's")
+    return msgspec.structs.replace(made, number=there.number + 1)
+
+
+def _within(epoch: Epoch, grant: Grant) -> list[Grant]:
+    return [one for one in epoch.grants if one.low < grant.high and grant.low < one.high]
+
+
+def _joined(epoch: Epoch) -> Epoch:
+    """Neighbours of one owner as one: for comparing who owns what, not for publishing."""
+    out: list[Grant] = []
+    for one in sorted(epoch.grants, key=lambda one: one.low):
+        if out and out[-1].region == one.region:
+            out[-1] = msgspec.structs.replace(out[-1], high=one.high)
+        else:
+            out.append(one)
+    return msgspec.structs.replace(epoch, grants=tuple(out))
