A copy's dealings with the agreed log: joins, wishes, renewals, its own ownership

Need: grants must reach a copy's ownership durably, and a copy cut off must stop at its lease's end.

--- a/brassweir/observe/metrics.py
+++ b/brassweir/observe/metrics.py
@@ -2,7 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable, Iterator, Mapping
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram, generate_latest
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
 
 SECONDS = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
 
@@ -48,6 +52,22 @@
         self.stall = Gauge("brassweir_loop_stall_seconds", "Longest delay of the loop since the last look",
                            registry=self.registry)
 
+    def read_from(self, name: str, words: str, read: Callable[[], Mapping[str, float]]) -> None:
+        """A family of gauges by ``what``, read where they are counted at each scrape."""
+        self.registry.register(_Read(name, words, read))
+
     def text(self) -> bytes:
         """All series."""
         return generate_latest(self.registry)
+
+
+class _Read(Collector):
+    def __init__(self, name: str, words: str, read: Callable[[], Mapping[str, float]]) -> None:
+        self.name, self.words, self.read = name, words, read
+
+    def collect(self) -> Iterator[GaugeMetricFamily]:
+        """What stands there now."""
+        family = GaugeMetricFamily(self.name, self.words, labels=["what"])
+        for what, value in sorted(self.read().items()):
+            family.add_metric([what], value)
+        yield family
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -10,12 +10,12 @@
 from typing import Any, Protocol
 
 from brassweir.agreed import commands
-from brassweir.agreed.commands import Command, CommandError, Join, Publish, Result
+from brassweir.agreed.commands import Command, CommandError, Join, Leave, Publish, Result
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing
 from brassweir.agreed.wanted import proposal
 from brassweir.config.model import CopyModel
-from brassweir.regions.epochs import Epoch, EpochError, parse
+from brassweir.regions.epochs import Epoch, EpochError, follows, parse
 from brassweir.service.regionlog import RegionLog
 
 LOOK = 0.1  # seconds between two looks: well within a tenth of the shortest lease
@@ -65,6 +65,7 @@
         self.asked = False  # by an operator, and not by this copy's own start
         self.join_after = 0.0
         self.joined = False
+        self.left: set[str] = set()  # taken out of the copies' file, and members still
         self.said = ""
 
     def hear(self) -> None:
@@ -91,11 +92,14 @@
         while True:
             await asyncio.sleep(LOOK)
             self.hear()
-            status = self.group.status()
-            if status["leader"] and not self.machine.beyond:
+            leader = self.group.status()["leader"]
+            if leader and not self.machine.beyond:
                 await self._join()
-                await self._wish(status["leader"] == self.me.name)
-                await self._renew(status["leader"] == self.me.name)
+                await self._leave()
+                await self._wish(leader == self.me.name)
+                await self._renew(leader == self.me.name)
+            if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
+                self._wish_over("wish_refused", self.wish, "no answer in time; what was proposed may still come")
 
     async def _propose(self, command: Command) -> Result | None:
         """The result of a command; None if it is not known, or was not taken."""
@@ -123,6 +127,12 @@
         if result is not None and not result.ok:
             self.note("join_refused", {"field": result.field, "error": result.why})
 
+    async def _leave(self) -> None:
+        """Those that an operator took out of the copies' file are members no longer."""
+        for name in sorted(self.left & self.machine.state.copies.keys()):
+            await self._propose(Leave(name))
+        self.left -= self.left - self.machine.state.copies.keys()
+
     async def _wish(self, leading: bool) -> None:
         wish, there = self.wish, self.machine.state.epoch
         if wish is None or self.region is None:
@@ -137,6 +147,9 @@
             return
         granted = self.machine.state.granted
         try:
+            known = self.region.own.epoch
+            if there is None and known is not None:
+                follows(wish, known)  # a log founded anew must not go back behind what copies know
             planned = proposal(wish, there, wall, self.lease, self.region.own.assumed)
         except EpochError as error:
             self._wish_over("wish_refused", wish, str(error))
@@ -150,8 +163,6 @@
             self._wish_over("wish_agreed", wish, "")
         elif result is not None and result.field != "after":
             self._wish_over("wish_refused", wish, f"{result.field}: {result.why}")
-        elif self.asked and time.monotonic() > self.wish_until:
-            self._wish_over("wish_refused", wish, "no answer in time; it may still come into the log")
 
     def _wish_over(self, event: str, wish: Epoch, error: str) -> None:
         if self.wish is wish:
--- /dev/null
+++ b/tests/service/test_lean.py
@@ -0,0 +1,54 @@
+"""Who has no peers in the settings pays nothing for them: not an import."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from tests.config.test_copies import SETTINGS, put
+from tests.config.test_forward import folder
+
+START = """
+import asyncio, sys
+from pathlib import Path
+from brassweir.config.load import load
+from brassweir.config.model import Config
+from brassweir.lab.local import Lines
+from brassweir.service.checking import check
+from brassweir.service.process import SenderProcess
+import brassweir.cli.serving
+
+async def work(path):
+    process = SenderProcess(check(path), path.parent, Lines())
+    await process.start()
+    process.stop()
+
+asyncio.run(work(Path(sys.argv[1])))
+"""
+NODE = "import brassweir.cli.node, brassweir.service.node"
+SHOW = "\nprint(*sorted(name for name in sys.modules if name.split('.')[1:2] in (['peers'], ['agreed']) and name.startswith('brassweir')))"
+
+
+def imported(code: str, *given: str) -> list[str]:
+    done = subprocess.run([sys.executable, "-c", "import sys\n" + code + SHOW, *given], capture_output=True, text=True, timeout=60, check=True,
+                          env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])})
+    return done.stdout.split()
+
+
+def test_a_sender_without_peers_imports_neither(tmp_path: Path) -> None:
+    assert imported(START, str(folder(tmp_path))) == []
+
+
+def test_nor_does_a_node() -> None:
+    assert imported(NODE) == []
+
+
+@pytest.mark.parametrize("agreed", [True, False])
+def test_what_the_settings_have_is_imported_and_no_more(tmp_path: Path, agreed: bool) -> None:
+    text = SETTINGS if agreed else SETTINGS[:SETTINGS.index("region:")] + "peers: {copies: copies.yaml, keys: [peers.key], listen: '127.0.0.1:0'}\n"
+    found = imported(START, str(put(tmp_path, text)))
+    assert "brassweir.peers.port" in found and ("brassweir.agreed.member" in found) is agreed
