--- a/brassweir/config/model/peers.py
+++ b/brassweir/config/model/peers.py
@@ -7,7 +7,7 @@
 
 from pydantic import AfterValidator, Field, model_validator
 
-from brassweir.config.model.base import Address, Ms, Strict
+from brassweir.config.model.base import Ms, Strict
 
 CopyName = Annotated[str, Field(pattern=r"^[A-Za-z0-9._-]{1,60}$")]  # as sender.name
 PlaceName = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9-]{0,40}$")]  # of a site or a region
@@ -21,13 +21,16 @@
     return value
 
 
+Reachable = Annotated[str, AfterValidator(_reachable)]
+
+
 class CopyModel(Strict):
     """One copy. ``address`` is where this process reaches it, and may be a relay's."""
 
     name: CopyName
     site: PlaceName
     region: PlaceName
-    address: Annotated[str, AfterValidator(_reachable)]
+    address: Reachable
 
 
 class CopiesFile(Strict):
@@ -42,7 +45,7 @@
     copies: Path = Field(description="the file that names all copies, this one among them")
     keys: tuple[Path, ...] = Field(min_length=1, max_length=4,
                                    description="newest first: the first seals, all open")
-    listen: Address | None = Field(None, description="the own entry's address if not given")
+    listen: Reachable | None = Field(None, description="the own entry's address if not given")
 
 
 class AgreedModel(Strict):
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -99,7 +99,7 @@
                 await self._wish(leader == self.me.name)
                 await self._renew(leader == self.me.name)
             if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
-                self._wish_over("wish_refused", self.wish, "no answer in time; what was proposed may still come")
+                self._wish_over("wish_refused", self.wish, "no answer in time; it may still come")
 
     async def _propose(self, command: Command) -> Result | None:
         """The result of a command; None if it is not known, or was not taken."""
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -108,7 +108,7 @@
             return None
         from brassweir.service.together import Together
 
-        return Together(self.config, base, self.region, self.metrics, self.log)
+        return Together(self.config, base, self.region, self.metrics, self.observer.note)
 
     @property
     def port(self) -> int:
