--- /dev/null
+++ b/brassweir/peers/claims.py
@@ -0,0 +1,67 @@
+"""What is said of a copy, and which of two sayings counts. Pure.
+
+A claim is ordered by life, then incarnation, then status: SWIM's order with the process's life before it, so
+that a restarted copy supersedes its older self at once. Only the copy itself raises its incarnation.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+
+import msgspec
+
+from brassweir.peers.wire import Number
+
+ALIVE, SUSPECTED, DEAD = 0, 1, 2
+WORDS = ("alive", "suspected", "dead")
+
+
+class Claim(msgspec.Struct, array_like=True, frozen=True):
+    """``by`` is who suspects or found dead; a copy that leaves says itself that it is dead."""
+
+    name: str
+    life: Number
+    inc: Number
+    status: Number
+    by: str = ""
+
+
+class Weight(Enum):
+    """What a claim does to what is held."""
+
+    STALE = "stale"  # nothing
+    TAKE = "take"  # it replaces what is held
+    CONFIRM = "confirm"  # one more who suspects
+    DOUBT = "doubt"  # found dead by another: suspected here, at the least time-out
+
+
+class Standing:
+    """What is held of one copy; ``life`` 0: never heard of, taken for alive because it is listed."""
+
+    __slots__ = ("inc", "life", "status", "told")
+
+    def __init__(self) -> None:
+        self.life = self.inc = 0
+        self.status = ALIVE
+        self.told = 0.0  # when it was last told what is said of it (ms)
+
+    def claim(self, name: str, by: str = "") -> Claim:
+        """It as a claim."""
+        return Claim(name, self.life, self.inc, self.status, by)
+
+
+def weigh(held: Standing, claim: Claim) -> Weight:
+    """Which counts. A death found by others is looked into, unless it was suspected or unknown here."""
+    mine, theirs = (held.life, held.inc), (claim.life, claim.inc)
+    if theirs < mine or claim.status > DEAD:
+        return Weight.STALE
+    newer = theirs > mine
+    if claim.status == ALIVE:
+        return Weight.TAKE if newer else Weight.STALE
+    if claim.status == SUSPECTED:
+        if newer or held.status == ALIVE:
+            return Weight.TAKE
+        return Weight.CONFIRM if held.status == SUSPECTED else Weight.STALE
+    if claim.by == claim.name or held.status == DEAD:
+        return Weight.TAKE if newer or held.status != DEAD else Weight.STALE
+    return Weight.TAKE if held.life == 0 and held.status == ALIVE else Weight.DOUBT
--- /dev/null
+++ b/brassweir/peers/probing.py
@@ -0,0 +1,138 @@
+"""Whom to probe next, and what became of the probes that are out: direct pings, then helpers. Pure.
+
+What it asks for are tuples (what, to, about, number); whoever owns it makes messages of them.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Collection
+from dataclasses import dataclass, field
+
+from brassweir.peers.copies import Fleet
+from brassweir.peers.pace import Pace
+from brassweir.peers.talk import ASK, PING
+from brassweir.peers.tuning import Tuning
+
+Ask = tuple[int, str, str, int]
+
+
+@dataclass(slots=True)
+class Probe:
+    """One copy being probed."""
+
+    name: str
+    began: float
+    next_round: float
+    rounds: int = 0
+    deadline: float = float("inf")
+    helpers: set[str] = field(default_factory=set)
+    signs: set[str] = field(default_factory=set)  # helpers that said something
+    answered: bool = False
+
+
+@dataclass(slots=True)
+class Ping:
+    """One numbered message of a probe; ``first`` for the loss of the way."""
+
+    probe: Probe
+    sent: float
+    direct: bool
+    first: bool
+    answered: bool = False
+
+
+class Prober:
+    """Round robin over a shuffled list: each copy is probed once before any is probed again."""
+
+    def __init__(self, tuning: Tuning, pace: Pace, rng: random.Random) -> None:
+        self.tuning, self.pace, self.rng = tuning, pace, rng
+        self.ring: list[str] = []
+        self.open: list[Probe] = []
+        self.pings: dict[int, Ping] = {}
+        self.number = 0
+
+    def forget(self) -> None:
+        """What is out counts for nothing."""
+        self.open.clear()
+        self.pings.clear()
+
+    def target(self, fleet: Fleet, dead: Collection[str]) -> str | None:
+        """The next one to probe; None where all others are dead."""
+        for _ in range(2):
+            while self.ring:
+                name = self.ring.pop()
+                if name in fleet and name not in dead:
+                    return name
+            self.ring = [copy.name for copy in fleet.others]
+            self.rng.shuffle(self.ring)
+        return None
+
+    def begin(self, name: str, now: float) -> None:
+        """Probe it; the first ping is due at once."""
+        self.open.append(Probe(name, now, now))
+
+    def _ping(self, probe: Probe, now: float, direct: bool) -> int:
+        self.number += 1
+        self.pings[self.number] = Ping(probe, now, direct, probe.rounds == 0)
+        return self.number
+
+    def due(self) -> float:
+        """When it is to be looked at again."""
+        return min((min(one.next_round, one.deadline) for one in self.open), default=float("inf"))
+
+    def run(self, now: float, score: int,
+            helpers: Callable[[str], list[str]]) -> tuple[list[Ask], list[Probe]]:
+        """What to send now, and the probes that failed. ``helpers``: whom to ask about one, best first."""
+        asks: list[Ask] = []
+        failed: list[Probe] = []
+        answer = self.pace.answer * (1 + score)
+        for probe in self.open:
+            if now >= probe.next_round:
+                asks.append((PING, probe.name, "", self._ping(probe, now, True)))
+                if probe.rounds:
+                    many = self.tuning.helpers if probe.rounds == 1 else 1
+                    for helper in [one for one in helpers(probe.name) if one not in probe.helpers][:many]:
+                        probe.helpers.add(helper)
+                        asks.append((ASK, helper, probe.name, self._ping(probe, now, False)))
+                probe.rounds += 1
+                probe.next_round = now + (answer if probe.rounds == 1 else answer / 2)
+                if probe.rounds >= self.pace.rounds:
+                    probe.next_round = float("inf")
+                    least = self.tuning.window_least * (1 + score)
+                    probe.deadline = max(now + 2 * answer, probe.began + least)
+            elif now >= probe.deadline:
+                failed.append(probe)
+        self.open = [one for one in self.open if now < one.deadline]
+        return asks, failed
+
+    def answered(self, number: int, sender: str, now: float) -> Probe | None:
+        """An answer came; the probe if that ends it well, None if it was ended before."""
+        ping = self.pings.get(number)
+        if ping is None:
+            return None
+        if ping.direct and not ping.answered:
+            self.pace.took(now - ping.sent)
+        ping.answered = True
+        probe = ping.probe
+        probe.signs.add(sender)
+        if probe.answered or probe not in self.open:
+            return None
+        probe.answered = True
+        self.open.remove(probe)
+        return probe
+
+    def sign(self, number: int, sender: str) -> None:
+        """A helper is there, but has no answer."""
+        ping = self.pings.get(number)
+        if ping is not None:
+            ping.probe.signs.add(sender)
+
+    def clean(self, now: float) -> None:
+        """Forget old pings; those to the living tell of loss on the way."""
+        for number, ping in list(self.pings.items()):
+            if ping.sent > now - self.tuning.remember:
+                break
+            if ping.direct and ping.first and ping.probe.answered:
+                self.pace.lost(not ping.answered)
+            del self.pings[number]
--- /dev/null
+++ b/brassweir/peers/table.py
@@ -0,0 +1,137 @@
+"""What one copy holds of each: standings, suspicions under way, and the news that follows from them. Pure."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from brassweir.peers.claims import ALIVE, DEAD, SUSPECTED, Claim, Standing, Weight, weigh
+from brassweir.peers.contact import Contact
+from brassweir.peers.copies import Fleet
+from brassweir.peers.health import Health
+from brassweir.peers.news import News
+from brassweir.peers.suspicion import Suspicion
+from brassweir.peers.tuning import Tuning
+
+AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
+
+
+class Table:
+    """The shared part of a copy's state; ``changed`` collects the names whose standing changed."""
+
+    def __init__(self, fleet: Fleet, life: int, tuning: Tuning, health: Health) -> None:
+        self.tuning, self.health = tuning, health
+        self.own, self.life, self.inc = fleet.own.name, life, 0
+        self.relived = float("-inf")
+        self.news = News(tuning)
+        self.standings: dict[str, Standing] = {}
+        self.suspicions: dict[str, Suspicion] = {}
+        self.dead: frozenset[str] = frozenset()
+        self.changed: set[str] = set()
+        self.refuted = self.twins = 0
+        self.left = False  # this process ends: its death is no rumour
+        self.listed(fleet)
+
+    def listed(self, fleet: Fleet) -> None:
+        """Another list: who is new counts as alive, who is gone is forgotten."""
+        self.size = len(fleet)
+        names = [copy.name for copy in fleet.others]
+        for name in set(self.standings) - set(names):
+            self.suspicions.pop(name, None)
+            self.news.drop(name)
+        self.standings = {name: self.standings.get(name) or Standing() for name in names}
+        self.dead = frozenset(name for name in self.dead if name in self.standings)
+        self.changed |= set(names)
+
+    def self_claim(self) -> Claim:
+        """What this copy says of itself."""
+        return Claim(self.own, self.life, self.inc, ALIVE)
+
+    def hear(self, claim: Claim, now: float) -> int | None:
+        """Take note of a claim; a later life to go on as, if it was about this copy and called for one."""
+        if claim.name == self.own:
+            return self._of_self(claim, now)
+        held = self.standings.get(claim.name)
+        if held is None:
+            return None  # not in this copy's file
+        weight = weigh(held, claim)
+        if weight is Weight.TAKE:
+            self.take(claim, now)
+        elif weight is Weight.CONFIRM:
+            if self.suspicions[claim.name].confirm(claim.by, self.tuning, self.size):
+                self.news.put(claim)
+        elif weight is Weight.DOUBT:
+            if held.status == ALIVE or (held.life, held.inc) < (claim.life, claim.inc):
+                self.take(Claim(claim.name, claim.life, claim.inc, SUSPECTED, claim.by), now)
+            self.suspicions[claim.name].found = True
+        return None
+
+    def _of_self(self, claim: Claim, now: float) -> int | None:
+        if claim.life > self.life:
+            if now < self.relived + self.tuning.relive:
+                return None
+            self.twins += self.relived > float("-inf")
+            self.relived = now
+            self.life, self.inc = claim.life + 1, 0
+            self.news.put(self.self_claim())
+            return self.life
+        if not self.left and claim.life == self.life and claim.status != ALIVE and claim.inc >= self.inc:
+            self.refute(claim, now)
+        return None
+
+    def first_found(self, name: str) -> str:
+        """Who suspects it: an independent finder, so that passing it on confirms nothing."""
+        suspicion = self.suspicions.get(name)
+        return min(suspicion.by) if suspicion is not None else ""
+
+    def refute(self, claim: Claim, now: float) -> None:
+        """Say with a higher incarnation that this copy is alive."""
+        self.inc = claim.inc + 1
+        self.refuted += 1
+        self.health.refuted(now)
+        self.news.put(self.self_claim())
+
+    def take(self, claim: Claim, now: float) -> None:
+        """Hold a claim in place of what was held, and pass it on if it is news."""
+        held = self.standings[claim.name]
+        known = held.life > 0 or held.status != ALIVE
+        if known or claim.status != ALIVE:
+            self.news.put(claim)
+        if held.status != claim.status:
+            self.changed.add(claim.name)
+            if claim.status == DEAD:
+                self.dead |= {claim.name}
+            elif held.status == DEAD:
+                self.dead -= {claim.name}
+        held.life, held.inc, held.status = claim.life, claim.inc, claim.status
+        if claim.status == SUSPECTED:
+            self.suspicions[claim.name] = Suspicion(now, claim.by)
+        else:
+            self.suspicions.pop(claim.name, None)
+
+    def suspect(self, name: str, now: float) -> None:
+        """The own probe of it failed."""
+        held = self.standings.get(name)
+        if held is not None and held.status != DEAD:
+            self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
+
+    def expire(self, now: float, contact: Contact, answer: float, tell: Callable[[str], None]) -> None:
+        """Find those dead whose suspicion ran out. ``tell``: one that is heard has to be told to refute."""
+        for name, suspicion in list(self.suspicions.items()):
+            if now < suspicion.due(self.tuning, self.size, self.health.score, answer):
+                continue
+            if contact.last[name] >= suspicion.since:
+                suspicion.since = now
+                tell(name)
+            elif not contact.level(name) and contact.witness(name, suspicion.since):
+                held = self.standings[name]
+                self.take(Claim(name, held.life, held.inc, DEAD, self.own), now)
+
+    def due(self, now: float, answer: float) -> float:
+        """When a suspicion may run out next."""
+        return min((max(one.due(self.tuning, self.size, self.health.score, answer), now + AGAIN / 2)
+                    for one in self.suspicions.values()), default=float("inf"))
+
+    def shift(self, gap: float) -> None:
+        """This copy stood still for ``gap`` ms: suspicions last that much longer."""
+        for suspicion in self.suspicions.values():
+            suspicion.since += gap
--- /dev/null
+++ b/brassweir/peers/talk.py
@@ -0,0 +1,119 @@
+"""What copies say to each other of being alive (kind "live"), and the words of the core's step. Pure."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import msgspec
+
+from brassweir.peers.claims import Claim
+from brassweir.peers.copies import Fleet
+from brassweir.peers.wire import Number
+
+PING, ACK, ASK, NACK, PUSH = 1, 2, 3, 4, 5
+
+
+class Talk(msgspec.Struct, array_like=True, frozen=True):
+    """One message. Fields that a later version adds at the end are passed over."""
+
+    what: Number
+    number: Number  # of the ping it is or answers
+    inc: Number  # the sender's own
+    claims: tuple[Claim, ...] = ()
+    about: str = ""  # whom to ask, or who answered through the sender
+    sync: bool = False  # asks for state in the answer
+
+
+class TalkError(ValueError):
+    """A body that is none of ours."""
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Talk)
+
+
+def pack(talk: Talk) -> bytes:
+    """As a body."""
+    return _encoder.encode(talk)
+
+
+def unpack(body: bytes) -> Talk:
+    """From a body. Raises TalkError."""
+    try:
+        return _decoder.decode(body)
+    except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+        raise TalkError(str(error)) from None
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """Fact: a sealed message of kind "live" from the process ``life`` of ``sender``."""
+
+    sender: str
+    life: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Late:
+    """Fact: the own loop ran so late (ms)."""
+
+    ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """Fact: another copies file."""
+
+    fleet: Fleet
+
+
+@dataclass(frozen=True, slots=True)
+class Leave:
+    """Fact: this process ends."""
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Step: send it, or do not: nothing rests on it."""
+
+    to: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Changed:
+    """Step: the view of one copy is another now: alive, suspected, dead."""
+
+    name: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class SelfChanged:
+    """Step: what this copy thinks of itself is another now."""
+
+    self_suspected: bool
+    alone: bool
+    cut_off: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Relive:
+    """Step: go on as this life; an earlier process of this name had a later one than ours."""
+
+    life: int
+
+
+Fact = Heard | Late | Listed | Leave
+Step = Send | Changed | SelfChanged | Relive
+
+
+@dataclass(frozen=True, slots=True)
+class View:
+    """What one copy thinks of all. ``alone``: nobody is heard; ``cut_off``: nobody of any other site."""
+
+    states: dict[str, str]
+    self_suspected: bool
+    alone: bool
+    cut_off: bool
--- /dev/null
+++ b/brassweir/peers/wire.py
@@ -0,0 +1,148 @@
+"""The sealed envelope that every message between copies travels in. Pure.
+
+A datagram is one byte of version, 16 bytes of keyed digest over all the rest, and the envelope in msgpack.
+What is too large, unknown, wrongly sealed or doubled raises Dropped with a reason that is counted.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections import Counter
+from collections.abc import Collection, Sequence
+from typing import Annotated
+
+import msgspec
+
+from brassweir.peers.replay import OLD, SEEN, Window
+
+VERSION = 1
+MOST_BODY = 8_000  # bytes of a body; a datagram stays in one UDP message on any loopback or jumbo path
+MOST_DATAGRAM = MOST_BODY + 400  # bytes; the rest of an envelope with two names of the longest kind
+DIGEST = 16  # bytes
+SHORTEST_KEY = 16  # bytes; fewer can be searched through
+LONGEST_KEY = 64  # bytes; what BLAKE2b takes, longer ones are hashed to it
+Number = Annotated[int, msgspec.Meta(ge=0, le=1 << 62)]
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """What is sealed. Fields that a later version adds at the end are passed over."""
+
+    kind: str
+    sender: str
+    receiver: str
+    life: Number  # of the sender's process; later ones are greater
+    number: Number  # of this message among those from this life to this receiver, from 1
+    body: bytes
+
+
+class Dropped(Exception):
+    """A datagram that is not for us; ``reason`` is a word that is counted."""
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
+class KeyFault(ValueError):
+    """A key that cannot be used."""
+
+
+def read_key(data: bytes, field: str) -> bytes:
+    """A key file's bytes less white space at both ends. Raises KeyFault naming ``field``."""
+    key = data.strip()
+    if len(key) < SHORTEST_KEY:
+        raise KeyFault(f"{field}: a key of {len(key)} bytes; at least {SHORTEST_KEY} are asked for")
+    return key if len(key) <= LONGEST_KEY else hashlib.blake2b(key).digest()
+
+
+class Keys:
+    """The keys of the fleet, newest first: the first one seals, all of them open."""
+
+    def __init__(self, keys: Sequence[bytes]) -> None:
+        if not keys:
+            raise KeyFault("peers: keys: none")
+        self.keys = tuple(read_key(key, f"peers: keys: number {at + 1}") for at, key in enumerate(keys))
+
+    def seal(self, data: bytes) -> bytes:
+        """The digest of ``data``."""
+        return self._digest(self.keys[0], data)
+
+    def fits(self, digest: bytes, data: bytes) -> bool:
+        """Was ``data`` sealed with one of the keys?"""
+        return any(hmac.compare_digest(digest, self._digest(key, data)) for key in self.keys)
+
+    @staticmethod
+    def _digest(key: bytes, data: bytes) -> bytes:
+        return hashlib.blake2b(data, key=key, digest_size=DIGEST, person=b"brassweir peers").digest()
+
+
+class Wire:
+    """One copy's end: seals what it sends, opens what it is sent."""
+
+    def __init__(self, own: str, life: int, keys: Keys) -> None:
+        self.own, self.life, self.keys = own, life, keys
+        self.sent: Counter[str] = Counter()  # messages to each receiver in this life
+        self.windows: dict[str, Window] = {}
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Envelope)
+
+    def relive(self, life: int) -> None:
+        """Go on as a later life: numbers start anew."""
+        self.life = life
+        self.sent.clear()
+
+    def keep(self, names: Collection[str]) -> None:
+        """Forget those that are no longer listed."""
+        for name in [one for one in self.windows if one not in names]:
+            del self.windows[name]
+
+    def seal(self, to: str, kind: str, body: bytes) -> bytes:
+        """One datagram. Raises Dropped("large")."""
+        if len(body) > MOST_BODY:
+            raise Dropped("large")
+        self.sent[to] += 1
+        data = self._encoder.encode(Envelope(kind, self.own, to, self.life, self.sent[to], body))
+        version = bytes([VERSION])
+        return version + self.keys.seal(version + data) + data
+
+    def open(self, datagram: bytes, known: Collection[str], kinds: Collection[str],
+             once: Collection[str]) -> Envelope:
+        """The envelope of a datagram from one of ``known``; those of kinds in ``once`` only once.
+
+        Raises Dropped: large, short, version, seal, form, stranger, misdirected, old_life, kind, doubled,
+        late.
+        """
+        if len(datagram) > MOST_DATAGRAM:
+            raise Dropped("large")
+        if len(datagram) <= 1 + DIGEST:
+            raise Dropped("short")
+        if datagram[0] != VERSION:
+            raise Dropped("version")
+        data = datagram[1 + DIGEST:]
+        if not self.keys.fits(datagram[1:1 + DIGEST], datagram[:1] + data):
+            raise Dropped("seal")
+        try:
+            envelope = self._decoder.decode(data)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            raise Dropped("form") from None
+        if envelope.sender not in known or envelope.sender == self.own:
+            raise Dropped("stranger")
+        if envelope.receiver != self.own:
+            raise Dropped("misdirected")
+        if len(envelope.body) > MOST_BODY:
+            raise Dropped("large")
+        self._number(envelope, once)
+        if envelope.kind not in kinds:
+            raise Dropped("kind")
+        return envelope
+
+    def _number(self, envelope: Envelope, once: Collection[str]) -> None:
+        window = self.windows.get(envelope.sender)
+        if window is None or envelope.life > window.life:
+            window = self.windows[envelope.sender] = Window(envelope.life)
+        elif envelope.life < window.life:
+            raise Dropped("old_life")
+        how = window.take(envelope.number)
+        if envelope.kind in once and how in (SEEN, OLD):
+            raise Dropped("doubled" if how == SEEN else "late")
