--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -120,7 +120,7 @@
             self.counts["unknown_talk"] += 1
         if talk.what != PING and held.status != ALIVE and now >= held.told + self.tuning.push:
             held.told = now
-            self._tell(sender)
+            self._call(sender, PUSH)
         if len(self.table.news):
             self.due = min(self.due, max(self.next_push, now))
 
@@ -166,6 +166,7 @@
         self.contact.listed(fleet, now)
         self.sharing.listed(fleet)
         self.healing = {name: at for name, at in self.healing.items() if name in fleet}
+        self.shown = {copy.name: self.shown.get(copy.name, WORDS[ALIVE]) for copy in fleet.others}
         if change.added:
             self.sharing.ask()
         self.due = now
@@ -186,7 +187,7 @@
             self._send(errand.asker, NACK, errand.number, (), errand.about)
         if self.contact.look(now, self.pace.answer, table.dead):
             self._cut(now)
-        table.expire(now, self.contact, self.pace.answer, self._tell)
+        table.expire(now, self.contact, self.pace.answer, self._call)
         if self.healing and now >= self.heal_until:
             table.changed |= set(self.healing)
             self.healing.clear()
@@ -210,7 +211,7 @@
             self.next_retry = min(self.next_retry, now + gap * 1.5)
             if now >= self.next_retry:
                 self.next_retry = now + gap * (0.5 + self.rng.random())
-                self._tell(self.rng.choice(sorted(table.dead)), PING)
+                self._call(self.rng.choice(sorted(table.dead)))
         asks, failed = self.prober.run(now, score, self.sharing.helpers)
         for what, to, about, number in asks:
             claims = self.sharing.ride(to) if what == PING else ()
@@ -248,7 +249,6 @@
     def _show(self, now: float) -> None:
         if self.table.changed:
             changed, self.table.changed = self.table.changed, set()
-            self.shown = {name: self.shown.get(name, WORDS[ALIVE]) for name in self.table.standings}
             for name in sorted(changed & self.shown.keys()):
                 state = self._state(name)
                 if state != self.shown[name]:
@@ -261,9 +261,9 @@
             self.self_shown = own
             self.steps.append(SelfChanged(*own))
 
-    def _tell(self, name: str, what: int = PUSH) -> None:
-        """Tell it at once what is said of it."""
-        self._send(name, what, 0, self.sharing.ride(name), sync=False)
+    def _call(self, name: str, what: int = PING) -> None:
+        """Ask it, or only tell it, at once, with what is said of it."""
+        self._send(name, what, 0, self.sharing.ride(name))
 
     def _send(self, to: str, what: int, number: int, claims: Iterable[Claim], about: str = "",
               sync: bool = False) -> None:
--- a/brassweir/peers/news.py
+++ b/brassweir/peers/news.py
@@ -14,34 +14,34 @@
 
     def __init__(self, tuning: Tuning) -> None:
         self.tuning = tuning
-        self._claims: dict[tuple[str, str], Claim] = {}
+        self._claims: dict[str, dict[str, Claim]] = {}
         self._sent: dict[tuple[str, str], int] = {}
 
     def __len__(self) -> int:
-        return len(self._claims)
+        return len(self._sent)
 
     def put(self, claim: Claim) -> None:
         """Pass it on, in place of what is older of the same copy."""
-        for key in [one for one in self._claims if one[0] == claim.name]:
-            held = self._claims[key]
-            if claim.status != SUSPECTED or (held.life, held.inc, held.status) != (claim.life, claim.inc,
-                                                                                  SUSPECTED):
-                self._forget(key)
-        key = (claim.name, claim.by if claim.status == SUSPECTED else "")
-        self._claims[key], self._sent[key] = claim, 0
+        for by, held in list(self._claims.get(claim.name, {}).items()):
+            same = (held.life, held.inc, held.status) == (claim.life, claim.inc, SUSPECTED)
+            if claim.status != SUSPECTED or not same:
+                self._forget((claim.name, by))
+        by = claim.by if claim.status == SUSPECTED else ""
+        self._claims.setdefault(claim.name, {})[by] = claim
+        self._sent[claim.name, by] = 0
 
     def drop(self, name: str) -> None:
         """Forget a copy that is no longer listed."""
-        for key in [one for one in self._claims if one[0] == name]:
-            self._forget(key)
+        for by in list(self._claims.get(name, ())):
+            self._forget((name, by))
 
     def take(self, most: int, fleet: int) -> list[Claim]:
         """Up to ``most`` claims for one message, those that went out least first."""
-        if not self._claims:
+        if not self._sent:
             return []
         limit = self.tuning.retransmit * max(1, math.ceil(math.log10(fleet + 1)))
         keys = nsmallest(most, self._sent, key=self._sent.__getitem__)
-        claims = [self._claims[key] for key in keys]
+        claims = [self._claims[name][by] for name, by in keys]
         for key in keys:
             self._sent[key] += 1
             if self._sent[key] >= limit:
@@ -49,4 +49,8 @@
         return claims
 
     def _forget(self, key: tuple[str, str]) -> None:
-        del self._claims[key], self._sent[key]
+        name, by = key
+        del self._sent[key]
+        del self._claims[name][by]
+        if not self._claims[name]:
+            del self._claims[name]
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -25,7 +25,7 @@
     began: float
     next_round: float
     rounds: int = 0
-    deadline: float = float("inf")
+    last: float = 0.0  # when the last round went out
     helpers: set[str] = field(default_factory=set)
     signs: set[str] = field(default_factory=set)  # helpers that said something
     answered: bool = False
@@ -51,6 +51,7 @@
         self.open: list[Probe] = []
         self.pings: dict[int, Ping] = {}
         self.number = 0
+        self.score = 0
 
     def forget(self) -> None:
         """What is out counts for nothing."""
@@ -79,7 +80,14 @@
 
     def due(self) -> float:
         """When it is to be looked at again."""
-        return min((min(one.next_round, one.deadline) for one in self.open), default=float("inf"))
+        return min((self._next(one) for one in self.open), default=float("inf"))
+
+    def _next(self, probe: Probe) -> float:
+        """Its next round, or its end; longer where answers are found to take longer meanwhile."""
+        if probe.rounds < self.pace.rounds:
+            return probe.next_round
+        factor = 1 + self.score
+        return max(probe.last + 2 * self.pace.answer * factor, probe.began + self.tuning.window_least * factor)
 
     def run(self, now: float, score: int,
             helpers: Callable[[str], list[str]]) -> tuple[list[Ask], list[Probe]]:
@@ -87,8 +95,11 @@
         asks: list[Ask] = []
         failed: list[Probe] = []
         answer = self.pace.answer * (1 + score)
+        self.score = score
         for probe in self.open:
-            if now >= probe.next_round:
+            if now < self._next(probe):
+                continue
+            if probe.rounds < self.pace.rounds:
                 asks.append((PING, probe.name, "", self._ping(probe, now, True)))
                 if probe.rounds:
                     many = self.tuning.helpers if probe.rounds == 1 else 1
@@ -97,13 +108,11 @@
                         asks.append((ASK, helper, probe.name, self._ping(probe, now, False)))
                 probe.rounds += 1
                 probe.next_round = now + (answer if probe.rounds == 1 else answer / 2)
-                if probe.rounds >= self.pace.rounds:
-                    probe.next_round = float("inf")
-                    least = self.tuning.window_least * (1 + score)
-                    probe.deadline = max(now + 2 * answer, probe.began + least)
-            elif now >= probe.deadline:
+                probe.last = now
+            else:
                 failed.append(probe)
-        self.open = [one for one in self.open if now < one.deadline]
+        if failed:
+            self.open = [one for one in self.open if one not in failed]
         return asks, failed
 
     def answered(self, number: int, sender: str, now: float) -> Probe | None:
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -9,10 +9,11 @@
 from brassweir.peers.copies import Fleet
 from brassweir.peers.health import Health
 from brassweir.peers.news import News
-from brassweir.peers.suspicion import Suspicion
+from brassweir.peers.suspicion import LAST_CALLS, Span, Suspicion, span
 from brassweir.peers.tuning import Tuning
 
 AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
+MANY = 8  # with more suspicions than this, all are looked at twice as often instead of each at its time
 
 
 class Table:
@@ -57,7 +58,7 @@
         if weight is Weight.TAKE:
             self.take(claim, now)
         elif weight is Weight.CONFIRM:
-            if self.suspicions[claim.name].confirm(claim.by, self.tuning, self.size):
+            if self.suspicions[claim.name].confirm(claim.by, self.span(0.0).enough):
                 self.news.put(claim)
         elif weight is Weight.DOUBT:
             if held.status == ALIVE or (held.life, held.inc) < (claim.life, claim.inc):
@@ -114,24 +115,34 @@
         if held is not None and held.status != DEAD:
             self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
 
-    def expire(self, now: float, contact: Contact, answer: float, tell: Callable[[str], None]) -> None:
-        """Find those dead whose suspicion ran out. ``tell``: one that is heard has to be told to refute."""
+    def span(self, answer: float) -> Span:
+        """The time-outs of now."""
+        return span(self.tuning, self.size, self.health.score, answer)
+
+    def expire(self, now: float, contact: Contact, answer: float, call: Callable[[str], None]) -> None:
+        """Find those dead whose suspicion ran out, never without having called them oneself."""
+        lasting = self.span(answer)
         for name, suspicion in list(self.suspicions.items()):
-            if now < suspicion.due(self.tuning, self.size, self.health.score, answer):
+            if now < suspicion.due(lasting):
                 continue
-            if contact.last[name] >= suspicion.since:
-                suspicion.since = now
-                tell(name)
+            if suspicion.calls < len(LAST_CALLS):
+                suspicion.calls += 1
+                call(name)
+            elif contact.last[name] >= suspicion.since:
+                suspicion.since, suspicion.calls = now, 0
             elif not contact.level(name) and contact.witness(name, suspicion.since):
                 held = self.standings[name]
                 self.take(Claim(name, held.life, held.inc, DEAD, self.own), now)
 
     def due(self, now: float, answer: float) -> float:
         """When a suspicion may run out next."""
-        return min((max(one.due(self.tuning, self.size, self.health.score, answer), now + AGAIN / 2)
-                    for one in self.suspicions.values()), default=float("inf"))
+        if len(self.suspicions) > MANY:
+            return now + AGAIN / 2
+        lasting = self.span(answer)
+        return min((max(one.due(lasting), now + AGAIN / 2) for one in self.suspicions.values()),
+                   default=float("inf"))
 
     def shift(self, gap: float) -> None:
         """This copy stood still for ``gap`` ms: suspicions last that much longer."""
         for suspicion in self.suspicions.values():
-            suspicion.since += gap
+            suspicion.since, suspicion.calls = suspicion.since + gap, 0
--- a/brassweir/peers/tuning.py
+++ b/brassweir/peers/tuning.py
@@ -9,8 +9,8 @@
 class Tuning:
     """Times in ms. The defaults hold from 2 to 340 copies."""
 
-    # Idle cost (ten messages a second) against how soon a dead one is probed.
-    period: float = 200.0
+    # Idle cost (12.5 messages a second) against how soon a dead one is probed.
+    period: float = 160.0
     # A copy is stepped at least this often, so that a gap in its steps shows.
     tick: float = 200.0
     # An answer is never taken for missing sooner (a busy loop answers late), nor waited for longer before helpers.
@@ -22,7 +22,7 @@
     helpers: int = 3
     # Chance that loss alone fails a probe: sets how often pings are repeated, within these rounds.
     miss_aim: float = 1e-4
-    rounds_least: int = 2
+    rounds_least: int = 5
     rounds_most: int = 8
     # Time-out of a confirmed suspicion, times log10 of the fleet; unconfirmed a multiple of it; plus so many
     # times what answers take above the least, since word there and back takes hops.
@@ -32,7 +32,7 @@
     # Independent finders, after the first, that bring the time-out to its least.
     confirmations: int = 3
     # Each piece of news goes out so often, times log10 of the fleet rounded up.
-    retransmit: int = 4
+    retransmit: int = 6
     # Between two rounds of messages that carry news alone; their receivers; claims in each (1.2 KB with usual
     # names), and in an answer to one that asks for state.
     push: float = 100.0
