--- a/brassweir/lab/models/peernet.py
+++ b/brassweir/lab/models/peernet.py
@@ -1,7 +1,7 @@
 """A network of copies on simulated time: loss, delay, doubling, cuts, stalls, restarts, from one seed. Pure.
 
-The real cores and the real envelopes run on it; what was really so (who was up, cut, stopped) is kept beside what
-each copy said, so that a judge needs neither.
+The real cores and the real envelopes run on it. What each copy said stands on a tape, to be judged by what
+was really so.
 """
 
 from __future__ import annotations
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -10,7 +10,7 @@
 from collections import Counter
 from collections.abc import Iterable
 
-from brassweir.peers.claims import ALIVE, DEAD, SUSPECTED, WORDS, Claim
+from brassweir.peers.claims import ALIVE, DEAD, Claim
 from brassweir.peers.contact import Contact
 from brassweir.peers.copies import Fleet
 from brassweir.peers.health import Health
@@ -18,6 +18,7 @@
 from brassweir.peers.pace import Pace
 from brassweir.peers.probing import Prober
 from brassweir.peers.sharing import Sharing
+from brassweir.peers.showing import Showing
 from brassweir.peers.table import Table
 from brassweir.peers.talk import (
     ACK,
@@ -25,13 +26,11 @@
     NACK,
     PING,
     PUSH,
-    Changed,
     Fact,
     Heard,
     Late,
     Listed,
     Relive,
-    SelfChanged,
     Send,
     Step,
     Talk,
@@ -52,7 +51,7 @@
         self.counts: Counter[str] = Counter()
         self.health, self.pace = Health(tuning), Pace(tuning)
         self.contact = Contact(fleet, now, tuning)
-        self.table = Table(fleet, life, tuning, self.health)
+        self.table = Table(fleet, life, tuning, self.health, self.pace)
         self.prober, self.errands = Prober(tuning, self.pace, rng), Errands()
         self.sharing = Sharing(self.table, fleet, tuning, rng)
         self.left = False
@@ -60,10 +59,7 @@
         self.next_probe = now + rng.random() * tuning.period
         self.next_retry = now
         self.next_push = float("-inf")
-        self.healing: dict[str, float] = {}  # not heard since the end of a cut: when it began
-        self.heal_until = float("-inf")
-        self.shown = {copy.name: WORDS[ALIVE] for copy in fleet.others}
-        self.self_shown = (False, False, False)
+        self.showing = Showing(fleet, self.table, self.contact, self.health, tuning)
         self.steps: list[Step] = []
 
     def step(self, now: float, facts: Iterable[Fact] = ()) -> list[Step]:
@@ -81,13 +77,13 @@
                 self._leave()
         if now >= self.due:
             self._run(now)
-        self._show(now)
+        self.steps += self.showing.steps(now, self.counts)
         steps, self.steps = self.steps, []
         return steps
 
     def view(self) -> View:
         """What this copy thinks of all now."""
-        return View(dict(self.shown), *self.self_shown)
+        return self.showing.view()
 
     # ---- facts
 
@@ -102,8 +98,7 @@
             self.counts["bad_body"] += 1
             return
         self.contact.hear(sender, now)
-        if self.healing and self.healing.pop(sender, None) is not None:
-            self.table.changed.add(sender)
+        self.showing.hear(sender)
         self._claim(Claim(sender, fact.life, talk.inc, ALIVE), now)
         for claim in talk.claims:
             self._claim(claim, now)
@@ -165,8 +160,7 @@
         self.table.listed(fleet)
         self.contact.listed(fleet, now)
         self.sharing.listed(fleet)
-        self.healing = {name: at for name, at in self.healing.items() if name in fleet}
-        self.shown = {copy.name: self.shown.get(copy.name, WORDS[ALIVE]) for copy in fleet.others}
+        self.showing.listed(fleet)
         if change.added:
             self.sharing.ask()
         self.due = now
@@ -185,18 +179,16 @@
             self._probe(now)
         for errand in self.errands.over(now):
             self._send(errand.asker, NACK, errand.number, (), errand.about)
-        if self.contact.look(now, self.pace.answer, table.dead):
-            self._cut(now)
-        table.expire(now, self.contact, self.pace.answer, self._call)
-        if self.healing and now >= self.heal_until:
-            table.changed |= set(self.healing)
-            self.healing.clear()
+        if self.contact.look(now, self.pace.answer, table.dead) and self.showing.cut(now):
+            self.sharing.ask()
+        table.expire(now, self.contact, self._call)
+        self.showing.time(now)
         if len(table.news) and now >= self.next_push and not self.left:
             self.next_push = now + tuning.push
             for name in self.sharing.some(tuning.push_to):
                 self._send(name, PUSH, 0, self.sharing.push(name))
         self.due = min(now + tuning.tick, max(now, self.next_probe), self.prober.due(), self.errands.due(),
-                       self.next_push if len(table.news) else math.inf, table.due(now, self.pace.answer))
+                       self.next_push if len(table.news) else math.inf, table.due(now))
 
     def _probe(self, now: float) -> None:
         table, score = self.table, self.health.score
@@ -225,41 +217,7 @@
                 table.suspect(probe.name, now)
         self.prober.clean(now)
 
-    def _cut(self, now: float) -> None:
-        """A cut was noticed or ended: views follow, nothing is told to others."""
-        contact = self.contact
-        for scope in (contact.all, contact.outside):
-            if scope.level:
-                self.healing |= {name: now for name in scope.names if name not in self.healing}
-                self.heal_until = math.inf
-        if not contact.all.level and not contact.outside.level:
-            self.heal_until = now + self.tuning.heal
-            self.sharing.ask()
-        self.table.changed |= contact.all.names
-
-    # ---- view and messages
-
-    def _state(self, name: str) -> str:
-        level = self.contact.level(name)
-        status = self.table.standings[name].status
-        if level == 2:
-            return WORDS[DEAD]
-        return WORDS[max(status, SUSPECTED) if level or name in self.healing else status]
-
-    def _show(self, now: float) -> None:
-        if self.table.changed:
-            changed, self.table.changed = self.table.changed, set()
-            for name in sorted(changed & self.shown.keys()):
-                state = self._state(name)
-                if state != self.shown[name]:
-                    self.shown[name] = state
-                    self.counts[f"became_{state}"] += 1
-                    self.steps.append(Changed(name, state))
-        alone, outside = self.contact.all.level == 2, self.contact.outside.level == 2
-        own = (self.health.doubts(now) or alone, alone, alone or outside)
-        if own != self.self_shown:
-            self.self_shown = own
-            self.steps.append(SelfChanged(*own))
+    # ---- messages
 
     def _call(self, name: str, what: int = PING) -> None:
         """Ask it, or only tell it, at once, with what is said of it."""
--- a/brassweir/peers/pace.py
+++ b/brassweir/peers/pace.py
@@ -28,7 +28,8 @@
     @property
     def answer(self) -> float:
         """After how long an answer counts as missing (ms)."""
-        return min(max(self.mean * MARGIN + 4 * self.deviation, self.tuning.answer_least), self.tuning.answer_most)
+        answer = self.mean * MARGIN + 4 * self.deviation
+        return min(max(answer, self.tuning.answer_least), self.tuning.answer_most)
 
     @property
     def rounds(self) -> int:
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -40,6 +40,7 @@
     direct: bool
     first: bool
     answered: bool = False
+    counted: bool = False
 
 
 class Prober:
@@ -70,7 +71,9 @@
         return None
 
     def begin(self, name: str, now: float) -> None:
-        """Probe it; the first ping is due at once."""
+        """Probe it, unless a probe of it is out; the first ping is due at once."""
+        if any(one.name == name for one in self.open):
+            return
         self.open.append(Probe(name, now, now))
 
     def _ping(self, probe: Probe, now: float, direct: bool) -> int:
@@ -87,7 +90,8 @@
         if probe.rounds < self.pace.rounds:
             return probe.next_round
         factor = 1 + self.score
-        return max(probe.last + 2 * self.pace.answer * factor, probe.began + self.tuning.window_least * factor)
+        return max(probe.last + 2 * self.pace.answer * factor,
+                   probe.began + self.tuning.window_least * factor)
 
     def run(self, now: float, score: int,
             helpers: Callable[[str], list[str]]) -> tuple[list[Ask], list[Probe]]:
@@ -140,8 +144,10 @@
     def clean(self, now: float) -> None:
         """Forget old pings; those to the living tell of loss on the way."""
         for number, ping in list(self.pings.items()):
-            if ping.sent > now - self.tuning.remember:
+            if ping.sent > now - 2 * self.pace.answer:
                 break
-            if ping.direct and ping.first and ping.probe.answered:
+            if ping.first and ping.probe.answered and not ping.counted:
+                ping.counted = True
                 self.pace.lost(not ping.answered)
-            del self.pings[number]
+            if ping.sent < now - self.tuning.remember:
+                del self.pings[number]
--- a/brassweir/peers/suspicion.py
+++ b/brassweir/peers/suspicion.py
@@ -5,27 +5,33 @@
 import math
 from dataclasses import dataclass
 
+from brassweir.peers.pace import Pace
 from brassweir.peers.tuning import Tuning
 
-LAST_CALLS = (0.4, 0.6, 0.8)  # parts of its time at which the suspected one is asked itself, once each
+# Parts of its time at which the suspected one is asked itself, once each; more often where messages get lost.
+LAST_CALLS = (0.5, 0.8)
+MORE_CALLS = (0.25, 0.4, 0.55, 0.7, 0.85)
+LOSSY = 0.05  # share of pings without an answer from which there are more
 
 
 @dataclass(frozen=True, slots=True)
 class Span:
-    """The time-outs of one moment (ms): with enough confirmations, with none, and how many are enough."""
+    """The time-outs of one moment (ms): with enough confirmations and with none; how many are enough."""
 
     least: float
     most: float
     enough: int
+    calls: tuple[float, ...]
 
 
-def span(tuning: Tuning, fleet: int, score: int, answer: float) -> Span:
-    """``score``: local health; ``answer``: after how long an answer is missing (ms)."""
+def span(tuning: Tuning, fleet: int, score: int, pace: Pace) -> Span:
+    """``score``: local health; ``pace``: how long answers take."""
     least = tuning.suspect_least * max(1.0, math.log10(max(fleet, 1)))
-    trips = tuning.suspect_trips * (answer - tuning.answer_least)
+    trips = tuning.suspect_trips * (pace.answer - tuning.answer_least)
     factor = 1 + score
     return Span((least + trips) * factor, (least * tuning.suspect_spread + trips) * factor,
-                max(0, min(tuning.confirmations, fleet - 3)))
+                max(0, min(tuning.confirmations, fleet - 3)),
+                MORE_CALLS if pace.missing > LOSSY else LAST_CALLS)
 
 
 class Suspicion:
@@ -56,5 +62,5 @@
 
     def due(self, now: Span) -> float:
         """When it is to be looked at: a last call, or its end."""
-        part = LAST_CALLS[self.calls] if self.calls < len(LAST_CALLS) else 1.0
+        part = now.calls[self.calls] if self.calls < len(now.calls) else 1.0
         return self.since + self.lasts(now) * part
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -9,7 +9,8 @@
 from brassweir.peers.copies import Fleet
 from brassweir.peers.health import Health
 from brassweir.peers.news import News
-from brassweir.peers.suspicion import LAST_CALLS, Span, Suspicion, span
+from brassweir.peers.pace import Pace
+from brassweir.peers.suspicion import Span, Suspicion, span
 from brassweir.peers.tuning import Tuning
 
 AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
@@ -19,8 +20,8 @@
 class Table:
     """The shared part of a copy's state; ``changed`` collects the names whose standing changed."""
 
-    def __init__(self, fleet: Fleet, life: int, tuning: Tuning, health: Health) -> None:
-        self.tuning, self.health = tuning, health
+    def __init__(self, fleet: Fleet, life: int, tuning: Tuning, health: Health, pace: Pace) -> None:
+        self.tuning, self.health, self.pace = tuning, health, pace
         self.own, self.life, self.inc = fleet.own.name, life, 0
         self.relived = float("-inf")
         self.news = News(tuning)
@@ -58,7 +59,7 @@
         if weight is Weight.TAKE:
             self.take(claim, now)
         elif weight is Weight.CONFIRM:
-            if self.suspicions[claim.name].confirm(claim.by, self.span(0.0).enough):
+            if self.suspicions[claim.name].confirm(claim.by, self.span().enough):
                 self.news.put(claim)
         elif weight is Weight.DOUBT:
             if held.status == ALIVE or (held.life, held.inc) < (claim.life, claim.inc):
@@ -115,17 +116,17 @@
         if held is not None and held.status != DEAD:
             self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
 
-    def span(self, answer: float) -> Span:
+    def span(self) -> Span:
         """The time-outs of now."""
-        return span(self.tuning, self.size, self.health.score, answer)
+        return span(self.tuning, self.size, self.health.score, self.pace)
 
-    def expire(self, now: float, contact: Contact, answer: float, call: Callable[[str], None]) -> None:
+    def expire(self, now: float, contact: Contact, call: Callable[[str], None]) -> None:
         """Find those dead whose suspicion ran out, never without having called them oneself."""
-        lasting = self.span(answer)
+        lasting = self.span()
         for name, suspicion in list(self.suspicions.items()):
             if now < suspicion.due(lasting):
                 continue
-            if suspicion.calls < len(LAST_CALLS):
+            if suspicion.calls < len(lasting.calls):
                 suspicion.calls += 1
                 call(name)
             elif contact.last[name] >= suspicion.since:
@@ -134,11 +135,11 @@
                 held = self.standings[name]
                 self.take(Claim(name, held.life, held.inc, DEAD, self.own), now)
 
-    def due(self, now: float, answer: float) -> float:
+    def due(self, now: float) -> float:
         """When a suspicion may run out next."""
         if len(self.suspicions) > MANY:
             return now + AGAIN / 2
-        lasting = self.span(answer)
+        lasting = self.span()
         return min((max(one.due(lasting), now + AGAIN / 2) for one in self.suspicions.values()),
                    default=float("inf"))
 
--- a/brassweir/peers/tuning.py
+++ b/brassweir/peers/tuning.py
@@ -13,7 +13,7 @@
     period: float = 160.0
     # A copy is stepped at least this often, so that a gap in its steps shows.
     tick: float = 200.0
-    # An answer is never taken for missing sooner (a busy loop answers late), nor waited for longer before helpers.
+    # An answer is never taken for missing sooner (a busy loop answers late), nor waited for longer.
     answer_least: float = 100.0
     answer_most: float = 1_000.0
     # From the first ping to the verdict on a probe: a collector's pause is no death.
@@ -54,7 +54,7 @@
     cut: float = 2_400.0
     # After a cut: those not heard again by then are shown as the fleet has them.
     heal: float = 3_000.0
-    # A dead one is pinged so often by all the living together; no copy pings dead ones more often than the least.
+    # All the living together ping a dead one so often; no copy pings dead ones more often than the least.
     retry: float = 1_000.0
     retry_least: float = 500.0
     # A copy takes a later life at most so often: two processes of one name must not race.
