--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -127,10 +127,11 @@
     def _answered(self, sender: str, talk: Talk, now: float) -> None:
         errand = self.errands.answered(talk.number)
         if errand is not None:
-            held = self.table.standings.get(errand.about)
-            claims = (held.claim(errand.about),) if held is not None else ()
-            self._send(errand.asker, ACK, errand.number, claims, errand.about)
+            self._send(errand.asker, ACK, errand.number, self.sharing.known(errand.about), errand.about)
             return
+        if talk.about in self.table.standings:  # through a helper: it lives, and there is a way to it
+            self.contact.hear(talk.about, now)
+            self.showing.hear(talk.about)
         probe = self.prober.answered(talk.number, sender, now)
         if probe is not None:
             self.health.answered()
@@ -178,10 +179,11 @@
         if not self.left:
             self._probe(now)
         for errand in self.errands.over(now):
-            self._send(errand.asker, NACK, errand.number, (), errand.about)
+            self._send(errand.asker, NACK, errand.number, self.sharing.known(errand.about), errand.about)
         if self.contact.look(now, self.pace.answer, table.dead) and self.showing.cut(now):
+            self.prober.forget()  # begun while this copy was cut off
             self.sharing.ask()
-        table.expire(now, self.contact, self._call)
+        table.expire(now, self.contact, self._last_call)
         self.showing.time(now)
         if len(table.news) and now >= self.next_push and not self.left:
             self.next_push = now + tuning.push
@@ -198,12 +200,7 @@
             if target is not None:
                 self.prober.begin(target, now)
         if table.dead:
-            each = self.tuning.retry * (table.size - len(table.dead)) / len(table.dead)
-            gap = max(self.tuning.retry_least, each)
-            self.next_retry = min(self.next_retry, now + gap * 1.5)
-            if now >= self.next_retry:
-                self.next_retry = now + gap * (0.5 + self.rng.random())
-                self._call(self.rng.choice(sorted(table.dead)))
+            self._retry(now)
         asks, failed = self.prober.run(now, score, self.sharing.helpers)
         for what, to, about, number in asks:
             claims = self.sharing.ride(to) if what == PING else ()
@@ -217,8 +214,23 @@
                 table.suspect(probe.name, now)
         self.prober.clean(now)
 
+    def _retry(self, now: float) -> None:
+        """Ping one of the dead now and then, so that a healed cut is found from both sides."""
+        dead = self.table.dead
+        gap = max(self.tuning.retry_least, self.tuning.retry * (self.table.size - len(dead)) / len(dead))
+        self.next_retry = min(self.next_retry, now + gap * 1.5)
+        if now >= self.next_retry:
+            self.next_retry = now + gap * (0.5 + self.rng.random())
+            self._call(self.rng.choice(sorted(dead)))
+
     # ---- messages
 
+    def _last_call(self, name: str) -> None:
+        """Ask it, and another about it: the way may be cut in one direction."""
+        self._call(name)
+        for helper in self.sharing.helpers(name)[:1]:
+            self._send(helper, ASK, 0, (), name)
+
     def _call(self, name: str, what: int = PING) -> None:
         """Ask it, or only tell it, at once, with what is said of it."""
         self._send(name, what, 0, self.sharing.ride(name))
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -107,7 +107,9 @@
                 asks.append((PING, probe.name, "", self._ping(probe, now, True)))
                 if probe.rounds:
                     many = self.tuning.helpers if probe.rounds == 1 else 1
-                    for helper in [one for one in helpers(probe.name) if one not in probe.helpers][:many]:
+                    willing = helpers(probe.name)
+                    unasked = [one for one in willing if one not in probe.helpers]
+                    for helper in (unasked or willing)[:many]:
                         probe.helpers.add(helper)
                         asks.append((ASK, helper, probe.name, self._ping(probe, now, False)))
                 probe.rounds += 1
--- a/brassweir/peers/sharing.py
+++ b/brassweir/peers/sharing.py
@@ -45,6 +45,11 @@
         claims = self.ride(to)
         return claims + self._state(self.tuning.push_claims if sync else 1, to)
 
+    def known(self, about: str) -> list[Claim]:
+        """What is held of one, for who asked about it: it may never have heard of that life."""
+        held = self.table.standings.get(about)
+        return [held.claim(about, self.table.first_found(about))] if held is not None and held.life else []
+
     def _first(self, to: str, claims: list[Claim]) -> list[Claim]:
         held = self.table.standings.get(to)
         if held is None or held.status == ALIVE:
--- a/brassweir/peers/showing.py
+++ b/brassweir/peers/showing.py
@@ -42,6 +42,7 @@
         for scope in scopes:
             if scope.level:
                 self.healing |= scope.names
+        self.table.forgive(frozenset(self.healing))
         self.table.changed |= self.contact.all.names
         over = not any(scope.level for scope in scopes)
         self.heal_until = now + self.tuning.heal if over else math.inf
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -116,6 +116,14 @@
         if held is not None and held.status != DEAD:
             self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
 
+    def forgive(self, names: frozenset[str]) -> None:
+        """This copy was cut off from these: whom it suspects there, it has no grounds to."""
+        for name in names & self.suspicions.keys():
+            del self.suspicions[name]
+            self.standings[name].status = ALIVE
+            self.news.drop(name)
+            self.changed.add(name)
+
     def span(self) -> Span:
         """The time-outs of now."""
         return span(self.tuning, self.size, self.health.score, self.pace)
--- /dev/null
+++ b/tests/peers/test_liveness.py
@@ -0,0 +1,135 @@
+"""Liveness judged from the tape of what each copy said, over drawn faults; single cases beside."""
+
+from __future__ import annotations
+
+import pytest
+
+from brassweir.lab.models.peernet import Weather, fleet
+from tests.peers.play import LIFE, World, anything, deaths
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_deaths_are_known_and_no_living_one_is_dead(seed: int) -> None:
+    assert deaths(seed, 3 + seed, bad=False) == []
+
+
+@pytest.mark.parametrize("seed", range(6, 9))
+def test_the_same_with_a_fifth_lost_and_late(seed: int) -> None:
+    assert deaths(seed, seed - 2, bad=True) == []
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_after_any_faults_all_are_alive_everywhere(seed: int) -> None:
+    assert anything(seed, 3 + seed) == []
+
+
+def test_two_minutes_of_loss_and_lateness_kill_nobody() -> None:
+    world = World(6, 5)
+    world.net.weather = Weather(loss=0.2, soonest=200.0, latest=205.0)
+    world.run(120_000.0)
+    assert world.said("dead") == [] and world.said("suspected")
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_one_way_between_two_is_not_even_suspicion(seed: int) -> None:
+    world = World(5, seed)
+    world.net.cut(["c000"], ["c001"])
+    world.run(20_000.0)
+    assert world.suspicions() == []
+
+
+def test_who_hears_all_but_is_heard_by_none_is_dead_and_learns_it() -> None:
+    world = World(6, 1)
+    world.net.cut(["c002"], [name for name in world.names if name != "c002"])
+    world.run(6_000.0)
+    assert world.unknown_dead("c002") == []
+    assert world.net.views()["c002"].self_suspected
+    world.net.cuts.clear()
+    world.run(5_000.0)
+    assert world.unsettled() == []
+
+
+def test_a_stopped_copy_doubts_itself_and_nobody_else() -> None:
+    world = World(6, 2)
+    world.stop("c004", 8_000.0)
+    world.run(7_900.0)
+    assert world.unknown_dead("c004") == []
+    world.fresh()
+    world.run(4_000.0)
+    assert world.said("doubts", "c004") and world.unsettled() == []
+    assert [one for one in world.said("suspected") + world.said("dead") if one[1] == "c004"] == []
+
+
+def test_a_site_alone_says_so_and_tells_nobody_of_deaths() -> None:
+    world = World(9, 3)
+    inside = [copy.name for copy in world.net.copies if copy.site == "s0"]
+    world.net.cut(inside, [name for name in world.names if name not in inside], both=True)
+    world.run(4_000.0)
+    for name, view in world.net.views().items():
+        assert (view.cut_off, view.alone) == (name in inside, False)
+        assert {of for of, state in view.states.items() if state == "dead"} == (
+            set(world.names) - set(inside) if name in inside else set(inside))
+    world.run(20_000.0)
+    world.net.cuts.clear()
+    world.fresh()
+    world.run(5_000.0)
+    assert world.unsettled() == []
+    assert [one for one in world.said("suspected") if one[1] not in inside and one[2] not in inside] == []
+
+
+def test_of_two_each_says_it_is_alone() -> None:
+    world = World(2, 4)
+    world.net.cut(["c000"], ["c001"], both=True)
+    world.run(3_000.0)
+    assert all(view.alone and view.cut_off and view.self_suspected for view in world.net.views().values())
+    world.net.cuts.clear()
+    world.run(5_000.0)
+    assert world.unsettled() == [] and not any(view.alone for view in world.net.views().values())
+
+
+def test_a_restarted_copy_is_alive_at_once_also_with_its_clock_set_back() -> None:
+    world = World(6, 6)
+    world.restart("c001")
+    world.run(200.0)
+    world.kill("c001")
+    world.run(5_000.0)
+    assert world.unknown_dead("c001") == []
+    world.restart("c001", LIFE - 3_600_000)
+    world.run(10_000.0)
+    assert world.unsettled() == [] and world.net.dropped["old_life"] > 0
+
+
+def test_files_that_differ_break_nothing() -> None:
+    world = World(6, 7)
+    few = [copy for copy in world.net.copies if copy.name != "c005"]
+    world.net.reload("c000", few)
+    world.net.reload("c001", [*world.net.copies, *fleet(7)[6:]])  # one that does not run yet
+    world.run(10_000.0)
+    assert "c005" not in world.net.views()["c000"].states
+    assert all(view.states.get("c005", "alive") == "alive" for view in world.net.views().values())
+    assert world.net.dropped["stranger"] > 0 and world.net.views()["c001"].states["c006"] == "dead"
+    world.net.reload("c000", world.net.copies)
+    world.net.reload("c001", world.net.copies)
+    world.run(5_000.0)
+    assert world.unsettled() == []
+
+
+def test_a_joining_copy_learns_who_is_dead_from_others() -> None:
+    world = World(12, 8)
+    world.kill("c003")
+    world.kill("c011")
+    world.run(6_000.0)
+    world.restart("c003")
+    world.run(700.0)
+    assert world.net.views()["c003"].states["c011"] == "dead"
+
+
+def test_the_fleet_at_full_size() -> None:
+    world = World(340, 9, within=100.0)
+    assert world.unsettled() == []
+    before = world.net.messages, world.net.bytes
+    world.run(1_000.0)
+    assert (world.net.messages - before[0]) / 340 < 14 and (world.net.bytes - before[1]) / 340 < 1_200
+    world.kill("c100")
+    world.run(3_000.0)
+    assert world.unknown_dead("c100") == [] and world.false_deaths() == []
