--- /dev/null
+++ b/brassweir/agreed/log.py
@@ -0,0 +1,93 @@
+"""The log in memory, and the membership that its entries say. Pure."""
+
+from __future__ import annotations
+
+import msgspec
+
+from brassweir.agreed import timing
+from brassweir.agreed.messages import MEMBERS, Entry, Membership
+from brassweir.agreed.records import Base
+
+
+def members_in(entry: Entry) -> Membership:
+    """The membership an entry says. Raises msgspec.MsgspecError."""
+    return msgspec.msgpack.decode(entry.data, type=Membership)
+
+
+class Log:
+    """Entries behind a base."""
+
+    def __init__(self, base: Base, entries: list[Entry]) -> None:
+        self.base = base
+        self.entries: list[Entry] = []
+        self.members: list[tuple[int, Membership]] = [(base.membership_at, base.membership)]
+        self.add(entries)
+
+    @property
+    def last(self) -> int:
+        """Index of the last entry."""
+        return self.base.index + len(self.entries)
+
+    @property
+    def last_term(self) -> int:
+        """Its term."""
+        return self.entries[-1].term if self.entries else self.base.term
+
+    @property
+    def membership(self) -> Membership:
+        """The latest one, agreed or not."""
+        return self.members[-1][1]
+
+    @property
+    def membership_at(self) -> int:
+        """Its index."""
+        return self.members[-1][0]
+
+    def membership_by(self, index: int) -> tuple[int, Membership]:
+        """The latest one up to ``index``."""
+        return [pair for pair in self.members if pair[0] <= index][-1]
+
+    def term(self, index: int) -> int | None:
+        """The term of an entry; None if it is not here."""
+        if index == self.base.index:
+            return self.base.term
+        if self.base.index < index <= self.last:
+            return self.entries[index - self.base.index - 1].term
+        return None
+
+    def get(self, index: int) -> Entry:
+        """One entry."""
+        return self.entries[index - self.base.index - 1]
+
+    def some(self, first: int, last: int) -> tuple[Entry, ...]:
+        """Entries from ``first`` to ``last``, as many as one message carries, one at least."""
+        found: list[Entry] = []
+        size = 0
+        for index in range(first, min(last, self.last) + 1):
+            entry = self.get(index)
+            size += len(entry.data) + timing.ENTRY_HEAD + len(entry.session)
+            if found and size > timing.MOST_ENTRIES:
+                break
+            found.append(entry)
+        return tuple(found)
+
+    def add(self, entries: list[Entry]) -> None:
+        """Add at the end."""
+        for entry in entries:
+            self.entries.append(entry)
+            if entry.kind == MEMBERS:
+                self.members.append((entry.index, members_in(entry)))
+
+    def cut(self, index: int) -> None:
+        """Drop all from ``index`` on."""
+        del self.entries[max(0, index - self.base.index - 1):]
+        self.members = [pair for pair in self.members if pair[0] < index] or self.members[:1]
+
+    def begin_at(self, index: int) -> None:
+        """Drop all up to ``index``, which is here."""
+        at, membership = self.membership_by(index)
+        term = self.term(index)
+        assert term is not None
+        del self.entries[: index - self.base.index]
+        self.base = Base(index, term, membership, at)
+        self.members = [(at, membership), *[pair for pair in self.members if pair[0] > index]]
--- /dev/null
+++ b/brassweir/agreed/store.py
@@ -0,0 +1,131 @@
+"""The member's folder: a base and a log behind it, by the journal's storage port. All calls wait for the disk.
+
+``base-N`` holds all records up to its writing; ``log-N`` what came since, one frame a write. A frame is synced
+before the next is written, so damage with a good frame behind it is no torn write: the member does not start.
+``log-N`` is there before ``base-N`` gets its name, so one without the other is loss, not a crash.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import replace
+from random import Random
+
+import google_crc32c
+import msgspec
+
+from brassweir.agreed.records import Identity, Kept, Record
+from brassweir.journal.storage import LOCK_NAME, Storage
+
+MAGIC = b"BRWSAGR1"
+MARK = b"\xb7AGR"
+_FRAME = struct.Struct("<4sQII")  # mark, number, length, CRC-32C of number, length and payload
+_ENCODER = msgspec.msgpack.Encoder()
+_DECODER = msgspec.msgpack.Decoder(tuple[Record, ...])
+
+
+class Damaged(Exception):
+    """The folder cannot be trusted. The text names file and place, and what to do."""
+
+
+def frame(number: int, records: tuple[Record, ...]) -> bytes:
+    """One write."""
+    payload = _ENCODER.encode(records)
+    crc = google_crc32c.value(struct.pack("<QI", number, len(payload)) + payload)
+    return _FRAME.pack(MARK, number, len(payload), crc) + payload
+
+
+def unframe(data: bytes, at: int, number: int | None = None) -> tuple[int, bytes, int] | None:
+    """Number, payload and end of the frame at ``at``; None if there is no good one."""
+    if len(data) - at < _FRAME.size:
+        return None
+    mark, found, length, crc = _FRAME.unpack_from(data, at)
+    payload = data[at + _FRAME.size: at + _FRAME.size + length]
+    if mark != MARK or len(payload) != length or number not in (None, found):
+        return None
+    if google_crc32c.value(struct.pack("<QI", found, length) + payload) != crc:
+        return None
+    return found, payload, at + _FRAME.size + length
+
+
+def read_frames(name: str, data: bytes) -> list[tuple[Record, ...]]:
+    """All writes of a file, without a torn last one. Raises Damaged."""
+    if not data.startswith(MAGIC):
+        raise Damaged(f"{name}: not a log of this program: set the folder aside; the copy then starts as a new member")
+    at = len(MAGIC)
+    found: list[tuple[Record, ...]] = []
+    while at < len(data):
+        good = unframe(data, at, len(found))
+        if good is None:
+            later = at
+            while (later := data.find(MARK, later + 1)) >= 0:
+                behind = unframe(data, later)
+                if behind is not None and behind[0] > len(found):
+                    raise Damaged(f"{name}: damage at byte {at} with good writes behind it: set the folder aside; "
+                                  "the copy then starts as a new member")
+            break
+        try:
+            found.append(_DECODER.decode(good[1]))
+        except msgspec.MsgspecError as error:
+            raise Damaged(f"{name}: byte {at}: {error}: written by a later version?") from None
+        at = good[2]
+    return found
+
+
+def recover(storage: Storage) -> tuple[Kept, int]:
+    """What a folder holds, and its number; Kept() and 0 if it is new. Raises Damaged, OSError."""
+    names = set(storage.names()) - {LOCK_NAME}
+    numbers = [int(name[5:]) for name in names if name.startswith("base-") and name[5:].isdigit()]
+    if not numbers:
+        if any(name.startswith("base-") or name.startswith("log-") for name in names) and "log-1" not in names:
+            raise Damaged("the folder's base is missing: set the folder aside; the copy then starts as a new member")
+        return Kept(), 0
+    number = max(numbers)
+    if f"log-{number}" not in names:
+        raise Damaged(f"log-{number} is missing: set the folder aside; the copy then starts as a new member")
+    base = storage.read(f"base-{number}")
+    whole = unframe(base, len(MAGIC), 0)
+    if not base.startswith(MAGIC) or whole is None:
+        raise Damaged(f"base-{number} is damaged: set the folder aside; the copy then starts as a new member")
+    kept = Kept()
+    try:
+        for records in [_DECODER.decode(whole[1]), *read_frames(f"log-{number}", storage.read(f"log-{number}"))]:
+            kept.take(records)
+    except (msgspec.MsgspecError, ValueError) as error:
+        raise Damaged(f"the folder contradicts itself: {error}") from None
+    return kept, number
+
+
+class Store:
+    """Writes the folder. After any error it is of no use: open another one."""
+
+    def __init__(self, storage: Storage, rng: Random) -> None:
+        """Read the folder and count this run in it, durably. Raises Damaged, OSError."""
+        self.storage = storage
+        kept, self.number = recover(storage)
+        member = kept.identity.member or f"{rng.getrandbits(64):016x}"
+        run = Identity(member, kept.identity.group, kept.identity.life + 1, rng.getrandbits(32))
+        self.kept = replace(kept, identity=run)
+        self.frames = 0
+        self.write_whole(tuple(self.kept.records()))
+
+    def write(self, records: tuple[Record, ...]) -> None:
+        """Add one write; returns once it is durable. Raises OSError."""
+        self.storage.append(f"log-{self.number}", frame(self.frames, records))
+        self.storage.sync(f"log-{self.number}")
+        self.frames += 1
+
+    def write_whole(self, records: tuple[Record, ...]) -> None:
+        """Begin a new base with these in place of all; durable on return. Raises OSError."""
+        number, storage = self.number + 1, self.storage
+        storage.create(f"log-{number}")
+        storage.append(f"log-{number}", MAGIC)
+        storage.sync(f"log-{number}")
+        storage.create("new")
+        storage.append("new", MAGIC + frame(0, records))
+        storage.sync("new")
+        storage.rename("new", f"base-{number}")
+        self.number, self.frames = number, 0
+        for name in storage.names():
+            if name.startswith(("base-", "log-")) and name not in (f"base-{number}", f"log-{number}"):
+                storage.remove(name)
--- /dev/null
+++ b/brassweir/agreed/timing.py
@@ -0,0 +1,37 @@
+"""The tuned values of the agreed log, each with its unit and its reason."""
+
+from __future__ import annotations
+
+BEAT = 250.0  # ms between beats of a leader: four chances to be heard within the shortest election time
+ELECT = 1_000.0  # ms of silence, at least, before a voter asks for votes; twice that at most (drawn)
+STALL = 1_000.0  # ms between two steps from which on a member takes itself for the one that was away
+RESEND = 400.0  # ms without an answer before entries go out again: above a round of 200 ms late messages
+RETRY = 500.0  # ms between two tries to bring a proposal to a leader
+HELLO = 300.0  # ms between two questions what the others remember
+HELLO_WAIT = 3_000.0  # ms after which a quorum's memory is enough, and the rest is not waited for
+FOUND = 500.0  # ms between two rounds of founding
+PULL = 2_000.0  # ms between two pulls of a learner that has all: keeps 340 quiet ones cheap
+PULL_AGAIN = 400.0  # ms before a pull that brought nothing is repeated
+FEED_OLD = 6_000.0  # ms since the feeder heard of a leader, after which a learner looks elsewhere
+CHILD = 7_000.0  # ms a feeder keeps the place of a learner that pulls no more
+CHUNK_AGAIN = 500.0  # ms before chunks of a snapshot that did not come are asked for again
+READMIT = 5_000.0  # ms a voter's name must answer under another id before it is readmitted under that
+READMIT_REST = 60_000.0  # ms between two readmissions of one name: two processes of one name must not flap it
+CATCH_UP = 120_000.0  # ms a learner has to catch up before its admission is given up
+
+MOST_BODY = 8_000  # bytes of a message body (peers/wire)
+MOST_COMMAND = 6_000  # bytes of a command: one entry must fit into one message, with room for its head
+MOST_ENTRIES = 6_800  # bytes of entries in one message, with their own heads counted
+ENTRY_HEAD = 64  # bytes counted for the head of an entry
+CHUNK = 7_000  # bytes of a snapshot in one message
+WINDOW = 16  # messages with entries out to one voter, unanswered
+CHUNKS = 8  # chunks of a snapshot asked for at once
+SNAP_EVERY = 4_096  # entries between two snapshots
+KEEP = 1_024  # entries kept behind a snapshot, for voters that lag
+MOST_OPEN = 256  # proposals of one member that wait
+MOST_UNAGREED = 4_096  # entries a leader takes ahead of what is agreed
+MOST_SESSIONS = 1_024  # sessions remembered: three for each of 340 copies
+MOST_REMEMBERED = 64  # members remembered; at most seven vote, so this is years of replacements
+MOST_VOTERS = 7
+FED_BY_LEADER = 4  # learners fed by a leader: its work goes to the voters
+FED = 12  # learners fed by any other copy: two steps reach 5 * 12 * 12 copies
