--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -49,8 +49,8 @@
 class Asked:
     """What this copy has asked for."""
 
+    session: str  # of this run; another one once the group forgot it
     seq: int = 0
-    session_of: int = 0
     open: dict[int, Open] = field(default_factory=dict)
     reads: list[Reading] = field(default_factory=list)
 
@@ -62,11 +62,6 @@
     confirms: list[Confirm]
     beat_at: float
 
-    @property
-    def session(self) -> str:
-        """Name of this run's session; another one after the group forgot it."""
-        return f"{self.identity.member}.{self.identity.nonce:x}.{self.asked.session_of}"
-
     # Proposals
 
     def on_propose(self, fact: Propose) -> None:
@@ -88,10 +83,10 @@
         low = min(self.asked.open)
         if self.role == LEADER:
             waiting.sent = True
-            self.take_proposal(self.session, seq, low, waiting.fact.command)
+            self.take_proposal(self.asked.session, seq, low, waiting.fact.command)
         elif self.leader and self.leader != self.name:
             waiting.sent = True
-            self.post(self.leader, Forward(self.session, seq, low, waiting.fact.command))
+            self.post(self.leader, Forward(self.asked.session, seq, low, waiting.fact.command))
 
     def take_proposal(self, session: str, seq: int, low: int, command: bytes) -> None:
         """A leader puts it into the log, unless it stands there."""
@@ -110,7 +105,7 @@
     def came(self, entry: Entry, done: tuple[int, bytes, bool] | None) -> None:
         """An entry took effect: tell whoever waits for it."""
         self.queued.pop((entry.session, entry.seq), None)
-        if entry.session != self.session or entry.seq not in self.asked.open:
+        if entry.session != self.asked.session or entry.seq not in self.asked.open:
             return
         waiting = self.asked.open.pop(entry.seq)
         if done is None:
@@ -124,7 +119,7 @@
         for waiting in self.asked.open.values():
             how = How.UNKNOWN if waiting.sent else How.REFUSED
             self.tell(waiting.fact.ticket, how, why="the group no longer knows this copy's session")
-        self.asked = Asked(0, self.asked.session_of + 1, {}, self.asked.reads)
+        self.asked = Asked(f"{self.rng.getrandbits(64):016x}", reads=self.asked.reads)
 
     def tend_open(self) -> None:
         """Try again, or give up at their time."""
--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -48,7 +48,7 @@
         self.agreeing, self.fresh = {}, {}
         self.children = {}
         self.since, self.pull_at = now, now
-        self.asked, self.confirms = Asked(), []
+        self.asked, self.confirms = Asked(f"{rng.getrandbits(64):016x}"), []
         self.wanted, self.changing, self.strangers, self.readmitted = [], {}, {}, {}
         self.beat_at = now
         self.stepped = now
