--- a/brassweir/lab/models/logworld.py
+++ b/brassweir/lab/models/logworld.py
@@ -253,6 +253,12 @@
             self.cuts.add((pair[0], pair[1]))
             self.at(self.now + span, self.cuts.discard, (pair[0], pair[1]))
 
+    def heal(self) -> None:
+        """No cut, no trouble with any disk."""
+        self.cuts.clear()
+        for node in self.nodes.values():
+            node.disk.room = node.disk.crash_at = node.disk.bad_sync = None
+
     def isolate(self, name: str, span: float) -> None:
         """It neither hears nor is heard."""
         self.cut([pair for other in self.names if other != name for pair in ((name, other), (other, name))], span)
