--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -191,4 +191,3 @@
         for reading in self.asked.reads:
             if self.ask_of(reading) == message.ask and reading.index < 0:
                 reading.index = message.index
-        self.tend_reads()
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -81,6 +81,7 @@
         if child.next <= self.log.base.index:
             if self.snap is not None:
                 self.offer(name, 0, 0)
+                child.next = self.firm + 1  # until it pulls again
             return
         entries = self.log.some(child.next, self.firm)
         if entries or always:
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -97,7 +97,7 @@
             prev = p.next - 1
             prev_term = self.log.term(prev)
             if prev_term is None or prev < self.log.base.index:
-                if self.snap is not None and (always or p.next <= self.log.last):
+                if self.snap is not None and (always or self.now - p.sent >= timing.RESEND):
                     p.agreed, p.sent = self.agreed, self.now
                     self.offer(name, self.term, self.round)
                 return
--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -30,6 +30,8 @@
 class State:
     """All that a member knows; parts of the core add what they do with it."""
 
+    snap_every, keep = timing.SNAP_EVERY, timing.KEEP
+
     def __init__(self, name: str, kept: Kept, machine: Machine, rng: Random, now: float,
                  founders: tuple[str, ...] = ()) -> None:
         """``kept`` is durable with its run already counted; ``rng`` draws waits and ids."""
@@ -159,7 +161,7 @@
             if done is not None and done[2]:
                 self.out.append(Applied(entry.index, entry.data, done[1]))
             self.came(entry, done)
-        if self.applied - (self.snap.index if self.snap else 0) >= timing.SNAP_EVERY:
+        if self.applied - (self.snap.index if self.snap else 0) >= self.snap_every:
             self.take_snapshot()
 
     def came(self, entry: Entry, done: tuple[int, bytes, bool] | None) -> None:
@@ -171,8 +173,8 @@
         term = self.log.term(self.applied)
         assert term is not None
         self.snap = Snapshot(self.applied, term, membership, at, self.replica.snapshot())
-        if self.applied - timing.KEEP > self.log.base.index:
-            self.log.begin_at(self.applied - timing.KEEP)
+        if self.applied - self.keep > self.log.base.index:
+            self.log.begin_at(self.applied - self.keep)
         self.whole = True
 
     def install(self, snap: Snapshot) -> None:
--- a/brassweir/lab/models/logjudge.py
+++ b/brassweir/lab/models/logjudge.py
@@ -6,7 +6,7 @@
 
 from brassweir.agreed.core import Core
 from brassweir.agreed.facts import Applied, How, Outcome, Post
-from brassweir.agreed.messages import COMMAND, Append, Entry
+from brassweir.agreed.messages import COMMAND, MEMBERS, Append, Entry
 from brassweir.agreed.store import Damaged, recover
 from brassweir.agreed.timing import MOST_BODY
 from brassweir.lab.disk import SimStorage
@@ -34,6 +34,7 @@
     place: dict[bytes, int] = field(default_factory=dict)
     order: list[int] = field(default_factory=list)
     leads: dict[int, str] = field(default_factory=dict)  # member that led in each term
+    members: set[tuple[int, int]] = field(default_factory=set)  # changes of members that were seen, and their terms
     asks: dict[int, Ask] = field(default_factory=dict)
     read_at: dict[int, tuple[str, int]] = field(default_factory=dict)
     highest_told: int = 0
@@ -88,6 +89,12 @@
             member = post.envelope.member
             if self.leads.setdefault(message.term, member) != member:
                 raise Broken(f"one leader: in term {message.term} {self.leads[message.term]} and {member} ({sender})")
+            for entry in message.entries:
+                if entry.kind == MEMBERS and (entry.index, entry.term) not in self.members:
+                    before = [index for index, _ in self.members if index < entry.index]
+                    self.members.add((entry.index, entry.term))
+                    if before and max(before) > message.commit:
+                        raise Broken(f"one change: members at {entry.index}, those at {max(before)} are not agreed")
         if size > MOST_BODY:
             raise Broken(f"size: {sender} sent {size} bytes of {type(message).__name__}")
 
--- a/brassweir/lab/models/logplan.py
+++ b/brassweir/lab/models/logplan.py
@@ -43,7 +43,7 @@
     names = [f"v{i + 1}" for i in range(voters)] + [f"l{i + 1}" for i in range(learners)]
     end = FOUNDED + span
     events: list[Event] = []
-    kinds = ("crash", "crash", "step", "step", "stall", "isolate", "deaf", "cut", "full", "all", "leave", "trouble")
+    kinds = ("crash", "crash", "step", "step", "stall", "isolate", "deaf", "cut", "full", "all", "leave", "trouble", "change")
     for _ in range(faults):
         at, who = rng.uniform(FOUNDED, end), rng.choice(names)
         events.append(Event(round(at), rng.choice(kinds), who, round(rng.uniform(300.0, 4_000.0)),
@@ -54,10 +54,14 @@
         what = rng.choice(("lose", "restore"))
         events.append(Event(round(rng.uniform(FOUNDED - 1_000.0, at)), "save", who))
         events.append(Event(round(at), what, who, round(rng.uniform(200.0, 2_000.0))))
+    elif rng.random() < 0.8:
+        how = rng.choice(("lose", "restore", "lost", "lost"))
+        events.append(Event(round(rng.uniform(FOUNDED, end)), "pinch", "", round(rng.uniform(60.0, 700.0)), how))
     for at in range(int(FOUNDED), int(end), 90):
         events.append(Event(at, rng.choice(("propose", "propose", "propose", "read")), rng.choice(names)))
     weather = {"loss": rng.choice((0.0, 0.05, 0.2)), "double": rng.choice((0.0, 0.1)),
-               "high": rng.choice((3.0, 30.0, 200.0))}
+               "high": rng.choice((3.0, 30.0, 200.0)),
+               "disk": rng.choice((4.0, 4.0, 300.0)), "snap": rng.choice((12.0, 4_096.0))}
     return Plan(seed, voters, learners, weather, end, sorted(events, key=lambda event: event.at))
 
 
@@ -86,6 +90,12 @@
             world.heal()
             world.quiet = world.now + span + 6_000.0
             (world.lose if event.what == "lose" else world.restore)(who, span)
+        case "change" if (core := world.nodes[world.leader() or who].core) is not None:
+            names = core.log.membership.names()
+            if who not in names or len(names) > 3:
+                world.change(who, who not in names)
+        case "pinch":
+            world.pinch(event.how, span)
         case "propose":
             world.propose(who)
         case "read":
@@ -104,7 +114,7 @@
         if world.now >= world.quiet or event.what in ("propose", "read", "save", "lose", "restore"):
             happen(world, event)
     world.run(max(plan.end, world.quiet))
-    world.weather = Weather()
+    world.weather = Weather(snap=world.weather.snap)
     world.heal()
     world.run(world.now + CALM)
     asked = [world.propose(name) for name in world.names]
--- a/brassweir/lab/models/logworld.py
+++ b/brassweir/lab/models/logworld.py
@@ -29,7 +29,7 @@
 from brassweir.agreed.messages import decode, encode
 from brassweir.agreed.store import Store
 from brassweir.lab.disk import Crash, SimStorage
-from brassweir.lab.models.logjudge import Judge
+from brassweir.lab.models.logjudge import Broken, Judge
 from brassweir.lab.models.toys import Pile
 
 
@@ -41,6 +41,8 @@
     double: float = 0.0
     low: float = 0.5
     high: float = 3.0
+    disk: float = 4.0  # ms a write takes at most
+    snap: float = 4_096.0  # entries between snapshots
 
 
 @dataclass
@@ -78,13 +80,13 @@
         self.cuts: set[tuple[str, str]] = set()
         self.now = self.quiet = 0.0
         self.count = 0
-        self.heap: list[tuple[float, int, Callable[..., None], tuple[Any, ...]]] = []
+        self.heap: list[tuple[float, int, Callable[..., object], tuple[Any, ...]]] = []
         self.judge = Judge()
         self.tickets = 0
         for name in names:
             self.start(name)
 
-    def at(self, time: float, call: Callable[..., None], *args: Any) -> None:
+    def at(self, time: float, call: Callable[..., object], *args: Any) -> None:
         """Call something later."""
         self.count += 1
         heapq.heappush(self.heap, (time, self.count, call, args))
@@ -94,6 +96,8 @@
         while self.heap and self.heap[0][0] <= until:
             self.now, _, call, args = heapq.heappop(self.heap)
             call(*args)
+            if self.count > self.now * len(self.names) + 50_000:
+                raise Broken(f"storm: {self.count} events within {self.now:.0f} ms")
         self.now = until
 
     # Copies
@@ -115,6 +119,7 @@
             return
         node.machine = Pile()
         node.core = self.core_type(name, node.store.kept, node.machine, rng, self.now, self.founders)
+        node.core.snap_every, node.core.keep = int(self.weather.snap), int(self.weather.snap) // 3
         self.judge.started(name, node.core, node.starts)
         node.wake, node.writes, node.writing, node.inbox, node.stalled = 0.0, [], False, [], 0.0
         self.give(name, Copies(self.names))
@@ -180,7 +185,7 @@
                     node.writes.append(step)
                     if not node.writing:
                         node.writing = True
-                        self.at(self.now + self.rng.uniform(0.2, 4.0), self.write, name, node.starts)
+                        self.at(self.now + self.rng.uniform(0.2, self.weather.disk), self.write, name, node.starts)
                 case WakeAt():
                     if not self.now < node.wake <= step.at:
                         node.wake = step.at
@@ -227,6 +232,35 @@
             return
         self.give(name, Written(writes[-1].token))
 
+    def pinch(self, how: str, wait: float) -> None:
+        """One voter lags, the leader and the others agree, then all restart and one of them has forgotten.
+
+        ``how``: "lose" or "restore" its folder, or a crash of that mode. The leader comes back last.
+        """
+        leader = self.leader()
+        others = [name for name in self.founders if name != leader]
+        if leader is None or len(others) < 2:
+            return
+        behind, forgets = others[: len(others) // 2], others[-1]
+        self.save(forgets)
+        for name in behind:
+            self.isolate(name, wait)
+        for i in range(3):
+            self.at(self.now + 20.0 + 5.0 * i, self.propose, leader)
+        self.at(self.now + wait, self.forget, leader, forgets, how)
+
+    def forget(self, leader: str, forgets: str, how: str) -> None:
+        """The second half of it."""
+        self.heal()
+        self.quiet = self.now + 8_000.0
+        if how in ("lose", "restore"):
+            (self.lose if how == "lose" else self.restore)(forgets, 50.0)
+        else:
+            self.crash(forgets, how, 50.0)
+        for name in self.founders:
+            if name != forgets:
+                self.crash(name, "lost", 2_500.0 if name == leader else 50.0)
+
     # The network
 
     def send(self, sender: str, post: Post) -> None:
