--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -51,6 +51,7 @@
 
     session: str  # of this run; another one once the group forgot it
     seq: int = 0
+    known: bool = False  # an entry of it took effect: until then it tells that it begins
     open: dict[int, Open] = field(default_factory=dict)
     reads: list[Reading] = field(default_factory=list)
 
@@ -80,7 +81,7 @@
         """Bring it to the leader, if one is known."""
         waiting = self.asked.open[seq]
         waiting.again = self.now + timing.RETRY
-        low = min(self.asked.open)
+        low = min(self.asked.open) if self.asked.known else 1
         if self.role == LEADER:
             waiting.sent = True
             self.take_proposal(self.asked.session, seq, low, waiting.fact.command)
@@ -105,7 +106,10 @@
     def came(self, entry: Entry, done: tuple[int, bytes, bool] | None) -> None:
         """An entry took effect: tell whoever waits for it."""
         self.queued.pop((entry.session, entry.seq), None)
-        if entry.session != self.asked.session or entry.seq not in self.asked.open:
+        if entry.session != self.asked.session:
+            return
+        self.asked.known = self.asked.known or done is not None
+        if entry.seq not in self.asked.open:
             return
         waiting = self.asked.open.pop(entry.seq)
         if done is None:
