--- a/brassweir/cli/serving.py
+++ b/brassweir/cli/serving.py
@@ -34,7 +34,8 @@
         sys.exit(4)
     except OSError as error:
         forward = config.forward.listen if config.forward is not None else None
-        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics)))
+        peers = config.peers.listen or "the own address in peers.copies" if config.peers is not None else None
+        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics, peers)))
         raise click.ClickException(f"cannot listen on {places}: {error.strerror or error}") from None
 
 
--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -3,30 +3,97 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Mapping
+from dataclasses import asdict
 from pathlib import Path
 from typing import Any
 
+from brassweir.agreed.facts import Leave, Outcome
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.member import Member
+from brassweir.agreed.state import LEADER
 from brassweir.config.copies import agreed_folder
 from brassweir.config.model import Config, CopyModel
 from brassweir.peers.port import PeerPort
-from brassweir.service.agreeing import Agreeing
+from brassweir.service.agreeing import Agreeing, Note
 from brassweir.service.region import Region
 from brassweir.service.regionlog import RegionLog
 
+SHOWN = ("term", "last", "agreed", "applied", "waiting", "age_ms")  # of the status, as metrics
+
 
 class AgreedSide:
-    """One copy's part in the log."""
+    """One copy's part in the log; the group that its dealings speak to."""
 
     def __init__(self, config: Config, base: Path, me: CopyModel, copies: tuple[CopyModel, ...],
-                 port: PeerPort, region: Region | None, note: Callable[[str, dict[str, object]], None]) -> None:
+                 port: PeerPort, region: Region | None, note: Note) -> None:
         assert config.agreed is not None
-        given = config.agreed
-        self.note = note
+        given, names = config.agreed, tuple(one.name for one in copies)
         self.machine = Machine()
-        self.member = Member(me.name, agreed_folder(config, base), port, self.machine, given.voters)
-        self.deals = Agreeing(me, self.machine, self.member, region if isinstance(region, RegionLog) else None,
+        self.member = Member(me.name, agreed_folder(config, base), self.machine, port, given.voters, names)
+        self.deals = Agreeing(me, self.machine, self, region if isinstance(region, RegionLog) else None,
                               given.lease_ms, base / given.first_epoch if given.first_epoch else None, note)
+        self.member.on_apply.append(lambda *_: self.deals.hear())
+        self.member.on_restore.append(lambda _: self.deals.hear())
+        self.note = note
         self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Open the folder and take part."""
+        await self.member.start()
+        self.deals.read_wish(False)
+        self.task = asyncio.create_task(self.deals.run())
+        self.task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.note("agreed_ended", {"error": repr(error)})
+
+    def reload(self, config: Config, copies: tuple[CopyModel, ...], gone: set[str]) -> None:
+        """An operator asks: other copies, other voters, the next epoch."""
+        self.member.reload(tuple(one.name for one in copies))
+        self.deals.left |= gone
+        if config.agreed is not None:
+            self.deals.voters = frozenset(config.agreed.voters)
+        self.deals.read_wish(True)
+
+    async def propose(self, command: bytes, timeout_ms: float) -> Outcome:
+        """Agree on a command."""
+        return await self.member.propose(command, timeout_ms)
+
+    async def change(self, name: str, votes: bool, timeout_ms: float) -> Outcome:
+        """Let a copy vote, or no longer; for the leader only."""
+        return await self.member.change(name, votes, timeout_ms)
+
+    def hand_over(self) -> None:
+        """Let another lead, if this one does."""
+        if self.member.core is not None and self.member.core.role == LEADER:
+            self.member._fact(Leave())
+
+    def status(self) -> Mapping[str, Any]:
+        """The member's, as a tree."""
+        return asdict(self.member.status())
+
+    def state(self) -> dict[str, Any]:
+        """What operators are shown."""
+        return self.deals.state()
+
+    def counts(self) -> dict[str, float]:
+        """For metrics."""
+        status = self.member.status()
+        shown = {name: float(getattr(status, name)) for name in SHOWN}
+        dropped = {f"dropped_{name.replace(' ', '_')}": count for name, count in status.dropped.items()}
+        return {**shown, **dropped, "leading": status.role == LEADER, "in_trouble": bool(status.trouble),
+                "granted": self.machine.state.granted, "members": len(self.machine.state.copies),
+                "pins": self.machine.pins}
+
+    def abort(self) -> None:
+        """End what this copy does of its own."""
+        for task in (self.task, self.deals.changing):
+            if task is not None:
+                task.cancel()
+
+    async def stop(self) -> None:
+        """End taking part."""
+        self.abort()
+        await self.member.stop()
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -20,7 +20,8 @@
 
 LOOK = 0.1  # seconds between two looks: well within a tenth of the shortest lease
 PROPOSING = 3000.0  # ms until a proposal counts as unknown: a new leader is there by then
-JOIN_AGAIN = 5.0  # seconds between two tries to join
+JOIN_AGAIN = 5.0  # seconds between two tries to join, or to change a voter
+CHANGING = 60_000.0  # ms for one change of a voter: it has to have the whole log first
 WISH_FOR = 15.0  # seconds that an operator's wish is tried for, until it is told as not done
 
 Note = Callable[[str, dict[str, object]], None]
@@ -48,9 +49,12 @@
     def status(self) -> Mapping[str, Any]:
         """Role, term, leader, commit, applied, voters, learners."""
 
-    async def hand_over(self) -> None:
+    def hand_over(self) -> None:
         """Let another lead, if this one does."""
 
+    async def change(self, name: str, votes: bool, timeout_ms: float) -> Told:
+        """Let a copy vote, or no longer; for the leader only."""
+
 
 class Agreeing:
     """One copy's dealings with the log. ``region`` is there where epochs come from it."""
@@ -63,8 +67,10 @@
         self.wish: Epoch | None = None
         self.wish_until = 0.0
         self.asked = False  # by an operator, and not by this copy's own start
-        self.join_after = 0.0
+        self.join_after = self.vote_after = 0.0
         self.joined = False
+        self.changing: asyncio.Task[None] | None = None
+        self.voters: frozenset[str] = frozenset()  # as an operator wants them; empty: as they are
         self.left: set[str] = set()  # taken out of the copies' file, and members still
         self.said = ""
 
@@ -91,11 +97,13 @@
         """Go on for ever."""
         while True:
             await asyncio.sleep(LOOK)
-            self.hear()
+            self.hear()  # nothing may have been applied, and a disk may have room again
             leader = self.group.status()["leader"]
             if leader and not self.machine.beyond:
                 await self._join()
                 await self._leave()
+                if leader == self.me.name:
+                    self._vote()
                 await self._wish(leader == self.me.name)
                 await self._renew(leader == self.me.name)
             if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
@@ -133,6 +141,21 @@
             await self._propose(Leave(name))
         self.left -= self.left - self.machine.state.copies.keys()
 
+    def _vote(self) -> None:
+        """One step towards the voters that an operator wants: who is to come first, then who is to go."""
+        there = set(self.group.status()["voters"])
+        steps = [(name, True) for name in sorted(self.voters - there)]
+        steps += [(name, False) for name in sorted(there - self.voters)] if self.voters else []
+        if steps and time.monotonic() >= self.vote_after and (self.changing is None or self.changing.done()):
+            self.changing = asyncio.create_task(self._change(*steps[0]))  # leases are renewed meanwhile
+
+    async def _change(self, name: str, votes: bool) -> None:
+        told = await self.group.change(name, votes, CHANGING)
+        if told.how != "agreed":
+            self.vote_after = time.monotonic() + JOIN_AGAIN
+        self.note("voter_changed" if told.how == "agreed" else "voter_not_changed",
+                  {"copy": name, "votes": votes, "error": told.why})
+
     async def _wish(self, leading: bool) -> None:
         wish, there = self.wish, self.machine.state.epoch
         if wish is None or self.region is None:
@@ -178,7 +201,7 @@
             self.wish is not None, self.lost()))
         if isinstance(step, GiveAway):
             self.note("lead_given_away", {"why": step.why})
-            await self.group.hand_over()
+            self.group.hand_over()
         elif isinstance(step, Renew):
             result = await self._propose(Publish(step.epoch, step.after))
             if result is not None and not result.ok and result.field != "after":
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -168,6 +168,8 @@
         if self.config.sender.metrics:
             host, _, port = self.config.sender.metrics.rpartition(":")
             self.metrics_port = await self.plain.listen(host, int(port))
+        if self.together is not None:
+            said.update(await self.together.start())
         # What stands now stands for good: the collector need not walk the whole list again and again.
         gc.collect()
         gc.freeze()
@@ -199,6 +201,8 @@
         self.engine.stop_taking()
         for side in self.sides:
             side.stop_taking()
+        if self.together is not None:
+            self.together.hand_over()
         self.log.info("draining", open=len(self.engine.ledger.open()), grace_ms=round(grace * 1000))
         # Partners bring receipts to our own address: it stays open until nothing waits for one.
         while self.engine.ledger.open() and loop.time() < end - _ANSWERS * grace:
@@ -212,6 +216,8 @@
         while (left := sum(side.connections for side in self.sides)) and loop.time() < end:
             await asyncio.sleep(0.02)
         self.log.info("stopped", answered_at_the_end=cut, connections_left=left)
+        if self.together is not None:
+            await self.together.stop()
         self.stop()
 
     def stop(self) -> None:
@@ -221,6 +227,8 @@
         for side in self.sides:
             side.abort()
         self.plain.abort()
+        if self.together is not None:
+            self.together.abort()
         self.pools.close()
         self.offload.close()
         if self.journal is not None:
--- a/brassweir/service/regionlog.py
+++ b/brassweir/service/regionlog.py
@@ -18,11 +18,16 @@
     latest: Epoch | None = None  # the newest that was applied here
 
     def applied(self, epoch: Epoch | None) -> None:
-        """What the agreed machine holds now."""
-        if epoch is not None and epoch != self.latest:
+        """What the agreed machine holds now. After a restart it goes through what is known here already."""
+        if epoch is not None and epoch != self.latest and not self._behind(epoch):
             self.latest = epoch
             self.look()
 
+    def _behind(self, epoch: Epoch) -> bool:
+        known = self.own.epoch
+        return known is not None and (epoch.turn, epoch.number, epoch.issued) < (known.turn, known.number,
+                                                                                  known.issued)
+
     def look(self) -> None:
         """Take the newest: again at each look, for a disk that was full may have room now."""
         super().look()
--- a/brassweir/service/together.py
+++ b/brassweir/service/together.py
@@ -102,14 +102,21 @@
         """What passed, and how many copies are in which state, for metrics."""
         view = self.port.view()
         states = Counter(view.states.values())
-        return {**self.port.counts, **{f"copies_{name}": states[name] for name in ("alive", "suspected", "dead")},
-                "bytes_sent": self.port.bytes_sent, "bytes_taken": self.port.bytes_taken,
-                "self_suspected": float(view.self_suspected)}
+        copies = {f"copies_{name}": states[name] for name in ("alive", "suspected", "dead")}
+        return {**self.port.counts, **copies, "bytes_sent": self.port.bytes_sent,
+                "bytes_taken": self.port.bytes_taken, "self_suspected": view.self_suspected}
 
-    async def hand_over(self) -> None:
+    def hand_over(self) -> None:
         """This process is about to stop: let another lead. It goes on following."""
         if self.agreed is not None:
-            await self.agreed.hand_over()
+            self.agreed.hand_over()
+
+    def abort(self) -> None:
+        """End at once, without a word to anybody."""
+        if self.agreed is not None:
+            self.agreed.abort()
+        if self.port.transport is not None:
+            self.port.transport.abort()
 
     async def stop(self) -> None:
         """End taking part."""
