--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -70,6 +70,10 @@
         if self.member.core is not None and self.member.core.role == LEADER:
             self.member._fact(Leave())
 
+    def give_up(self) -> None:
+        """Follow no further: this version cannot. The copy goes on delivering as one that is cut off."""
+        self.ending = asyncio.ensure_future(self.member.stop())
+
     def status(self) -> Mapping[str, Any]:
         """The member's, as a tree."""
         return asdict(self.member.status())
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -52,6 +52,9 @@
     def hand_over(self) -> None:
         """Let another lead, if this one does."""
 
+    def give_up(self) -> None:
+        """Follow no further: this version cannot."""
+
     async def change(self, name: str, votes: bool, timeout_ms: float) -> Told:
         """Let a copy vote, or no longer; for the leader only."""
 
@@ -81,6 +84,7 @@
         if self.machine.beyond and self.said != self.machine.beyond:
             self.said = self.machine.beyond
             self.note("agreed_beyond", {"error": self.said})
+            self.group.give_up()
 
     def read_wish(self, asked: bool) -> None:
         """Read the file of the first, or the next, epoch; at start, and when an operator asks."""
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -12,6 +12,7 @@
 import msgspec
 import pytest
 
+from brassweir.agreed.commands import Format, Leave, encode
 from brassweir.agreed.machine import Machine
 from brassweir.config.model import CopyModel
 from brassweir.core.ports import Answer, Payload, Submission
@@ -76,6 +77,9 @@
         (self.log.voters.add if votes else self.log.voters.discard)(name)
         return Outcome("agreed")
 
+    def give_up(self) -> None:
+        self.cut = True
+
     def status(self) -> Mapping[str, Any]:
         return {"leader": "" if self.cut else self.log.leader, "role": "follower", "voters": sorted(self.log.voters)}
 
@@ -207,6 +211,40 @@
     run(work())
 
 
+def test_who_votes_and_who_is_a_member_go_as_the_operator_wants(tmp_path: Path) -> None:
+    async def work() -> None:
+        log, copies = await group(tmp_path)
+        copies[1].deals.voters = frozenset({"b", "c"})
+        await asyncio.sleep(0.1)
+        assert log.voters == {"a", "b"}, "the leader changes it, when it is told"
+        copies[0].deals.voters = frozenset({"b", "c"})
+        await until(lambda: log.voters == {"b", "c"})
+        assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], "who comes first, then who goes"
+        copies[1].deals.left |= {"c", "gone"}
+        await until(lambda: all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left)
+        await asyncio.sleep(0.1)
+        assert "c" not in copies[0].member.machine.state.copies, "it does not join again by itself"
+        end(copies)
+
+    run(work())
+
+
+def test_a_version_that_cannot_follow_stops_and_its_lease_runs_out(tmp_path: Path) -> None:
+    async def work() -> None:
+        log, copies = await group(tmp_path)
+        for one in copies[:2]:
+            one.member.machine.level = 2
+        await until(lambda: [copies[0].member.machine.state.copies[name].reads for name in ("a", "b")] == [2, 2])
+        for command in (Leave("c"), Format(2)):
+            await copies[0].member.propose(encode(command), 100.0)
+        await until(lambda: copies[2].member.cut and not any(copies[2].takes(f"m{n}") for n in range(20)))
+        assert "this version knows 1" in str(copies[2].said("agreed_beyond")) and copies[0].member.machine.state.level == 2
+        assert any(copies[1].takes(f"m{n}") for n in range(20))
+        end(copies)
+
+    run(work())
+
+
 def test_a_leader_whose_clock_steps_gives_the_lead_away(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
         log, copies = await group(tmp_path)
