--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -54,7 +54,7 @@
         self.member.reload(tuple(one.name for one in copies))
         self.deals.left |= gone
         if config.agreed is not None:
-            self.deals.voters = frozenset(config.agreed.voters)
+            self.deals.want_voters(frozenset(config.agreed.voters))
         self.deals.read_wish(True)
 
     async def propose(self, command: bytes, timeout_ms: float) -> Outcome:
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -22,6 +22,7 @@
 PROPOSING = 3000.0  # ms until a proposal counts as unknown: a new leader is there by then
 JOIN_AGAIN = 5.0  # seconds between two tries to join, or to change a voter
 CHANGING = 60_000.0  # ms for one change of a voter: it has to have the whole log first
+VOTERS_FOR = 600.0  # seconds that other voters are wanted for, so that all copies can be told
 WISH_FOR = 15.0  # seconds that an operator's wish is tried for, until it is told as not done
 
 Note = Callable[[str, dict[str, object]], None]
@@ -74,6 +75,7 @@
         self.joined = False
         self.changing: asyncio.Task[None] | None = None
         self.voters: frozenset[str] = frozenset()  # as an operator wants them; empty: as they are
+        self.voters_until = 0.0
         self.left: set[str] = set()  # taken out of the copies' file, and members still
         self.said = ""
 
@@ -86,6 +88,10 @@
             self.note("agreed_beyond", {"error": self.said})
             self.group.give_up()
 
+    def want_voters(self, names: frozenset[str]) -> None:
+        """An operator wants these to vote."""
+        self.voters, self.voters_until = names, time.monotonic() + VOTERS_FOR
+
     def read_wish(self, asked: bool) -> None:
         """Read the file of the first, or the next, epoch; at start, and when an operator asks."""
         if self.first is None:
@@ -106,8 +112,7 @@
             if leader and not self.machine.beyond:
                 await self._join()
                 await self._leave()
-                if leader == self.me.name:
-                    self._vote()
+                self._vote(leader == self.me.name)
                 await self._wish(leader == self.me.name)
                 await self._renew(leader == self.me.name)
             if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
@@ -145,12 +150,17 @@
             await self._propose(Leave(name))
         self.left -= self.left - self.machine.state.copies.keys()
 
-    def _vote(self) -> None:
-        """One step towards the voters that an operator wants: who is to come first, then who is to go."""
+    def _vote(self, leading: bool) -> None:
+        """One step towards the voters that an operator wants: who is to come first, then who is to go. What
+        was wanted counts until it is so, and not for ever: others may be wanted by then."""
         there = set(self.group.status()["voters"])
+        if not self.voters or self.voters == there or time.monotonic() > self.voters_until:
+            self.voters = frozenset()
+            return
         steps = [(name, True) for name in sorted(self.voters - there)]
-        steps += [(name, False) for name in sorted(there - self.voters)] if self.voters else []
-        if steps and time.monotonic() >= self.vote_after and (self.changing is None or self.changing.done()):
+        steps += [(name, False) for name in sorted(there - self.voters)]
+        idle = self.changing is None or self.changing.done()
+        if leading and idle and time.monotonic() >= self.vote_after:
             self.changing = asyncio.create_task(self._change(*steps[0]))  # leases are renewed meanwhile
 
     async def _change(self, name: str, votes: bool) -> None:
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -87,7 +87,7 @@
 class Copy:
     """One copy's dealings with the log, and its ownership."""
 
-    def __init__(self, name: str, region: str, log: Log, folder: Path, lease: float = 2_000.0) -> None:
+    def __init__(self, name: str, region: str, log: Log, folder: Path, lease: float = 1_000.0) -> None:
         self.notes: list[tuple[str, dict[str, object]]] = []
         self.region = RegionLog(region, folder / f"{name}.epoch", ASSUMED, CLASSES, lambda event, more: self.notes.append((event, more)))
         self.member, self.first = Member(name, log), folder / "first.json"
@@ -105,7 +105,7 @@
         return [more for name, more in self.notes if name == event]
 
 
-def first(lease: float = 2_000.0, turn: int = 1) -> Epoch:
+def first(lease: float = 1_000.0, turn: int = 1) -> Epoch:
     return msgspec.structs.replace(planning.first(URLS, time.time() * 1000.0 - 500.0, lease), turn=turn)
 
 
@@ -127,6 +127,7 @@
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(agreeing, "LOOK", 0.005)
+    monkeypatch.setattr(agreeing, "JOIN_AGAIN", 0.05)
 
 
 def end(copies: list[Copy]) -> None:
@@ -214,12 +215,13 @@
 def test_who_votes_and_who_is_a_member_go_as_the_operator_wants(tmp_path: Path) -> None:
     async def work() -> None:
         log, copies = await group(tmp_path)
-        copies[1].deals.voters = frozenset({"b", "c"})
+        copies[1].deals.want_voters(frozenset({"b", "c"}))
         await asyncio.sleep(0.1)
         assert log.voters == {"a", "b"}, "the leader changes it, when it is told"
-        copies[0].deals.voters = frozenset({"b", "c"})
+        copies[0].deals.want_voters(frozenset({"b", "c"}))
         await until(lambda: log.voters == {"b", "c"})
         assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], "who comes first, then who goes"
+        await until(lambda: not copies[0].deals.voters and not copies[1].deals.voters)
         copies[1].deals.left |= {"c", "gone"}
         await until(lambda: all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left)
         await asyncio.sleep(0.1)
