--- a/brassweir/agreed/__init__.py
+++ b/brassweir/agreed/__init__.py
@@ -1,1 +1,1 @@
-"""What the copies agree on: a replicated log with a pure core, its durable state, and the member that runs it."""
+"""What copies agree on: a replicated log with a pure core, its durable state, and the member that runs it."""
--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -1,13 +1,15 @@
-"""What this copy asks the group: proposals that take effect once however often they are sent, and current reads. Pure.
+"""What this copy asks the group: proposals that take effect once however often sent, and current reads. Pure.
 
-A proposal is named by session and number. Whoever leads puts it into the log; the copy that proposed learns of
-its end from the log itself. So an answer is never lost, only late, and a repeated one takes effect once.
+A proposal is named by session and number. Whoever leads puts it into the log; the copy that proposed learns
+of its end from the log itself. So an answer is never lost, only late, and a repeated one takes effect once.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
 
+import msgspec
+
 from brassweir.agreed import timing
 from brassweir.agreed.facts import How, Propose, Read
 from brassweir.agreed.learners import Learners
@@ -68,7 +70,7 @@
     def on_propose(self, fact: Propose) -> None:
         """Take one on."""
         if len(fact.command) > timing.MOST_COMMAND:
-            why = f"a command of {len(fact.command)} bytes; at most {timing.MOST_COMMAND} fit into one message"
+            why = f"a command of {len(fact.command)} bytes; at most {timing.MOST_COMMAND} fit a message"
             self.tell(fact.ticket, How.REFUSED, why=why)
         elif len(self.asked.open) >= timing.MOST_OPEN:
             self.tell(fact.ticket, How.REFUSED, why=f"{timing.MOST_OPEN} proposals of this copy wait")
@@ -101,7 +103,7 @@
         elif self.role == LEADER:
             self.take_proposal(message.session, message.seq, message.low, message.command)
         elif self.leader not in ("", self.name, sender) and message.hops < 2:
-            self.post(self.leader, Forward(message.session, message.seq, message.low, message.command, message.hops + 1))
+            self.post(self.leader, msgspec.structs.replace(message, hops=message.hops + 1))
 
     def came(self, entry: Entry, done: tuple[int, bytes, bool] | None) -> None:
         """An entry took effect: tell whoever waits for it."""
--- a/brassweir/agreed/changes.py
+++ b/brassweir/agreed/changes.py
@@ -1,4 +1,4 @@
-"""Who votes: one change at a time, learners caught up before they vote, a voter's lost folder readmitted. Pure."""
+"""Who votes: one change at a time, learners caught up before they vote, lost folders readmitted. Pure."""
 
 from __future__ import annotations
 
@@ -37,7 +37,7 @@
             where = f"ask {self.leader}, which leads" if self.leader else "no leader is known"
             self.tell(fact.ticket, How.REFUSED, why=where)
         elif fact.votes and len(self.log.membership.voters) >= timing.MOST_VOTERS:
-            self.tell(fact.ticket, How.REFUSED, why=f"{timing.MOST_VOTERS} vote, which is the most there may be")
+            self.tell(fact.ticket, How.REFUSED, why=f"{timing.MOST_VOTERS} vote: no more may")
         elif not fact.votes and self.log.membership.names() == [fact.name]:
             self.tell(fact.ticket, How.REFUSED, why=f"{fact.name} is the only one that votes")
         else:
@@ -89,8 +89,8 @@
         else:
             del voters[change.name]
         after = Membership(tuple(sorted(voters.items())))
-        reached = [name for name in after.names() if name in self.in_touch() or change.votes and name == change.name]
-        if len(reached) < after.quorum:
+        reached = self.in_touch() | ({change.name} if change.votes else set())
+        if len(reached & set(after.names())) < after.quorum:
             return  # the group would stand still
         self.wanted.pop(0)
         entry = self.add_entry(MEMBERS, msgspec.msgpack.encode(after))
--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -39,7 +39,7 @@
 
     def __init__(self, name: str, kept: Kept, machine: Machine, rng: Random, now: float,
                  founders: tuple[str, ...] = ()) -> None:
-        """``kept``: what is durable, with this run counted in it; ``founders``: who founds a group that is new."""
+        """``kept``: what is durable, this run counted in it; ``founders``: who founds a group that is new."""
         super().__init__(name, kept, machine, rng, now, founders)
         self.progress, self.queued = {}, {}
         self.granted = set()
--- a/brassweir/agreed/identity.py
+++ b/brassweir/agreed/identity.py
@@ -1,7 +1,8 @@
-"""Whose folder this is: what others remember of its member, giving an id up, and the founding of a group. Pure.
+"""Whose folder this is: what others remember of its member, giving an id up, founding a group. Pure.
 
-A member asks, after each start, what the others remember of it. Nothing speaks against a folder that is as it was
-left. One restored from an old copy lacks what a member remembers it had: it gives its id up and learns anew.
+A member asks, after each start, what the others remember of it. Nothing speaks against a folder that is as
+it was left. One restored from an old copy lacks what a member remembers it had: it gives its id up and learns
+anew.
 """
 
 from __future__ import annotations
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -1,7 +1,7 @@
 """How 340 copies get what is agreed: learners pull from a feeder, which may be a learner itself. Pure.
 
-A feeder takes a bounded number and names some of those for the rest, so a tree grows whose width is bounded and no
-copy speaks to all. A feed tells how long ago a leader was heard at its root; one that is cut off, or feeds
+A feeder takes a bounded number and names some of those for the rest: a tree grows whose width is bounded, and
+no copy speaks to all. A feed tells how long ago a leader was heard at its root; one that is cut off, or feeds
 itself in a circle, is left for another. Only agreed entries are fed, so nothing of it is ever taken back.
 """
 
@@ -64,7 +64,8 @@
         if not self.identity.group:
             return
         self.children = {name: child for name, child in self.children.items() if child.until > self.now}
-        room = timing.FED_BY_LEADER if self.role == LEADER and len(self.log.membership.voters) > 1 else timing.FED
+        busy = self.role == LEADER and len(self.others()) > 0
+        room = timing.FED_BY_LEADER if busy else timing.FED
         first = sender in self.log.membership.names()  # one that votes, and lacks what it needs for it
         if not first and sender not in self.children and len(self.children) >= room:
             names = sorted(self.children)
@@ -102,10 +103,11 @@
         """Pull, and look for another feeder if this one brings nothing or only old things."""
         if self.now < self.pull_at:
             return
-        if self.now - self.heard < (timing.FEED_OLD if self.votes else timing.ELECT):  # a leader feeds this one
+        if self.now - self.heard < (timing.FEED_OLD if self.votes else timing.ELECT):
             self.pull_at = self.now + timing.PULL
             return
-        if not self.feeder or not self.identity.group or self.now - max(self.since, self.word_at) > timing.FEED_OLD:
+        old = self.now - max(self.since, self.word_at) > timing.FEED_OLD
+        if not self.feeder or not self.identity.group or old:
             self.look_elsewhere()
         if self.feeder:
             self.post(self.feeder, Pull(self.agreed + 1))
@@ -179,7 +181,8 @@
         """Send a piece, or tell of a newer snapshot by silence."""
         index, data = self.sending
         if index == message.index:
-            self.post(sender, Chunk(index, message.at, len(data), data[message.at: message.at + timing.CHUNK]))
+            piece = data[message.at: message.at + timing.CHUNK]
+            self.post(sender, Chunk(index, message.at, len(data), piece))
 
     def on_chunk(self, sender: str, message: Chunk) -> None:
         """A piece; the last one makes it whole."""
--- /dev/null
+++ b/brassweir/agreed/member.py
@@ -0,0 +1,242 @@
+"""One copy's part in the agreed log: the pure core with a loop's clock, a port to the others and a folder."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import structlog
+
+from brassweir.agreed import timing
+from brassweir.agreed.core import Core
+from brassweir.agreed.disk import Disk
+from brassweir.agreed.facts import (
+    Applied,
+    Change,
+    Copies,
+    Fact,
+    How,
+    Late,
+    Leave,
+    Outcome,
+    Post,
+    Propose,
+    Read,
+    Received,
+    Restored,
+    Step,
+    Told,
+    WakeAt,
+    Write,
+    Written,
+)
+from brassweir.agreed.messages import Unreadable, decode, encode
+from brassweir.agreed.replica import Machine
+from brassweir.agreed.state import LEADER
+from brassweir.agreed.status import Port, Status, seen
+from brassweir.agreed.store import Damaged
+from brassweir.journal.storage import Files, Locked, Storage
+
+KIND = "log"
+AGAIN, AGAIN_MOST = 1.0, 30.0  # s before a folder that failed is opened again; doubled up to the most
+HAND_OVER = 1.0  # s a leader that stops waits for another
+GRACE = 500.0  # ms past a question's own time-out after which its asker is freed in any case
+
+
+class Member:
+    """Runs one member. ``machine`` is blank when it is handed over, and read by anybody on the loop."""
+
+    def __init__(self, name: str, folder: Path | Callable[[], Storage], machine: Machine, port: Port,
+                 founders: tuple[str, ...] = (), copies: tuple[str, ...] = ()) -> None:
+        """``founders``: settings' voters; ``copies``: all names there are. Nothing is opened yet."""
+        self.name, self.machine, self.port, self.founders, self.copies = name, machine, port, founders, copies
+        self.blank = machine.snapshot()
+        make: Callable[[], Storage] = (lambda: Files(folder)) if isinstance(folder, Path) else folder
+        self.disk = Disk(make, self._fact)
+        self.on_apply: list[Callable[[int, bytes, bytes], None]] = []  # (index, command, result), once each
+        self.on_restore: list[Callable[[int], None]] = []  # the machine became a snapshot's state
+        self.core: Core | None = None
+        self.trouble = "not started"
+        self.log = structlog.get_logger().bind(part="agreed", copy=name)
+        self.dropped: dict[str, int] = {}
+        self._rng = Random(os.urandom(16))
+        self._facts: list[Fact] = []
+        self._turning = self._stopping = False
+        self._timer: asyncio.TimerHandle | None = None
+        self._tickets: dict[int, asyncio.Future[Outcome]] = {}
+        self._ticket = 0
+        self._seen = 0
+        self._again = AGAIN
+        self._reopening: asyncio.Task[None] | None = None
+        port.on(KIND, self._heard)
+
+    @property
+    def now(self) -> float:
+        """The loop's monotonic ms."""
+        return asyncio.get_running_loop().time() * 1_000.0
+
+    async def start(self) -> None:
+        """Open the folder and take part. A folder that fails is tried again; a damaged one is not."""
+        self._stopping = False
+        await self._open()
+
+    async def _open(self) -> None:
+        try:
+            store = await self.disk.open(self._rng)
+        except (Damaged, Locked) as error:
+            self.trouble = str(error)
+            self.log.error("agreed_log_refused", why=self.trouble)
+            return
+        except OSError as error:
+            self.trouble = f"the folder cannot be written: {error}"
+            self.log.error("agreed_log_folder", why=self.trouble, again_s=self._again)
+            self._later()
+            return
+        self.machine.restore(self.blank)
+        rng = Random(os.urandom(16))
+        self.core = Core(self.name, store.kept, self.machine, rng, self.now, self.founders)
+        self.trouble = ""
+        self._fact(Copies(self.copies))
+
+    def _later(self) -> None:
+        async def again() -> None:
+            await asyncio.sleep(self._again)
+            self._again = min(AGAIN_MOST, self._again * 2.0)
+            if not self._stopping:
+                await self._open()
+
+        if not self._stopping:
+            self._reopening = asyncio.create_task(again())
+
+    async def stop(self) -> None:
+        """Hand leadership over, let writes end, let go. What waits ends unknown."""
+        self._stopping = True
+        if self._reopening is not None:
+            self._reopening.cancel()
+        if self.core is not None and self.core.role == LEADER and self.core.others():
+            self._fact(Leave())
+            until = self.now + HAND_OVER * 1_000.0
+            while self.core is not None and self.core.role == LEADER and self.now < until:
+                await asyncio.sleep(0.02)
+        core, self.core, self.trouble = self.core, None, "stopped"
+        if self._timer is not None:
+            self._timer.cancel()
+        await self.disk.close()
+        self.disk.shut()
+        for future in self._tickets.values():
+            if not future.done():
+                future.set_result(Outcome(How.UNKNOWN if core else How.REFUSED, why="this copy stops"))
+
+    # What is asked
+
+    async def propose(self, command: bytes, timeout_ms: float) -> Outcome:
+        """Agree on a command: where it stands and what came of it, refused for sure, or unknown."""
+        return await self._ask(lambda ticket, until: Propose(ticket, command, until), timeout_ms)
+
+    async def read(self, timeout_ms: float) -> Outcome:
+        """Once agreed, the machine here is at least as new as all that was told anywhere before the call."""
+        return await self._ask(lambda ticket, until: Read(ticket, until), timeout_ms)
+
+    async def change(self, name: str, votes: bool, timeout_ms: float) -> Outcome:
+        """Let a copy vote, or no longer; for the leader only. Refused and unknown as with proposals."""
+        return await self._ask(lambda ticket, until: Change(ticket, name, votes, until), timeout_ms)
+
+    async def _ask(self, fact: Callable[[int, float], Fact], timeout_ms: float) -> Outcome:
+        if self.core is None:
+            return Outcome(How.REFUSED, why=self.trouble)
+        self._ticket += 1
+        ticket = self._ticket
+        future = self._tickets[ticket] = asyncio.get_running_loop().create_future()
+        self._fact(fact(ticket, self.now + timeout_ms))
+        try:
+            return await asyncio.wait_for(future, (timeout_ms + GRACE) / 1_000.0)
+        except TimeoutError:
+            return Outcome(How.UNKNOWN, why="not ended in time; it may still come")
+        finally:
+            self._tickets.pop(ticket, None)
+
+    def reload(self, copies: tuple[str, ...]) -> None:
+        """Other copies are there now."""
+        self.copies = copies
+        self._fact(Copies(copies))
+
+    def late(self, ms: float) -> None:
+        """This process' loop ran so late."""
+        self._fact(Late(ms))
+
+    def status(self) -> Status:
+        """As it stands."""
+        core = self.core
+        if core is None:
+            return Status(self.name, self.trouble, dropped=dict(self.dropped))
+        return seen(core, self.trouble, self.dropped)
+
+    # Facts in, steps out: once a turn of the loop
+
+    def _heard(self, sender: str, body: bytes) -> None:
+        try:
+            envelope = decode(body)
+        except Unreadable:
+            self.dropped["unreadable"] = self.dropped.get("unreadable", 0) + 1
+            return
+        self._fact(Received(sender, envelope))
+
+    def _fact(self, fact: Fact) -> None:
+        if isinstance(fact, Written):
+            self._again = AGAIN
+        if self.core is not None:
+            self._facts.append(fact)
+            if not self._turning:
+                self._turning = True
+                asyncio.get_running_loop().call_soon(self._turn)
+
+    def _turn(self) -> None:
+        self._turning = False
+        core, facts, self._facts = self.core, self._facts, []
+        if core is None:
+            return
+        try:
+            steps = core.step(self.now, facts)
+        except AssertionError as error:  # what must never be: this copy stands still rather than go on
+            self.core, self.trouble = None, f"contradiction: {error}"
+            self.log.error("agreed_log_contradiction", why=self.trouble)
+            return
+        for step in steps:
+            self._carry_out(step)
+        if core.broken:
+            self.core, self.trouble = None, f"the folder cannot be written: {core.broken}"
+            self.log.error("agreed_log_folder", why=self.trouble, again_s=self._again)
+            self._later()
+
+    def _carry_out(self, step: Step) -> None:
+        match step:
+            case Post():
+                self.port.send(step.to, KIND, encode(step.envelope))
+            case Write():
+                self.disk.write(step)
+            case WakeAt():
+                if self._timer is not None:
+                    self._timer.cancel()
+                self._timer = asyncio.get_running_loop().call_at(step.at / 1_000.0, self._wake, step.at)
+            case Told():
+                future = self._tickets.get(step.ticket)
+                if future is not None and not future.done():
+                    future.set_result(step.outcome)
+            case Applied() if step.index > self._seen:
+                self._seen = step.index
+                for applied in self.on_apply:
+                    applied(step.index, step.command, step.result)
+            case Restored() if step.index > self._seen:
+                self._seen = step.index
+                for restored in self.on_restore:
+                    restored(step.index)
+
+    def _wake(self, due: float) -> None:
+        late = self.now - due
+        if late > timing.STALL:
+            self._fact(Late(late))
+        if not self._turning:
+            self._turn()
--- a/brassweir/agreed/messages.py
+++ b/brassweir/agreed/messages.py
@@ -22,7 +22,7 @@
 
 
 class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One place of the log. ``session`` and ``seq`` name the proposal, ``low`` its session's lowest open one."""
+    """One place of the log. ``session``, ``seq`` name the proposal, ``low`` its session's lowest open one."""
 
     index: Count
     term: Count
@@ -109,7 +109,7 @@
 
 
 class Feed(msgspec.Struct, frozen=True, array_like=True, tag=7):
-    """Agreed entries from ``first`` on; ``age`` ms since the feeder heard of a leader, directly or by feeders."""
+    """Agreed entries from ``first`` on; ``age`` ms since a leader was heard, by the feeders' words."""
 
     first: Count
     entries: tuple[Entry, ...]
@@ -150,7 +150,7 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=12):
-    """A member started: does anything you remember of it speak against its folder (its term, its last entry)?"""
+    """A member started: does what you remember of it speak against its folder (its term, its last entry)?"""
 
     term: Count
     last: Count
@@ -195,8 +195,8 @@
     index: Count
 
 
-Message = (AskVote | Vote | Append | Appended | Forward | Pull | Feed | Full | Offer | AskChunk | Chunk | Hello
-           | Remembered | AskFound | NewHere | TakeOver | AskRead | ReadAt)
+Message = (AskVote | Vote | Append | Appended | Forward | Pull | Feed | Full | Offer | AskChunk | Chunk
+           | Hello | Remembered | AskFound | NewHere | TakeOver | AskRead | ReadAt)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/brassweir/agreed/records.py
+++ b/brassweir/agreed/records.py
@@ -38,7 +38,7 @@
     index: int
 
 
-Ack = tuple[str, int, int, int, int]  # member, its life and nonce, term of the leader, last index it had durably
+Ack = tuple[str, int, int, int, int]  # member, its life, its nonce, leader's term, last durable index
 
 
 class Agreed(msgspec.Struct, frozen=True, array_like=True, tag=5):
@@ -49,7 +49,7 @@
 
 
 class Memory(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """What is remembered of a member: its last run, and the (term, index) it had in runs before, and in this one."""
+    """What is remembered of a member: its last run, the (term, index) it had before that run, and in it."""
 
     member: str
     life: int
--- a/brassweir/agreed/replica.py
+++ b/brassweir/agreed/replica.py
@@ -1,4 +1,4 @@
-"""What agreed entries make: the machine, and the sessions that keep a repeated proposal from running twice. Pure."""
+"""What agreed entries make: the machine, and sessions so that no repeated proposal runs twice. Pure."""
 
 from __future__ import annotations
 
@@ -44,7 +44,7 @@
         self.blank = machine.snapshot()
 
     def apply(self, entry: Entry) -> tuple[int, bytes, bool] | None:
-        """Index and result of the proposal, and whether it ran just now. None: its session is no longer known."""
+        """Index and result of the proposal, and whether it ran just now. None: its session is not known."""
         if not entry.session:
             return entry.index, self.machine.apply(entry.index, entry.data), True
         done = self.sessions.pop(entry.session, None)
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -37,7 +37,7 @@
     """Entries go from the leader to voters and to learners that shall vote."""
 
     progress: dict[str, Progress]
-    queued: dict[tuple[str, int], int]  # proposals in the log that have not taken effect, by session and number
+    queued: dict[tuple[str, int], int]  # proposals in the log without effect yet
     sending: tuple[int, bytes] = (0, b"")  # a snapshot as it is sent
     round: int = 0
     term_start: int = 0  # index of the first entry of this leader's term
--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -18,7 +18,7 @@
 
 @dataclass
 class Waiting:
-    """What a write under way holds up: messages, how far the own log and what is agreed are durable after it."""
+    """What a write under way holds up: messages, and how far log and what is agreed are durable after it."""
 
     token: int
     last: int
@@ -94,7 +94,8 @@
 
     def rest(self) -> None:
         """Wait anew before asking for votes."""
-        self.elect_at = self.now + timing.ELECT * (1.0 + self.rng.random())
+        lone = self.log.membership.names() == [self.name]
+        self.elect_at = self.now + timing.ELECT * (0.1 if lone else 1.0 + self.rng.random())
 
     def write(self, record: Record) -> None:
         """Make it durable."""
--- a/brassweir/agreed/store.py
+++ b/brassweir/agreed/store.py
@@ -1,7 +1,8 @@
-"""The member's folder: a base and a log behind it, by the journal's storage port. All calls wait for the disk.
+"""The member's folder: a base and a log behind it, by the journal's storage port. Calls wait for the disk.
 
-``base-N`` holds all records up to its writing; ``log-N`` what came since, one frame a write. A frame is synced
-before the next is written, so damage with a good frame behind it is no torn write: the member does not start.
+``base-N`` holds all records up to its writing; ``log-N`` what came since, one frame a write. A frame is
+synced before the next is written, so damage with a good frame behind it is no torn write: the member does not
+start.
 ``log-N`` is there before ``base-N`` gets its name, so one without the other is loss, not a crash.
 """
 
@@ -18,6 +19,7 @@
 from brassweir.journal.storage import LOCK_NAME, Storage
 
 MAGIC = b"BRWSAGR1"
+ASIDE = "set the folder aside; the copy then starts as a new member"
 MARK = b"\xb7AGR"
 _FRAME = struct.Struct("<4sQII")  # mark, number, length, CRC-32C of number, length and payload
 _ENCODER = msgspec.msgpack.Encoder()
@@ -51,7 +53,7 @@
 def read_frames(name: str, data: bytes) -> list[tuple[Record, ...]]:
     """All writes of a file, without a torn last one. Raises Damaged."""
     if not data.startswith(MAGIC):
-        raise Damaged(f"{name}: not a log of this program: set the folder aside; the copy then starts as a new member")
+        raise Damaged(f"{name}: not a log of this program: {ASIDE}")
     at = len(MAGIC)
     found: list[tuple[Record, ...]] = []
     while at < len(data):
@@ -61,8 +63,7 @@
             while (later := data.find(MARK, later + 1)) >= 0:
                 behind = unframe(data, later)
                 if behind is not None and behind[0] > len(found):
-                    raise Damaged(f"{name}: damage at byte {at} with good writes behind it: set the folder aside; "
-                                  "the copy then starts as a new member")
+                    raise Damaged(f"{name}: damage at byte {at} with good writes behind it: {ASIDE}")
             break
         try:
             found.append(_DECODER.decode(good[1]))
@@ -77,22 +78,23 @@
     names = set(storage.names()) - {LOCK_NAME}
     numbers = [int(name[5:]) for name in names if name.startswith("base-") and name[5:].isdigit()]
     if not numbers:
-        if any(name.startswith("base-") or name.startswith("log-") for name in names) and "log-1" not in names:
-            raise Damaged("the folder's base is missing: set the folder aside; the copy then starts as a new member")
+        if any(name.startswith(("base-", "log-")) for name in names) and "log-1" not in names:
+            raise Damaged(f"the folder's base is missing: {ASIDE}")
         return Kept(), 0
     number = max(numbers)
     if f"log-{number}" not in names:
-        raise Damaged(f"log-{number} is missing: set the folder aside; the copy then starts as a new member")
+        raise Damaged(f"log-{number} is missing: {ASIDE}")
     base = storage.read(f"base-{number}")
     whole = unframe(base, len(MAGIC), 0)
     if not base.startswith(MAGIC) or whole is None:
-        raise Damaged(f"base-{number} is damaged: set the folder aside; the copy then starts as a new member")
+        raise Damaged(f"base-{number} is damaged: {ASIDE}")
     kept = Kept()
     try:
-        for records in [_DECODER.decode(whole[1]), *read_frames(f"log-{number}", storage.read(f"log-{number}"))]:
+        kept.take(_DECODER.decode(whole[1]))
+        for records in read_frames(f"log-{number}", storage.read(f"log-{number}")):
             kept.take(records)
     except (msgspec.MsgspecError, ValueError) as error:
-        raise Damaged(f"the folder contradicts itself: {error}") from None
+        raise Damaged(f"the folder contradicts itself: {error}: {ASIDE}") from None
     return kept, number
 
 
--- a/brassweir/lab/models/logjudge.py
+++ b/brassweir/lab/models/logjudge.py
@@ -1,4 +1,4 @@
-"""Judges the agreed log from tapes and disks: what was applied, told, sent and written, not what a core believes."""
+"""Judges the agreed log from tapes and disks: what was applied, told, sent, written."""
 
 from __future__ import annotations
 
@@ -34,7 +34,7 @@
     place: dict[bytes, int] = field(default_factory=dict)
     order: list[int] = field(default_factory=list)
     leads: dict[int, str] = field(default_factory=dict)  # member that led in each term
-    members: set[tuple[int, int]] = field(default_factory=set)  # changes of members that were seen, and their terms
+    members: set[tuple[int, int]] = field(default_factory=set)  # changes seen, and their terms
     asks: dict[int, Ask] = field(default_factory=dict)
     read_at: dict[int, tuple[str, int]] = field(default_factory=dict)
     highest_told: int = 0
@@ -64,7 +64,8 @@
         """One place, one command, everywhere; one command, one place."""
         index, command = step.index, step.command
         if self.at_index.setdefault(index, command) != command:
-            raise Broken(f"one entry: at {index} {name} applied {command!r}, another {self.at_index[index]!r}")
+            other = self.at_index[index]
+            raise Broken(f"one entry: at {index} {name} applied {command!r}, another {other!r}")
         if self.place.setdefault(command, index) != index:
             raise Broken(f"once: {command!r} took effect at {self.place[command]} and at {index}")
         if index <= self.now_at.get(name, 0):
@@ -88,13 +89,14 @@
         if isinstance(message, Append):
             member = post.envelope.member
             if self.leads.setdefault(message.term, member) != member:
-                raise Broken(f"one leader: in term {message.term} {self.leads[message.term]} and {member} ({sender})")
+                other = self.leads[message.term]
+                raise Broken(f"one leader: in term {message.term} {other} and {member} ({sender})")
             for entry in message.entries:
                 if entry.kind == MEMBERS and (entry.index, entry.term) not in self.members:
                     before = [index for index, _ in self.members if index < entry.index]
                     self.members.add((entry.index, entry.term))
                     if before and max(before) > message.commit:
-                        raise Broken(f"one change: members at {entry.index}, those at {max(before)} are not agreed")
+                        raise Broken(f"one change: at {entry.index}, that at {max(before)} is not agreed")
         if size > MOST_BODY:
             raise Broken(f"size: {sender} sent {size} bytes of {type(message).__name__}")
 
@@ -155,7 +157,7 @@
             for entry in kept.entries:
                 other = seen.setdefault((entry.index, entry.term), (name, entry))
                 if other[1] != entry:
-                    raise Broken(f"log matching: {name} and {other[0]} differ at {entry.index} of term {entry.term}")
+                    raise Broken(f"log matching: {name}, {other[0]} differ at {entry.index}, {entry.term}")
                 if entry.index <= kept.agreed and entry.kind == COMMAND and entry.index in self.at_index and (
                         self.at_index[entry.index] != entry.data):
                     raise Broken(f"one entry: {name} keeps {entry.data!r} as agreed at {entry.index}")
--- a/brassweir/lab/models/logplan.py
+++ b/brassweir/lab/models/logplan.py
@@ -1,4 +1,4 @@
-"""Schedules of faults for the agreed log's world: drawn from a seed, played, judged, shrunk, kept as small JSON."""
+"""Schedules of faults for the agreed log's world: drawn from a seed, played, judged, shrunk, kept as JSON."""
 
 from __future__ import annotations
 
@@ -43,7 +43,8 @@
     names = [f"v{i + 1}" for i in range(voters)] + [f"l{i + 1}" for i in range(learners)]
     end = FOUNDED + span
     events: list[Event] = []
-    kinds = ("crash", "crash", "step", "step", "stall", "isolate", "deaf", "cut", "full", "all", "leave", "trouble", "change")
+    kinds = ("crash", "crash", "step", "step", "stall", "isolate", "deaf", "cut", "full", "all", "leave",
+             "trouble", "change")
     for _ in range(faults):
         at, who = rng.uniform(FOUNDED, end), rng.choice(names)
         events.append(Event(round(at), rng.choice(kinds), who, round(rng.uniform(300.0, 4_000.0)),
@@ -56,7 +57,8 @@
         events.append(Event(round(at), what, who, round(rng.uniform(200.0, 2_000.0))))
     elif rng.random() < 0.8:
         how = rng.choice(("lose", "restore", "lost", "lost"))
-        events.append(Event(round(rng.uniform(FOUNDED, end)), "pinch", "", round(rng.uniform(60.0, 700.0)), how))
+        at, wait = rng.uniform(FOUNDED, end), rng.uniform(60.0, 700.0)
+        events.append(Event(round(at), "pinch", "", round(wait), how))
     for at in range(int(FOUNDED), int(end), 90):
         events.append(Event(at, rng.choice(("propose", "propose", "propose", "read")), rng.choice(names)))
     weather = {"loss": rng.choice((0.0, 0.05, 0.2)), "double": rng.choice((0.0, 0.1)),
@@ -86,7 +88,7 @@
         case "all":
             for name in world.names:
                 world.crash(name, event.how, span / 4.0)
-        case "lose" | "restore":  # whoever remembers is within reach meanwhile: docs/design-agreed.md, what is not
+        case "lose" | "restore":  # whoever remembers is within reach meanwhile
             world.heal()
             world.quiet = world.now + span + 6_000.0
             (world.lose if event.what == "lose" else world.restore)(who, span)
--- a/tests/agreed/test_world.py
+++ b/tests/agreed/test_world.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from brassweir.agreed.core import Core
 from brassweir.lab.models.logplan import draw, load, play, save, shrink, verdict
 from brassweir.lab.models.logworld import World
 from tests.agreed import faults
@@ -37,14 +38,14 @@
     assert again == small and verdict(again, faults.ForgetsSessions).startswith("once")
 
 
-def settled(voters: int = 3, learners: int = 0, core: type = faults.Core) -> World:
+def settled(voters: int = 3, learners: int = 0, core: type = Core) -> World:
     world = World(4, voters, learners, core=core)
     world.run(5_000.0)
     assert world.leader() is not None
     return world
 
 
-@pytest.mark.parametrize("core, disturbed", [(faults.Core, False), (faults.NoPreVote, True)])
+@pytest.mark.parametrize("core, disturbed", [(Core, False), (faults.NoPreVote, True)])
 def test_one_that_comes_back_disturbs_nobody(core: type, disturbed: bool) -> None:
     world = settled(core=core)
     terms, leader = max(world.judge.leads), world.leader()
@@ -53,7 +54,7 @@
     assert (max(world.judge.leads) > terms) is disturbed
 
 
-@pytest.mark.parametrize("core, word", [(faults.Core, ""), (faults.ReadsOnBelief, "read")])
+@pytest.mark.parametrize("core, word", [(Core, ""), (faults.ReadsOnBelief, "read")])
 def test_a_leader_that_wakes_acknowledges_nothing_on_what_it_believed(core: type, word: str) -> None:
     world = settled(core=core)
     old = world.leader()
