--- a/brassweir/peers/helping.py
+++ b/brassweir/peers/helping.py
@@ -33,9 +33,10 @@
         self.open[self.number] = errand
         return self.number
 
-    def answered(self, number: int) -> Errand | None:
+    def answered(self, number: int, sender: str) -> Errand | None:
         """The one that this answer ends."""
-        return self.open.pop(number, None)
+        errand = self.open.get(number)
+        return self.open.pop(number) if errand is not None and errand.about == sender else None
 
     def over(self, now: float) -> list[Errand]:
         """Those whose time is over, taken out."""
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -125,7 +125,7 @@
             self.steps.append(Relive(life))
 
     def _answered(self, sender: str, talk: Talk, now: float) -> None:
-        errand = self.errands.answered(talk.number)
+        errand = self.errands.answered(talk.number, sender)
         if errand is not None:
             self._send(errand.asker, ACK, errand.number, self.sharing.known(errand.about), errand.about)
             return
--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -125,6 +125,16 @@
             return View({copy.name: "alive" for copy in self.fleet.others}, True, False, False)
         return self.core.view()
 
+    def counters(self) -> dict[str, int]:
+        """All counts, for metrics: the port's, liveness's, and bytes."""
+        counts = Counter(self.counts)
+        counts["bytes_sent"], counts["bytes_taken"] = self.bytes_sent, self.bytes_taken
+        if self.core is not None:
+            counts.update(self.core.counts)
+            counts["refuted"], counts["twins"] = self.core.table.refuted, self.core.table.twins
+            counts["health_score"] = self.core.health.score
+        return dict(counts)
+
     # ---- the loop's side
 
     def _now(self) -> float:
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -14,6 +14,7 @@
 from brassweir.peers.tuning import Tuning
 
 AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
+FURTHEST = 1 << 61  # no life is so late; going on from it would end the numbers
 MANY = 8  # with more suspicions than this, all are looked at twice as often instead of each at its time
 
 
@@ -69,7 +70,7 @@
 
     def _of_self(self, claim: Claim, now: float) -> int | None:
         if claim.life > self.life:
-            if now < self.relived + self.tuning.relive:
+            if claim.life > FURTHEST or now < self.relived + self.tuning.relive:
                 return None
             self.twins += self.relived > float("-inf")
             self.relived = now
