--- a/brassweir/agreed/machine.py
+++ b/brassweir/agreed/machine.py
@@ -19,6 +19,7 @@
 # tens of sites, and ten thousand pins of which one customer may have a tenth.
 MOST_PINS = 20_000
 MOST_PINS_OF_ONE = 2_000
+MOST_EPOCH = commands.MOST - 300  # bytes: each must fit into a command again, as its own renewal
 MOST_SITES = 256
 MOST_COPIES = 1_024
 
@@ -84,6 +85,9 @@
         if given.after != state.granted:
             return Result(False, state.granted, "after",
                           f"it was made from version {given.after}, and {state.granted} is there")
+        size = len(msgspec.msgpack.encode(epoch))
+        if size > MOST_EPOCH:
+            return Result(False, state.granted, "epoch", f"{size} bytes of ranges; {MOST_EPOCH} are the most")
         try:
             check(epoch)
             takes(Source.AGREED, epoch, state.epoch)
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -77,7 +77,7 @@
         self.voters: frozenset[str] = frozenset()  # as an operator wants them; empty: as they are
         self.voters_until = 0.0
         self.left: set[str] = set()  # taken out of the copies' file, and members still
-        self.said = ""
+        self.said = self.refused = ""
 
     def hear(self) -> None:
         """The machine has changed, or may have."""
@@ -212,14 +212,17 @@
         state, wall, own = self.machine.state, self.region.wall(), self.region.own
         step = self.renewing.step(time.monotonic() * 1000.0, Facts(
             leading, wall, own.trusted(wall), state.epoch, state.granted, self.lease, own.assumed,
-            self.wish is not None, self.lost()))
+            self.wish is not None, self.lost() if leading else frozenset()))
         if isinstance(step, GiveAway):
             self.note("lead_given_away", {"why": step.why})
             self.group.hand_over()
         elif isinstance(step, Renew):
             result = await self._propose(Publish(step.epoch, step.after))
-            if result is not None and not result.ok and result.field != "after":
-                self.note("renewal_refused", {"field": result.field, "error": result.why})
+            error = f"{result.field}: {result.why}" if result and result.field not in ("", "after") else ""
+            if error != self.refused:
+                self.refused = error  # complained of once
+                if error:
+                    self.note("renewal_refused", {"error": error})
 
     def lost(self) -> frozenset[str]:
         """Regions of which every member's site is agreed to be lost."""
--- a/tests/agreed/test_machine.py
+++ b/tests/agreed/test_machine.py
@@ -210,6 +210,9 @@
 def test_what_is_too_large_or_comes_twice() -> None:
     with pytest.raises(CommandError, match="6000 are the most"):
         encode(Publish(msgspec.structs.replace(FIRST, past=tuple(Grant("east", n, n + 1, 0.0, 1.0) for n in range(200))), 0))
+    crowded = msgspec.structs.replace(FIRST, past=tuple(Grant("east", n, n + 1, -2.0, -1.0) for n in range(103)))
+    encode(Publish(crowded, 0))
+    assert "5700 are the most" in do(Machine(), Publish(crowded, 0)).why, "its renewal might not fit"
     one = Machine()
     one.apply(5, encode(Leave("a")))
     before = one.snapshot()
