Merge: copies know each other, agree on grants in a log, and serve with both

Peers (liveness, sealed envelopes, one port), the agreed log (pure core, folder, member, what it holds) and their place in a serving process, off unless the settings have peers.

--- a/brassweir/cli/serving.py
+++ b/brassweir/cli/serving.py
@@ -13,7 +13,8 @@
 from brassweir.config.load import ConfigError
 from brassweir.journal.writer import Broken
 from brassweir.observe.logs import set_up
-from brassweir.service.process import check, serve
+from brassweir.service.checking import check
+from brassweir.service.serving import serve
 
 
 @click.command("serve")
@@ -33,7 +34,8 @@
         sys.exit(4)
     except OSError as error:
         forward = config.forward.listen if config.forward is not None else None
-        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics)))
+        peers = config.peers.listen or "the own address in peers.copies" if config.peers is not None else None
+        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics, peers)))
         raise click.ClickException(f"cannot listen on {places}: {error.strerror or error}") from None
 
 
