--- a/brassweir/peers/contact.py
+++ b/brassweir/peers/contact.py
@@ -14,12 +14,19 @@
 class Scope:
     """A set of copies that go silent together: all others, or those of other sites."""
 
-    def __init__(self, names: frozenset[str], now: float) -> None:
-        self.names = names
+    def __init__(self, now: float) -> None:
+        self.names: frozenset[str] = frozenset()
         self.heard = now  # when any of them was last heard (ms)
         self.failed: set[str] = set()  # whose probes failed since
         self.level = 0  # 1 perhaps cut off, 2 cut off
 
+    def listed(self, names: frozenset[str], now: float) -> None:
+        """Another list; a silence goes on, but not over those who were not there before."""
+        if not self.names:
+            self.heard = now
+        self.names = names
+        self.failed &= names
+
 
 class Contact:
     """When each copy was heard last, at first hand."""
@@ -27,6 +34,7 @@
     def __init__(self, fleet: Fleet, now: float, tuning: Tuning) -> None:
         self.tuning = tuning
         self.last: dict[str, float] = {}
+        self.all, self.outside = Scope(now), Scope(now)
         self.listed(fleet, now)
 
     def listed(self, fleet: Fleet, now: float) -> None:
@@ -34,8 +42,8 @@
         self.fleet = fleet
         names = frozenset(copy.name for copy in fleet.others)
         self.last = {name: self.last.get(name, float("-inf")) for name in names}
-        self.all = Scope(names, now)
-        self.outside = Scope(frozenset(name for name in names if fleet.outside(name)), now)
+        self.all.listed(names, now)
+        self.outside.listed(frozenset(name for name in names if fleet.outside(name)), now)
 
     def hear(self, name: str, now: float) -> None:
         """A message from it came."""
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -163,6 +163,7 @@
         self.sharing.listed(fleet)
         self.showing.listed(fleet)
         if change.added:
+            self.prober.join(sorted(change.added))
             self.sharing.ask()
         self.due = now
 
--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -115,7 +115,7 @@
         self.fleet, self.wire.keys = fleet, ring
         self.wire.keep(fleet.by_name)
         self.addresses.listed(fleet)
-        if self.core is not None:
+        if self.core is not None and self.transport is not None:
             self.resolving = asyncio.ensure_future(self.addresses.resolve(self.loop))
             self._step([Listed(fleet)])
 
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from brassweir.peers.copies import Fleet
@@ -70,6 +70,11 @@
             self.rng.shuffle(self.ring)
         return None
 
+    def join(self, names: Iterable[str]) -> None:
+        """New ones: somewhere in the round that runs."""
+        for name in names:
+            self.ring.insert(self.rng.randint(0, len(self.ring)), name)
+
     def begin(self, name: str, now: float) -> None:
         """Probe it, unless a probe of it is out; the first ping is due at once."""
         if any(one.name == name for one in self.open):
