--- a/brassweir/peers/pace.py
+++ b/brassweir/peers/pace.py
@@ -17,7 +17,8 @@
         self.mean = self.deviation = self.missing = 0.0
 
     def took(self, ms: float) -> None:
-        """An answer came, however late."""
+        """An answer came, however late; it counts as twice what was expected at most."""
+        ms = min(ms, 2 * self.answer)
         self.deviation += SPREAD * (abs(ms - self.mean) - self.deviation)
         self.mean += SMOOTH * (ms - self.mean)
 
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -53,6 +53,7 @@
         self.pings: dict[int, Ping] = {}
         self.number = 0
         self.score = 0
+        self.late: dict[str, float] = {}  # who answered after its probe had failed: counts again from then on
 
     def forget(self) -> None:
         """What is out counts for nothing."""
@@ -131,10 +132,14 @@
         ping = self.pings.get(number)
         if ping is None:
             return None
+        probe = ping.probe
         if ping.direct and not ping.answered:
-            self.pace.took(now - ping.sent)
+            over = not probe.answered and probe not in self.open
+            if not over or now >= self.late.get(sender, 0.0):  # one that stood still answers all at once
+                self.pace.took(now - ping.sent)
+            if over:
+                self.late[sender] = now + self.tuning.remember
         ping.answered = True
-        probe = ping.probe
         probe.signs.add(sender)
         if probe.answered or probe not in self.open:
             return None
