--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import random
+from collections import deque
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
@@ -33,14 +34,12 @@
 
 @dataclass(slots=True)
 class Ping:
-    """One numbered message of a probe; ``first`` for the loss of the way."""
+    """One numbered message of a probe."""
 
     probe: Probe
     sent: float
     direct: bool
-    first: bool
     answered: bool = False
-    counted: bool = False
 
 
 class Prober:
@@ -51,6 +50,7 @@
         self.ring: list[str] = []
         self.open: list[Probe] = []
         self.pings: dict[int, Ping] = {}
+        self.firsts: deque[Ping] = deque()  # the first one of each probe: they tell how many get lost
         self.number = 0
         self.score = 0
         self.late: dict[str, float] = {}  # who answered after its probe had failed: counts again from then on
@@ -59,6 +59,7 @@
         """What is out counts for nothing."""
         self.open.clear()
         self.pings.clear()
+        self.firsts.clear()
 
     def target(self, fleet: Fleet, dead: Collection[str]) -> str | None:
         """The next one to probe; None where all others are dead."""
@@ -84,7 +85,9 @@
 
     def _ping(self, probe: Probe, now: float, direct: bool) -> int:
         self.number += 1
-        self.pings[self.number] = Ping(probe, now, direct, probe.rounds == 0)
+        ping = self.pings[self.number] = Ping(probe, now, direct)
+        if not probe.rounds:
+            self.firsts.append(ping)
         return self.number
 
     def due(self) -> float:
@@ -155,11 +158,13 @@
 
     def clean(self, now: float) -> None:
         """Forget old pings; those to the living tell of loss on the way."""
-        for number, ping in list(self.pings.items()):
-            if ping.sent > now - 2 * self.pace.answer:
-                break
-            if ping.first and ping.probe.answered and not ping.counted:
-                ping.counted = True
+        settled, gone = now - 2 * self.pace.answer, now - self.tuning.remember
+        while self.firsts and self.firsts[0].sent <= settled:
+            ping = self.firsts.popleft()
+            if ping.probe.answered:
                 self.pace.lost(not ping.answered)
-            if ping.sent < now - self.tuning.remember:
-                del self.pings[number]
+        while self.pings:
+            number = next(iter(self.pings))
+            if self.pings[number].sent >= gone:
+                break
+            del self.pings[number]
