--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -6,7 +6,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections import deque
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from brassweir.peers.copies import Fleet
@@ -33,14 +34,12 @@
 
 @dataclass(slots=True)
 class Ping:
-    """One numbered message of a probe; ``first`` for the loss of the way."""
+    """One numbered message of a probe."""
 
     probe: Probe
     sent: float
     direct: bool
-    first: bool
     answered: bool = False
-    counted: bool = False
 
 
 class Prober:
@@ -51,13 +50,16 @@
         self.ring: list[str] = []
         self.open: list[Probe] = []
         self.pings: dict[int, Ping] = {}
+        self.firsts: deque[Ping] = deque()  # the first one of each probe: they tell how many get lost
         self.number = 0
         self.score = 0
+        self.late: dict[str, float] = {}  # who answered after its probe had failed: counts again from then on
 
     def forget(self) -> None:
         """What is out counts for nothing."""
         self.open.clear()
         self.pings.clear()
+        self.firsts.clear()
 
     def target(self, fleet: Fleet, dead: Collection[str]) -> str | None:
         """The next one to probe; None where all others are dead."""
@@ -70,6 +72,11 @@
             self.rng.shuffle(self.ring)
         return None
 
+    def join(self, names: Iterable[str]) -> None:
+        """New ones: somewhere in the round that runs."""
+        for name in names:
+            self.ring.insert(self.rng.randint(0, len(self.ring)), name)
+
     def begin(self, name: str, now: float) -> None:
         """Probe it, unless a probe of it is out; the first ping is due at once."""
         if any(one.name == name for one in self.open):
@@ -78,7 +85,9 @@
 
     def _ping(self, probe: Probe, now: float, direct: bool) -> int:
         self.number += 1
-        self.pings[self.number] = Ping(probe, now, direct, probe.rounds == 0)
+        ping = self.pings[self.number] = Ping(probe, now, direct)
+        if not probe.rounds:
+            self.firsts.append(ping)
         return self.number
 
     def due(self) -> float:
@@ -126,10 +135,14 @@
         ping = self.pings.get(number)
         if ping is None:
             return None
+        probe = ping.probe
         if ping.direct and not ping.answered:
-            self.pace.took(now - ping.sent)
+            over = not probe.answered and probe not in self.open
+            if not over or now >= self.late.get(sender, 0.0):  # one that stood still answers all at once
+                self.pace.took(now - ping.sent)
+            if over:
+                self.late[sender] = now + self.tuning.remember
         ping.answered = True
-        probe = ping.probe
         probe.signs.add(sender)
         if probe.answered or probe not in self.open:
             return None
@@ -145,11 +158,13 @@
 
     def clean(self, now: float) -> None:
         """Forget old pings; those to the living tell of loss on the way."""
-        for number, ping in list(self.pings.items()):
-            if ping.sent > now - 2 * self.pace.answer:
-                break
-            if ping.first and ping.probe.answered and not ping.counted:
-                ping.counted = True
+        settled, gone = now - 2 * self.pace.answer, now - self.tuning.remember
+        while self.firsts and self.firsts[0].sent <= settled:
+            ping = self.firsts.popleft()
+            if ping.probe.answered:
                 self.pace.lost(not ping.answered)
-            if ping.sent < now - self.tuning.remember:
-                del self.pings[number]
+        while self.pings:
+            number = next(iter(self.pings))
+            if self.pings[number].sent >= gone:
+                break
+            del self.pings[number]
