--- a/brassweir/agreed/elections.py
+++ b/brassweir/agreed/elections.py
@@ -25,7 +25,7 @@
                 self.follow(self.term, "")
                 self.rest()
         elif self.now >= self.elect_at:
-            if self.votes and self.may_vote():
+            if self.votes and self.may_vote() and not self.waiting:  # a disk that is behind: not now
                 self.ask(pre=True)
             else:
                 self.rest()
