--- /dev/null
+++ b/brassweir/lab/models/logmodel.py
@@ -0,0 +1,249 @@
+"""An exhaustive small model of the agreed log: every order of deliveries, writes, crashes and candidacies of the real
+core with three members, within bounds. States are hashed and counted.
+
+Time does not pass: whoever is asked for a vote counts as not having heard a leader, and anyone may become a candidate
+at any moment, so nothing that holds here rests on a clock, a pre-vote or what others remember. Messages are
+lost by never being delivered, and come in any order; one that is sent again while it is under way is one.
+"""
+
+from __future__ import annotations
+
+import copy
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from typing import Any
+
+import msgspec
+
+from brassweir.agreed.core import Core
+from brassweir.agreed.facts import Fact, Post, Propose, Received, Step, Write, Written
+from brassweir.agreed.messages import MEMBERS, AskVote, Entry, Envelope, Membership
+from brassweir.agreed.records import Ballot, Identity, Kept
+from brassweir.agreed.state import ELECTED, LEADER
+from brassweir.lab.models.logjudge import Broken
+from brassweir.lab.models.toys import Pile
+
+NAMES = ("a", "b", "c")
+
+
+class Fixed:
+    """Draws nothing: waits play no part here."""
+
+    def random(self) -> float:
+        """Half."""
+        return 0.5
+
+    def getrandbits(self, bits: int) -> int:
+        """One."""
+        return 1
+
+
+@dataclass
+class Bounds:
+    """How much may happen in one history."""
+
+    terms: int = 3
+    proposals: int = 1
+    crashes: int = 1
+    in_flight: int = 4
+    states: int = 200_000
+
+
+@dataclass
+class Place:
+    """One member and its disk."""
+
+    core: Core
+    kept: Kept
+    writes: list[Write] = field(default_factory=list)
+
+
+@dataclass
+class Scene:
+    """All there is at one moment, and what was seen on the way."""
+
+    places: dict[str, Place]
+    net: frozenset[tuple[str, str, Envelope]] = frozenset()
+    leads: tuple[tuple[int, str], ...] = ()
+    agreed: tuple[tuple[Entry, int], ...] = ()  # what a disk says is agreed, and in which term it came there
+    proposals: int = 0
+    crashes: int = 0
+    steps: tuple[str, ...] = ()
+
+
+def clone(thing: Any) -> Any:
+    """A copy that shares only what never changes."""
+    if isinstance(thing, list):
+        return [clone(item) for item in thing]
+    if isinstance(thing, dict):
+        return {key: clone(item) for key, item in thing.items()}
+    if isinstance(thing, set):
+        return set(thing)
+    if isinstance(thing, msgspec.Struct | Fixed) or not hasattr(thing, "__dict__"):
+        return thing
+    fresh = copy.copy(thing)
+    for key, item in vars(thing).items():
+        if not isinstance(item, int | float | str | bytes | tuple):
+            setattr(fresh, key, clone(item))
+    return fresh
+
+
+def founded(core: type[Core] = Core) -> Scene:
+    """A group of three that has just begun."""
+    membership = Membership(tuple((name, name * 2) for name in NAMES))
+    first = Entry(1, 1, MEMBERS, msgspec.msgpack.encode(membership))
+    places = {}
+    for name in NAMES:
+        kept = Kept(Identity(name * 2, "g", 1, 1), Ballot(1, ""), entries=[first], agreed=1)
+        places[name] = Place(start(core, name, kept), kept)
+    return Scene(places)
+
+
+def start(kind: type[Core], name: str, kept: Kept) -> Core:
+    """A run from a folder."""
+    core = kind(name, clone(kept), Pile(), Fixed(), 0.0)  # type: ignore[arg-type]
+    core.sure = True
+    core.elect_at = core.pull_at = core.beat_at = 1e18
+    core.step(0.0)
+    return core
+
+
+class Model:
+    """Walks all histories within bounds, breadth first."""
+
+    def __init__(self, bounds: Bounds, core: type[Core] = Core) -> None:
+        self.bounds, self.kind = bounds, core
+        self.seen: set[int] = set()
+        self.whole = False  # all states within the bounds were seen
+
+    def walk(self, first: Scene) -> int:
+        """The number of states from there. Raises Broken with the way there."""
+        queue = deque([first])
+        self.seen.add(self.print(first))
+        while queue:
+            scene = queue.popleft()
+            for after in self.following(scene):
+                mark = self.print(after)
+                if mark not in self.seen:
+                    self.seen.add(mark)
+                    queue.append(after)
+            if len(self.seen) >= self.bounds.states:
+                return len(self.seen)
+        self.whole = True
+        return len(self.seen)
+
+    def following(self, scene: Scene) -> Iterator[Scene]:
+        """All that may happen next."""
+        for message in scene.net:
+            yield self.act(scene, "deliver", message[1], message)
+        for name, place in scene.places.items():
+            if place.writes:
+                yield self.act(scene, "written", name)
+            if place.core.term < self.bounds.terms and place.core.role != LEADER:
+                yield self.act(scene, "campaign", name)
+            if place.core.role == LEADER:
+                if scene.proposals < self.bounds.proposals:
+                    yield self.act(scene, "propose", name)
+                yield self.act(scene, "beat", name)
+            if scene.crashes < self.bounds.crashes:
+                yield self.act(scene, "crash", name)
+
+    def act(self, scene: Scene, what: str, name: str, message: Any = None) -> Scene:
+        """The scene after it."""
+        old = scene.places[name]
+        place = Place(clone(old.core), old.kept, list(old.writes))
+        after = Scene({**scene.places, name: place}, scene.net, scene.leads, scene.agreed, scene.proposals,
+                      scene.crashes, (*scene.steps, f"{what} {name}"))
+        core = place.core
+        facts: list[Fact] = []
+        match what:
+            case "deliver":
+                after.net = scene.net - {message}
+                if isinstance(message[2].body, AskVote):
+                    core.heard = -1e18
+                facts = [Received(message[0], message[2])]
+                after.steps = (*scene.steps, f"{type(message[2].body).__name__} {message[0]}->{message[1]}")
+            case "written":
+                write = place.writes.pop(0)
+                place.kept = clone(place.kept)
+                place.kept.take(write.records)
+                facts = [Written(write.token)]
+                for index in range(old.kept.agreed + 1, place.kept.agreed + 1):
+                    self.took(after, place.kept.entries[index - 1], core.term)
+            case "campaign":
+                core.ask(pre=False)
+            case "propose":
+                after.proposals += 1
+                facts = [Propose(after.proposals, f"{name}{after.proposals}".encode(), 1e18)]
+            case "beat":
+                for p in core.progress.values():
+                    p.out, p.next = 0, p.match + 1
+                core.beat()
+            case "crash":
+                after.crashes += 1
+                identity = place.kept.identity
+                place.kept = clone(place.kept)
+                place.kept.identity = msgspec.structs.replace(identity, life=identity.life + 1)
+                place.core, place.writes = start(self.kind, name, place.kept), []
+                return after
+        return self.settle(after, name, place, core, facts)
+
+    def settle(self, after: Scene, name: str, place: Place, core: Core, facts: list[Fact]) -> Scene:
+        """Step, and see what it did."""
+        try:
+            steps: list[Step] = core.step(0.0, facts)
+        except AssertionError as error:
+            raise Broken(f"core: {error}; by {', '.join(after.steps)}") from None
+        core.elect_at = core.pull_at = core.beat_at = 1e18
+        core.round = 1
+        net = set(after.net)
+        for step in steps:
+            match step:
+                case Post() if len(net) < self.bounds.in_flight:
+                    net.add((name, step.to, step.envelope))
+                case Write():
+                    place.writes.append(step)
+        after.net = frozenset(net)
+        if core.role in (ELECTED, LEADER):
+            other = dict(after.leads).get(core.term, name)
+            if other != name:
+                raise Broken(f"one leader: {other} and {name} in {core.term}; by {', '.join(after.steps)}")
+            after.leads = tuple(sorted({*after.leads, (core.term, name)}))
+            for entry, term in after.agreed:
+                if term < core.term and (entry.index > core.log.last or core.log.get(entry.index) != entry):
+                    raise Broken(f"lost: {name} leads without {entry}; by {', '.join(after.steps)}")
+        return after
+
+    def took(self, after: Scene, entry: Entry, term: int) -> None:
+        """A disk says that this is agreed: so do all, or say nothing."""
+        for other, _ in after.agreed:
+            if other.index == entry.index:
+                if other != entry:
+                    raise Broken(f"one entry: {other}, {entry}; by {', '.join(after.steps)}")
+                return
+        after.agreed = (*after.agreed, (entry, term))
+
+    def follow(self, scene: Scene, script: str) -> Scene:
+        """Play moves by hand: ``campaign a``, ``written a``, or ``AskVote ab`` for a message on its way."""
+        for move in script.split("; "):
+            what, who = move.split()
+            if what[0].islower():
+                scene = self.act(scene, what, who)
+                continue
+            found = [m for m in scene.net if type(m[2].body).__name__ == what and m[0] + m[1] == who]
+            assert found, f"no {move} among {[(type(m[2].body).__name__, m[0], m[1]) for m in scene.net]}"
+            scene = self.act(scene, "deliver", who[1], max(found, key=lambda m: str(m[2].body)))
+        return scene
+
+    def print(self, scene: Scene) -> int:
+        """A hash of all that decides what may follow."""
+        marks: list[Any] = [scene.net, scene.proposals, scene.crashes, scene.leads, scene.agreed]
+        for place in scene.places.values():
+            c, k = place.core, place.kept
+            marks.append((c.identity.life, c.term, c.vote, c.role, c.leader, c.agreed, c.firm, c.durable, c.applied,
+                          tuple(c.log.entries), frozenset(c.granted),
+                          tuple((name, p.match, p.next, p.out) for name, p in c.progress.items()),
+                          tuple((w.last, w.agreed, tuple(w.posts)) for w in c.waiting),
+                          tuple(write.records for write in place.writes), tuple(k.entries), k.agreed, k.ballot))
+        return hash(tuple(marks))
