--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -17,7 +17,7 @@
 from brassweir.agreed.messages import Appended, AskChunk, Chunk, Feed, Full, Offer, Pull
 from brassweir.agreed.records import Snapshot
 from brassweir.agreed.replication import in_order
-from brassweir.agreed.state import FOLLOWER, LEADER, LEARNER
+from brassweir.agreed.state import ASKING, FOLLOWER, LEADER, LEARNER
 
 
 @dataclass
@@ -133,7 +133,7 @@
     def on_feed(self, sender: str, message: Feed) -> None:
         """Agreed entries, the next ones or such as are here."""
         fed = self.now - self.heard >= timing.FEED_OLD if self.votes else True
-        if not fed or self.role not in (LEARNER, FOLLOWER) or not in_order(message.first, message.entries):
+        if not fed or self.role not in (LEARNER, FOLLOWER, ASKING) or not in_order(message.first, message.entries):
             return
         if sender == self.feeder:
             self.word_at = max(self.word_at, self.now - message.age)
@@ -142,6 +142,8 @@
         if message.first > self.agreed + 1:
             self.pull_at = min(self.pull_at, self.now + timing.PULL_AGAIN)
             return
+        if self.role == ASKING and message.commit > self.agreed:  # it may ask for what it was removed from
+            self.follow(self.term, "")
         self.take(message.entries)
         self.agree(message.first + len(message.entries) - 1)
         if message.commit > self.agreed:
@@ -156,7 +158,7 @@
                 return
             self.hear_leader(message.term, sender)
             self.post_after(sender, Appended(self.term, True, self.agreed, message.round))
-        elif sender != self.feeder or self.role not in (LEARNER, FOLLOWER):
+        elif sender != self.feeder or self.role not in (LEARNER, FOLLOWER, ASKING):
             return
         else:
             self.since = self.now
