--- a/brassweir/agreed/contents.py
+++ b/brassweir/agreed/contents.py
@@ -80,3 +80,12 @@
 def digest(state: State) -> str:
     """What copies compare: equal at one index, or something is wrong."""
     return hashlib.sha256(_encoder.encode(state)).hexdigest()[:16]
+
+
+def lost_regions(state: State) -> frozenset[str]:
+    """Regions of which every member's site is agreed to be lost."""
+    sites: dict[str, set[str]] = {}
+    for one in state.copies.values():
+        sites.setdefault(one.region, set()).add(one.site)
+    lost = {name for name, one in state.sites.items() if one.standing == "lost"}
+    return frozenset(region for region, names in sites.items() if names <= lost)
--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -35,7 +35,7 @@
                               given.lease_ms, base / given.first_epoch if given.first_epoch else None, note)
         self.member.on_apply.append(lambda *_: self.deals.hear())
         self.member.on_restore.append(lambda _: self.deals.hear())
-        self.note = note
+        self.note, self.port = note, port
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -70,6 +70,11 @@
         if self.member.core is not None and self.member.core.role == LEADER:
             self.member._fact(Leave())
 
+    def alive(self) -> frozenset[str]:
+        """Copies that are thought to be there, this one among them."""
+        states = self.port.view().states
+        return frozenset(name for name, state in states.items() if state == "alive") | {self.member.name}
+
     def give_up(self) -> None:
         """Follow no further: this version cannot. The copy goes on delivering as one that is cut off."""
         self.ending = asyncio.ensure_future(self.member.stop())
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -11,6 +11,7 @@
 
 from brassweir.agreed import commands
 from brassweir.agreed.commands import Command, CommandError, Join, Leave, Publish, Result
+from brassweir.agreed.contents import lost_regions
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing
 from brassweir.agreed.wanted import proposal
@@ -53,6 +54,9 @@
     def hand_over(self) -> None:
         """Let another lead, if this one does."""
 
+    def alive(self) -> frozenset[str]:
+        """Copies that are thought to be there, this one among them."""
+
     def give_up(self) -> None:
         """Follow no further: this version cannot."""
 
@@ -151,14 +155,17 @@
         self.left -= self.left - self.machine.state.copies.keys()
 
     def _vote(self, leading: bool) -> None:
-        """One step towards the voters that an operator wants: who is to come first, then who is to go. What
-        was wanted counts until it is so, and not for ever: others may be wanted by then."""
+        """One step towards the voters that an operator wants: those that are gone go first, since each that
+        is added needs one more of the rest; then who is to come, then who else is to go. What was wanted
+        counts until it is so, and not for ever: others may be wanted by then."""
         there = set(self.group.status()["voters"])
         if not self.voters or self.voters == there or time.monotonic() > self.voters_until:
             self.voters = frozenset()
             return
-        steps = [(name, True) for name in sorted(self.voters - there)]
-        steps += [(name, False) for name in sorted(there - self.voters)]
+        off, alive = there - self.voters, self.group.alive()
+        steps = [(name, False) for name in sorted(off - alive)]
+        steps += [(name, True) for name in sorted(self.voters - there)]
+        steps += [(name, False) for name in sorted(off & alive)]
         idle = self.changing is None or self.changing.done()
         if leading and idle and time.monotonic() >= self.vote_after:
             self.changing = asyncio.create_task(self._change(*steps[0]))  # leases are renewed meanwhile
@@ -212,7 +219,7 @@
         state, wall, own = self.machine.state, self.region.wall(), self.region.own
         step = self.renewing.step(time.monotonic() * 1000.0, Facts(
             leading, wall, own.trusted(wall), state.epoch, state.granted, self.lease, own.assumed,
-            self.wish is not None, self.lost() if leading else frozenset()))
+            self.wish is not None, lost_regions(state) if leading else frozenset()))
         if isinstance(step, GiveAway):
             self.note("lead_given_away", {"why": step.why})
             self.group.hand_over()
@@ -224,15 +231,6 @@
                 if error:
                     self.note("renewal_refused", {"error": error})
 
-    def lost(self) -> frozenset[str]:
-        """Regions of which every member's site is agreed to be lost."""
-        sites: dict[str, set[str]] = {}
-        for one in self.machine.state.copies.values():
-            sites.setdefault(one.region, set()).add(one.site)
-        verdicts = self.machine.state.sites
-        return frozenset(region for region, names in sites.items() if all(
-            name in verdicts and verdicts[name].standing == "lost" for name in names))
-
     def state(self) -> dict[str, Any]:
         """What operators are shown."""
         state = self.machine.state
--- a/tests/agreed/test_machine.py
+++ b/tests/agreed/test_machine.py
@@ -25,7 +25,7 @@
     Result,
     encode,
 )
-from brassweir.agreed.contents import StateError
+from brassweir.agreed.contents import StateError, lost_regions
 from brassweir.agreed.machine import Beyond, Machine
 from brassweir.regions import planning
 from brassweir.regions.epochs import PLACES, Grant
@@ -90,7 +90,15 @@
     assert do(one, Judge("s1", "suspected", 7.0, "b1", 0)).version == 1 and one.state.sites["s1"].by == "a1"
     assert do(one, Judge("s1", "lost", math.nan, "b1", 1)).field == "command"
     assert do(one, Join("a1", "s1", "east", 1)).ok and do(one, Join("a1", "s2", "east", 1)).version == 6
-    assert do(one, Leave("a1")).version == 7 and do(one, Leave("a1")).version == 0
+    do(one, Join("b1", "s1", "east", 1))
+    assert lost_regions(one.state) == frozenset()
+    do(one, Judge("s1", "lost", 9.0, "a1", 1))
+    assert lost_regions(one.state) == frozenset(), "a1 stands at another site of it"
+    do(one, Leave("a1"))
+    assert lost_regions(one.state) == {"east"}
+    one = Machine()
+    do(one, Join("a1", "s1", "east", 1))
+    assert do(one, Leave("a1")).version == 2 and do(one, Leave("a1")).version == 0
 
 
 class Drop(Command, frozen=True, tag="drop"):
--- a/tests/service/group.py
+++ b/tests/service/group.py
@@ -73,6 +73,9 @@
         (self.log.voters.add if votes else self.log.voters.discard)(name)
         return Outcome("agreed")
 
+    def alive(self) -> frozenset[str]:
+        return frozenset(one.name for one in self.log.members if not one.cut)
+
     def give_up(self) -> None:
         self.cut = True
 
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -108,6 +108,12 @@
         copies[0].deals.want_voters(frozenset({"b", "c"}))
         await until(lambda: log.voters == {"b", "c"})
         assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], "who comes first, then who goes"
+        copies[2].member.cut = True
+        copies[0].deals.want_voters(frozenset({"a", "b"}))
+        await until(lambda: log.voters == {"a", "b"})
+        assert [one["copy"] for one in copies[0].said("voter_changed")][2:] == ["c", "a"], "who is gone goes first"
+        copies[2].member.cut = False
+        copies[2].member.follow()
         await until(lambda: not copies[0].deals.voters and not copies[1].deals.voters)
         copies[1].deals.left |= {"c", "gone"}
         await until(lambda: all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left)
