--- a/tests/service/test_regions.py
+++ b/tests/service/test_regions.py
@@ -140,6 +140,11 @@
     assert done.exit_code == 0 and json.loads(done.output)["share_owned_now"]["east"] == 0.0
     shown = json.loads(invoke(main, ["regions", "show", str(c), "--json"]).output)
     assert {one["region"] for one in shown["grants"]} == {"west"}
+    over = json.loads(invoke(main, ["regions", "renew", str(c), str(c), "--hand-over", "--json"]).output)
+    assert over["next_by"] == "agreed" and over["number"] == shown["number"] + 1
+    assert "the agreed log publishes" in invoke(main, ["regions", "renew", str(c), str(c)]).output
+    logged = tmp_path / "4.json"
+    assert json.loads(invoke(main, ["regions", "first", str(logged), "--region", "east", "u", "--for-log", "--json"]).output)["next_by"] == "agreed"
     c.write_text("{}")
     assert "no epoch" in invoke(main, ["regions", "show", str(c)]).output
 
