--- a/tests/peers/play.py
+++ b/tests/peers/play.py
@@ -85,8 +85,7 @@
         broken += world.unknown_dead(victim)
         world.restart(victim)
         world.run(SETTLED)
-        # loss may have one suspected at any moment; none may be dead
-        broken += [one for one in world.unsettled() if not bad or one.endswith("dead")]
+        broken += [one for one in world.unsettled() if not bad or one.endswith("dead")]  # loss makes suspicions
     return broken + world.false_deaths()
 
 
--- a/tests/peers/test_liveness.py
+++ b/tests/peers/test_liveness.py
@@ -10,14 +10,9 @@
 from tests.peers.play import LIFE, World, anything, deaths
 
 
-@pytest.mark.parametrize("seed", range(5))
-def test_deaths_are_known_and_no_living_one_is_dead(seed: int) -> None:
-    assert deaths(seed, 3 + seed, bad=False) == []
-
-
-@pytest.mark.parametrize("seed", range(6, 7))
-def test_the_same_with_a_fifth_lost_and_late(seed: int) -> None:
-    assert deaths(seed, seed - 2, bad=True) == []
+@pytest.mark.parametrize(("seed", "bad"), [*((seed, False) for seed in range(5)), (6, True)])
+def test_deaths_are_known_and_no_living_one_is_dead(seed: int, bad: bool) -> None:
+    assert deaths(seed, 3 + seed, bad) == []
 
 
 @pytest.mark.parametrize("seed", range(6))
