--- a/brassweir/agreed/changes.py
+++ b/brassweir/agreed/changes.py
@@ -10,7 +10,7 @@
 from brassweir.agreed.asking import Asking
 from brassweir.agreed.facts import Change, How
 from brassweir.agreed.messages import MEMBERS, Membership
-from brassweir.agreed.replication import Progress
+from brassweir.agreed.progress import Progress
 from brassweir.agreed.state import LEADER
 
 
--- a/brassweir/agreed/elections.py
+++ b/brassweir/agreed/elections.py
@@ -58,7 +58,8 @@
         """Ask those that have not granted it."""
         self.ask_at = self.now + timing.ASK_AGAIN
         pre, granted = self.role == ASKING, {name for name, _ in self.granted}
-        asked = AskVote(self.term + 1 if pre else self.term, self.log.last, self.log.last_term, pre, self.called)
+        term = self.term + 1 if pre else self.term
+        asked = AskVote(term, self.log.last, self.log.last_term, pre, self.called)
         for name in self.others():
             if name not in granted:
                 self.post_after(name, asked)
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -15,8 +15,8 @@
 from brassweir.agreed import timing
 from brassweir.agreed.identity import Identities
 from brassweir.agreed.messages import Appended, AskChunk, Chunk, Feed, Full, Offer, Pull
+from brassweir.agreed.progress import in_order
 from brassweir.agreed.records import Snapshot
-from brassweir.agreed.replication import in_order
 from brassweir.agreed.state import ASKING, FOLLOWER, LEADER, LEARNER
 
 
@@ -55,7 +55,7 @@
         """Ms since a leader was heard, directly or by feeders."""
         if self.role == LEADER:
             return 0.0
-        return self.now - max(self.heard, self.word_at)
+        return self.now - max(self.fitted, self.word_at)
 
     # The feeder's side
 
@@ -103,7 +103,7 @@
         """Pull, and look for another feeder if this one brings nothing or only old things."""
         if self.now < self.pull_at:
             return
-        if self.now - self.heard < (timing.FEED_OLD if self.votes else timing.ELECT):
+        if self.now - self.fitted < (timing.FEED_OLD if self.votes else timing.ELECT):
             self.pull_at = self.now + timing.PULL
             return
         old = self.now - max(self.since, self.word_at) > timing.FEED_OLD
@@ -132,8 +132,10 @@
 
     def on_feed(self, sender: str, message: Feed) -> None:
         """Agreed entries, the next ones or such as are here."""
-        fed = self.now - self.heard >= timing.FEED_OLD if self.votes else True
-        if not fed or self.role not in (LEARNER, FOLLOWER, ASKING) or not in_order(message.first, message.entries):
+        fed = self.now - self.fitted >= timing.FEED_OLD if self.votes else True
+        if not fed or self.role not in (LEARNER, FOLLOWER, ASKING):
+            return
+        if not in_order(message.first, message.entries):
             return
         if sender == self.feeder:
             self.word_at = max(self.word_at, self.now - message.age)
@@ -206,5 +208,8 @@
         if google_crc32c.value(data[:-4]).to_bytes(4, "little") != data[-4:]:
             self.count("snapshot damaged")
             return
-        self.install(msgspec.msgpack.decode(data[:-4], type=Snapshot))
+        try:
+            self.install(msgspec.msgpack.decode(data[:-4], type=Snapshot))
+        except msgspec.MsgspecError:
+            self.count("snapshot unreadable")
         self.pull_at = self.now
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -2,43 +2,23 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
 import google_crc32c
 import msgspec
 
 from brassweir.agreed import timing
 from brassweir.agreed.messages import COMMAND, Append, Appended, Entry, Offer
+from brassweir.agreed.progress import Progress, in_order
 from brassweir.agreed.records import Ack, Added
 from brassweir.agreed.state import ELECTED, FOLLOWER, LEADER, LEARNER, State
 
 
-@dataclass
-class Progress:
-    """What a leader knows of one copy that it replicates to."""
-
-    member: str  # "" until a learner has answered
-    next: int  # first entry not sent
-    match: int = 0  # last entry known to be durable there
-    round: int = 0  # latest round it answered
-    out: int = 0  # messages with entries, unanswered
-    sent: float = -1e18
-    heard: float = -1e18
-    agreed: int = -1  # what was last told to be agreed
-    until: float = 0.0  # a learner's: when its admission is given up
-
-
-def in_order(first: int, entries: tuple[Entry, ...]) -> bool:
-    """Are these the entries from ``first`` on?"""
-    return all(entry.index == first + i for i, entry in enumerate(entries))
-
-
 class Replication(State):
     """Entries go from the leader to voters and to learners that shall vote."""
 
     progress: dict[str, Progress]
     queued: dict[tuple[str, int], int]  # proposals in the log without effect yet
     sending: tuple[int, bytes] = (0, b"")  # a snapshot as it is sent
+    fitted = -1e18  # when a leader's entries, or its beat, last fitted behind what is here
     round: int = 0
     term_start: int = 0  # index of the first entry of this leader's term
 
@@ -223,6 +203,7 @@
                 hint -= 1
             self.post_after(sender, Appended(self.term, False, max(hint, self.agreed), message.round))
             return
+        self.fitted = self.now
         self.take(message.entries)
         match = message.prev + len(message.entries)
         self.agree(min(message.commit, match), message.acks)
--- a/brassweir/agreed/timing.py
+++ b/brassweir/agreed/timing.py
@@ -5,7 +5,7 @@
 BEAT = 250.0  # ms between beats of a leader: four chances to be heard within the shortest election time
 ELECT = 1_000.0  # ms of silence, at least, before a voter asks for votes; twice that at most (drawn)
 STALL = 1_000.0  # ms between two steps from which on a member takes itself for the one that was away
-ASK_AGAIN = 150.0  # ms before voters that did not answer are asked again: one election rides out lost messages
+ASK_AGAIN = 150.0  # ms before voters that did not answer are asked again: rides out lost messages
 RESEND = 400.0  # ms without an answer before entries go out again: above a round of 200 ms late messages
 RETRY = 500.0  # ms between two tries to bring a proposal to a leader
 HELLO = 300.0  # ms between two questions what the others remember
