--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -186,6 +186,7 @@
             self.log.begin_at(snap.index)
         else:
             self.log = Log(Base(snap.index, snap.term, snap.membership, snap.membership_at), [])
+            self.durable = min(self.durable, snap.index)  # what lay behind it here is gone
             for waiting in self.waiting:
                 waiting.last = min(waiting.last, snap.index)
         self.snap, self.restoring, self.whole = snap, snap, True
--- /dev/null
+++ b/tests/agreed/test_review_durable.py
@@ -0,0 +1,82 @@
+"""What is counted as durable is what lies on disk: also where a snapshot took the place of a longer log."""
+
+from __future__ import annotations
+
+from random import Random
+
+from brassweir.agreed.core import Core
+from brassweir.agreed.facts import Fact, Post, Received, Step, Write, Written
+from brassweir.agreed.messages import VERSION, Appended, Entry, Envelope, Membership, Vote
+from brassweir.agreed.records import Ballot, Base, Identity, Kept, Snapshot
+from brassweir.agreed.replica import Replica
+from brassweir.agreed.state import LEADER
+from brassweir.lab.models.toys import Pile
+
+THREE = Membership((("a", "ma"), ("b", "mb"), ("c", "mc")))
+
+
+def member(kept: Kept) -> Core:
+    return Core("a", kept, Pile(), Random(1), 0.0, ("a", "b", "c"))
+
+
+def kept(last: int, term: int, agreed: int) -> Kept:
+    entries = [Entry(i, term, 0) for i in range(1, last + 1)]
+    return Kept(Identity("ma", "g", 1, 7), Ballot(term, ""), Base(0, 0, THREE, 0), entries, agreed)
+
+
+def heard(sender: str, body: object) -> Received:
+    return Received(sender, Envelope(VERSION, "g", f"m{sender}", 1, 9, body))  # type: ignore[arg-type]
+
+
+class Turn:
+    """Steps a core; writes are durable when told."""
+
+    def __init__(self, core: Core) -> None:
+        self.core, self.now, self.token = core, 0.0, 0
+        self.posts: list[tuple[str, object]] = []
+
+    def __call__(self, *facts: Fact, span: float = 1.0) -> list[Step]:
+        self.now += span
+        steps = self.core.step(self.now, facts)
+        for step in steps:
+            if isinstance(step, Write):
+                self.token = step.token
+            if isinstance(step, Post):
+                self.posts.append((step.to, step.envelope.body))
+        return steps
+
+    def durable(self) -> list[Step]:
+        return self(Written(self.token))
+
+
+def elected(turn: Turn) -> None:
+    """Wait, ask, be granted; the last write, with the first entry of the term, becomes durable."""
+    while turn.core.role != "asking":
+        turn(span=200.0)
+    turn.durable()
+    term = turn.core.term + 1
+    turn(heard("b", Vote(term - 1, term, True, True)))
+    turn.durable()
+    turn(heard("b", Vote(term, term, True)))
+    turn.durable()
+    assert turn.core.role == LEADER
+
+
+def test_a_snapshot_over_a_longer_log_leaves_nothing_durable_behind_it() -> None:
+    core = member(kept(20, 1, 0))
+    turn = Turn(core)
+    snap = Snapshot(15, 2, THREE, 0, Replica(Pile()).snapshot())
+    core.install(snap)
+    turn()
+    turn.durable()
+    assert core.log.last == 15
+    elected(turn)
+    turn(heard("b", Appended(core.term, True, 16, 1)))
+    turn.durable()
+    assert core.agreed == 16
+    core.add_entry(0, b"")
+    turn()
+    turn(heard("b", Appended(core.term, True, 17, 2)))
+    assert core.agreed == 16, "it lies on one disk of three"
+    turn.durable()
+    assert core.agreed == 17
