A new voter that has not heard of its admission asks, and helps to elect

Need: four vote, one is gone for good; the entry that admits the fourth is on the leader's disk only when it and the fourth are started anew. The fourth votes only after asking what others remember, and asked only once its own log counted it: no leader ever again. Change: one that is asked for a vote asks the voters its log names, by the same rule. Measured: in the world, no leader after 20 s without it (kept as a mutant in the test), one with it.

--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -127,7 +127,7 @@
             times.append(self.beat_at)
         elif self.votes:  # a longer sleep would be taken for a stall
             times += [self.elect_at, self.now + timing.STALL / 2.0]
-        if not self.sure and self.votes:
+        if self.to_be_weighed():
             times.append(self.hello_at)
         if not self.identity.group and self.founders[:1] == (self.name,):
             times.append(self.found_at)
--- a/brassweir/agreed/elections.py
+++ b/brassweir/agreed/elections.py
@@ -13,6 +13,7 @@
 
     granted: set[tuple[str, str]]
     called = False  # this candidacy was asked for by the leader itself
+    wooed = False  # someone wanted a vote of this member that it may not give yet
 
     def may_vote(self) -> bool:
         """Nothing speaks against the folder: its votes and entries are all it ever gave."""
@@ -58,6 +59,7 @@
         heard = self.now - self.heard < timing.ELECT or self.role == LEADER
         if heard and not message.called:
             return
+        self.wooed = self.wooed or not self.sure
         if message.term < self.term or not self.may_vote():
             self.post_after(sender, Vote(self.term, message.term, False, message.pre))
             return
--- a/brassweir/agreed/identity.py
+++ b/brassweir/agreed/identity.py
@@ -42,7 +42,7 @@
             self.new_run(sender, envelope.member)
             voters = {member for _, member in self.log.membership.voters}
             idle = [member for member in self.memory if member not in voters]
-            for member in idle[: len(self.memory) - timing.MOST_REMEMBERED]:
+            for member in idle[: max(0, len(self.memory) - timing.MOST_REMEMBERED)]:
                 del self.memory[member]
         return known
 
@@ -55,9 +55,14 @@
             self.write(memory)
         self.post_after(sender, Remembered(envelope.nonce, agrees))
 
+    def to_be_weighed(self) -> bool:
+        """It does not vote until others were asked, and a vote of it is wanted: by its own log, or by one that
+        has an entry more, which makes this member a voter."""
+        return not self.sure and (self.votes or self.wooed and bool(self.log.membership.voters))
+
     def tend_hello(self) -> None:
         """Ask, until enough answered."""
-        if self.sure or not self.votes:
+        if not self.to_be_weighed():
             return
         if self.hello_until == 0.0:
             self.hello_until = self.now + timing.HELLO_WAIT
@@ -76,12 +81,12 @@
             self.give_up()
             return
         self.agreeing[sender] = member
-        if not self.sure and self.votes:
+        if self.to_be_weighed():
             self.weigh()
 
     def weigh(self) -> None:
         """All others agree; or a quorum does, and the rest had their time."""
-        agree = 1 + sum(self.voter(name, member) for name, member in self.agreeing.items())
+        agree = self.votes + sum(self.voter(name, member) for name, member in self.agreeing.items())
         voters = self.log.membership
         if agree == len(voters.voters) or agree >= voters.quorum and self.now >= self.hello_until:
             self.sure = True
--- /dev/null
+++ b/tests/agreed/test_review_memory.py
@@ -0,0 +1,50 @@
+"""Who may vote after a restart: nobody waits for ever, and nobody is forgotten too early."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from brassweir.agreed import timing
+from brassweir.agreed.core import Core
+from brassweir.agreed.facts import Received
+from brassweir.agreed.messages import VERSION, Envelope, Hello, Membership
+from brassweir.agreed.records import Base, Identity, Kept
+from brassweir.lab.models.logworld import World
+from brassweir.lab.models.toys import Pile
+
+
+class NotWooed(Core):
+    """Asks what others remember only where its own log says that it votes."""
+
+    def to_be_weighed(self) -> bool:
+        return not self.sure and self.votes
+
+
+@pytest.mark.parametrize("core", [Core, NotWooed])
+def test_a_voter_that_has_not_heard_that_it_is_one_helps_to_elect(core: type[Core]) -> None:
+    world = World(4, 3, 1, core=core)
+    world.run(6_000.0)
+    world.crash("v3", "lost", -1.0)  # for good: the three others are the quorum of four
+    world.crash("l1", "kept", 100.0)  # in its second run it votes only once it has asked
+    world.run(world.now + 6_000.0)
+    leader = str(world.leader())
+    world.change("l1", True)
+    one = world.nodes[leader].core
+    assert one is not None
+    while "l1" not in one.log.membership.names() or one.durable < one.log.membership_at:
+        world.run(world.now + 1.0)
+    world.crash("l1", "lost", 50.0)  # the entry that admits it is not on its disk
+    world.crash(leader, "kept", 60.0)
+    world.run(world.now + 20_000.0)
+    assert (world.leader() is not None) is (core is Core)
+
+
+def test_members_are_forgotten_only_beyond_the_bound() -> None:
+    voters = Membership((("a", "ma"), ("b", "mb")))
+    core = Core("a", Kept(Identity("ma", "g", 1, 7), base=Base(0, 0, voters, 0)), Pile(), Random(1), 0.0)
+    for i in range(timing.MOST_REMEMBERED + 5):
+        envelope = Envelope(VERSION, "g", f"m{i}", 1, 9, Hello(0, 0))
+        core.step(float(i), [Received("c", envelope)])
+        assert len(core.memory) == min(i + 1, timing.MOST_REMEMBERED)
