No later write stands for one that failed, whatever it failed by; what may come is unknown

Need: a write that ended by anything but OSError (memory short for a large image) was dropped silently; the next one's token then told the core that both were durable: votes and entries that lie nowhere. And a stop after a contradiction told proposals that had been sent as refused. Change: any failure of a write ends this run of the member; what is open at a stop ends unknown.

--- a/brassweir/agreed/disk.py
+++ b/brassweir/agreed/disk.py
@@ -60,9 +60,9 @@
                 writes, self.waiting = self.waiting, []
                 await loop.run_in_executor(self.pool, carry_out, self.store, writes)
                 self.done(Written(writes[-1].token))
-        except OSError as error:
+        except Exception as error:  # whatever it was: no later write may stand for this one
             self.waiting = []
-            self.done(WriteFailed(str(error)))
+            self.done(WriteFailed(str(error) or repr(error)))
         finally:
             self.task = None
 
--- a/brassweir/agreed/member.py
+++ b/brassweir/agreed/member.py
@@ -121,14 +121,14 @@
             until = self.now + HAND_OVER * 1_000.0
             while self.core is not None and self.core.role == LEADER and self.now < until:
                 await asyncio.sleep(0.02)
-        core, self.core, self.trouble = self.core, None, "stopped"
+        self.core, self.trouble = None, "stopped"
         if self._timer is not None:
             self._timer.cancel()
         await self.disk.close()
         self.disk.shut()
         for future in self._tickets.values():
             if not future.done():
-                future.set_result(Outcome(How.UNKNOWN if core else How.REFUSED, why="this copy stops"))
+                future.set_result(Outcome(How.UNKNOWN, why="this copy stops"))
 
     # What is asked
 
--- /dev/null
+++ b/tests/agreed/test_review_disk.py
@@ -0,0 +1,74 @@
+"""A write that did not happen is never taken for durable, whatever stopped it; and what may come is not refused."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from random import Random
+
+from brassweir.agreed.disk import Disk
+from brassweir.agreed.facts import Fact, How, Outcome, Write, WriteFailed
+from brassweir.agreed.member import Member
+from brassweir.agreed.records import Ballot
+from brassweir.journal.storage import Files
+from brassweir.lab.models.toys import Pile
+from tests.agreed.test_member import Net
+from tests.conftest import run
+
+
+class Short(Files):
+    """Memory is short for one write."""
+
+    short = False
+
+    def append(self, name: str, data: bytes) -> None:
+        if self.short:
+            self.short = False
+            raise MemoryError
+        super().append(name, data)
+
+
+def test_no_later_write_covers_one_that_ended_otherwise(tmp_path: Path) -> None:
+    async def go() -> list[Fact]:
+        facts: list[Fact] = []
+        storage = Short(tmp_path)
+        disk = Disk(lambda: storage, facts.append)
+        await disk.open(Random(1))
+        storage.short = True
+        for token in (1, 2):
+            disk.write(Write(token, (Ballot(token, ""),)))
+            while disk.task is not None:
+                await asyncio.sleep(0.001)
+        await disk.close()
+        disk.shut()
+        return facts
+
+    first = run(go())[0]
+    assert isinstance(first, WriteFailed), "the first write is lost, and a later one must not stand for it"
+
+
+def test_what_was_sent_before_a_contradiction_is_unknown_at_the_stop(tmp_path: Path) -> None:
+    async def go() -> Outcome:
+        one = Member("a", tmp_path / "a", Pile(), Net().port("a"), ("a",), ("a",))
+        await one.start()
+        for _ in range(400):
+            await asyncio.sleep(0.005)
+            if one.status().role == "leader":
+                break
+        asked = asyncio.create_task(one.propose(b"x", 5_000.0))
+        await asyncio.sleep(0)
+        core = one.core
+        assert core is not None
+        step = core.step
+
+        def contradicts(now: float, facts: list[Fact]) -> list[object]:
+            step(now, facts)
+            raise AssertionError("it cannot be")
+
+        core.step = contradicts  # type: ignore[assignment,method-assign]
+        while one.core is not None:
+            await asyncio.sleep(0.001)
+        await one.stop()
+        return await asked
+
+    assert run(go()).how is How.UNKNOWN
