A leader of the past adds nothing behind what is agreed

Need: a voter in term 2 that was fed agreed entries of term 3 by a learner took the term-2 leader's entries behind them without looking whether that leader's log holds what is agreed, and acknowledged them as matching: log matching did not hold on its disk. No lost told success was found by it (a quorum of term 2 meets the voters of term 3), so this is a broken invariant, not a shown loss. Change: an append that contradicts what is agreed here is dropped and counted.

--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -193,6 +193,9 @@
                 self.on_ask_vote(sender, member, message)
             case m.Vote():
                 self.on_vote(sender, member, message)
+            case m.Append() if message.term >= self.term and not self.log.fits(
+                    self.agreed, message.prev, message.prev_term, message.entries):
+                self.count("a leader of the past")  # agreed entries of a later term came here by a feeder
             case m.Append():
                 self.on_append(sender, message)
             case m.Appended():
--- a/brassweir/agreed/identity.py
+++ b/brassweir/agreed/identity.py
@@ -56,8 +56,7 @@
         self.post_after(sender, Remembered(envelope.nonce, agrees))
 
     def to_be_weighed(self) -> bool:
-        """It does not vote until others were asked, and a vote of it is wanted: by its own log, or by one that
-        has an entry more, which makes this member a voter."""
+        """Others must be asked, and a vote is wanted: by the log here, or by one that counts this member too."""
         return not self.sure and (self.votes or self.wooed and bool(self.log.membership.voters))
 
     def tend_hello(self) -> None:
--- a/brassweir/agreed/log.py
+++ b/brassweir/agreed/log.py
@@ -55,6 +55,11 @@
             return self.entries[index - self.base.index - 1].term
         return None
 
+    def fits(self, agreed: int, prev: int, prev_term: int, entries: tuple[Entry, ...]) -> bool:
+        """Do a leader's entries, and the one before them, say of what is agreed what stands here?"""
+        told = [(prev, prev_term), *((entry.index, entry.term) for entry in entries)]
+        return all(index > agreed or self.term(index) in (None, term) for index, term in told)
+
     def get(self, index: int) -> Entry:
         """One entry."""
         return self.entries[index - self.base.index - 1]
--- a/tests/agreed/test_review_durable.py
+++ b/tests/agreed/test_review_durable.py
@@ -6,7 +6,7 @@
 
 from brassweir.agreed.core import Core
 from brassweir.agreed.facts import Fact, Post, Received, Step, Write, Written
-from brassweir.agreed.messages import VERSION, Appended, Entry, Envelope, Membership, Vote
+from brassweir.agreed.messages import VERSION, Append, Appended, Entry, Envelope, Membership, Vote
 from brassweir.agreed.records import Ballot, Base, Identity, Kept, Snapshot
 from brassweir.agreed.replica import Replica
 from brassweir.agreed.state import LEADER
@@ -80,3 +80,22 @@
     assert core.agreed == 16, "it lies on one disk of three"
     turn.durable()
     assert core.agreed == 17
+
+
+def test_a_leader_of_the_past_adds_nothing_behind_what_is_agreed() -> None:
+    """This one was fed 12 to 14 of term 3, and has heard of no term behind 2; the leader of 2 leads on."""
+    given = kept(11, 1, 11)
+    given.entries += [Entry(i, 3, 0) for i in (12, 13, 14)]
+    given.agreed, given.ballot = 14, Ballot(2, "")
+    core = member(given)
+    turn = Turn(core)
+    theirs = tuple(Entry(i, 2, 0) for i in range(12, 17))
+    for first in (12, 14, 15):  # the entries here differ, or the one before does
+        entries = theirs[first - 12:]
+        turn(heard("b", Append(2, first - 1, 1 if first == 12 else 2, entries, 11, 1)))
+        turn.durable()
+        assert core.log.last == 14, "entries of term 2 behind those of term 3"
+    assert not [post for post in turn.posts if isinstance(post[1], Appended)]
+    turn(heard("b", Append(3, 14, 3, (Entry(15, 3, 0),), 14, 1)))
+    turn.durable()
+    assert core.log.last == 15 and isinstance(turn.posts[-1][1], Appended) and turn.posts[-1][1].match == 15
