A long log of an older term hides no entry that a restored folder forgot

Need: what a member had was remembered as (leader's term, index) and compared with (folder's term, last index). A folder copied after the vote in a term and before its first entry, with a longer stale log, passed as complete: it voted though it had forgotten acknowledged entries, so a told success could be lost after the leader's next crash. Change: remembered, and shown in Hello, is only what is of that term itself: the leader's entries from its first on.

--- a/brassweir/agreed/identity.py
+++ b/brassweir/agreed/identity.py
@@ -56,7 +56,7 @@
         self.post_after(sender, Remembered(envelope.nonce, agrees))
 
     def to_be_weighed(self) -> bool:
-        """Others must be asked, and a vote is wanted: by the log here, or by one that counts this member too."""
+        """Others must be asked, and a vote is wanted: by the log here, or by one that counts this member."""
         return not self.sure and (self.votes or self.wooed and bool(self.log.membership.voters))
 
     def tend_hello(self) -> None:
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -40,7 +40,6 @@
     queued: dict[tuple[str, int], int]  # proposals in the log without effect yet
     sending: tuple[int, bytes] = (0, b"")  # a snapshot as it is sent
     round: int = 0
-    term_start: int = 0  # index of the first entry of this leader's term
 
     def lead(self) -> None:
         """Begin to act as leader of this term."""
@@ -124,11 +123,11 @@
     def acks(self) -> tuple[Ack, ...]:
         """What each voter has durably of this leader's log."""
         mine = self.identity
-        found = [(mine.member, mine.life, mine.nonce, self.term, self.durable)] if self.votes else []
+        found = [self.ack_of(mine.member, mine.life, mine.nonce, self.durable)] if self.votes else []
         for name, member in self.log.membership.voters:
             p, memory = self.progress.get(name), self.memory.get(member)
             if p is not None and memory is not None and p.member == member and p.match:
-                found.append((member, memory.life, memory.nonce, self.term, p.match))
+                found.append(self.ack_of(member, memory.life, memory.nonce, p.match))
         return tuple(found)
 
     def new_run(self, name: str, member: str) -> None:
@@ -156,7 +155,7 @@
             p.match = max(p.match, min(message.match, self.log.last))
             memory = self.memory.get(member)
             if memory is not None:
-                self.remember((member, memory.life, memory.nonce, self.term, p.match))
+                self.remember(self.ack_of(member, memory.life, memory.nonce, p.match))
             p.next = max(p.next, p.match + 1)
         else:
             p.next, p.out = max(p.match, min(message.match, self.log.last)) + 1, 0
--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -31,6 +31,7 @@
     """All that a member knows; parts of the core add what they do with it."""
 
     snap_every, keep = timing.SNAP_EVERY, timing.KEEP
+    term_start: int = 0  # index of the first entry of this leader's term
 
     def __init__(self, name: str, kept: Kept, machine: Machine, rng: Random, now: float,
                  founders: tuple[str, ...] = ()) -> None:
@@ -48,7 +49,8 @@
         if kept.snapshot is not None:
             self.replica.restore(kept.snapshot.state)
             self.applied = kept.snapshot.index
-        self.kept_term, self.kept_last = self.term, self.log.last  # what the folder held at this start
+        self.kept_term = self.term  # what the folder held at this start: its term, and of that term's entries
+        self.kept_last = self.log.last if self.log.last_term == self.term else 0
         self.sure = kept.identity.life == 1  # nothing speaks against the folder
         self.role = LEARNER
         self.leader = ""
@@ -121,6 +123,10 @@
         if ack[0] != self.identity.member:
             learn(self.memory, ack)
 
+    def ack_of(self, member: str, life: int, nonce: int, index: int) -> Ack:
+        """What a member has of this leader's term; of older terms' entries a stale log may have as many."""
+        return member, life, nonce, self.term, index if index >= self.term_start else 0
+
     def flush(self) -> None:
         """Turn what was collected into one write; give out what waits for none."""
         if self.records or self.whole:
