A voter taken out to be readmitted is readmitted by the next leader too

Need: a lost folder's name is taken out and admitted again under its new id, in two entries; a leader that ended between them left the group one voter short for good, and the next loss would have stopped it. Change: the entry that takes out says for whom it is done again; whoever leads next goes on with it. One that an operator took out stays out.

--- a/brassweir/agreed/changes.py
+++ b/brassweir/agreed/changes.py
@@ -31,6 +31,14 @@
     strangers: dict[str, Stranger]
     readmitted: dict[str, float]  # names, and when they may be readmitted again
 
+    def lead(self) -> None:
+        """A voter that a leader before took out to readmit it is still to be readmitted."""
+        super().lead()
+        at = self.log.membership_at
+        name = self.log.get(at).session if at > self.log.base.index else ""
+        if name and name not in self.log.membership.names():
+            self.wanted.append(Change(0, name, True, self.now + timing.CATCH_UP))
+
     def on_change(self, fact: Change) -> None:
         """Take a change on."""
         if self.role != LEADER:
@@ -93,7 +101,8 @@
         if len(reached & set(after.names())) < after.quorum:
             return  # the group would stand still
         self.wanted.pop(0)
-        entry = self.add_entry(MEMBERS, msgspec.msgpack.encode(after))
+        again = change.name if not change.ticket and not change.votes else ""  # to be readmitted
+        entry = self.add_entry(MEMBERS, msgspec.msgpack.encode(after), again)
         self.changing[entry.index] = change.ticket
         self.strangers.pop(change.name, None)
         self.tend_progress()
