A state of a later version lets the log stand still, not the process or silently

Change: it stands still as on a contradiction, with the reason in its status. Measured: the test ended in the raised error without it, and shows both troubles with it.

--- a/brassweir/agreed/member.py
+++ b/brassweir/agreed/member.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
 import structlog
 
 from brassweir.agreed import timing
@@ -97,7 +98,11 @@
             return
         self.machine.restore(self.blank)
         rng = Random(os.urandom(16))
-        self.core = Core(self.name, store.kept, self.machine, rng, self.now, self.founders)
+        try:
+            self.core = Core(self.name, store.kept, self.machine, rng, self.now, self.founders)
+        except msgspec.MsgspecError as error:  # a later version's state
+            self._stand_still(error)
+            return
         self.trouble = ""
         self._fact(Copies(self.copies))
 
@@ -200,9 +205,8 @@
             return
         try:
             steps = core.step(self.now, facts)
-        except AssertionError as error:  # what must never be: this copy stands still rather than go on
-            self.core, self.trouble = None, f"contradiction: {error}"
-            self.log.error("agreed_log_contradiction", why=self.trouble)
+        except (AssertionError, msgspec.MsgspecError) as error:  # never, or of a later version
+            self._stand_still(error)
             return
         for step in steps:
             self._carry_out(step)
@@ -211,6 +215,10 @@
             self.log.error("agreed_log_folder", why=self.trouble, again_s=self._again)
             self._later()
 
+    def _stand_still(self, error: Exception) -> None:
+        self.core, self.trouble = None, f"contradiction: {error}"  # no part in it until a new start
+        self.log.error("agreed_log_contradiction", why=self.trouble)
+
     def _carry_out(self, step: Step) -> None:
         match step:
             case Post():
--- a/tests/agreed/test_review_disk.py
+++ b/tests/agreed/test_review_disk.py
@@ -6,8 +6,10 @@
 from pathlib import Path
 from random import Random
 
+import msgspec
+
 from brassweir.agreed.disk import Disk
-from brassweir.agreed.facts import Fact, How, Outcome, Write, WriteFailed
+from brassweir.agreed.facts import Copies, Fact, How, Outcome, Write, WriteFailed
 from brassweir.agreed.member import Member
 from brassweir.agreed.records import Ballot
 from brassweir.journal.storage import Files
@@ -72,3 +74,41 @@
         return await asked
 
     assert run(go()).how is How.UNKNOWN
+
+
+class Later(Pile):
+    """What it is to become is of a later version."""
+
+    def restore(self, data: bytes) -> None:
+        if data != b"\x90":
+            raise msgspec.ValidationError("of a later version")
+
+
+def test_a_version_that_cannot_read_the_state_stands_still_and_the_process_lives(tmp_path: Path) -> None:
+    async def go() -> tuple[str, str]:
+        net, folder = Net(), tmp_path / "a"
+        one = Member("a", folder, Pile(), net.port("a"), ("a",), ("a",))
+        await one.start()
+        while one.status().role != "leader":
+            await asyncio.sleep(0.005)
+        assert one.core is not None
+        assert (await one.propose(b"x", 5_000.0)).how is How.AGREED
+        one.core.snap_every = 1
+        assert (await one.propose(b"y", 5_000.0)).how is How.AGREED
+        snap = one.core.snap
+        await one.stop()
+        old = Member("a", folder, Later(), net.port("a"), ("a",), ("a",))
+        await old.start()
+        new = Member("b", tmp_path / "b", Later(), net.port("b"), ("a",), ("a", "b"))
+        await new.start()
+        assert new.core is not None and snap is not None
+        new.core.install(snap)
+        for _ in range(100):
+            new._fact(Copies(("a", "b")))
+            await asyncio.sleep(0.005)
+        found = old.status().trouble, new.status().trouble
+        await new.stop()
+        await old.stop()
+        return found
+
+    assert all("later version" in trouble for trouble in run(go()))
