A first epoch made over an hour ago is proposed on an operator's word only

Need: where all voters' machines are lost, with what their copies knew of ownership, new ones found a group and propose agreed.first_epoch as it stands in the settings: an epoch from before all moves. Another region's lease of the lost group still ran, and both took the same unsafe message. Change: at a start such an epoch is refused once it is over an hour old (wish_refused, with the reason); SIGHUP proposes it. Measured: without it 20 asked messages show some taken by both regions (kept as the unguarded case of the test), with it none.

--- a/brassweir/agreed/wanted.py
+++ b/brassweir/agreed/wanted.py
@@ -17,6 +17,15 @@
 from brassweir.regions.planning import Lost
 from brassweir.regions.sources import Source, publisher
 
+FIRST_FOR = 3_600_000.0  # ms: an older first epoch may have founded a group that is lost; moves came after it
+
+
+def recent(first: Epoch, now: float) -> None:
+    """Raise EpochError if a log's first epoch is too old to be proposed without an operator's word."""
+    if now - first.issued > FIRST_FOR:
+        raise EpochError("it was made over an hour ago: a group founded with it may have moved places since. "
+                         "If none of it is left, SIGHUP proposes it")
+
 
 def proposal(wish: Epoch, there: Epoch | None, now: float, lease: float,
              assumed: Assumed) -> tuple[Epoch, str] | None:
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -13,7 +13,7 @@
 from brassweir.agreed.commands import Command, CommandError, Join, Leave, Publish, Result
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing
-from brassweir.agreed.wanted import proposal
+from brassweir.agreed.wanted import proposal, recent
 from brassweir.config.model import CopyModel
 from brassweir.regions.epochs import Epoch, EpochError, follows, parse
 from brassweir.service.regionlog import RegionLog
@@ -187,6 +187,8 @@
             known = self.region.own.epoch
             if there is None and known is not None:
                 follows(wish, known)  # a log founded anew must not go back behind what copies know
+            if there is None and not self.asked:
+                recent(wish, wall)
             planned = proposal(wish, there, wall, self.lease, self.region.own.assumed)
         except EpochError as error:
             self._wish_over("wish_refused", wish, str(error))
--- /dev/null
+++ b/tests/service/test_review_founding.py
@@ -0,0 +1,47 @@
+"""A group founded anew with the first epoch of a lost one: not without an operator's word, since places may have moved."""
+
+from __future__ import annotations
+
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from brassweir.agreed import wanted
+from brassweir.regions import planning
+from brassweir.regions.epochs import PLACES
+from brassweir.service import agreeing
+from tests.conftest import run
+from tests.service.group import ASSUMED, Copy, Log, first, until
+
+
+@pytest.mark.parametrize("guarded", [True, False])
+def test_two_regions_hold_no_place_when_the_voters_machines_are_lost(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, guarded: bool) -> None:
+    monkeypatch.setattr(agreeing, "LOOK", 0.005)
+    if not guarded:
+        monkeypatch.setattr(wanted, "FIRST_FOR", float("inf"))
+
+    async def work() -> None:
+        now = time.time() * 1000.0
+        old = msgspec.structs.replace(planning.first({"east": "http://east", "west": "http://west"}, now - 7_200_000.0, 1_000.0), turn=1)
+        moved = planning.moved(old, 0, PLACES, "west", now - 7_190_000.0, 1_000.0, ASSUMED).epoch
+        (tmp_path / "first.json").write_bytes(msgspec.json.encode(old))
+        west = Copy("w", "west", Log(), tmp_path)  # of the lost group: its lease runs on for a while
+        west.region.applied(planning.renewed(moved, now, 60_000.0, ASSUMED))
+        log = Log(leader="a")
+        east = Copy("a", "east", log, tmp_path)  # its folder and what it knew were lost with its machine
+        await until(lambda: any(east.takes(f"m{n}") for n in range(9)) or bool(east.said("wish_refused")))
+        both = [name for name in (f"m{n}" for n in range(20)) if east.takes(name) and west.takes(name)]
+        assert bool(both) is not guarded
+        if guarded:
+            east.deals.read_wish(True)  # an operator has seen that nothing of it is left
+            await until(lambda: east.member.machine.state.epoch is not None)
+        for task in east.tasks + west.tasks:
+            task.cancel()
+
+    run(work())
+
+
+def test_a_fresh_first_epoch_needs_no_word() -> None:
+    wanted.recent(first(), time.time() * 1000.0)
