--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -129,7 +129,7 @@
             times += [self.elect_at, self.now + timing.STALL / 2.0]
             if self.role in (ASKING, CANDIDATE):
                 times.append(self.ask_at)
-        if not self.sure and self.votes:
+        if self.to_be_weighed():
             times.append(self.hello_at)
         if not self.identity.group and self.founders[:1] == (self.name,):
             times.append(self.found_at)
@@ -195,6 +195,9 @@
                 self.on_ask_vote(sender, member, message)
             case m.Vote():
                 self.on_vote(sender, member, message)
+            case m.Append() if message.term >= self.term and not self.log.fits(
+                    self.agreed, message.prev, message.prev_term, message.entries):
+                self.count("a leader of the past")  # agreed entries of a later term came here by a feeder
             case m.Append():
                 self.on_append(sender, message)
             case m.Appended():
--- a/brassweir/agreed/elections.py
+++ b/brassweir/agreed/elections.py
@@ -14,6 +14,7 @@
     granted: set[tuple[str, str]]
     called = False  # this candidacy was asked for by the leader itself
     ask_at = 0.0  # when those that did not answer are asked again
+    wooed = False  # someone wanted a vote of this member that it may not give yet
 
     def may_vote(self) -> bool:
         """Nothing speaks against the folder: its votes and entries are all it ever gave."""
@@ -69,6 +70,7 @@
         heard = self.now - self.heard < timing.ELECT or self.role == LEADER
         if heard and not message.called:
             return
+        self.wooed = self.wooed or not self.sure
         if message.term < self.term or not self.may_vote():
             self.post_after(sender, Vote(self.term, message.term, False, message.pre))
             return
