--- a/brassweir/lab/models/logmodel.py
+++ b/brassweir/lab/models/logmodel.py
@@ -2,8 +2,8 @@
 three real cores, within bounds. States are hashed and counted.
 
 Time does not pass: who is asked for a vote counts as not having heard a leader, and anyone may be a candidate
-at any moment: nothing here rests on a clock, a pre-vote or what others remember. Messages come in any order, or
-never; one that is sent again while it is under way is one.
+at any moment: nothing here rests on a clock, a pre-vote or what others remember. Messages come in any order,
+or never; one that is sent again while it is under way is one.
 """
 
 from __future__ import annotations
--- a/tests/agreed/test_member.py
+++ b/tests/agreed/test_member.py
@@ -10,6 +10,7 @@
 import pytest
 
 from brassweir.agreed import member as module
+from brassweir.agreed import timing
 from brassweir.agreed.facts import How
 from brassweir.agreed.member import Member
 from brassweir.journal.storage import Files
@@ -54,6 +55,12 @@
         super().append(name, data)
 
 
+@pytest.fixture(autouse=True)
+def _quick(monkeypatch: pytest.MonkeyPatch) -> None:
+    for what, ms in (("ELECT", 250.0), ("BEAT", 50.0), ("FOUND", 50.0), ("PULL_AGAIN", 50.0)):
+        monkeypatch.setattr(timing, what, ms)
+
+
 def group(net: Net, folder: Path, names: tuple[str, ...] = ("a", "b", "c", "d")) -> list[Member]:
     return [Member(name, folder / name, Pile(), net.port(name), ("a", "b", "c"), names) for name in names]
 
