--- a/brassweir/lab/models/logplan.py
+++ b/brassweir/lab/models/logplan.py
@@ -125,6 +125,7 @@
     world.run(max(plan.end, world.quiet))
     world.weather = Weather(snap=world.weather.snap)
     world.heal()
+    world.run(world.now + 300.0)  # who was told to stop stops
     wait(world, CALM, lambda: world.leader() is not None and all(
         node.core is not None and (node.core.sure or not node.core.votes) for node in world.nodes.values()))
     asked = [world.propose(name) for name in world.names]
