--- a/tests/agreed/test_review_memory.py
+++ b/tests/agreed/test_review_memory.py
@@ -24,7 +24,7 @@
 
 @pytest.mark.parametrize("core", [Core, NotWooed])
 def test_a_voter_that_has_not_heard_that_it_is_one_helps_to_elect(core: type[Core]) -> None:
-    world = World(4, 3, 1, core=core)
+    world = World(4, 3, 2, core=core)
     world.run(6_000.0)
     world.crash("v3", "lost", -1.0)  # for good: the three others are the quorum of four
     world.crash("l1", "kept", 100.0)  # in its second run it votes only once it has asked
@@ -35,6 +35,8 @@
     assert one is not None
     while "l1" not in one.log.membership.names() or one.durable < one.log.membership_at:
         world.run(world.now + 1.0)
+    new = world.nodes["l1"].core
+    assert new is not None and new.durable < one.log.membership_at
     world.crash("l1", "lost", 50.0)  # the entry that admits it is not on its disk
     world.crash(leader, "kept", 60.0)
     world.run(world.now + 20_000.0)
