--- a/brassweir/agreed/member.py
+++ b/brassweir/agreed/member.py
@@ -56,7 +56,7 @@
         self.name, self.machine, self.port, self.founders, self.copies = name, machine, port, founders, copies
         self.blank = machine.snapshot()
         make: Callable[[], Storage] = (lambda: Files(folder)) if isinstance(folder, Path) else folder
-        self.disk = Disk(make, self._fact)
+        self.disk = Disk(make, self.take)
         self.on_apply: list[Callable[[int, bytes, bytes], None]] = []  # (index, command, result), once each
         self.on_restore: list[Callable[[int], None]] = []  # the machine became a snapshot's state
         self.core: Core | None = None
@@ -104,7 +104,7 @@
             self._stand_still(error)
             return
         self.trouble = ""
-        self._fact(Copies(self.copies))
+        self.take(Copies(self.copies))
 
     def _later(self) -> None:
         async def again() -> None:
@@ -122,7 +122,7 @@
         if self._reopening is not None:
             self._reopening.cancel()
         if self.core is not None and self.core.role == LEADER and self.core.others():
-            self._fact(Leave())
+            self.take(Leave())
             until = self.now + HAND_OVER * 1_000.0
             while self.core is not None and self.core.role == LEADER and self.now < until:
                 await asyncio.sleep(0.02)
@@ -155,7 +155,7 @@
         self._ticket += 1
         ticket = self._ticket
         future = self._tickets[ticket] = asyncio.get_running_loop().create_future()
-        self._fact(fact(ticket, self.now + timeout_ms))
+        self.take(fact(ticket, self.now + timeout_ms))
         try:
             return await asyncio.wait_for(future, (timeout_ms + GRACE) / 1_000.0)
         except TimeoutError:
@@ -166,11 +166,11 @@
     def reload(self, copies: tuple[str, ...]) -> None:
         """Other copies are there now."""
         self.copies = copies
-        self._fact(Copies(copies))
+        self.take(Copies(copies))
 
     def late(self, ms: float) -> None:
         """This process' loop ran so late."""
-        self._fact(Late(ms))
+        self.take(Late(ms))
 
     def status(self) -> Status:
         """As it stands."""
@@ -179,17 +179,16 @@
             return Status(self.name, self.trouble, dropped=dict(self.dropped))
         return seen(core, self.trouble, self.dropped)
 
-    # Facts in, steps out: once a turn of the loop
-
     def _heard(self, sender: str, body: bytes) -> None:
         try:
             envelope = decode(body)
         except Unreadable:
             self.dropped["unreadable"] = self.dropped.get("unreadable", 0) + 1
             return
-        self._fact(Received(sender, envelope))
+        self.take(Received(sender, envelope))
 
-    def _fact(self, fact: Fact) -> None:
+    def take(self, fact: Fact) -> None:
+        """One fact, for the next turn of the loop."""
         if isinstance(fact, Written):
             self._again = AGAIN
         if self.core is not None:
@@ -245,6 +244,6 @@
     def _wake(self, due: float) -> None:
         late = self.now - due
         if late > timing.STALL:
-            self._fact(Late(late))
+            self.take(Late(late))
         if not self._turning:
             self._turn()
--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -68,7 +68,7 @@
     def hand_over(self) -> None:
         """Let another lead, if this one does."""
         if self.member.core is not None and self.member.core.role == LEADER:
-            self.member._fact(Leave())
+            self.member.take(Leave())
 
     def alive(self) -> frozenset[str]:
         """Copies that are thought to be there, this one among them."""
--- a/tests/agreed/test_review_disk.py
+++ b/tests/agreed/test_review_disk.py
@@ -104,7 +104,7 @@
         assert new.core is not None and snap is not None
         new.core.install(snap)
         for _ in range(100):
-            new._fact(Copies(("a", "b")))
+            new.take(Copies(("a", "b")))
             await asyncio.sleep(0.005)
         found = old.status().trouble, new.status().trouble
         await new.stop()
