--- a/brassweir/lab/models/logplan.py
+++ b/brassweir/lab/models/logplan.py
@@ -122,7 +122,8 @@
         world.run(event.at)
         if world.now >= world.quiet or event.what in ("propose", "read", "save", "lose", "restore"):
             happen(world, event)
-    world.run(max(plan.end, world.quiet))
+    world.run(plan.end + 800.0)  # a pinch ends within 700 ms, and makes it quiet
+    world.run(max(world.now, world.quiet))
     world.weather = Weather(snap=world.weather.snap)
     world.heal()
     wait(world, CALM, lambda: world.leader() is not None and all(
