--- a/tests/agreed/test_world.py
+++ b/tests/agreed/test_world.py
@@ -118,6 +118,33 @@
     assert core is not None and core.votes and core.identity.member != old and core.role == "follower"
 
 
+def test_a_restored_folder_is_recognised_and_gives_its_id_up() -> None:
+    world = settled()
+    name = next(name for name in world.names if name != world.leader())
+    world.save(name)
+    for _ in range(3):
+        world.propose(name)
+        world.run(world.now + 100.0)
+    old = world.nodes[name].core
+    world.restore(name)
+    world.run(world.now + 1_500.0)
+    core = world.nodes[name].core
+    assert core is not None and old is not None and core.identity.member != old.identity.member
+    assert core.dropped["identity given up"] == 1 and not core.votes
+    world.run(world.now + 10_000.0)
+    assert core.votes and len(world.nodes[name].machine.taken) == 3
+
+
+def test_a_restart_with_another_gone_for_good_waits_for_the_rest_only_so_long() -> None:
+    world = settled()
+    leader = str(world.leader())
+    other, third = [name for name in world.names if name != leader]
+    world.crash(other, "lost", -1.0)
+    world.crash(leader, "torn", 50.0)
+    world.run(world.now + 9_000.0)
+    assert world.leader() in (leader, third)
+
+
 def test_all_restarted_at_once_with_an_election_soon_after() -> None:
     world = settled(5)
     for name in world.names:
