--- /dev/null
+++ b/brassweir/lab/models/sitejudges.py
@@ -0,0 +1,148 @@
+"""What truly happened in the site world, judged from its tape: a figure each, or what was broken."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from brassweir.lab.models.sitetypes import STEP, Fault, Second, World
+from brassweir.sites.facts import Line, Word
+
+EPS = 1e-6
+SECOND = int(1000.0 / STEP)
+
+
+def by_second(tape: list[Second], figure: Callable[[Second], float | None]) -> list[tuple[float, float]]:
+    """When, and the mean of each second in which the figure was there throughout."""
+    found = []
+    for i in range(0, len(tape) - SECOND + 1, SECOND):
+        values = [figure(one) for one in tape[i:i + SECOND]]
+        known = [value for value in values if value is not None]
+        if len(known) == len(values):
+            found.append((tape[i].at, sum(known) / len(known)))
+    return found
+
+
+def peak_at_takers(tape: list[Second], faults: Iterable[Fault]) -> float:
+    """The most that a site which took spilled load carried in any second, of what it bears. A site that is
+    struck itself is looked at ten seconds on: until then load is on its way that was right before."""
+    struck = [one for one in faults if one.kind in ("lost", "endpoints", "half", "answers")]
+
+    def ratio(second: Second, site: str) -> float | None:
+        took = sum(rate for (_, taker), rate in second.spilled.items() if taker == site)
+        new = any(one.site == site and one.start <= second.at < one.start + 10_000.0 for one in struck)
+        if took <= EPS or new or second.bears[site] <= EPS:
+            return None
+        return second.offered.get(site, 0.0) / second.bears[site]
+
+    return max((value for site in tape[0].bears for _, value in
+                by_second(tape, lambda second, site=site: ratio(second, site))), default=0.0)
+
+
+def peak_returning(tape: list[Second], grace: float = 0.0) -> float:
+    """The most that a cold site was offered in any second, of what it bore then, over all copies. ``grace`` ms
+    after it went are let pass: what fell and rose within them was met by load that was on its way."""
+    worst, down_at = 0.0, dict[str, float]()
+    last: dict[str, float] = {}
+    for second in tape:
+        for site, warm in second.warm.items():
+            if warm == 0.0 and last.get(site, 1.0) > 0.0:
+                down_at[site] = second.at
+            last[site] = warm
+
+    for site in tape[0].warm:
+        def ratio(second: Second, site: str = site) -> float | None:
+            if not 0.0 < second.warm[site] < 1.0 or second.at - down_at.get(site, 0.0) < grace:
+                return None
+            return second.offered.get(site, 0.0) / second.bears[site]
+
+        worst = max([worst, *(value for _, value in by_second(tape, ratio))])
+    return worst
+
+
+def most_spilled(tape: list[Second], world: World) -> float:
+    """The most of a site's demand that went elsewhere in any second, of the stated share."""
+    def share(second: Second, home: str) -> float | None:
+        went = sum(rate for (one, _), rate in second.spilled.items() if one == home)
+        return went / (world.spill * second.demand[home]) if second.demand.get(home) else None
+
+    return max(value for home in world.capacity for _, value in
+               by_second(tape, lambda second, home=home: share(second, home)))  # type: ignore[misc]
+
+
+def refused_wrongly(tape: list[Second]) -> list[str]:
+    """Where a copy refused something before what stands lower, or starved one of equal standing."""
+    broken = []
+    for second in tape:
+        bounds = [*second.by_copy, len(second.refused)]
+        for begin, end in zip(bounds, bounds[1:], strict=False):
+            broken += _wrong(second.at, second.refused[begin:end])
+    return broken
+
+
+def _wrong(at: float, lines: list[tuple[Line, float]]) -> list[str]:
+    broken = []
+    for line, let_in in lines:
+        if line.pinned or let_in >= line.rate * (1.0 - EPS):
+            continue
+        for other, other_in in lines:
+            if other.home != line.home or other.pinned or other is line or other_in <= EPS:
+                continue
+            worse = other.worth / other.room < 0.98 * line.worth / line.room
+            equal = abs(other.worth / other.room - line.worth / line.room) < EPS
+            if worse and other_in > EPS:
+                broken.append(f"{at:.0f}: {line.class_name}/{line.customer} cut before {other.class_name}")
+            if equal and let_in <= EPS and other_in >= other.rate * (1.0 - EPS):
+                broken.append(f"{at:.0f}: {line.class_name}/{line.customer} starved beside {other.customer}")
+    return broken
+
+
+def false_losses(tape: list[Second], faults: Iterable[Fault], after: float = 30_000.0) -> list[str]:
+    """Sites taken for lost by some copy though nothing of their own had befallen them."""
+    own = ("lost", "endpoints", "half", "answers")
+    struck = [one for one in faults if one.kind in own]
+    broken = []
+    for second in tape:
+        for site, words in second.words.items():
+            near = any(one.site == site and one.start <= second.at < one.end + after for one in struck)
+            if words.get(Word.LOST) and not near:
+                broken.append(f"{second.at:.0f}: {site} by {words[Word.LOST]}")
+    return broken
+
+
+def verdict_after(tape: list[Second], fault: Fault, share: float = 0.95) -> float | None:
+    """Ms until so many of the live copies took a lost site for lost."""
+    for second in tape:
+        words = second.words.get(fault.site, {})
+        if second.at >= fault.start and words and words.get(Word.LOST, 0) >= share * sum(words.values()):
+            return second.at - fault.start
+    return None
+
+
+def whole_after(tape: list[Second], fault: Fault, share: float = 0.97) -> float | None:
+    """Ms from a site's true return until it had its whole load again, to the end of the tape."""
+    for second in reversed(tape):
+        load = second.offered.get(fault.site, 0.0)
+        if load < share * second.demand[fault.site] or second.at < fault.end:
+            return None if second is tape[-1] else second.at + STEP - fault.end
+    return None
+
+
+def called_while_down(tape: list[Second], site: str, after: float = 7000.0) -> float:
+    """The most calls a second at a site that has been down for so long, of its capacity."""
+    worst, since = 0.0, 0.0
+    for second in tape:
+        if second.warm[site] > 0.0:
+            since = second.at
+        elif second.at - since >= after:
+            worst = max(worst, second.offered.get(site, 0.0) / second.whole[site])
+    return worst
+
+
+def lost_in(tape: list[Second], site: str, start: float, end: float) -> float:
+    """Calls at a site that brought nothing."""
+    return sum(one.lost_calls.get(site, 0.0) for one in tape if start <= one.at < end)
+
+
+def worth(tape: list[Second]) -> float:
+    """What was delivered, of what was asked, by worth."""
+    return sum(one.worth for one in tape) / sum(one.asked for one in tape)
--- /dev/null
+++ b/brassweir/lab/models/sitelog.py
@@ -0,0 +1,61 @@
+"""A stand-in for the agreed log in the site world: words, silent sites and the plan, with a leader that
+can be lost."""
+
+from __future__ import annotations
+
+import bisect
+
+from brassweir.lab.models.sitetypes import World
+from brassweir.sites import plan as planning
+from brassweir.sites.agreeing import agree
+from brassweir.sites.facts import Agreed, Copy, Plan, Word
+
+ELECTION = 2000.0  # ms without a log after the leader's site is lost
+SILENT = 2000.0  # ms after which the log holds a site's copies for gone
+
+
+class SiteLog:
+    """One voter a site; all that most voters' sites reach is agreed at once, and told with the copy's
+    delay."""
+
+    def __init__(self, world: World, copies: tuple[Copy, ...]) -> None:
+        self.world, self.copies = world, copies
+        self.sites = list(world.capacity)
+        self.leader = self.sites[0]
+        self.reached, self.ready_at = True, 0.0
+        self.gone: dict[str, float] = {}
+        self.rooms: tuple[planning.Room, ...] = ()
+        self.plan: Plan | None = None
+        words = dict.fromkeys(self.sites, Word.WELL)
+        self.states: list[Agreed] = [Agreed(0, 0.0, words)]
+        self.times: list[float] = [-1e12]
+
+    def at(self, now: float) -> Agreed:
+        """The state as it stood then."""
+        return self.states[bisect.bisect_right(self.times, now) - 1]
+
+    def step(self, now: float, live: list[Copy], said: dict[str, dict[str, Word]], loads: dict[str, float],
+             off: bool) -> None:
+        """What copies that reach the log say now."""
+        there = {copy.site for copy in live}
+        if self.leader not in there:
+            self.ready_at = now + ELECTION
+            self.leader = next((site for site in self.sites if site in there), self.leader)
+        self.reached = not off and len(there) * 2 > len(self.sites) and now >= self.ready_at
+        for site in self.sites:
+            if site in there:
+                self.gone.pop(site, None)
+            else:
+                self.gone.setdefault(site, now)
+        if not self.reached:
+            return
+        last = self.states[-1]
+        words = {site: agree(last.words[site], site, said[site], self.copies) for site in self.sites}
+        silent = frozenset(site for site, at in self.gone.items() if now - at >= SILENT)
+        rooms = tuple(planning.Room(site, loads[site], self.world.capacity[site], spill=self.world.spill)
+                      for site in self.sites)
+        if not self.rooms or planning.moved(self.rooms, rooms):
+            self.rooms, self.plan = rooms, planning.plan(last.version + 1, rooms)
+        if words != last.words or silent != last.silent or self.plan is not last.plan:
+            self.states.append(Agreed(last.version + 1, now, words, silent, self.plan))
+            self.times.append(now)
