--- a/brassweir/lab/models/sitejudges.py
+++ b/brassweir/lab/models/sitejudges.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
+from functools import partial
 
 from brassweir.lab.models.sitetypes import STEP, Fault, Second, World
 from brassweir.sites.facts import Line, Word
@@ -34,12 +35,12 @@
             return None
         return second.offered.get(site, 0.0) / second.bears[site]
 
-    return max((value for site in tape[0].bears for _, value in
-                by_second(tape, lambda second, site=site: ratio(second, site))), default=0.0)
+    return max((value for site in tape[0].bears for _, value in by_second(tape, partial(ratio, site=site))),
+               default=0.0)
 
 
 def peak_returning(tape: list[Second], grace: float = 0.0) -> float:
-    """The most that a cold site was offered in any second, of what it bore then, over all copies. ``grace`` ms
+    """The most that a cold site was offered in any second, of what it bore then, by all copies. ``grace`` ms
     after it went are let pass: what fell and rose within them was met by load that was on its way."""
     worst, down_at = 0.0, dict[str, float]()
     last: dict[str, float] = {}
@@ -65,8 +66,7 @@
         went = sum(rate for (one, _), rate in second.spilled.items() if one == home)
         return went / (world.spill * second.demand[home]) if second.demand.get(home) else None
 
-    return max(value for home in world.capacity for _, value in
-               by_second(tape, lambda second, home=home: share(second, home)))  # type: ignore[misc]
+    return max(value for home in world.capacity for _, value in by_second(tape, partial(share, home=home)))
 
 
 def refused_wrongly(tape: list[Second]) -> list[str]:
--- a/brassweir/lab/models/siteworld.py
+++ b/brassweir/lab/models/siteworld.py
@@ -153,8 +153,9 @@
             found[copy] = tuple(
                 Line(name, customer, site, rate * part * share, worth, 1.0, window, pinned)
                 for site, rate in asked.items() for name, customer, share, worth, window, pinned in (
+                    ("news", "big", 0.5, 1.0, 60_000.0, False),
                     ("pay", "big", 0.4 - self.world.pinned, 3.0, 30_000.0, False),
-                    ("pay", "small", 0.1, 3.0, 30_000.0, False), ("news", "big", 0.5, 1.0, 60_000.0, False),
+                    ("pay", "small", 0.1, 3.0, 30_000.0, False),
                     ("kept", "small", self.world.pinned, 2.0, 3_000.0, True)))
         return found
 
--- a/brassweir/sites/parts.py
+++ b/brassweir/sites/parts.py
@@ -10,6 +10,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 LEASE = 3000.0  # ms on the own clock from the question to the log to the end of what its answer allows
@@ -28,19 +29,21 @@
     before_whole: float = 0.0
     changed_at: float = 0.0
 
-    def take(self, now: float, version: int, whole: float, weight: float) -> None:
-        """The log's state as it was just heard within its lease; ``weight``: this copy's of the agreed
-        part."""
+    def take(self, now: float, version: int, whole: float, weight: float, held: bool) -> None:
+        """The log's state as it was just heard. ``weight``: this copy's of the whole. ``held``: the lease of
+        what was heard before still lasts."""
         if self.version is not None and version <= self.version:
             return  # the log does not go back; an old answer that comes late changes nothing
-        if self.version is None:
-            # What others may still go by is not known: nothing until their leases are over.
-            self.before, self.before_whole, self.changed_at = 0.0, whole, now
-        elif (whole, weight) != (self.whole, self.weight):
-            current = self.now(now)
+        if self.version is None or not held:
+            # Others may have settled on what was never heard here: nothing until their leases are over.
+            self.before, self.before_whole, self.changed_at = 0.0, math.inf, now
+        elif (whole, weight) != (self.whole, self.weight) or version > self.version + 1:
             settled = now - self.changed_at >= LEASE * DRIFT
-            self.before_whole = self.whole if settled else max(self.whole, self.before_whole)
-            self.before, self.changed_at = current, now
+            # Nobody can have settled on a version between, but all may be using its growth.
+            known = self.whole if settled else max(self.whole, self.before_whole)
+            self.before = self.now(now)
+            self.before_whole = known if version == self.version + 1 else math.inf
+            self.changed_at = now
         self.version, self.whole, self.weight = version, whole, weight
 
     def now(self, now: float) -> float:
--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -110,8 +110,8 @@
         times = [one.gone_at for one in others]
         gone_all = [at for at in times if at is not None]
         together = len(gone_all) == len(others) >= 2 and max(gone_all) - min(gone_all) <= AT_ONCE
-        # Once cut off it stays so until a site or the log is heard: time alone proves nothing. An answer of the
-        # log to a question from before they went proves nothing either, though its lease still lasts.
+        # Once cut off it stays so until a site or the log is heard: time alone proves nothing. An answer
+        # of the log to a question from before they went proves nothing either, though its lease lasts.
         self.cut_off = together and asked < max(gone_all)
 
     def _own(self, now: float, site: str, facts: Facts, shares: Mapping[str, float | None], silent: bool,
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -18,7 +18,7 @@
 from brassweir.sites.evidence import WINDOW
 from brassweir.sites.facts import Agreed, Facts, Line, Plan, Setup, Word
 from brassweir.sites.parts import ALONE, LEASE, Part, alone
-from brassweir.sites.returning import Ramp
+from brassweir.sites.returning import SAFE, Ramp
 from brassweir.sites.verdict import CALM, Verdicts
 
 STEP = 0.02  # a smaller change of a rate is not worth telling: the decisions look at each entry anew
@@ -73,6 +73,7 @@
         self.ramps = {site: Ramp(rate / self.listed, setup.cold, setup.start_capacity)
                       for site, rate in self.capacity.items()}
         self.parts = {site: Part() for site in setup.sites}
+        self.shares = Part()  # of what is left of a site that lost endpoints
         self.home = {site: math.inf for site in setup.sites}
         self.spill: dict[tuple[str, str], float] = {}
         self.plan: Plan | None = None
@@ -119,15 +120,17 @@
         """Parts by the agreed log; an answer whose lease is over, or an older one, changes nothing."""
         if now - agreed.as_of >= LEASE or (self.agreed is not None and agreed.version < self.agreed.version):
             return
+        held = self.agreed is not None and now - self.agreed.as_of < LEASE
         self.agreed = agreed
         if agreed.plan is not None:
             self.plan = agreed.plan
         there = sum(copy.site not in agreed.silent for copy in self.setup.copies)
         weight = 0.0 if self.setup.own.site in agreed.silent or not there else 1.0 / there
-        flows = self._flows({site: word for site, word in agreed.words.items()}, {})
+        self.shares.take(now, agreed.version, 1.0 - ALONE, weight, held)
+        flows = self._flows(agreed.words, {})
         for site, part in self.parts.items():
             whole = sum(rate for (_, taker), rate in flows.items() if taker == site)
-            part.take(now, agreed.version, whole, weight)
+            part.take(now, agreed.version, (1.0 - ALONE) * whole, weight, held)
 
     def _flows(self, words: Mapping[str, Word], left: Mapping[str, float]) -> Mapping[tuple[str, str], float]:
         """The plan's case for these words."""
@@ -149,8 +152,12 @@
         ramp.step(now, one.word, evidence.last_pass[site], bad / (passes + bad) if bad else 0.0, told_well,
                   verdicts.distrust(now, site), verdicts.cut_off)
         allowed = ramp.allowed(one.word, verdicts.reached, evidence.failing(site), passes * 1000.0 / WINDOW)
-        if one.word in (Word.WELL, Word.SUSPECTED) and evidence.left(site) < 1.0:
-            allowed = min(allowed, planning.FILL * evidence.left(site) * ramp.part)
+        left = evidence.left(site)
+        if one.word in (Word.WELL, Word.SUSPECTED) and 0.0 < left < 1.0:
+            # What stands of it is shared as a taker's headroom is. If all is dead: see the ramp.
+            share = alone(1.0, self.listed) + (self.shares.now(now) if verdicts.reached else 0.0)
+            share = max(planning.FILL * left * share, SAFE * ramp.start / self.listed)
+            allowed = min(allowed, share * self.capacity[site])
         self.home[site] = allowed
 
     def _spill(self, now: float, demand: Mapping[str, float]) -> None:
@@ -165,7 +172,7 @@
         for taker in self.setup.sites:
             if self.word(taker) is not Word.WELL or verdicts.evidence.left(taker) < 1.0:
                 continue  # what goes there stops at once; it is not pushed on to others
-            for flows, mine in ((own, None), (ruled, self.parts[taker].now(now) * (1.0 - ALONE))):
+            for flows, mine in ((own, None), (ruled, self.parts[taker].now(now))):
                 whole = sum(rate for (_, to), rate in flows.items() if to == taker)
                 for (home, to), rate in flows.items():
                     if to == taker:
