--- a/brassweir/lab/models/sitejudges.py
+++ b/brassweir/lab/models/sitejudges.py
@@ -54,7 +54,7 @@
         def ratio(second: Second, site: str = site) -> float | None:
             if not 0.0 < second.warm[site] < 1.0 or second.at - down_at.get(site, 0.0) < grace:
                 return None
-            return second.offered.get(site, 0.0) / second.bears[site]
+            return second.offered.get(site, 0.0) / (second.whole[site] * second.warm[site])
 
         worst = max([worst, *(value for _, value in by_second(tape, ratio))])
     return worst
--- a/brassweir/lab/models/siteworld.py
+++ b/brassweir/lab/models/siteworld.py
@@ -42,7 +42,8 @@
         self.at_site = {site: [one for one in self.endpoints if one.zone == site] for site in world.capacity}
         self.views = {copy: self._fresh(copy) for copy in self.copies}
         self.heard: dict[Copy, Agreed] = {}
-        self.said: dict[Copy, dict[str, tuple[Word, float, float]]] = {copy: {} for copy in self.copies}
+        self.said: dict[Copy, dict[str, tuple[Word | None, float, float]]] = {
+            copy: {} for copy in self.copies}
         self.endings: dict[Copy, list[Ending]] = {copy: [] for copy in self.copies}
         self.weight = {copy: 1.0 + world.uneven * (2 * self.rng.random() - 1) for copy in self.copies}
         self.rank = {copy: self.rng.random() for copy in self.copies}  # who is struck by a share of copies
@@ -160,18 +161,19 @@
         return found
 
     def _words_said(self, live: list[Copy], cut: set[Copy]) -> dict[str, dict[str, Word]]:
-        return {site: {copy.name: self.said[copy][site][0] for copy in live
-                       if copy not in cut and site in self.said[copy]} for site in self.world.capacity}
+        return {site: {copy.name: word for copy in live
+                       if copy not in cut and (word := self.said[copy].get(site, (None,))[0]) is not None}
+                for site in self.world.capacity}
 
     def _act(self, now: float, copy: Copy, facts: Facts, second: Second) -> dict[str, float]:
         """One copy steps, and offers what it may. Returns its calls by site."""
         one = self.views[copy]
         limits = {(step.line.class_name, step.line.customer, step.line.home): step.rate
                   for step in one.step(now, facts) if isinstance(step, viewing.Admit)}
-        said, verdicts = {}, one.verdicts
+        said, verdicts = dict[str, tuple[Word | None, float, float]](), one.verdicts
         for site in self.world.capacity:
-            if (word := verdicts.says(site)) is not None:
-                said[site] = (word, *verdicts.evidence.counts(site))
+            if sum(counted := verdicts.evidence.counts(site)) > 0.0:
+                said[site] = (verdicts.says(site), *counted)
             counts = second.words.setdefault(site, {})
             counts[one.word(site)] = counts.get(one.word(site), 0) + 1
         self.said[copy] = said
--- a/brassweir/sites/evidence.py
+++ b/brassweir/sites/evidence.py
@@ -53,6 +53,10 @@
             sums[0], sums[1] = max(0.0, sums[0] + passes), max(0.0, sums[1] + bad)
         return both[0]
 
+    def site_of(self, endpoint: str) -> str:
+        """Where an endpoint stands; empty for one that is not listed."""
+        return self.listed[endpoint].zone if endpoint in self.listed else ""
+
     def counts(self, site: str) -> tuple[float, float]:
         """Passes and bad endings of the window."""
         passes, bad = self.by_site[site]
--- a/brassweir/sites/facts.py
+++ b/brassweir/sites/facts.py
@@ -55,7 +55,7 @@
 
     copy: str
     about: str
-    word: Word
+    word: Word | None  # None: too few calls to say anything, but the counts are there
     age: float
     passes: float = 0.0
     failures: float = 0.0
--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -45,6 +45,7 @@
     calm_since: float | None = None
     distrust: float = 0.0
     distrust_at: float = 0.0
+    trials: float = 0.0  # own passes since it was lost or last failed: few calls go there
     failed: bool = False  # it failed as a whole while suspected: cold if it is well again
     gone_at: float | None = None  # when calls began to fail, or its copies fell silent
 
@@ -58,7 +59,7 @@
         self.sites = {site: Standing() for site in setup.sites}
         self.site_of = {copy.name: copy.site for copy in setup.copies}
         self.copies_at = {site: sum(copy.site == site for copy in setup.copies) for site in setup.sites}
-        self.cut_off = False
+        self.cut_off, self.doubt_until = False, -math.inf
         self.reached = False  # the agreed log answered a question asked within a lease
 
     def distrust(self, now: float, site: str) -> float:
@@ -102,23 +103,31 @@
 
     def _look_at_self(self, now: float, shares: Mapping[str, float | None],
                       silent: Mapping[str, bool], asked: float) -> None:
-        """All other sites gone at once, and the agreed log with them: it is this copy that is cut off."""
-        others = [self.sites[site] for site in self.sites if site != self.setup.own.site]
+        """All other sites that were there gone at once, and the agreed log with them: it is this copy that
+        is cut off. Two sites in all cannot tell which of them went, so the log is to say it."""
+        others = [one for site, one in self.sites.items()
+                  if site != self.setup.own.site and one.own not in (Word.LOST, Word.RETURNING)]
         for site, one in self.sites.items():
             gone = self.evidence.failing(site) or (shares[site] is None and silent[site])
             one.gone_at = (one.gone_at if one.gone_at is not None else now) if gone else None
         times = [one.gone_at for one in others]
         gone_all = [at for at in times if at is not None]
-        together = len(gone_all) == len(others) >= 2 and max(gone_all) - min(gone_all) <= AT_ONCE
+        together = len(gone_all) == len(others) > 0 and max(gone_all) - min(gone_all) <= AT_ONCE
         # Once cut off it stays so until a site or the log is heard: time alone proves nothing. An answer
         # of the log to a question from before they went proves nothing either, though its lease lasts.
-        self.cut_off = together and asked < max(gone_all)
+        if together and asked < max(gone_all):
+            self.doubt_until = now + WINDOW  # what failed while it was cut off is still counted so long
+        self.cut_off = now < self.doubt_until
 
     def _own(self, now: float, site: str, facts: Facts, shares: Mapping[str, float | None], silent: bool,
              full: bool) -> None:
         """Move the word that rests on own endings."""
         one, share = self.sites[site], shares[site]
         bad = share or 0.0
+        for ending in facts.endings if one.own is Word.LOST else ():
+            if self.evidence.site_of(ending.endpoint) == site:
+                failed = ending.failures + ending.timeouts > ending.passes
+                one.trials = 0.0 if failed else one.trials + ending.passes
         doubtful = facts.late or self.cut_off or self._general(site, bad, shares)
         failing = self.evidence.failing(site) and not doubtful
         one.bad_since = (one.bad_since if one.bad_since is not None else now) if failing else None
@@ -133,7 +142,7 @@
                 self._to(now, one, Word.RETURNING if one.failed else Word.WELL)
         elif one.own is Word.LOST and now - one.since >= self.wait(now, site):
             passes, fails = self._pooled(site, facts)
-            if passes >= TRIALS and fails < LOSING * (passes + fails):
+            if one.trials + passes >= TRIALS and fails < LOSING * (passes + fails):
                 self._to(now, one, Word.RETURNING)
         elif one.own is Word.RETURNING:
             if bad >= RELAPSE and share is not None and now - one.since > WINDOW / 2 and not doubtful:
@@ -157,8 +166,8 @@
         return span / (1.0 + self.distrust(now, site) / 2.0)
 
     def _pooled(self, site: str, facts: Facts) -> tuple[float, float]:
-        """Own trials and those of witnesses: a copy of many tries too rarely to know alone."""
-        passes, fails = self.evidence.counts(site)
+        """The window's trials of witnesses, and own failures: of many copies each tries rarely."""
+        passes, fails = 0.0, self.evidence.counts(site)[1]
         for one in facts.witnesses:
             if one.about == site and one.age <= FRESH and one.copy in self.site_of:
                 passes, fails = passes + one.passes, fails + one.failures
@@ -170,11 +179,12 @@
         self._to(now, one, Word.LOST)
 
     def _to(self, now: float, one: Standing, word: Word) -> None:
-        one.own, one.since, one.bad_since, one.calm_since, one.failed = word, now, None, None, False
+        one.own, one.since, one.bad_since, one.calm_since = word, now, None, None
+        one.trials, one.failed = 0.0, False
 
     def says(self, site: str) -> Word | None:
         """The word for others: own endings alone; None where they say nothing."""
-        passes, bad = self.evidence.counts(site)
-        if self.cut_off or passes + bad < (TRIALS if self.sites[site].own is Word.LOST else LEAST):
-            return None
-        return self.sites[site].own
+        (passes, bad), own = self.evidence.counts(site), self.sites[site].own
+        few = passes + bad < LEAST if own in (Word.WELL, Word.SUSPECTED) else passes + bad <= 0.0
+        # Lost by others' word while own calls pass: that is no word of its own.
+        return None if self.cut_off or few or (own is Word.LOST and passes > bad) else own
