--- a/brassweir/lab/models/sitejudges.py
+++ b/brassweir/lab/models/sitejudges.py
@@ -13,9 +13,9 @@
 
 
 def by_second(tape: list[Second], figure: Callable[[Second], float | None]) -> list[tuple[float, float]]:
-    """When, and the mean of each second in which the figure was there throughout."""
+    """When, and the mean of any second in which the figure was there throughout; seconds slide."""
     found = []
-    for i in range(0, len(tape) - SECOND + 1, SECOND):
+    for i in range(len(tape) - SECOND + 1):
         values = [figure(one) for one in tape[i:i + SECOND]]
         known = [value for value in values if value is not None]
         if len(known) == len(values):
--- a/brassweir/sites/returning.py
+++ b/brassweir/sites/returning.py
@@ -77,7 +77,8 @@
         if word is Word.RETURNING or (not self.warm and (self.down or not reached)):
             return self.share() * self.part
         if failing or not reached:
-            return max(SAFE * self.start * self.part, GROW * passes)
+            tried = TRIAL * self.start * self.part  # so little where nothing passes, verdict or not
+            return max(tried if failing and passes < tried else SAFE * self.start * self.part, GROW * passes)
         return math.inf
 
     def left(self) -> float:
--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -142,7 +142,8 @@
                 self._to(now, one, Word.RETURNING if one.failed else Word.WELL)
         elif one.own is Word.LOST and now - one.since >= self.wait(now, site):
             passes, fails = self._pooled(site, facts)
-            if one.trials + passes >= TRIALS and fails < LOSING * (passes + fails):
+            passes += one.trials
+            if passes >= TRIALS and fails < LOSING * (passes + fails):
                 self._to(now, one, Word.RETURNING)
         elif one.own is Word.RETURNING:
             if bad >= RELAPSE and share is not None and now - one.since > WINDOW / 2 and not doubtful:
--- /dev/null
+++ b/tests/sites/test_world.py
@@ -0,0 +1,154 @@
+"""Whole days of a fleet in the site world: limits by the second over all copies; each guard broken is seen."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from random import Random
+
+import pytest
+
+from brassweir.lab.models import sitejudges as judges
+from brassweir.lab.models.sitetypes import Fault, Second, World
+from brassweir.lab.models.siteworld import SiteWorld
+from brassweir.sites import plan as planning
+from brassweir.sites import refusing, returning, verdict
+from brassweir.sites.facts import Setup
+from brassweir.sites.verdict import Verdicts
+from brassweir.sites.view import View
+
+THREE = {"a": 1000.0, "b": 1000.0, "c": 1000.0}
+EVERYDAY = World(THREE, {"a": 0.6, "b": 0.7, "c": 0.6}, copies=2)
+PEAK = World(THREE, {"a": 0.9, "b": 0.9, "c": 0.9}, copies=2)
+LOST = Fault("lost", 5_000.0, 15_000.0, "a")
+MANY = World(THREE, {"a": 0.6, "b": 0.7, "c": 0.6}, copies=34, endpoints=2)
+DOUBT = 3_500.0  # ms until a site that fails is called less: what rises again within them met what was on its way
+
+DAYS: dict[str, tuple[World, tuple[Fault, ...], float]] = {
+    "lost": (EVERYDAY, (LOST,), 35), "lost at the peak": (PEAK, (LOST,), 40), "one copy a site": (World(THREE, EVERYDAY.load, copies=1), (LOST,), 35),
+    "a hundred copies": (MANY, (LOST,), 25), "endpoints only": (EVERYDAY, (Fault("endpoints", 5e3, 15e3, "a"),), 35),
+    "half of the next 5 s later": (EVERYDAY, (Fault("lost", 5e3, 25e3, "a"), Fault("half", 10e3, 40e3, "b")), 45),
+    "the same at the peak": (PEAK, (Fault("lost", 5e3, 25e3, "a"), Fault("half", 10e3, 40e3, "b")), 45),
+    "two lost": (EVERYDAY, (Fault("lost", 5e3, 25e3, "a"), Fault("lost", 10e3, 20e3, "b")), 45),
+    "relapse": (EVERYDAY, (Fault("lost", 5e3, 12e3, "a"), Fault("lost", 17e3, 26e3, "a")), 50),
+    "cut off some": (EVERYDAY, (Fault("cut", 3e3, 25e3, "b", 0.6), LOST), 40), "cut off": (EVERYDAY, (Fault("cut", 5e3, 20e3, "b", 1.0),), 30),
+    "late verdicts": (EVERYDAY, (Fault("late", 0.0, 60e3, "", 0.5), LOST), 35), "log away": (EVERYDAY, (Fault("log", 2e3, 60e3), LOST), 35),
+    "restarts in the return": (EVERYDAY, (LOST, Fault("restart", 17e3, 18e3, "", 0.5)), 35),
+    "restarts, log away": (EVERYDAY, (Fault("log", 2e3, 60e3), LOST, Fault("restart", 17e3, 18e3, "", 1.0)), 35),
+    "answers lost": (EVERYDAY, (Fault("answers", 5e3, 15e3, "a", 0.8),), 30), "copies only": (EVERYDAY, (Fault("copies", 5e3, 15e3, "a"),), 25),
+    "very slow": (EVERYDAY, (Fault("slow", 5e3, 15e3, "", 0.1),), 30),
+    "slow": (EVERYDAY, (Fault("slow", 5e3, 15e3, "", 0.3),), 30), "burst": (PEAK, (Fault("burst", 5e3, 15e3, "", 1.0),), 30),
+}
+
+
+def broken(world: World, faults: tuple[Fault, ...], tape: list[Second]) -> list[str]:
+    """What the judges complain of."""
+    found = []
+    if (figure := judges.peak_at_takers(tape, faults)) > 1.0:
+        found.append(f"taker at {figure:.2f} of its capacity")
+    if (figure := judges.peak_returning(tape, DOUBT)) > 1.0:
+        found.append(f"cold site at {figure:.2f} of what it bears")
+    if (figure := judges.most_spilled(tape, world)) > 1.001:
+        found.append(f"spilled {figure:.2f} of the stated share")
+    if wrong := judges.refused_wrongly(tape):
+        found.append(f"refused in a wrong order: {wrong[0]}")
+    if false := judges.false_losses(tape, faults):
+        found.append(f"false loss: {false[0]}")
+    found += [f"called while down: {site}" for site in world.capacity if judges.called_while_down(tape, site) > 0.05]
+    return found
+
+
+@pytest.mark.parametrize("name", DAYS)
+def test_limits_hold(name: str) -> None:
+    world, faults, seconds = DAYS[name]
+    assert broken(world, faults, SiteWorld(world, faults, 1).run(seconds)) == []
+
+
+def test_verdict_return_and_worth() -> None:
+    world, faults, seconds = DAYS["lost"]
+    tape = SiteWorld(world, faults, 1).run(seconds)
+    verdict_after, whole_after = judges.verdict_after(tape, LOST), judges.whole_after(tape, LOST)
+    assert verdict_after is not None and verdict_after <= 3_000.0 and whole_after is not None and whole_after <= 15_000.0
+    again = SiteWorld(world, faults, 1).run(seconds)
+    assert [one.offered for one in again] == [one.offered for one in tape], "the same seed, the same day"
+
+
+def test_silence_of_copies_moves_no_load() -> None:
+    world, faults, seconds = DAYS["copies only"]
+    assert judges.worth(SiteWorld(world, faults, 1).run(seconds)) > 0.999
+
+
+FLAPS = tuple(Fault("endpoints", 5e3 + 14e3 * k, 11e3 + 14e3 * k, "a") for k in range(6))
+
+
+def wasted(tape: list[Second]) -> float:
+    """Calls that brought nothing in the last two flaps, of those of the first two."""
+    return judges.lost_in(tape, "a", 60e3, 88e3) / judges.lost_in(tape, "a", 4e3, 32e3)
+
+
+def test_a_site_that_keeps_failing_costs_less_each_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    assert wasted(SiteWorld(EVERYDAY, FLAPS, 1).run(88)) < 0.5
+    monkeypatch.setattr(Verdicts, "distrust", lambda *_: 0.0)
+    assert wasted(SiteWorld(EVERYDAY, FLAPS, 1).run(88)) > 0.5, "distrust that does not grow is seen"
+
+
+def by_copy(monkeypatch: pytest.MonkeyPatch) -> Callable[[Setup, Random], View]:
+    def make(setup: Setup, rng: Random) -> View:
+        view = View(setup, rng)
+        for site, ramp in view.ramps.items():
+            ramp.part = view.capacity[site]
+        return view
+    return make
+
+
+def no_doubt_of_itself(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Verdicts, "_look_at_self", lambda *_: None)
+
+
+def slow_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(Verdicts, "_general", lambda *_: False)
+
+
+def takers_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    demands = planning.demands
+    monkeypatch.setattr(planning, "demands", lambda *args: (demands(*args)[0], dict.fromkeys(demands(*args)[1], 1e9)))
+
+
+def no_step_back(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(verdict, "RELAPSE", math.inf)
+
+
+def by_arrival(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(refusing, "standings", lambda lines: [[line] for line in lines])
+
+
+def no_margin(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(returning, "SAFE", 2.0)
+
+
+def no_stated_share(monkeypatch: pytest.MonkeyPatch) -> Callable[[Setup, Random], View]:
+    demands = planning.demands
+    monkeypatch.setattr(planning, "demands", lambda rooms, left: (
+        {one.site: one.load for one in rooms if one.site in left}, demands(rooms, left)[1]))
+
+    def make(setup: Setup, rng: Random) -> View:
+        object.__setattr__(setup, "spill", 1.0)
+        return View(setup, rng)
+    return make
+
+
+SMALL_SHARE = World(THREE, {"a": 0.5, "b": 0.3, "c": 0.3}, copies=2, spill=0.3)
+
+
+@pytest.mark.parametrize("guard, day, seen", [
+    (by_copy, DAYS["lost"], "cold site"), (no_doubt_of_itself, DAYS["cut off"], "false loss"), (slow_is_lost, DAYS["very slow"], "false loss"),
+    (takers_without_end, DAYS["lost at the peak"], "taker"), (no_step_back, DAYS["relapse"], "called while down"),
+    (by_arrival, DAYS["lost at the peak"], "wrong order"), (no_margin, DAYS["lost at the peak"], "cold site"),
+    (no_stated_share, (SMALL_SHARE, (LOST,), 30), "spilled")])
+def test_a_guard_that_is_broken_is_seen(monkeypatch: pytest.MonkeyPatch, guard: Callable[[pytest.MonkeyPatch], object],
+                                        day: tuple[World, tuple[Fault, ...], float], seen: str) -> None:
+    world, faults, seconds = day
+    assert broken(world, faults, SiteWorld(world, faults, 1).run(seconds)) == []
+    make = guard(monkeypatch)
+    tape = SiteWorld(world, faults, 1, make if make is not None else View).run(seconds)  # type: ignore[arg-type]
+    assert any(seen in one for one in broken(world, faults, tape))
