--- a/brassweir/lab/models/siteworld.py
+++ b/brassweir/lab/models/siteworld.py
@@ -95,7 +95,8 @@
         for copy in live:
             if copy not in cut and self.log.reached:
                 late = 2500.0 if self.struck(now, "late", copy) else 250.0
-                self.heard[copy] = replace(self.log.at(now - late), as_of=now - late)
+                self.heard[copy] = replace(self.log.at(now - late), as_of=now - late,
+                                           led_since=self.log.led_since)
             witnesses = tuple(
                 Witness(other.name, about, word, STEP, passes, fails)
                 for other in (self.rng.sample(talk, min(GOSSIP, len(talk))) if copy not in cut else ())
--- a/brassweir/sites/facts.py
+++ b/brassweir/sites/facts.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -98,6 +99,7 @@
     words: Mapping[str, Word]
     silent: frozenset[str] = frozenset()
     plan: Plan | None = None
+    led_since: float = math.inf  # on the own clock: since when the log has had a leader without a break
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/sites/returning.py
+++ b/brassweir/sites/returning.py
@@ -34,13 +34,15 @@
     cold: float
     start: float
     warm: bool = False  # shown by own calls, or told by the agreed log
-    down: bool = False  # next to nothing passed: cold when it is back, though no copy gave a verdict
+    down_at: float | None = None  # next to nothing passed since: cold when it is back, verdict or not
+    excused: bool = False  # it may have been this copy that was cut off
     passed: float = 0.0  # ms of the ramp that passes have proven
     stretch: float = 1.0
     at: float | None = None
 
     def step(self, now: float, word: Word, last_pass: float, bad: float, told_well: bool,
-             distrust: float, cut_off: bool = False) -> None:
+             distrust: float, cut_off: bool = False,
+             led_since: float = math.inf) -> None:
         """``bad``: share of bad endings of the window; ``told_well``: the agreed log says well, within a
         lease."""
         span = 0.0 if self.at is None else now - self.at
@@ -55,8 +57,14 @@
         elif word in (Word.WELL, Word.SUSPECTED) and last_pass > now - WINDOW:
             self.passed = min(self.passed + span, self.cold * self.stretch)
             self.warm = self.warm or self.full
-        self.down = (self.down or bad >= DOWN) and not (cut_off or self.full)
-        if told_well and word is Word.WELL and not self.down:
+        if bad >= DOWN and self.down_at is None:
+            self.down_at, self.excused = now, False
+        self.excused = self.excused or cut_off
+        # A log that was led throughout would know if the site had been lost to all; one that was not may not.
+        known = self.excused and self.down_at is not None and led_since < self.down_at and bad < DOWN
+        if self.full or (told_well and known):
+            self.down_at = None
+        if told_well and word is Word.WELL and self.down_at is None:
             self.warm = True
 
     @property
@@ -72,13 +80,13 @@
     def allowed(self, word: Word, reached: bool, failing: bool, passes: float) -> float:
         """Calls a second that this copy may make there; infinite where nothing is in doubt. ``passes`` a
         second, in the last window."""
-        if word is Word.LOST:
-            return TRIAL * self.start * self.part
-        if word is Word.RETURNING or (not self.warm and (self.down or not reached)):
+        tried = TRIAL * self.start * self.part  # so little where nothing passes, verdict or not
+        if word is Word.LOST or (failing and passes < tried):
+            return tried
+        if word is Word.RETURNING or not self.warm:
             return self.share() * self.part
         if failing or not reached:
-            tried = TRIAL * self.start * self.part  # so little where nothing passes, verdict or not
-            return max(tried if failing and passes < tried else SAFE * self.start * self.part, GROW * passes)
+            return max(SAFE * self.start * self.part, GROW * passes)
         return math.inf
 
     def left(self) -> float:
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -148,9 +148,12 @@
         one, evidence = verdicts.sites[site], verdicts.evidence
         passes, bad = evidence.counts(site)
         told_well = (verdicts.reached and self.agreed is not None
-                     and self.agreed.words.get(site, Word.WELL) is Word.WELL)
+                     and self.agreed.words.get(site, Word.WELL) is Word.WELL
+                     # A log that was led for less would not know of a site that came back with it.
+                     and now - self.agreed.led_since >= self.setup.cold)
         ramp.step(now, one.word, evidence.last_pass[site], bad / (passes + bad) if bad else 0.0, told_well,
-                  verdicts.distrust(now, site), verdicts.cut_off)
+                  verdicts.distrust(now, site), verdicts.cut_off,
+                  self.agreed.led_since if self.agreed is not None else math.inf)
         allowed = ramp.allowed(one.word, verdicts.reached, evidence.failing(site), passes * 1000.0 / WINDOW)
         left = evidence.left(site)
         if one.word in (Word.WELL, Word.SUSPECTED) and 0.0 < left < 1.0:
