--- a/brassweir/lab/models/sitejudges.py
+++ b/brassweir/lab/models/sitejudges.py
@@ -4,10 +4,12 @@
 
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from functools import partial
 
 from brassweir.lab.models.sitetypes import STEP, Fault, Second, World
 from brassweir.sites.facts import Line, Word
+from brassweir.sites.refusing import admitted
 
 EPS = 1e-6
 SECOND = int(1000.0 / STEP)
@@ -145,3 +147,25 @@
 def worth(tape: list[Second]) -> float:
     """What was delivered, of what was asked, by worth."""
     return sum(one.worth for one in tape) / sum(one.asked for one in tape)
+
+
+def best(tape: list[Second], world: World) -> float:
+    """The worth that one who knew what each site bears at every moment could have had delivered: all room is
+    used, at home and, within the stated share, elsewhere, the most worthy first. An upper bound."""
+    got = asked = 0.0
+    for second in tape:
+        lines: dict[Line, float] = {}
+        for line, _ in second.refused:
+            kind = replace(line, rate=0.0)
+            lines[kind] = lines.get(kind, 0.0) + line.rate
+        whole = [replace(line, rate=rate) for line, rate in lines.items()]
+        asked += sum(line.rate * line.worth for line in whole)
+        over = {home: min(max(0.0, rate - second.bears[home]), world.spill * rate)
+                for home, rate in second.demand.items()}
+        room = sum(max(0.0, bears - second.demand.get(site, 0.0)) for site, bears in second.bears.items())
+        share = min(1.0, room / (sum(over.values()) or 1.0))
+        for home in second.demand:
+            here = [line for line in whole if line.home == home]
+            rates = admitted(here, second.bears[home], over[home] * share, 0.0)
+            got += sum(rate * line.worth for rate, line in zip(rates, here, strict=True))
+    return got / asked
--- a/brassweir/sites/plan.py
+++ b/brassweir/sites/plan.py
@@ -17,6 +17,7 @@
 from brassweir.sites.flow import TINY, Flow
 
 FILL = 0.97  # of its capacity that a taker is planned to: its own load moves by some per cent within seconds
+SLACK = 1.5  # x what is placed at a taker with room: copies differ by some thirds in what they are asked
 TENTHS = 10  # equal slices of a headroom, the fuller the dearer: takers fill evenly to within one
 TIER = 100.0  # price of a tier over the one before, over any price of fullness
 HALF = 0.5  # what is left of a second site that goes in part: the case that is worked out beforehand
@@ -102,9 +103,19 @@
     return {pair: flow.used(edge) for pair, edge in edges.items() if flow.used(edge) > TINY}
 
 
+def allowed(rooms: tuple[Room, ...], case: Case) -> dict[tuple[str, str], float]:
+    """What may go from each broken site to each taker: what is placed, and up to ``SLACK`` of it where the
+    taker has room to spare, so that copies with more demand than others, and dead ones, waste less."""
+    flows = placed(rooms, case)
+    _, take = demands(rooms, dict(case))
+    got = {site: sum(rate for (_, taker), rate in flows.items() if taker == site) for site in take}
+    return {(home, taker): rate * max(1.0, min(SLACK, take[taker] / got[taker]))
+            for (home, taker), rate in flows.items()}
+
+
 def plan(version: int, rooms: tuple[Room, ...]) -> Plan:
     """All cases for these loads."""
-    return Plan(version, {case: placed(rooms, case) for case in cases(one.site for one in rooms)})
+    return Plan(version, {case: allowed(rooms, case) for case in cases(one.site for one in rooms)})
 
 
 def moved(before: tuple[Room, ...], now: tuple[Room, ...]) -> bool:
--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -15,6 +15,7 @@
 from brassweir.sites.evidence import LEAST, WINDOW, Evidence
 from brassweir.sites.facts import SEVERITY, Facts, Peer, Setup, Word
 from brassweir.sites.parts import LEASE
+from brassweir.sites.returning import DOWN
 
 LOSING = 0.2  # share of bad endings from which a site is not well: it may serve and lose its answers
 CLEAR = 0.1  # share under which a suspected site is well again
@@ -155,6 +156,8 @@
         """Do all other sites of which calls say anything fail alike? Then no site is to blame."""
         seen = [share for other, share in shares.items()
                 if other != site and share is not None and self.sites[other].own is not Word.LOST]
+        if not seen and any(other != site and one.own is not Word.WELL for other, one in self.sites.items()):
+            return bad < DOWN  # nothing is left to compare with: only a site that is down is lost
         return bool(seen) and min(seen) >= max(GENERAL * bad, CLEAR)
 
     def _confirm(self, now: float, site: str, facts: Facts, silent: bool) -> float:
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -161,6 +161,8 @@
             share = alone(1.0, self.listed) + (self.shares.now(now) if verdicts.reached else 0.0)
             share = max(planning.FILL * left * share, SAFE * ramp.start / self.listed)
             allowed = min(allowed, share * self.capacity[site])
+        elif one.word is Word.RETURNING and 0.0 < left:
+            allowed *= left
         self.home[site] = allowed
 
     def _spill(self, now: float, demand: Mapping[str, float]) -> None:
