--- a/brassweir/lab/models/sitejudges.py
+++ b/brassweir/lab/models/sitejudges.py
@@ -49,7 +49,7 @@
     for site in tape[0].warm:
         went: dict[float, float] = {}  # by step: when the site last went
         for before, second in zip([tape[0], *tape], tape, strict=False):
-            fell = second.warm[site] == 0.0 < before.warm[site]
+            fell = second.warm[site] == 0.0 < before.warm[site] or second.whole[site] < before.whole[site]
             went[second.at] = second.at if fell else went.get(before.at, -math.inf)
 
         def ratio(second: Second, site: str = site, went: dict[float, float] = went) -> float | None:
