--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -25,6 +25,7 @@
 UNREACHED = 1.5  # x both, with the agreed log out of reach: a lone copy is to be the surer
 GENERAL = 0.6  # x the share here: the best other site failing so much as well means a general slowdown
 AT_ONCE = 3000.0  # ms within which all other sites went: then this copy is the one cut off
+UNANSWERED = 1000.0  # ms without an answer of the log until this is not just the time that one takes
 FRESH = 2000.0  # ms that a witness's word counts
 TRIALS = 1.0  # passes, own and witnesses', that a lost site shows before it returns
 RELAPSE = 0.3  # share of bad endings that sends a returning site back
@@ -60,7 +61,8 @@
         self.sites = {site: Standing() for site in setup.sites}
         self.site_of = {copy.name: copy.site for copy in setup.copies}
         self.copies_at = {site: sum(copy.site == site for copy in setup.copies) for site in setup.sites}
-        self.cut_off, self.doubt_until = False, -math.inf
+        self.cut_off = self.unanswered = False
+        self.doubt_until = -math.inf
         self.reached = False  # the agreed log answered a question asked within a lease
 
     def distrust(self, now: float, site: str) -> float:
@@ -116,9 +118,11 @@
         together = len(gone_all) == len(others) > 0 and max(gone_all) - min(gone_all) <= AT_ONCE
         # Once cut off it stays so until a site or the log is heard: time alone proves nothing. An answer
         # of the log to a question from before they went proves nothing either, though its lease lasts.
-        if together and asked < max(gone_all):
+        unheard = together and asked < max(gone_all)
+        if unheard and now - max(gone_all) >= UNANSWERED:
             self.doubt_until = now + WINDOW  # what failed while it was cut off is still counted so long
-        self.cut_off = now < self.doubt_until
+        self.unanswered = now < self.doubt_until
+        self.cut_off = unheard or self.unanswered
 
     def _own(self, now: float, site: str, facts: Facts, shares: Mapping[str, float | None], silent: bool,
              full: bool) -> None:
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -19,7 +19,7 @@
 from brassweir.sites.facts import Agreed, Facts, Line, Plan, Setup, Word
 from brassweir.sites.parts import ALONE, LEASE, Part, alone
 from brassweir.sites.returning import SAFE, Ramp
-from brassweir.sites.verdict import CALM, Verdicts
+from brassweir.sites.verdict import CALM, FRESH, Verdicts
 
 STEP = 0.02  # a smaller change of a rate is not worth telling: the decisions look at each entry anew
 SPREAD = 0.5  # of the time to come back that is drawn on top: those refused together are not to come together
@@ -93,7 +93,7 @@
         for site, one in verdicts.sites.items():
             if one.own is Word.RETURNING and before[site] is Word.LOST:
                 verdicts.evidence.forget(site)
-            self._home(now, site)
+            self._home(now, site, facts)
             if (says := verdicts.says(site)) != self.proposed.get(site):
                 self.proposed[site] = says
                 steps.append(Propose(site, says))
@@ -142,7 +142,7 @@
                 parts[site] = planning.HALF
         return self.plan.cases.get(planning.case_of(parts), {})
 
-    def _home(self, now: float, site: str) -> None:
+    def _home(self, now: float, site: str, facts: Facts) -> None:
         """What this copy may call at a site of the load that belongs there."""
         verdicts, ramp = self.verdicts, self.ramps[site]
         one, evidence = verdicts.sites[site], verdicts.evidence
@@ -150,9 +150,13 @@
         told_well = (verdicts.reached and self.agreed is not None
                      and self.agreed.words.get(site, Word.WELL) is Word.WELL
                      # A log that was led for less would not know of a site that came back with it.
-                     and now - self.agreed.led_since >= self.setup.cold)
+                     and now - self.agreed.led_since >= self.setup.cold
+                     # Nor does it say all that witnesses do: a copy that has just started hears both.
+                     and (ramp.warm or all(
+                         said.about != site or said.age > FRESH or said.word in (None, Word.WELL)
+                         for said in facts.witnesses)))
         ramp.step(now, one.word, evidence.last_pass[site], bad / (passes + bad) if bad else 0.0, told_well,
-                  verdicts.distrust(now, site), verdicts.cut_off,
+                  verdicts.distrust(now, site), verdicts.unanswered,
                   self.agreed.led_since if self.agreed is not None else math.inf)
         allowed = ramp.allowed(one.word, verdicts.reached, evidence.failing(site), passes * 1000.0 / WINDOW)
         left = evidence.left(site)
@@ -175,7 +179,8 @@
                           {site: verdicts.evidence.left(site) for site in verdicts.sites})
         ruled = self._flows(agreed.words, {}) if agreed is not None else {}
         for taker in self.setup.sites:
-            if self.word(taker) is not Word.WELL or verdicts.evidence.left(taker) < 1.0:
+            whole_there = verdicts.evidence.left(taker) == 1.0 and self.ramps[taker].warm
+            if self.word(taker) is not Word.WELL or not whole_there:
                 continue  # what goes there stops at once; it is not pushed on to others
             for flows, mine in ((own, None), (ruled, self.parts[taker].now(now))):
                 whole = sum(rate for (_, to), rate in flows.items() if to == taker)
