--- a/tests/sites/test_world.py
+++ b/tests/sites/test_world.py
@@ -98,6 +98,10 @@
     assert wasted(SiteWorld(EVERYDAY, FLAPS, 1).run(88)) > 0.5, "distrust that does not grow is seen"
 
 
+def one(owner: object, name: str, value: object) -> Callable[[pytest.MonkeyPatch], None]:
+    return lambda monkeypatch: monkeypatch.setattr(owner, name, value)
+
+
 def by_copy(monkeypatch: pytest.MonkeyPatch) -> Callable[[Setup, Random], View]:
     def make(setup: Setup, rng: Random) -> View:
         view = View(setup, rng)
@@ -107,14 +111,6 @@
     return make
 
 
-def no_doubt_of_itself(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Verdicts, "_look_at_self", lambda *_: None)
-
-
-def slow_is_lost(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(Verdicts, "_general", lambda *_: False)
-
-
 def takers_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
     demands = planning.demands
     monkeypatch.setattr(planning, "demands", lambda *args: (demands(*args)[0], dict.fromkeys(demands(*args)[1], 1e9)))
@@ -127,18 +123,6 @@
     monkeypatch.setattr(Ramp, "step", lambda self, now, word, last, bad, *rest: step(self, now, word, last, 0.0, *rest))
 
 
-def by_arrival(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(refusing, "standings", lambda lines: [[line] for line in lines])
-
-
-def quickly_excused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(verdict, "UNANSWERED", 0.0)
-
-
-def no_margin(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(returning, "SAFE", 2.0)
-
-
 def no_stated_share(monkeypatch: pytest.MonkeyPatch) -> Callable[[Setup, Random], View]:
     demands = planning.demands
     monkeypatch.setattr(planning, "demands", lambda rooms, left: (
@@ -151,10 +135,10 @@
 
 
 @pytest.mark.parametrize("guard, day, seen", [
-    (by_copy, DAYS["lost"], "cold site"), (no_doubt_of_itself, DAYS["cut off"], "false loss"), (slow_is_lost, DAYS["very slow"], "false loss"),
+    (by_copy, DAYS["lost"], "cold site"), (one(Verdicts, "_look_at_self", lambda *_: None), DAYS["cut off"], "false loss"), (one(Verdicts, "_general", lambda *_: False), DAYS["very slow"], "false loss"),
     (takers_without_end, DAYS["lost at the peak"], "taker"), (no_step_back, DAYS["relapse"], "cold site"),
-    (by_arrival, DAYS["lost at the peak"], "wrong order"), (no_margin, DAYS["lost at the peak"], "cold site"),
-    (quickly_excused, DAYS["a blip of the taker"], "cold site"), (no_stated_share, DAYS["a small share"], "spilled")])
+    (one(refusing, "standings", lambda lines: [[line] for line in lines]), DAYS["lost at the peak"], "wrong order"), (one(returning, "SAFE", 2.0), DAYS["lost at the peak"], "cold site"),
+    (one(verdict, "UNANSWERED", 0.0), DAYS["a blip of the taker"], "cold site"), (no_stated_share, DAYS["a small share"], "spilled")])
 def test_a_guard_that_is_broken_is_seen(monkeypatch: pytest.MonkeyPatch, guard: Callable[[pytest.MonkeyPatch], object],
                                         day: tuple[World, tuple[Fault, ...], float], seen: str) -> None:
     """The same days are clean in ``test_limits_hold``."""
