Lab between: relay with tape, schedules, faults on processes, judges of log, liveness, talk

Copies of the program are to be judged while they break, stall and lose contact; the laboratory had no way to come between them. Not yet run against real copies: reading of their folders comes with their code.

--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -15,6 +15,7 @@
 from rich.table import Table
 
 from brassweir.cli import model
+from brassweir.cli.between import between_command
 from brassweir.config.load import ConfigError
 from brassweir.lab import idle
 from brassweir.lab.crash import Script, steps_of, sweep
@@ -168,7 +169,7 @@
     sys.exit(0 if good else 1)
 
 
-for command in model.COMMANDS:
+for command in (between_command, *model.COMMANDS):
     lab.add_command(command)
 
 
--- /dev/null
+++ b/brassweir/lab/between/copy.py
@@ -0,0 +1,108 @@
+"""One copy as a process of its own: started, stalled, killed, its folder lost, put back or full."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shutil
+import signal
+import sys
+from pathlib import Path
+
+from brassweir.lab.between.launch import CLOCK, FULL, WITHOUT
+from brassweir.lab.fleet import SenderHandle
+
+LISTENS = 15.0  # s within which a copy must listen, on a machine with every core busy
+
+
+class CopyHandle(SenderHandle):
+    """A sender with the laboratory's hooks; ``life`` counts how often its folder was not what it had left."""
+
+    def __init__(self, name: str, settings: Path, port: int, without: str = "") -> None:
+        super().__init__(name, settings, port)
+        self.without = without
+        self.agreed = settings.with_name(f"{name}.agreed")
+        self.clock = settings.with_name(f"{name}.clock")
+        self.life = 0
+        self.stalled = False
+        self.ends: list[str] = []  # ends that were not our doing
+        self.lock = asyncio.Lock()  # one start or end at a time
+
+    def command(self) -> list[str]:
+        """What is started."""
+        return [sys.executable, "-m", "brassweir.lab.between.launch", "serve", str(self.settings)]
+
+    def environment(self) -> dict[str, str]:
+        """Its variables."""
+        return {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path), CLOCK: str(self.clock),
+                FULL: str(self.agreed), WITHOUT: self.without}
+
+    async def start(self) -> None:
+        """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
+        self.full(False)
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                *self.command(), stderr=log, stdout=log, env=self.environment())
+        loop = asyncio.get_running_loop()
+        until = loop.time() + LISTENS
+        while loop.time() < until:
+            if self.process.returncode is not None:
+                raise RuntimeError(f"{self.name} ended with {self.process.returncode}: "
+                                   f"{self.log.read_text(errors='replace')[-500:]}")
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            writer.close()
+            return
+        raise RuntimeError(f"{self.name} does not listen")
+
+    def stall(self) -> None:
+        """SIGSTOP."""
+        assert self.process is not None
+        if self.running:
+            self.process.send_signal(signal.SIGSTOP)
+            self.stalled = True
+
+    def go_on(self) -> None:
+        """SIGCONT."""
+        if self.stalled and self.process is not None and self.running:
+            self.process.send_signal(signal.SIGCONT)
+        self.stalled = False
+
+    async def kill(self) -> None:
+        """SIGKILL, if it runs."""
+        if self.running:
+            await super().kill()
+        self.stalled = False
+
+    async def drain(self, within: float) -> tuple[int, float]:
+        """Let it go on, then drain it."""
+        self.go_on()
+        return await super().drain(within)
+
+    def lose(self) -> None:
+        """Its machine and folder are gone; call it while it does not run."""
+        shutil.rmtree(self.agreed, ignore_errors=True)
+        self.life += 1
+
+    def restore(self, older: Path) -> None:
+        """An old copy of the folder is put in its place; call it while it does not run."""
+        shutil.rmtree(self.agreed, ignore_errors=True)
+        shutil.copytree(older, self.agreed)
+        self.life += 1
+
+    def full(self, on: bool) -> None:
+        """Fill the folder's disk, or make room."""
+        marker = self.agreed.with_name(self.agreed.name + ".full")
+        if on:
+            marker.touch()
+        else:
+            marker.unlink(missing_ok=True)
+
+    def step_clock(self, by_ms: float) -> None:
+        """Its wall clock is off by so much from now on."""
+        fresh = self.clock.with_suffix(".clock-new")
+        fresh.write_text(f"{by_ms}", encoding="ascii")
+        fresh.replace(self.clock)
--- /dev/null
+++ b/brassweir/lab/between/rig.py
@@ -0,0 +1,136 @@
+"""Sets a run up: files, the relay, copies as processes, partners and clients; and ends all of it."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from brassweir.as2.message import Identity
+from brassweir.lab.between.asking import ask
+from brassweir.lab.between.copy import CopyHandle
+from brassweir.lab.between.fate import Fates
+from brassweir.lab.between.faults import Faults
+from brassweir.lab.between.keeper import Keeper, Reader
+from brassweir.lab.between.relay import Relay
+from brassweir.lab.between.schedule import Schedule
+from brassweir.lab.between.seen import Told
+from brassweir.lab.between.sites import Stand
+from brassweir.lab.fleet import Fleet, FleetPlan, Handle
+from brassweir.regions.planning import first
+
+CLOCK_ERROR = 500.0  # ms that a copy's clock may be off
+LEASE = 6000.0  # ms: short, so that a run of half a minute sees leases end at copies that are cut off
+EVERY = 0.25  # s between two questions to one copy
+PATIENT = 0.2  # s that a copy has to answer
+KEY = b"the key of all copies of this rig\n"
+
+Teller = Callable[[float, str, int, dict[str, Any], dict[str, Any]], Told]
+
+
+def free_udp_port() -> int:
+    """A UDP port of loopback that nobody listens on now."""
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class Rig(Fleet):
+    """One run: a fleet whose senders know of each other, and only through the relay."""
+
+    def __init__(self, folder: Path, plan: FleetPlan, seed: int, stands: list[Stand], schedule: Schedule,
+                 reader: Reader, teller: Teller, without: str = "") -> None:
+        super().__init__(folder, plan, seed, lambda name, path, port: self._launch(name, path, port, without))
+        self.stands, self.teller, self.reader = stands, teller, reader
+        self.schedule = schedule
+        self.metrics: dict[str, int] = {}
+        self.copies: list[CopyHandle] = []
+        self.told: list[Told] = []
+        self.fates = Fates(seed, {one.name: one.site for one in stands})
+        self.relay = Relay({one.name: free_udp_port() for one in stands}, self.fates)
+        self.tasks: list[asyncio.Task[None]] = []
+        self.faults: Faults | None = None
+        self.keeper: Keeper | None = None
+        self.start = self.ended = time.time()
+
+    def _launch(self, name: str, path: Path, port: int, without: str) -> Handle:
+        copy = CopyHandle(name, path, port, without)
+        self.copies.append(copy)
+        return copy
+
+    async def set_up(self) -> None:
+        """The relay first, then the fleet, then those who look on and those who break things."""
+        await self.relay.listen()
+        (self.folder / "peers.key").write_bytes(KEY)
+        regions = {one.region: f"http://127.0.0.1/{one.region}" for one in self.stands}
+        epoch = first(regions, time.time() * 1000.0, LEASE)
+        (self.folder / "first_epoch.json").write_bytes(msgspec.json.encode(epoch))
+        await super().set_up()
+        self.start = self.relay.start = time.time()
+        self.relay.tape.seen.clear()
+        self.keeper = Keeper(self.folder / "copies", self.copies, self.reader)
+        self.faults = Faults(self.schedule, self.copies, self.fates, self.leader, self.keeper.older)
+        self.keeper.start = self.faults.start = self.start
+        self._task(self.keeper.watch())
+        self._task(self.faults.play())
+        for copy in self.copies:
+            self._task(self._ask(copy))
+
+    def _task(self, work: Coroutine[Any, Any, None]) -> None:
+        self.tasks.append(asyncio.get_running_loop().create_task(work))
+
+    def settings(self, name: str, port: int, metrics: int, made: dict[str, Identity]) -> dict[str, Any]:
+        """One sender's settings, with peers, the agreed log and its region; its copies' file is written."""
+        self.metrics[name] = metrics
+        mine = next(one for one in self.stands if one.name == name)
+        self._write(self.folder / f"{name}.copies.yaml", {"copies": [
+            {"name": one.name, "site": one.site, "region": one.region,
+             "address": f"127.0.0.1:{self._port(name, one.name)}"} for one in self.stands]})
+        return super().settings(name, port, metrics, made) | {
+            "peers": {"copies": f"{name}.copies.yaml", "keys": ["peers.key"],
+                      "listen": f"127.0.0.1:{self.relay.real[name]}"},
+            "agreed": {"folder": f"{name}.agreed", "voters": [one.name for one in self.stands if one.voter],
+                       "lease_ms": LEASE, "first_epoch": "first_epoch.json"},
+            "region": {"name": mine.region, "source": "agreed", "clock_error_ms": CLOCK_ERROR}}
+
+    def _port(self, name: str, other: str) -> int:
+        """Where ``name`` finds ``other``: its own real port, and the relay's for everybody else."""
+        return self.relay.real[name] if name == other else self.relay.port(name, other)
+
+    def leader(self) -> str:
+        """Who said last, in the highest term, that it leads; empty if nobody did."""
+        leading = [one for one in self.told if one.role == "leader"]
+        return max(leading, key=lambda one: (one.term, one.at)).copy if leading else ""
+
+    async def _ask(self, copy: CopyHandle) -> None:
+        """Ask one copy again and again what it says of itself."""
+        while True:
+            life, port = copy.life, self.metrics[copy.name]
+            if copy.running and not copy.stalled:
+                agreed, peers = await ask(port, "/agreed", PATIENT), await ask(port, "/peers", PATIENT)
+                if agreed is not None and peers is not None and copy.life == life:
+                    self.told.append(self.teller(time.time() - self.start, copy.name, life, agreed, peers))
+            await asyncio.sleep(EVERY)
+
+    async def stop(self) -> list[tuple[str, int, float]]:
+        """Take the last copies of the folders, end all processes and close all ports."""
+        self.ended = time.time()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        problems = [task.exception() for task in self.tasks if not task.cancelled()]
+        try:
+            return await super().stop()
+        finally:
+            for copy in self.copies:
+                await copy.kill()
+            if self.keeper is not None:
+                await self.keeper.take()
+            self.relay.stop()
+            for problem in filter(None, problems):
+                raise problem
--- a/brassweir/lab/client.py
+++ b/brassweir/lab/client.py
@@ -6,7 +6,7 @@
 import json
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from cryptography import x509
 
@@ -38,6 +38,7 @@
     sender: int
     drops: bool = False  # the client drops its connection and asks again
     patience: float = 0.0  # seconds beyond its time for which it asks again after lost connections
+    elsewhere: int | None = None  # a sender of another region, asked as well after no or a refusing answer
 
 
 class Client:
@@ -86,7 +87,11 @@
                 break
             if attempt:  # each try gives only what is left of the message's own time
                 sent = sent.again(left)
-            last = await self._try(order, sent, ident, attempt, begun + order.left + order.patience + GRACE)
+            until = begun + order.left + order.patience + GRACE
+            last = await self._try(order, sent, ident, attempt, until)
+            if last in ("lost", "refused", "dropped") and order.elsewhere is not None and left > 2.0:
+                there = await self._try(replace(order, sender=order.elsewhere), sent, ident, attempt, until)
+                last = there if there not in ("refused", "dropped") else last
             if last in ("delivered", "failed", "rejected"):
                 return last
             if last == "refused" and time.time() > begun + order.left - 1.0:
