--- a/brassweir/cli/between.py
+++ b/brassweir/cli/between.py
@@ -70,7 +70,7 @@
         return None
     try:
         found = schedules.read(path)
-        schedules.known(found, {one.name: one.site for one in stands(copies)}, seconds, str(path))
+        schedules.known(found, stands(copies), seconds, str(path))
     except ConfigError as error:
         raise click.ClickException("\n".join(error.problems)) from None
     return found
--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -6,6 +6,8 @@
 import json
 from typing import Any
 
+from brassweir.lab.between.seen import Told
+
 LARGEST = 2_000_000  # bytes of an answer
 
 
@@ -31,3 +33,13 @@
     except ValueError:
         return None
     return tree if isinstance(tree, dict) else None
+
+
+def told_of(at: float, copy: str, life: int, agreed: dict[str, Any], peers: dict[str, Any]) -> Told:
+    """What ``/agreed`` and ``/peers`` said. Raises KeyError naming what is missing."""
+    views = {name: one["state"] for name, one in peers["copies"].items()}
+    return Told(at, copy, life, agreed["role"], int(agreed["term"]), agreed["leader"] or "",
+                int(agreed["commit"]), int(agreed["applied"]),
+                frozenset(name for name, state in views.items() if state == "alive"),
+                frozenset(name for name, state in views.items() if state == "dead"),
+                bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"])
--- a/brassweir/lab/between/copy.py
+++ b/brassweir/lab/between/copy.py
@@ -9,9 +9,10 @@
 import sys
 from pathlib import Path
 
-from brassweir.lab.between.launch import CLOCK, FULL, WITHOUT
+from brassweir.lab.between.launch import CLOCK, FULL, SNAP, WITHOUT
 from brassweir.lab.fleet import SenderHandle
 
+SNAP_EVERY = 24  # entries between two snapshots: some in half a minute of renewals
 LISTENS = 15.0  # s within which a copy must listen, on a machine with every core busy
 
 
@@ -22,6 +23,7 @@
         super().__init__(name, settings, port)
         self.without = without
         self.agreed = settings.with_name(f"{name}.agreed")
+        self.epoch = settings.with_name(f"{name}.epoch")  # the newest grants it knew
         self.clock = settings.with_name(f"{name}.clock")
         self.life = 0
         self.stalled = False
@@ -35,7 +37,7 @@
     def environment(self) -> dict[str, str]:
         """Its variables."""
         return {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path), CLOCK: str(self.clock),
-                FULL: str(self.agreed), WITHOUT: self.without}
+                FULL: str(self.agreed), SNAP: str(SNAP_EVERY), WITHOUT: self.without}
 
     async def start(self) -> None:
         """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
@@ -71,6 +73,11 @@
             self.process.send_signal(signal.SIGCONT)
         self.stalled = False
 
+    def reread(self) -> None:
+        """SIGHUP: it reads its files anew."""
+        if self.process is not None and self.running:
+            self.process.send_signal(signal.SIGHUP)
+
     async def kill(self) -> None:
         """SIGKILL, if it runs."""
         if self.running:
@@ -83,14 +90,18 @@
         return await super().drain(within)
 
     def lose(self) -> None:
-        """Its machine and folder are gone; call it while it does not run."""
+        """Its machine and folder are gone; call it while it does not run. Its journal stays."""
         shutil.rmtree(self.agreed, ignore_errors=True)
+        self.epoch.unlink(missing_ok=True)
         self.life += 1
 
     def restore(self, older: Path) -> None:
         """An old copy of the folder is put in its place; call it while it does not run."""
         shutil.rmtree(self.agreed, ignore_errors=True)
         shutil.copytree(older, self.agreed)
+        known = older.with_name(f"{older.name}.epoch")
+        if known.exists():
+            shutil.copy(known, self.epoch)
         self.life += 1
 
     def full(self, on: bool) -> None:
--- a/brassweir/lab/between/draw.py
+++ b/brassweir/lab/between/draw.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from random import Random
 from typing import Any
 
 from brassweir.lab.between.schedule import Fault, Schedule
+from brassweir.lab.between.sites import Stand
 
 QUIET = 3.0  # s at the start without faults: the group finds its first leader
 # s at the end: the longest that the group may need to find itself again, with room for the judge's polls
@@ -14,18 +16,19 @@
 # What may strike, how long (s, least and most), and how often compared with others.
 KINDS = (("stall", 1.0, 5.0, 3), ("kill", 0.5, 3.0, 3), ("lose", 0.5, 2.0, 2), ("restore", 0.5, 2.0, 2),
          ("full", 1.0, 3.0, 2), ("clock", 1.0, 4.0, 1), ("isolate", 2.0, 5.0, 3), ("oneway", 2.0, 5.0, 3),
-         ("cut", 2.0, 5.0, 2), ("restart_all", 0.5, 1.0, 1), ("rolling", 2.0, 5.0, 1))
+         ("cut", 2.0, 5.0, 2), ("restart_all", 0.5, 1.0, 1), ("rolling", 2.0, 5.0, 1), ("move", 0.0, 0.0, 1))
 REMAKES = ("lose", "restore")
 
 
-def draw(seed: int, seconds: float, sites: dict[str, str], clock_ms: float) -> Schedule:
-    """One seeded schedule. ``sites``: the site of each copy; ``clock_ms``: the most that a clock may be off.
+def draw(seed: int, seconds: float, stands: Sequence[Stand], clock_ms: float) -> Schedule:
+    """One seeded schedule. ``clock_ms``: the most that a clock may be off.
 
     Folders are lost or put back one copy at a time: a group keeps its word while fewer than half of
     its voters forget at once, and the rig does not ask for more.
     """
     rng = Random(f"between/{seed}")
-    names = list(sites)
+    names = [one.name for one in stands]
+    sites, regions = ([*dict.fromkeys(getattr(one, field) for one in stands)] for field in ("site", "region"))
     faults = [_weather(rng, QUIET, seconds - CALM - QUIET)]
     at, remade = QUIET + rng.uniform(0.0, 1.0), False
     while True:
@@ -40,7 +43,9 @@
         if what in ("cut", "oneway"):
             tree["between"] = tuple(rng.sample(names, 2))
         elif what == "isolate":
-            tree["who"] = rng.choice([*dict.fromkeys(sites.values()), "leader"])
+            tree["who"] = rng.choice([*sites, "leader"])
+        elif what == "move":
+            tree["who"] = rng.choice(regions)
         elif what not in ("restart_all", "rolling"):
             tree["who"] = "leader" if rng.random() < 0.4 else rng.choice(names)
         if what == "clock":
@@ -56,8 +61,8 @@
     return Fault.model_validate({
         "at": at, "what": "weather", "for": max(0.1, round(lasts, 2)),
         "lose": round(rng.uniform(0.0, 0.2), 3), "double": round(rng.uniform(0.0, 0.1), 3),
-        "swap": round(rng.uniform(0.0, 0.1), 3), "delay": round(rng.uniform(0.0, 0.3), 3),
-        "delay_ms": round(rng.uniform(20.0, 200.0))})
+        "swap": round(rng.uniform(0.0, 0.1), 3), "spoil": round(rng.uniform(0.0, 0.02), 3),
+        "delay": round(rng.uniform(0.0, 0.3), 3), "delay_ms": round(rng.uniform(20.0, 200.0))})
 
 
 def _kind(rng: Random) -> tuple[str, float, float]:
@@ -71,7 +76,7 @@
     kept: list[Fault] = []
     busy = 0.0
     for fault in faults:
-        if fault.what in ("cut", "oneway", "isolate", "weather"):
+        if fault.what in ("cut", "oneway", "isolate", "weather", "move"):
             kept.append(fault)
         elif fault.at >= busy:
             kept.append(fault)
--- a/brassweir/lab/between/fate.py
+++ b/brassweir/lab/between/fate.py
@@ -20,6 +20,7 @@
     fate: Fate
     delays: tuple[float, ...] = ()
     hold: bool = False
+    spoilt: int = -1  # turn this bit, counted modulo its size
 
 
 class Fates:
@@ -53,7 +54,7 @@
         rng = self.rngs.get((sender, to))
         if rng is None:
             rng = self.rngs[sender, to] = Random(f"{self.seed}/{sender}/{to}")
-        draws = [rng.random() for _ in range(5)]  # always so many: weather does not shift later draws
+        draws = [rng.random() for _ in range(6)]  # always so many: weather does not shift later draws
         here = [one for one in self.faults
                 if one.at <= now < one.ends and self.strikes(one, sender, to)]
         if any(one.what != "weather" for one in here):
@@ -64,6 +65,8 @@
         if draws[0] < weather.lose:
             return Passage(Fate.LOST)
         delay = draws[4] * weather.delay_ms / 1000.0
+        if draws[5] < weather.spoil:
+            return Passage(Fate.SPOILT, (0.0,), spoilt=int(draws[4] * (1 << 30)))
         if draws[1] < weather.double:
             return Passage(Fate.DOUBLED, (0.0, delay))
         if draws[2] < weather.swap:
--- a/brassweir/lab/between/faults.py
+++ b/brassweir/lab/between/faults.py
@@ -16,11 +16,13 @@
 
 
 class Faults:
-    """One run of a schedule. ``leader`` names who leads now; ``older`` a folder's copy of at least an age."""
+    """One run of a schedule. ``leader`` names who leads now; ``older`` a folder's copy of at least an age;
+    ``move`` has head office give all places to a region."""
 
     def __init__(self, schedule: Schedule, copies: Sequence[CopyHandle], fates: Fates,
-                 leader: Callable[[], str], older: Callable[[str, float], Path | None]) -> None:
-        self.schedule, self.fates, self.leader, self.older = schedule, fates, leader, older
+                 leader: Callable[[], str], older: Callable[[str, float], Path | None],
+                 move: Callable[[str], None] = lambda _: None) -> None:
+        self.schedule, self.fates, self.leader, self.older, self.move = schedule, fates, leader, older, move
         self.copies = {one.name: one for one in copies}
         self.start = time.time()
         self.away: list[Away] = []
@@ -43,6 +45,8 @@
         if fault.what in NETWORK:
             self.fates.add(fault)
             await asyncio.sleep(max(0.0, fault.ends - self.now()))
+        elif fault.what == "move":
+            self.move(fault.who or "")
         elif fault.what == "restart_all":
             await self._restart(list(self.copies.values()), fault)
         elif fault.what == "rolling":
--- a/brassweir/lab/between/judge_log.py
+++ b/brassweir/lab/between/judge_log.py
@@ -19,28 +19,28 @@
     for one in told:
         commits[one.copy, one.life].append((one.at, one.commit))
     entries: dict[int, dict[tuple[int, str], str]] = defaultdict(dict)
-    bases: dict[int, dict[str, str]] = defaultdict(dict)
+    snaps: dict[int, dict[str, str]] = defaultdict(dict)
     for folder in folders:
         answered = (index for at, index in commits[folder.copy, folder.life] if at <= folder.at)
         commit = max(folder.agreed, *answered, 0)
         for index, entry in folder.entries.items():
             if index <= commit:
                 entries[index].setdefault(entry, f"{folder.copy} at {folder.at:.1f} s")
-        if folder.base:
-            bases[folder.base].setdefault(folder.base_digest, f"{folder.copy} at {folder.at:.1f} s")
-    return entries, bases
+        if folder.snap:
+            snaps[folder.snap].setdefault(folder.snap_digest, f"{folder.copy} at {folder.at:.1f} s")
+    return entries, snaps
 
 
 def same(folders: Sequence[Folder], told: Sequence[Told]) -> Finding:
     """No two copies hold different applied entries at one place, nor different snapshots up to one place."""
     found = Finding()
-    entries, bases = agreed_entries(folders, told)
+    entries, snaps = agreed_entries(folders, told)
     for index, holders in sorted(entries.items()):
         found.tested += 1
         if len(holders) > 1:
             who = ", ".join(f"{where}: term {term} {digest[:8]}" for (term, digest), where in holders.items())
             found.broken.append(f"entry {index} differs: {who}")
-    for index, held in sorted(bases.items()):
+    for index, held in sorted(snaps.items()):
         found.tested += 1
         if len(held) > 1:
             who = ", ".join(f"{where}: {digest[:8]}" for digest, where in held.items())
@@ -48,6 +48,21 @@
     return found
 
 
+def same_state(told: Iterable[Told]) -> Finding:
+    """No two copies tell different digests of their replicated state as of one index."""
+    found = Finding()
+    digests: dict[int, dict[str, str]] = defaultdict(dict)
+    for one in told:
+        if one.index and one.digest:
+            found.tested += 1
+            digests[one.index].setdefault(one.digest, f"{one.copy} at {one.at:.1f} s")
+    for index, who in sorted(digests.items()):
+        if len(who) > 1:
+            found.broken.append(f"the state as of {index} differs: " + ", ".join(
+                f"{where}: {digest[:8]}" for digest, where in who.items()))
+    return found
+
+
 def kept(folders: Sequence[Folder], told: Sequence[Told], voters: Sequence[str]) -> Finding:
     """Nothing told is lost: at the end, more than half of the voters hold every told entry as told."""
     found = Finding()
@@ -101,8 +116,8 @@
             by_then = f"{later.at:.1f} s"
             if later.term < earlier.term:
                 found.broken.append(f"{copy}: told term {earlier.term}, then {later.term} at {by_then}")
-            if later.epoch < earlier.epoch:
-                found.broken.append(f"{copy}: used epoch {earlier.epoch}, then {later.epoch} at {by_then}")
+            if later.granted < earlier.granted:
+                found.broken.append(f"{copy}: grants {earlier.granted}, then {later.granted} at {by_then}")
             if later.applied < earlier.applied and later.at - earlier.at < SETTLED:
                 found.broken.append(f"{copy}: applied {earlier.applied}, then {later.applied} at {by_then}")
         for folder in by[copy, life]:
--- a/brassweir/lab/between/keeper.py
+++ b/brassweir/lab/between/keeper.py
@@ -48,6 +48,8 @@
         to = self.place / name / number
         try:
             shutil.copytree(folder, to, ignore=shutil.ignore_patterns("lock"))
+            if copy.epoch.exists():
+                shutil.copy(copy.epoch, to.with_name(f"{number}.epoch"))
         except (shutil.Error, OSError):  # a file was renamed meanwhile, or the folder is being taken away
             shutil.rmtree(to, ignore_errors=True)
             return
@@ -63,7 +65,9 @@
             self.folders.append(found)
         made.append((at, life, to))
         while len(made) > KEPT:
-            shutil.rmtree(made.pop(0)[2], ignore_errors=True)
+            old = made.pop(0)[2]
+            shutil.rmtree(old, ignore_errors=True)
+            old.with_name(f"{old.name}.epoch").unlink(missing_ok=True)
 
     def older(self, name: str, age: float) -> Path | None:
         """The newest copy of a folder that is at least so many seconds old."""
--- a/brassweir/lab/between/launch.py
+++ b/brassweir/lab/between/launch.py
@@ -3,6 +3,7 @@
 The service knows of no hook: they lie around it, and only what these variables name is in place.
 BRASSWEIR_LAB_CLOCK: a file that holds by how many ms the wall clock is off. BRASSWEIR_LAB_FULL: a folder;
 while a file of its name with ``.full`` behind it stands beside it, half of each write is taken and no more.
+BRASSWEIR_LAB_SNAP: entries between two snapshots of the agreed log, so that short runs have some.
 BRASSWEIR_LAB_WITHOUT: a guard that is taken out (guards.py).
 """
 
@@ -18,7 +19,7 @@
 import time
 from collections.abc import Callable
 
-CLOCK, FULL, WITHOUT = "BRASSWEIR_LAB_CLOCK", "BRASSWEIR_LAB_FULL", "BRASSWEIR_LAB_WITHOUT"
+CLOCK, FULL, SNAP, WITHOUT = (f"BRASSWEIR_LAB_{name}" for name in ("CLOCK", "FULL", "SNAP", "WITHOUT"))
 LOOK = 0.05  # s between two looks at the clock's file
 
 
@@ -61,7 +62,14 @@
     os.write = limited  # type: ignore[assignment]
 
 
-HOOKS: dict[str, Callable[[str], None]] = {CLOCK: set_clock, FULL: set_disk}
+def set_snapshots(every: str) -> None:
+    """Let the agreed log have a snapshot every so many entries, and keep half as many behind it."""
+    from brassweir.agreed import timing
+
+    timing.SNAP_EVERY, timing.KEEP = int(every), int(every) // 2  # type: ignore[misc]
+
+
+HOOKS: dict[str, Callable[[str], None]] = {CLOCK: set_clock, FULL: set_disk, SNAP: set_snapshots}
 
 
 def run() -> None:
--- a/brassweir/lab/between/relay.py
+++ b/brassweir/lab/between/relay.py
@@ -36,6 +36,9 @@
         relay.tape.add(now, self.sender, self.to, len(data), fate, kind_of(data))
         if fate in (Fate.UNSENT, Fate.LOST, Fate.CUT):
             return
+        if passage.spoilt >= 0 and data:
+            at = passage.spoilt % (8 * len(data))
+            data = data[: at // 8] + bytes([data[at // 8] ^ 1 << at % 8]) + data[at // 8 + 1:]
         if passage.hold and self.held is None:
             self.held = data
             asyncio.get_running_loop().call_later(HOLD, self.release)
--- a/brassweir/lab/between/rig.py
+++ b/brassweir/lab/between/rig.py
@@ -14,6 +14,7 @@
 from brassweir.as2.message import Identity
 from brassweir.lab.between.asking import ask
 from brassweir.lab.between.copy import CopyHandle
+from brassweir.lab.between.day import LONGEST
 from brassweir.lab.between.fate import Fates
 from brassweir.lab.between.faults import Faults
 from brassweir.lab.between.keeper import Keeper, Reader
@@ -22,9 +23,12 @@
 from brassweir.lab.between.seen import Told
 from brassweir.lab.between.sites import Stand
 from brassweir.lab.fleet import Fleet, FleetPlan, Handle
-from brassweir.regions.planning import first
+from brassweir.regions.epochs import PLACES, parse
+from brassweir.regions.ownership import Assumed
+from brassweir.regions.planning import first, moved
 
 CLOCK_ERROR = 500.0  # ms that a copy's clock may be off
+ASKS_ON = 13_000.0  # ms for which a client asks for an answer: its message's time, its patience, and one more
 LEASE = 6000.0  # ms: short, so that a run of half a minute sees leases end at copies that are cut off
 EVERY = 0.25  # s between two questions to one copy
 PATIENT = 0.2  # s that a copy has to answer
@@ -74,7 +78,8 @@
         self.start = self.relay.start = time.time()
         self.relay.tape.seen.clear()
         self.keeper = Keeper(self.folder / "copies", self.copies, self.reader)
-        self.faults = Faults(self.schedule, self.copies, self.fates, self.leader, self.keeper.older)
+        self.faults = Faults(self.schedule, self.copies, self.fates, self.leader, self.keeper.older,
+                             self.move)
         self.keeper.start = self.faults.start = self.start
         self._task(self.keeper.watch())
         self._task(self.faults.play())
@@ -91,12 +96,16 @@
         self._write(self.folder / f"{name}.copies.yaml", {"copies": [
             {"name": one.name, "site": one.site, "region": one.region,
              "address": f"127.0.0.1:{self._port(name, one.name)}"} for one in self.stands]})
-        return super().settings(name, port, metrics, made) | {
+        tree = super().settings(name, port, metrics, made)
+        for client in tree["clients"]:
+            client["dated"] = True  # its messages carry the time at which they were made
+        return tree | {
             "peers": {"copies": f"{name}.copies.yaml", "keys": ["peers.key"],
                       "listen": f"127.0.0.1:{self.relay.real[name]}"},
             "agreed": {"folder": f"{name}.agreed", "voters": [one.name for one in self.stands if one.voter],
                        "lease_ms": LEASE, "first_epoch": "first_epoch.json"},
-            "region": {"name": mine.region, "source": "agreed", "clock_error_ms": CLOCK_ERROR}}
+            "region": {"name": mine.region, "source": "agreed", "clock_error_ms": CLOCK_ERROR,
+                       "asks_on_ms": ASKS_ON}}
 
     def _port(self, name: str, other: str) -> int:
         """Where ``name`` finds ``other``: its own real port, and the relay's for everybody else."""
@@ -107,6 +116,17 @@
         leading = [one for one in self.told if one.role == "leader"]
         return max(leading, key=lambda one: (one.term, one.at)).copy if leading else ""
 
+    def move(self, region: str) -> None:
+        """Head office gives all places to one region: a new file, and word to all copies to read it."""
+        known = [parse(copy.epoch.read_bytes()) for copy in self.copies if copy.epoch.exists()]
+        if known:
+            newest = max(known, key=lambda one: (one.number, one.issued))
+            assumed = Assumed(CLOCK_ERROR, LONGEST * 1000.0, ASKS_ON)
+            made = moved(newest, 0, PLACES, region, time.time() * 1000.0, LEASE, assumed).epoch
+            (self.folder / "first_epoch.json").write_bytes(msgspec.json.encode(made))
+            for copy in self.copies:
+                copy.reread()
+
     async def _ask(self, copy: CopyHandle) -> None:
         """Ask one copy again and again what it says of itself."""
         while True:
--- a/brassweir/lab/between/run.py
+++ b/brassweir/lab/between/run.py
@@ -9,9 +9,10 @@
 from typing import Any
 
 from brassweir.lab.between import judge_effects, judge_live, judge_log, judge_traffic
+from brassweir.lab.between.asking import told_of
 from brassweir.lab.between.day import PATIENCE, day
 from brassweir.lab.between.draw import draw
-from brassweir.lab.between.folders import read_folder, teller
+from brassweir.lab.between.folders import read_folder
 from brassweir.lab.between.rig import CLOCK_ERROR, Rig
 from brassweir.lab.between.schedule import Schedule, to_text
 from brassweir.lab.between.seen import Finding
@@ -64,9 +65,9 @@
     where = stands(plan.copies)
     schedule = plan.schedule
     if schedule is None:
-        schedule = draw(plan.seed, plan.seconds, {one.name: one.site for one in where}, CLOCK_ERROR)
+        schedule = draw(plan.seed, plan.seconds, where, CLOCK_ERROR)
     played = day(plan.seed, plan.seconds, plan.rate, [one.region for one in where])
-    rig = Rig(folder, played.plan, plan.seed, where, schedule, read_folder, teller, plan.without)
+    rig = Rig(folder, played.plan, plan.seed, where, schedule, read_folder, told_of, plan.without)
     (folder / "schedule.yaml").write_text(to_text(schedule), encoding="utf-8")
     began = time.monotonic()
     report = await play(played, plan.seed, folder, say, rig)
@@ -96,6 +97,7 @@
     made["rule 1"].figures["excused"] = excused
     made |= {
         "same entries": judge_log.same(folders, told),
+        "same state": judge_log.same_state(told),
         "none lost once told": judge_log.kept(folders, told, voters),
         "never back": judge_log.never_back(folders, told),
         "one leader a term": judge_log.one_leader(told),
--- a/brassweir/lab/between/schedule.py
+++ b/brassweir/lab/between/schedule.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from io import StringIO
 from pathlib import Path
 from typing import Annotated, Literal, Self
@@ -11,13 +12,14 @@
 
 from brassweir.config.load import ConfigError, load, parse
 from brassweir.config.model import Strict
+from brassweir.lab.between.sites import Stand
 
 Name = Annotated[str, Field(pattern=r"^[a-z][a-z0-9-]{0,30}$")]
 Seconds = Annotated[float, Field(ge=0, le=600, allow_inf_nan=False)]
 Share = Annotated[float, Field(ge=0, le=1)]
 
 PAIRS = ("cut", "oneway")  # need ``between``
-ONE = ("isolate", "stall", "kill", "lose", "restore", "full", "clock")  # need ``who``
+ONE = ("isolate", "stall", "kill", "lose", "restore", "full", "clock", "move")  # need ``who``
 WHOLE = ("weather", "restart_all", "rolling")  # take neither, but weather may have ``between``
 TO_PROCESS = ("stall", "kill", "lose", "restore", "full", "clock", "restart_all", "rolling")
 DOWN = ("stall", "kill", "lose", "restore", "restart_all", "rolling")  # the copy serves nobody meanwhile
@@ -26,19 +28,20 @@
 class Fault(Strict):
     """One fault. Times in seconds from the start of play; ``for`` is how long it lasts.
 
-    ``who`` is a copy, ``leader`` (whoever leads at that time), or for isolate a site; ``between`` two copies
-    or sites, for oneway from the first to the second.
+    ``who`` is a copy, ``leader`` (whoever leads at that time), for isolate also a site, for move the region
+    that gets all places; ``between`` two copies or sites, for oneway from the first to the second.
     """
 
     at: Seconds
     what: Literal["cut", "oneway", "isolate", "stall", "kill", "lose", "restore", "full", "clock", "weather",
-                  "restart_all", "rolling"]
+                  "move", "restart_all", "rolling"]
     who: Name | None = None
     between: tuple[Name, Name] | None = None
     lasts: Seconds = Field(1.0, alias="for")
     lose: Share = Field(0.0, description="weather: share lost")
     double: Share = 0.0
     swap: Share = 0.0
+    spoil: Share = Field(0.0, description="weather: share with a bit turned")
     delay: Share = Field(0.0, description="weather: share delayed")
     delay_ms: Annotated[float, Field(ge=0, le=60_000)] = Field(0.0, description="weather: at most")
     age: Seconds = Field(3.0, description="restore: how old the folder's copy is at least")
@@ -56,7 +59,7 @@
             raise ValueError(f"{self.what} takes no between")
         if self.what == "clock" and not self.by_ms:
             raise ValueError("clock needs by_ms")
-        ours = {"weather": {"lose", "double", "swap", "delay", "delay_ms"}, "restore": {"age"},
+        ours = {"weather": {"lose", "double", "swap", "spoil", "delay", "delay_ms"}, "restore": {"age"},
                 "clock": {"by_ms"}}
         for what, fields in ours.items():
             odd = sorted(self.model_fields_set & fields)
@@ -80,12 +83,9 @@
         return max((one.ends for one in self.faults), default=0.0)
 
 
-def known(schedule: Schedule, copies: dict[str, str], seconds: float, name: str) -> None:
-    """Raise ConfigError unless copies and sites named are those of the rig and all is over in time.
-
-    ``copies``: the site of each copy.
-    """
-    sites = set(copies.values())
+def known(schedule: Schedule, stands: Sequence[Stand], seconds: float, name: str) -> None:
+    """Raise ConfigError unless what is named is of the rig and all is over in time."""
+    copies, sites = {one.name for one in stands}, {one.site for one in stands}
     problems = []
     for number, fault in enumerate(schedule.faults):
         place = f"{name}: faults[{number}]"
@@ -93,6 +93,8 @@
             problems.append(f"{place}.for: it ends at {fault.ends:g} s, the run at {seconds:g} s")
         if fault.who is not None:
             allowed = {*copies, "leader"} | (sites if fault.what == "isolate" else set())
+            if fault.what == "move":
+                allowed = {one.region for one in stands}
             if fault.who not in allowed:
                 problems.append(f"{place}.who: {fault.who} is none of {', '.join(sorted(allowed))}")
         for one in fault.between or ():
--- a/brassweir/lab/between/seen.py
+++ b/brassweir/lab/between/seen.py
@@ -11,8 +11,9 @@
     """One copy's agreed folder as it lay there at ``at`` (s since the start).
 
     ``life`` counts how often the rig has taken it away or put an old one in its place. ``entries``: term and
-    digest by index, of what stands whole behind ``base``, the last index of its snapshot, whose content has
-    the digest ``base_digest``. ``agreed``: the index up to which the folder says that all is agreed.
+    digest by index, of what stands whole behind ``base``, where its log begins; ``snap`` is the last index of
+    its snapshot, whose content has the digest ``snap_digest``. ``agreed``: the index up to which
+    all is agreed, as it says.
     """
 
     at: float
@@ -21,7 +22,8 @@
     term: int
     vote: str
     base: int
-    base_digest: str
+    snap: int
+    snap_digest: str
     entries: dict[int, tuple[int, str]]
     agreed: int = 0
 
@@ -33,7 +35,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """What one copy answered over HTTP at ``at``; ``alive`` are the copies that it takes for alive."""
+    """What one copy answered over HTTP at ``at``.
+
+    ``alive`` and ``dead`` are the copies that it takes for such; ``granted`` which grants it knows;
+    ``digest`` that of its replicated state, as of ``index``.
+    """
 
     at: float
     copy: str
@@ -46,7 +52,9 @@
     alive: frozenset[str] = frozenset()
     dead: frozenset[str] = frozenset()
     self_suspected: bool = False
-    epoch: int = 0
+    granted: int = 0
+    index: int = 0
+    digest: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/lab/between/tape.py
+++ b/brassweir/lab/between/tape.py
@@ -27,7 +27,8 @@
     DELAYED = 3
     SWAPPED = 4
     CUT = 5
-    UNSENT = 6  # the system did not take it
+    SPOILT = 6  # one bit of it turned, and passed on
+    UNSENT = 7  # the system did not take it
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lab/between/test_faults.py
+++ b/tests/lab/between/test_faults.py
@@ -29,7 +29,7 @@
 
 
 def read(path: Path, at: float, copy: str, life: int) -> Folder:
-    return Folder(at, copy, life, 0, "", (path / "beats").stat().st_size, "", {})
+    return Folder(at, copy, life, 0, "", (path / "beats").stat().st_size, 0, "", {})
 
 
 def play(folder: Path, *rows: str) -> tuple[StandIn, Faults, Keeper]:
--- a/tests/lab/between/test_judge_log.py
+++ b/tests/lab/between/test_judge_log.py
@@ -11,7 +11,7 @@
 
 
 def folder(at: float, copy: str, **more: object) -> Folder:
-    return replace(Folder(at, copy, 0, 2, "a", 0, "", dict(LOG), 2), **more)  # type: ignore[arg-type]
+    return replace(Folder(at, copy, 0, 2, "a", 0, 0, "", dict(LOG), 2), **more)  # type: ignore[arg-type]
 
 
 def told(at: float, copy: str, commit: int = 2, **more: object) -> Told:
@@ -38,7 +38,7 @@
 
 
 def test_different_snapshots_are_seen() -> None:
-    snaps = [folder(1.0, copy, base=2, base_digest=digest) for copy, digest in (("a", "x"), ("b", "y"))]
+    snaps = [folder(1.0, copy, snap=2, snap_digest=digest) for copy, digest in (("a", "x"), ("b", "y"))]
     assert "snapshot up to 2 differs" in judge_log.same(snaps, []).broken[0]
 
 
@@ -61,8 +61,8 @@
 
 
 def test_answers_that_go_back_are_seen() -> None:
-    for what in ({"term": 1}, {"applied": 1}, {"epoch": 4}):
-        given = [told(1.0, "a", epoch=5), told(1.2, "a", **({"epoch": 5} | what))]
+    for what in ({"term": 1}, {"applied": 1}, {"granted": 4}):
+        given = [told(1.0, "a", granted=5), told(1.2, "a", **({"granted": 5} | what))]
         assert judge_log.never_back([], given).broken, what
     assert "its folder ends at 2" in judge_log.never_back(
         [folder(2.0, "a", entries={1: (1, "aa"), 2: (1, "bb")})], [told(1.0, "a", 3)]).broken[0]
@@ -71,3 +71,9 @@
 def test_two_leaders_of_one_term_are_seen() -> None:
     assert judge_log.one_leader([told(1.0, "a", role="leader"), told(5.0, "b", role="leader")]).broken
     assert not judge_log.one_leader([told(1.0, "a", role="leader"), told(5.0, "b", role="leader", term=3)]).broken
+
+
+def test_different_states_at_one_index_are_seen() -> None:
+    one, other = told(1.0, "a", index=7, digest="x"), told(2.0, "b", index=7, digest="y")
+    assert "the state as of 7 differs" in judge_log.same_state([one, other]).broken[0]
+    assert not judge_log.same_state([one, replace(other, index=8)]).broken
--- a/tests/lab/between/test_relay.py
+++ b/tests/lab/between/test_relay.py
@@ -94,6 +94,11 @@
         tapes.read(tmp_path / "tape")
 
 
+def test_a_spoilt_datagram_has_one_bit_turned() -> None:
+    found, _ = asyncio.run(_through(faults("{at: 0, what: weather, for: 9, spoil: 1}"), SENT))
+    assert [(a[0] ^ b[0]).bit_count() for a, b in zip(found, SENT, strict=True)] == [1] * 6
+
+
 def test_the_kind_is_read_from_the_clear_part() -> None:
     assert tapes.kind_of(bytes(17) + b"\x96\xa4live\xa1a") == "live"
     assert tapes.kind_of(bytes(17) + b"\x96\xa3log\xa1a") == "log"
--- a/tests/lab/between/test_schedule.py
+++ b/tests/lab/between/test_schedule.py
@@ -12,7 +12,7 @@
 from brassweir.lab.between.schedule import TO_PROCESS
 from brassweir.lab.between.sites import stands
 
-SITES = {one.name: one.site for one in stands(7)}
+SITES = stands(7)
 
 
 def test_drawn_schedules_are_seeded_kept_apart_and_read_back() -> None:
@@ -26,7 +26,7 @@
         assert all(a.ends < b.at for a, b in zip(struck, struck[1:], strict=False))
         assert sum(one.what in REMAKES for one in made.faults) <= 1
         kinds |= {one.what for one in made.faults}
-    assert len(kinds) == 12  # every kind there is
+    assert len(kinds) == 13  # every kind there is
     assert draw(1, 30.0, SITES, 500.0) != draw(2, 30.0, SITES, 500.0)
 
 
@@ -49,8 +49,8 @@
 def test_names_and_times_must_be_those_of_the_rig(tmp_path: Path) -> None:
     path = tmp_path / "s.yaml"
     path.write_text("faults:\n- {at: 1, what: stall, who: s99}\n- {at: 1, what: cut, between: [s1, here]}\n"
-                    "- {at: 9, what: isolate, who: site-a, for: 9}\n- {at: 1, what: kill, who: site-a}\n")
+                    "- {at: 9, what: isolate, who: site-a, for: 9}\n- {at: 1, what: kill, who: site-a}\n- {at: 1, what: move, who: s1}\n")
     with pytest.raises(ConfigError) as caught:
         schedules.known(schedules.read(path), SITES, 12.0, "s.yaml")
     assert [one.partition(":")[2].split(":")[0].strip() for one in caught.value.problems] == [
-        "faults[0].who", "faults[1].between", "faults[2].for", "faults[3].who"]
+        "faults[0].who", "faults[1].between", "faults[2].for", "faults[3].who", "faults[4].who"]
