--- a/brassweir/lab/between/seen.py
+++ b/brassweir/lab/between/seen.py
@@ -8,7 +8,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Folder:
-    """One copy's agreed folder as it lay there at ``at`` (s since the start).
+    """One copy's agreed folder, of the member ``member``, as it lay there at ``at`` (s since the start).
 
     ``life`` counts how often the rig has taken it away or put an old one in its place. ``entries``: term and
     digest by index, of what stands whole behind ``base``, where its log begins; ``snap`` is the last index of
@@ -26,6 +26,7 @@
     snap_digest: str
     entries: dict[int, tuple[int, str]]
     agreed: int = 0
+    member: str = ""
 
     @property
     def last(self) -> int:
--- a/tests/lab/between/test_judge_log.py
+++ b/tests/lab/between/test_judge_log.py
@@ -57,6 +57,7 @@
         assert judge_log.never_back([folder(1.0, "a"), folder(2.0, "a", **what)], []).broken, what
         assert not judge_log.never_back([folder(1.0, "a"), folder(2.0, "a", life=1, **what)], []).broken
     assert not judge_log.never_back([folder(1.0, "a"), folder(2.0, "a", term=3, vote="b")], []).broken
+    assert not judge_log.never_back([folder(1.0, "a"), folder(2.0, "a", vote="", member="new")], []).broken
     assert judge_log.never_back([folder(1.0, "a", base=2), folder(2.0, "a", base=1)], []).broken
 
 
