--- a/brassweir/lab/between/draw.py
+++ b/brassweir/lab/between/draw.py
@@ -17,6 +17,7 @@
 KINDS = (("stall", 1.0, 5.0, 3), ("kill", 0.5, 3.0, 3), ("lose", 0.5, 2.0, 2), ("restore", 0.5, 2.0, 2),
          ("full", 1.0, 3.0, 2), ("clock", 1.0, 4.0, 1), ("isolate", 2.0, 5.0, 3), ("oneway", 2.0, 5.0, 3),
          ("cut", 2.0, 5.0, 2), ("restart_all", 0.5, 1.0, 1), ("rolling", 2.0, 5.0, 1), ("move", 0.0, 0.0, 1))
+ROLL = 5.0  # s that a rolling restart may take beyond its time
 REMAKES = ("lose", "restore")
 
 
@@ -81,4 +82,5 @@
         elif fault.at >= busy:
             kept.append(fault)
             busy = fault.ends + 0.3
+            busy += ROLL if fault.what == "rolling" else 0.0
     return kept
--- a/brassweir/lab/between/faults.py
+++ b/brassweir/lab/between/faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections.abc import Callable, Sequence
+from contextlib import AsyncExitStack
 from pathlib import Path
 
 from brassweir.lab.between.copy import CopyHandle
@@ -28,6 +29,7 @@
         self.away: list[Away] = []
         self.done: list[Fault] = []  # as they were carried out, leaders named
         self.problems: list[str] = []  # copies that did not come back
+        self.over = schedule.last()  # s; later where copies took longer to come back
 
     def now(self) -> float:
         """Seconds since the start."""
@@ -36,6 +38,7 @@
     async def play(self) -> None:
         """Carry all of it out; returns when the last fault is over."""
         await asyncio.gather(*(self._one(fault) for fault in self.schedule.faults))
+        self.over = max(self.over, self.now())
 
     async def _one(self, fault: Fault) -> None:
         await asyncio.sleep(max(0.0, fault.at - self.now()))
@@ -54,7 +57,12 @@
                 await self._restart([copy], fault, 0.0)
         else:
             assert fault.who is not None
-            await self._process(fault, self.copies[fault.who])
+            copy = self.copies[fault.who]
+            if fault.what in ("stall", "full", "clock"):
+                async with copy.lock:
+                    await self._process(fault, copy)
+            else:
+                await self._restart([copy], fault)
 
     async def _process(self, fault: Fault, copy: CopyHandle) -> None:
         begun = self.now()
@@ -70,16 +78,20 @@
             if not copy.running:  # one that cannot write may end itself
                 await self._start(copy)
             self._away(copy, begun, fault.what)
-        elif fault.what == "clock":
+        else:
             copy.step_clock(fault.by_ms)
             await asyncio.sleep(fault.lasts)
             copy.step_clock(0.0)
             self._away(copy, begun, fault.what)
-        else:
-            await self._restart([copy], fault)
 
     async def _restart(self, copies: list[CopyHandle], fault: Fault, lasts: float | None = None) -> None:
         """SIGKILL, what becomes of the folder, and a new start once it has lasted."""
+        async with AsyncExitStack() as stack:
+            for copy in copies:
+                await stack.enter_async_context(copy.lock)
+            await self._restarted(copies, fault, lasts)
+
+    async def _restarted(self, copies: list[CopyHandle], fault: Fault, lasts: float | None) -> None:
         begun = self.now()
         for copy in copies:
             await copy.kill()
--- a/brassweir/lab/between/folders.py
+++ b/brassweir/lab/between/folders.py
@@ -18,7 +18,7 @@
 
 MAGIC, MARK = b"BRWSAGR1", b"\xb7AGR"
 HEAD = struct.Struct("<4sQII")
-IDENTITY, BALLOT, ADDED, CUT, AGREED, SNAPSHOT, BASE = 1, 2, 3, 4, 5, 7, 8  # tags of records that are read here
+IDENTITY, BALLOT, ADDED, CUT, AGREED, SNAPSHOT, BASE = 1, 2, 3, 4, 5, 7, 8  # tags of records read here
 
 
 def frames(data: bytes) -> list[list[Any]]:
--- a/brassweir/lab/between/run.py
+++ b/brassweir/lab/between/run.py
@@ -90,7 +90,7 @@
     voters = [one.name for one in where if one.voter]
     faults, folders, told = rig.faults, rig.keeper.folders, rig.told
     classes = figures_of(played)
-    last, end = faults.schedule.last(), rig.ended - rig.start
+    last, end = faults.over, rig.ended - rig.start
     verdict = judge(judge_effects.own_answers(rig.tape), classes, Figures(answer=PATIENCE + 2.0, again=2))
     excused = judge_effects.excuse(verdict, rig.tape, faults.away, rig.start, PATIENCE)
     made = {f"rule {rule}": _of_rule(verdict, rule) for rule in range(1, 7)}
