--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -37,7 +37,7 @@
 
 def told_of(at: float, copy: str, life: int, agreed: dict[str, Any], peers: dict[str, Any]) -> Told:
     """What ``/agreed`` and ``/peers`` said. Raises KeyError naming what is missing."""
-    views = {name: one["state"] for name, one in peers["copies"].items()}
+    views = peers["copies"]
     return Told(at, copy, life, agreed["role"], int(agreed["term"]), agreed["leader"] or "",
                 int(agreed["commit"]), int(agreed["applied"]),
                 frozenset(name for name, state in views.items() if state == "alive"),
