--- a/brassweir/lab/between/rig.py
+++ b/brassweir/lab/between/rig.py
@@ -37,11 +37,11 @@
 Teller = Callable[[float, str, int, dict[str, Any], dict[str, Any]], Told]
 
 
-def free_udp_port() -> int:
-    """A UDP port of loopback that nobody listens on now."""
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def hold_udp_port() -> socket.socket:
+    """A UDP port of loopback, held until its socket is closed: the relay must not be given it."""
+    held = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    held.bind(("127.0.0.1", 0))
+    return held
 
 
 class Rig(Fleet):
@@ -56,7 +56,8 @@
         self.copies: list[CopyHandle] = []
         self.told: list[Told] = []
         self.fates = Fates(seed, {one.name: one.site for one in stands})
-        self.relay = Relay({one.name: free_udp_port() for one in stands}, self.fates)
+        self.held = {one.name: hold_udp_port() for one in stands}
+        self.relay = Relay({name: held.getsockname()[1] for name, held in self.held.items()}, self.fates)
         self.tasks: list[asyncio.Task[None]] = []
         self.faults: Faults | None = None
         self.keeper: Keeper | None = None
@@ -70,6 +71,8 @@
     async def set_up(self) -> None:
         """The relay first, then the fleet, then those who look on and those who break things."""
         await self.relay.listen()
+        for held in self.held.values():
+            held.close()
         (self.folder / "peers.key").write_bytes(KEY)
         regions = {one.region: f"http://127.0.0.1/{one.region}" for one in self.stands}
         epoch = first(regions, time.time() * 1000.0, LEASE)
