--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -39,7 +39,8 @@
     """What ``/agreed`` and ``/peers`` said. Raises KeyError naming what is missing."""
     views = peers["copies"]
     return Told(at, copy, life, agreed["role"], int(agreed["term"]), agreed["leader"] or "",
-                int(agreed["commit"]), int(agreed["applied"]),
+                int(agreed["agreed"]), int(agreed["applied"]),
                 frozenset(name for name, state in views.items() if state == "alive"),
                 frozenset(name for name, state in views.items() if state == "dead"),
-                bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"])
+                bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"],
+                agreed["trouble"])
--- a/brassweir/lab/between/judge_live.py
+++ b/brassweir/lab/between/judge_live.py
@@ -52,6 +52,25 @@
     return found
 
 
+def caught_up(told: Sequence[Told], copies: Sequence[str], lag: float) -> Finding:
+    """At the end every copy takes part, and knows grants, and has applied all that was told agreed ``lag`` seconds
+    before."""
+    found = Finding()
+    last = {one.copy: one for one in sorted(told, key=lambda one: one.at)}
+    for name in copies:
+        found.tested += 1
+        one = last.get(name)
+        if one is None or one.trouble:
+            found.broken.append(f"{name} takes no part at the end: {one.trouble if one else 'it was silent'}")
+            continue
+        due = max((other.commit for other in told if other.at <= one.at - lag), default=0)
+        if one.applied < due:
+            found.broken.append(f"{name} has applied {one.applied} at the end, {due} was agreed before")
+        if not one.granted:
+            found.broken.append(f"{name} knows of no grants at the end")
+    return found
+
+
 def no_false_death(told: Sequence[Told], away: Sequence[Away], cut: Sequence[tuple[str, str, float, float]],
                    slack: float) -> Finding:
     """Nobody is told dead that was neither away nor cut off from the one that tells, in the last ``slack`` s.
--- a/brassweir/lab/between/rig.py
+++ b/brassweir/lab/between/rig.py
@@ -25,7 +25,7 @@
 from brassweir.lab.fleet import Fleet, FleetPlan, Handle
 from brassweir.regions.epochs import PLACES, parse
 from brassweir.regions.ownership import Assumed
-from brassweir.regions.planning import first, moved
+from brassweir.regions.planning import first, handed_over, moved
 
 CLOCK_ERROR = 500.0  # ms that a copy's clock may be off
 ASKS_ON = 13_000.0  # ms for which a client asks for an answer: its message's time, its patience, and one more
@@ -74,8 +74,9 @@
         for held in self.held.values():
             held.close()
         (self.folder / "peers.key").write_bytes(KEY)
+        now = time.time() * 1000.0
         regions = {one.region: f"http://127.0.0.1/{one.region}" for one in self.stands}
-        epoch = first(regions, time.time() * 1000.0, LEASE)
+        epoch = handed_over(first(regions, now, LEASE), now)
         (self.folder / "first_epoch.json").write_bytes(msgspec.json.encode(epoch))
         await super().set_up()
         self.start = self.relay.start = time.time()
--- a/brassweir/lab/between/run.py
+++ b/brassweir/lab/between/run.py
@@ -23,6 +23,7 @@
 
 ALIVE_WITHIN = 8.0  # s after the last fault until all take all for alive
 LEADER_WITHIN = 8.0  # s until most know one: restarts 1, asking who remembers 3, elections 2 to 4
+LAG = 4.0  # s that a copy may be behind: those that follow ask every 2 s
 SLACK = 4.0  # s in which a view may still show what a fault that is over had brought about
 QUIET = 5.0  # s after the last fault before talk counts as idle
 
@@ -105,6 +106,7 @@
             rig.tape, classes, {one.name: one.region for one in where}),
         "together again": judge_live.together_again(told, names, last, ALIVE_WITHIN),
         "leads again": judge_live.leads_again(told, names, last, LEADER_WITHIN),
+        "caught up": judge_live.caught_up(told, names, LAG),
         "no false death": judge_live.no_false_death(told, faults.away, faults.cuts(), SLACK),
         "idle talk": judge_traffic.traffic(rig.relay.tape, last + QUIET, end),
         "ends": Finding(len(names), list(faults.problems)),
--- a/brassweir/lab/between/seen.py
+++ b/brassweir/lab/between/seen.py
@@ -39,7 +39,7 @@
     """What one copy answered over HTTP at ``at``.
 
     ``alive`` and ``dead`` are the copies that it takes for such; ``granted`` which grants it knows;
-    ``digest`` that of its replicated state, as of ``index``.
+    ``trouble`` why it takes no part in the log; ``digest`` that of its replicated state, as of ``index``.
     """
 
     at: float
@@ -56,6 +56,7 @@
     granted: int = 0
     index: int = 0
     digest: str = ""
+    trouble: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lab/between/test_judges.py
+++ b/tests/lab/between/test_judges.py
@@ -35,6 +35,16 @@
     assert "no leader" in judge_live.leads_again(alone, "abc", 10.0, 2.0).broken[0]
 
 
+def test_one_that_stays_behind_or_takes_no_part_is_seen() -> None:
+    good = [told(at, copy, commit=5, applied=5, granted=1) for at in (1.0, 9.0) for copy in "abc"]
+    assert not judge_live.caught_up(good, "abc", 4.0).broken
+    assert "has applied 4" in judge_live.caught_up([*good, told(9.5, "b", applied=4, granted=1)], "abc", 4.0).broken[0]
+    assert not judge_live.caught_up([*good, told(9.0, "c", commit=6, applied=5, granted=1)], "abc", 4.0).broken
+    assert "disk" in judge_live.caught_up([*good, told(9.5, "b", applied=5, trouble="disk")], "abc", 4.0).broken[0]
+    assert "no grants" in judge_live.caught_up([*good, told(9.5, "b", applied=5)], "abc", 4.0).broken[0]
+    assert "silent" in judge_live.caught_up(good[:1], "ab", 4.0).broken[0]
+
+
 def test_a_false_death_is_seen_and_a_cut_or_a_stall_excuses_one() -> None:
     lies = [told(10.0, "a", dead=frozenset("b"))]
     assert judge_live.no_false_death(lies, [], [], 3.0).broken
