--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -35,7 +35,7 @@
     return tree if isinstance(tree, dict) else None
 
 
-def told_of(at: float, copy: str, life: int, agreed: dict[str, Any], peers: dict[str, Any]) -> Told:
+def told_of(at: float, copy: str, life: int, run: int, agreed: dict[str, Any], peers: dict[str, Any]) -> Told:
     """What ``/agreed`` and ``/peers`` said. Raises KeyError naming what is missing."""
     views = peers["copies"]
     return Told(at, copy, life, agreed["role"], int(agreed["term"]), agreed["leader"] or "",
@@ -43,4 +43,4 @@
                 frozenset(name for name, state in views.items() if state == "alive"),
                 frozenset(name for name, state in views.items() if state == "dead"),
                 bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"],
-                agreed["trouble"])
+                agreed["trouble"], run)
--- a/brassweir/lab/between/copy.py
+++ b/brassweir/lab/between/copy.py
@@ -26,8 +26,8 @@
         self.epoch = settings.with_name(f"{name}.epoch")  # the newest grants it knew
         self.clock = settings.with_name(f"{name}.clock")
         self.life = 0
-        self.stalled = False
-        self.ends: list[str] = []  # ends that were not our doing
+        self.run = 0  # how often it was started
+        self.listens = self.stalled = False
         self.lock = asyncio.Lock()  # one start or end at a time
 
     def command(self) -> list[str]:
@@ -42,6 +42,7 @@
     async def start(self) -> None:
         """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
         self.full(False)
+        self.run, self.listens = self.run + 1, False
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 *self.command(), stderr=log, stdout=log, env=self.environment())
@@ -57,6 +58,7 @@
                 await asyncio.sleep(0.05)
                 continue
             writer.close()
+            self.listens = True
             return
         raise RuntimeError(f"{self.name} does not listen")
 
@@ -74,12 +76,13 @@
         self.stalled = False
 
     def reread(self) -> None:
-        """SIGHUP: it reads its files anew."""
-        if self.process is not None and self.running:
+        """SIGHUP: it reads its files anew. One that does not listen yet reads them as it starts."""
+        if self.process is not None and self.running and self.listens:
             self.process.send_signal(signal.SIGHUP)
 
     async def kill(self) -> None:
         """SIGKILL, if it runs."""
+        self.listens = False
         if self.running:
             await super().kill()
         self.stalled = False
--- a/brassweir/lab/between/seen.py
+++ b/brassweir/lab/between/seen.py
@@ -36,7 +36,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """What one copy answered over HTTP at ``at``.
+    """What one copy answered over HTTP at ``at``, in its ``run``-th process.
 
     ``alive`` and ``dead`` are the copies that it takes for such; ``granted`` which grants it knows;
     ``trouble`` why it takes no part in the log; ``digest`` that of its replicated state, as of ``index``.
@@ -57,6 +57,7 @@
     index: int = 0
     digest: str = ""
     trouble: str = ""
+    run: int = 1
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lab/between/test_judge_log.py
+++ b/tests/lab/between/test_judge_log.py
@@ -69,6 +69,11 @@
         [folder(2.0, "a", entries={1: (1, "aa"), 2: (1, "bb")})], [told(1.0, "a", 3)]).broken[0]
 
 
+def test_a_new_process_applies_anew_and_one_in_trouble_shows_nothing() -> None:
+    for later in (told(1.2, "a", applied=0, run=2), told(1.2, "a", applied=0, term=0, trouble="disk full")):
+        assert not judge_log.never_back([], [told(1.0, "a"), later]).broken
+
+
 def test_two_leaders_of_one_term_are_seen() -> None:
     assert judge_log.one_leader([told(1.0, "a", role="leader"), told(5.0, "b", role="leader")]).broken
     assert not judge_log.one_leader([told(1.0, "a", role="leader"), told(5.0, "b", role="leader", term=3)]).broken
