--- a/brassweir/cli/between.py
+++ b/brassweir/cli/between.py
@@ -28,7 +28,7 @@
 @click.option("--seed", default=1, show_default=True, type=click.IntRange(0, 1_000_000),
               help="One seed, one day and one schedule of faults.")
 @click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(12.0, 120.0))
-@click.option("--copies", default=7, show_default=True, type=click.IntRange(LEAST, MOST), help="Processes.")
+@click.option("--copies", default=6, show_default=True, type=click.IntRange(LEAST, MOST), help="Processes.")
 @click.option("--rate", default=10.0, show_default=True, type=click.FloatRange(0.5, 30.0),
               help="Messages a second from all clients.")
 @click.option("--schedule", "path", type=click.Path(path_type=Path, exists=True, dir_okay=False),
--- a/brassweir/lab/between/judge_effects.py
+++ b/brassweir/lab/between/judge_effects.py
@@ -65,7 +65,7 @@
     """The tape without refusals by a copy that said the message is another region's, where its client had any
     other answer: they are no answers of who the message belongs to."""
     def sent_on(one: object) -> bool:
-        return isinstance(one, Answered) and one.answer == "refused" and one.reason.startswith("not here")
+        return isinstance(one, Answered) and one.answer == "refused" and "not here" in one.reason
 
     others = {one.payment for one in tape.seen if isinstance(one, Answered) and not sent_on(one)}
     return Tape([one for one in tape.seen if not (sent_on(one) and getattr(one, "payment", "") in others)])
--- a/brassweir/lab/between/judge_live.py
+++ b/brassweir/lab/between/judge_live.py
@@ -53,7 +53,7 @@
 
 
 def caught_up(told: Sequence[Told], copies: Sequence[str], lag: float) -> Finding:
-    """At the end every copy takes part, knows grants, and has applied all that was agreed ``lag`` s before."""
+    """At the end every copy takes part, knows grants and has applied all that was agreed ``lag`` s before."""
     found = Finding()
     last = {one.copy: one for one in sorted(told, key=lambda one: one.at)}
     for name in copies:
