--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -11,6 +11,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
+from typing import cast
 
 from brassweir.peers.copies import Copy, Fleet, host_port
 from brassweir.peers.liveness import Core
@@ -124,6 +125,16 @@
             return View({copy.name: "alive" for copy in self.fleet.others}, True, False, False)
         return self.core.view()
 
+    def counters(self) -> dict[str, int]:
+        """All counts, for metrics: the port's, liveness's, and bytes."""
+        counts = Counter(self.counts)
+        counts["bytes_sent"], counts["bytes_taken"] = self.bytes_sent, self.bytes_taken
+        if self.core is not None:
+            counts.update(self.core.counts)
+            counts["refuted"], counts["twins"] = self.core.table.refuted, self.core.table.twins
+            counts["health_score"] = self.core.health.score
+        return dict(counts)
+
     # ---- the loop's side
 
     def _now(self) -> float:
@@ -131,8 +142,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """The port is open."""
-        assert isinstance(transport, asyncio.DatagramTransport)
-        self.transport = transport
+        self.transport = cast(asyncio.DatagramTransport, transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER)
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -14,6 +14,7 @@
 from brassweir.peers.tuning import Tuning
 
 AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
+FURTHEST = 1 << 61  # no life is so late; going on from it would end the numbers
 MANY = 8  # with more suspicions than this, all are looked at twice as often instead of each at its time
 
 
@@ -69,7 +70,7 @@
 
     def _of_self(self, claim: Claim, now: float) -> int | None:
         if claim.life > self.life:
-            if now < self.relived + self.tuning.relive:
+            if claim.life > FURTHEST or now < self.relived + self.tuning.relive:
                 return None
             self.twins += self.relived > float("-inf")
             self.relived = now
@@ -116,6 +117,14 @@
         if held is not None and held.status != DEAD:
             self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
 
+    def forgive(self, names: frozenset[str]) -> None:
+        """This copy was cut off from these: whom it suspects there, it has no grounds to."""
+        for name in names & self.suspicions.keys():
+            del self.suspicions[name]
+            self.standings[name].status = ALIVE
+            self.news.drop(name)
+            self.changed.add(name)
+
     def span(self) -> Span:
         """The time-outs of now."""
         return span(self.tuning, self.size, self.health.score, self.pace)
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -20,7 +20,9 @@
 
 LOOK = 0.1  # seconds between two looks: well within a tenth of the shortest lease
 PROPOSING = 3000.0  # ms until a proposal counts as unknown: a new leader is there by then
-JOIN_AGAIN = 5.0  # seconds between two tries to join
+JOIN_AGAIN = 5.0  # seconds between two tries to join, or to change a voter
+CHANGING = 60_000.0  # ms for one change of a voter: it has to have the whole log first
+VOTERS_FOR = 600.0  # seconds that other voters are wanted for, so that all copies can be told
 WISH_FOR = 15.0  # seconds that an operator's wish is tried for, until it is told as not done
 
 Note = Callable[[str, dict[str, object]], None]
@@ -48,9 +50,15 @@
     def status(self) -> Mapping[str, Any]:
         """Role, term, leader, commit, applied, voters, learners."""
 
-    async def hand_over(self) -> None:
+    def hand_over(self) -> None:
         """Let another lead, if this one does."""
 
+    def give_up(self) -> None:
+        """Follow no further: this version cannot."""
+
+    async def change(self, name: str, votes: bool, timeout_ms: float) -> Told:
+        """Let a copy vote, or no longer; for the leader only."""
+
 
 class Agreeing:
     """One copy's dealings with the log. ``region`` is there where epochs come from it."""
@@ -63,10 +71,13 @@
         self.wish: Epoch | None = None
         self.wish_until = 0.0
         self.asked = False  # by an operator, and not by this copy's own start
-        self.join_after = 0.0
+        self.join_after = self.vote_after = 0.0
         self.joined = False
+        self.changing: asyncio.Task[None] | None = None
+        self.voters: frozenset[str] = frozenset()  # as an operator wants them; empty: as they are
+        self.voters_until = 0.0
         self.left: set[str] = set()  # taken out of the copies' file, and members still
-        self.said = ""
+        self.said = self.refused = ""
 
     def hear(self) -> None:
         """The machine has changed, or may have."""
@@ -75,6 +86,11 @@
         if self.machine.beyond and self.said != self.machine.beyond:
             self.said = self.machine.beyond
             self.note("agreed_beyond", {"error": self.said})
+            self.group.give_up()
+
+    def want_voters(self, names: frozenset[str]) -> None:
+        """An operator wants these to vote."""
+        self.voters, self.voters_until = names, time.monotonic() + VOTERS_FOR
 
     def read_wish(self, asked: bool) -> None:
         """Read the file of the first, or the next, epoch; at start, and when an operator asks."""
@@ -91,15 +107,16 @@
         """Go on for ever."""
         while True:
             await asyncio.sleep(LOOK)
-            self.hear()
+            self.hear()  # nothing may have been applied, and a disk may have room again
             leader = self.group.status()["leader"]
             if leader and not self.machine.beyond:
                 await self._join()
                 await self._leave()
+                self._vote(leader == self.me.name)
                 await self._wish(leader == self.me.name)
                 await self._renew(leader == self.me.name)
             if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
-                self._wish_over("wish_refused", self.wish, "no answer in time; what was proposed may still come")
+                self._wish_over("wish_refused", self.wish, "no answer in time; it may still come")
 
     async def _propose(self, command: Command) -> Result | None:
         """The result of a command; None if it is not known, or was not taken."""
@@ -133,6 +150,26 @@
             await self._propose(Leave(name))
         self.left -= self.left - self.machine.state.copies.keys()
 
+    def _vote(self, leading: bool) -> None:
+        """One step towards the voters that an operator wants: who is to come first, then who is to go. What
+        was wanted counts until it is so, and not for ever: others may be wanted by then."""
+        there = set(self.group.status()["voters"])
+        if not self.voters or self.voters == there or time.monotonic() > self.voters_until:
+            self.voters = frozenset()
+            return
+        steps = [(name, True) for name in sorted(self.voters - there)]
+        steps += [(name, False) for name in sorted(there - self.voters)]
+        idle = self.changing is None or self.changing.done()
+        if leading and idle and time.monotonic() >= self.vote_after:
+            self.changing = asyncio.create_task(self._change(*steps[0]))  # leases are renewed meanwhile
+
+    async def _change(self, name: str, votes: bool) -> None:
+        told = await self.group.change(name, votes, CHANGING)
+        if told.how != "agreed":
+            self.vote_after = time.monotonic() + JOIN_AGAIN
+        self.note("voter_changed" if told.how == "agreed" else "voter_not_changed",
+                  {"copy": name, "votes": votes, "error": told.why})
+
     async def _wish(self, leading: bool) -> None:
         wish, there = self.wish, self.machine.state.epoch
         if wish is None or self.region is None:
@@ -175,14 +212,17 @@
         state, wall, own = self.machine.state, self.region.wall(), self.region.own
         step = self.renewing.step(time.monotonic() * 1000.0, Facts(
             leading, wall, own.trusted(wall), state.epoch, state.granted, self.lease, own.assumed,
-            self.wish is not None, self.lost()))
+            self.wish is not None, self.lost() if leading else frozenset()))
         if isinstance(step, GiveAway):
             self.note("lead_given_away", {"why": step.why})
-            await self.group.hand_over()
+            self.group.hand_over()
         elif isinstance(step, Renew):
             result = await self._propose(Publish(step.epoch, step.after))
-            if result is not None and not result.ok and result.field != "after":
-                self.note("renewal_refused", {"field": result.field, "error": result.why})
+            error = f"{result.field}: {result.why}" if result and result.field not in ("", "after") else ""
+            if error != self.refused:
+                self.refused = error  # complained of once
+                if error:
+                    self.note("renewal_refused", {"error": error})
 
     def lost(self) -> frozenset[str]:
         """Regions of which every member's site is agreed to be lost."""
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -4,127 +4,24 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any
 
 import msgspec
 import pytest
 
-from brassweir.agreed.machine import Machine
-from brassweir.config.model import CopyModel
-from brassweir.core.ports import Answer, Payload, Submission
-from brassweir.interface import Effect, MessageClass
+from brassweir.agreed.commands import Format, Leave, encode
 from brassweir.regions import planning
-from brassweir.regions.epochs import Epoch
-from brassweir.regions.ownership import Assumed
 from brassweir.service import agreeing, regionlog
-from brassweir.service.agreeing import Agreeing
+from brassweir.service.regionfile import RegionFile
 from brassweir.service.regionlog import RegionLog
 from tests.conftest import run
-
-ASSUMED = Assumed(100.0, 1_000.0, 3_600_000.0)
-CLASSES = {"order": MessageClass("order", 500.0, 1_000.0, Effect.UNSAFE), "status": MessageClass("status", 500.0, 1_000.0, Effect.SAFE)}
-URLS = {"east": "http://east", "west": "http://west"}
-
-
-@dataclass
-class Outcome:
-    how: str
-    index: int = 0
-    result: bytes = b""
-    why: str = ""
-
-
-@dataclass
-class Log:
-    """One log that all stand-ins share."""
-
-    entries: list[bytes] = field(default_factory=list)
-    leader: str = ""
-    members: list[Member] = field(default_factory=list)
-
-
-class Member:
-    """Agrees at once, unless it is cut off: then it hears nothing and nothing is agreed."""
-
-    def __init__(self, name: str, log: Log) -> None:
-        self.name, self.log, self.machine, self.cut, self.read = name, log, Machine(), False, 0
-        log.members.append(self)
-
-    async def propose(self, command: bytes, timeout_ms: float) -> Outcome:
-        if self.cut or not self.log.leader:
-            return Outcome("refused", why="no leader")
-        self.log.entries.append(command)
-        for one in self.log.members:
-            one.follow()
-        probe = Machine()
-        return Outcome("agreed", len(self.log.entries), [probe.apply(at, entry) for at, entry in enumerate(self.log.entries, 1)][-1])
-
-    def follow(self) -> None:
-        while not self.cut and self.read < len(self.log.entries):
-            self.read += 1
-            self.machine.apply(self.read, self.log.entries[self.read - 1])
-
-    async def hand_over(self) -> None:
-        if self.log.leader == self.name:
-            self.log.leader = next(one.name for one in self.log.members if one is not self and not one.cut)
-
-    def status(self) -> Mapping[str, Any]:
-        return {"leader": "" if self.cut else self.log.leader, "role": "follower"}
-
-
-class Copy:
-    """One copy's dealings with the log, and its ownership."""
-
-    def __init__(self, name: str, region: str, log: Log, folder: Path, lease: float = 2_000.0) -> None:
-        self.notes: list[tuple[str, dict[str, object]]] = []
-        self.region = RegionLog(region, folder / f"{name}.epoch", ASSUMED, CLASSES, lambda event, more: self.notes.append((event, more)))
-        self.member, self.first = Member(name, log), folder / "first.json"
-        self.deals = Agreeing(CopyModel(name=name, site=f"{region}1", region=region, address="127.0.0.1:1"), self.member.machine, self.member,
-                              self.region, lease, self.first, lambda event, more: self.notes.append((event, more)))
-        self.tasks = [asyncio.create_task(self.deals.run())]
-        self.deals.read_wish(False)
-
-    def takes(self, name: str, cls: str = "order") -> bool:
-        refused = self.region.admits(Submission("c", name, cls, 1, 900.0, payload=Payload("a/b", b"")))
-        assert refused is None or refused.answer is Answer.REFUSED
-        return refused is None
-
-    def said(self, event: str) -> list[dict[str, object]]:
-        return [more for name, more in self.notes if name == event]
-
-
-def first(lease: float = 2_000.0, turn: int = 1) -> Epoch:
-    return msgspec.structs.replace(planning.first(URLS, time.time() * 1000.0 - 500.0, lease), turn=turn)
-
-
-async def until(what: Callable[[], bool], seconds: float = 10.0) -> None:
-    end = time.monotonic() + seconds
-    while not what():
-        assert time.monotonic() < end, "waited in vain"
-        await asyncio.sleep(0.01)
-
-
-async def group(tmp_path: Path) -> tuple[Log, list[Copy]]:
-    (tmp_path / "first.json").write_bytes(msgspec.json.encode(first()))
-    log = Log(leader="a")
-    copies = [Copy(name, region, log, tmp_path) for name, region in (("a", "east"), ("b", "west"), ("c", "west"))]
-    await until(lambda: all(one.region.own.epoch is not None and len(one.member.machine.state.copies) == 3 for one in copies))
-    return log, copies
+from tests.service.group import ASSUMED, CLASSES, Copy, Log, end, first, group, until
 
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(agreeing, "LOOK", 0.005)
-
-
-def end(copies: list[Copy]) -> None:
-    for one in copies:
-        for task in one.tasks:
-            assert not task.done(), task
-            task.cancel()
+    monkeypatch.setattr(agreeing, "JOIN_AGAIN", 0.05)
 
 
 def test_the_first_epoch_is_proposed_once_and_the_leader_renews(tmp_path: Path) -> None:
@@ -202,6 +99,41 @@
     run(work())
 
 
+def test_who_votes_and_who_is_a_member_go_as_the_operator_wants(tmp_path: Path) -> None:
+    async def work() -> None:
+        log, copies = await group(tmp_path)
+        copies[1].deals.want_voters(frozenset({"b", "c"}))
+        await asyncio.sleep(0.1)
+        assert log.voters == {"a", "b"}, "the leader changes it, when it is told"
+        copies[0].deals.want_voters(frozenset({"b", "c"}))
+        await until(lambda: log.voters == {"b", "c"})
+        assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], "who comes first, then who goes"
+        await until(lambda: not copies[0].deals.voters and not copies[1].deals.voters)
+        copies[1].deals.left |= {"c", "gone"}
+        await until(lambda: all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left)
+        await asyncio.sleep(0.1)
+        assert "c" not in copies[0].member.machine.state.copies, "it does not join again by itself"
+        end(copies)
+
+    run(work())
+
+
+def test_a_version_that_cannot_follow_stops_and_its_lease_runs_out(tmp_path: Path) -> None:
+    async def work() -> None:
+        log, copies = await group(tmp_path)
+        for one in copies[:2]:
+            one.member.machine.level = 2
+        await until(lambda: [copies[0].member.machine.state.copies[name].reads for name in ("a", "b")] == [2, 2])
+        for command in (Leave("c"), Format(2)):
+            await copies[0].member.propose(encode(command), 100.0)
+        await until(lambda: copies[2].member.cut and not any(copies[2].takes(f"m{n}") for n in range(20)))
+        assert "this version knows 1" in str(copies[2].said("agreed_beyond")) and copies[0].member.machine.state.level == 2
+        assert any(copies[1].takes(f"m{n}") for n in range(20))
+        end(copies)
+
+    run(work())
+
+
 def test_a_leader_whose_clock_steps_gives_the_lead_away(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     async def work() -> None:
         log, copies = await group(tmp_path)
@@ -233,4 +165,25 @@
     again = regionlog.RegionLog("east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event))
     assert again.own.epoch == one.own.epoch
     again.applied(first(turn=0))
-    assert notes[-1] == "epoch_refused" and again.own.epoch == one.own.epoch, "an older state of the log is not gone back to"
+    assert notes[-1] == "epoch" and again.own.epoch == one.own.epoch, "an older state of the log is passed over, and not gone back to"
+    again.applied(msgspec.structs.replace(first(), grants=tuple(msgspec.structs.replace(each, region="west") for each in first().grants)))
+    assert notes[-1] == "epoch_refused" and again.own.epoch == one.own.epoch, "nor to one that contradicts"
+
+
+def test_from_the_file_to_the_log_and_never_both(tmp_path: Path) -> None:
+    notes: list[str] = []
+    path, state = tmp_path / "epochs.json", tmp_path / "s.epoch"
+
+    def note(event: str, more: dict[str, object]) -> None:
+        notes.append(f"{event} {more.get('error', '')}")
+
+    by_file = RegionFile("east", path, state, ASSUMED, CLASSES, note)
+    told = first(turn=0)
+    for epoch in (told, planning.handed_over(told, told.issued + 1.0), planning.renewed(told, told.issued + 9.0, 9_000.0, ASSUMED)):
+        path.write_bytes(msgspec.json.encode(epoch))
+        by_file.look()
+    assert [one.split()[0] for one in notes] == ["epoch", "epoch", "epoch_refused"] and "handed over" in notes[2]
+    by_log = RegionLog("east", state, ASSUMED, CLASSES, note)
+    assert by_log.own.epoch is not None and by_log.own.epoch.turn == 1, "across a restart"
+    by_log.applied(planning.renewed(by_log.own.epoch, told.issued + 10.0, 9_000.0, ASSUMED))
+    assert notes[3:] == ["epoch "]
