--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
 
 from brassweir.peers.copies import Fleet
@@ -53,6 +53,7 @@
         self.pings: dict[int, Ping] = {}
         self.number = 0
         self.score = 0
+        self.late: dict[str, float] = {}  # who answered after its probe had failed: counts again from then on
 
     def forget(self) -> None:
         """What is out counts for nothing."""
@@ -70,6 +71,11 @@
             self.rng.shuffle(self.ring)
         return None
 
+    def join(self, names: Iterable[str]) -> None:
+        """New ones: somewhere in the round that runs."""
+        for name in names:
+            self.ring.insert(self.rng.randint(0, len(self.ring)), name)
+
     def begin(self, name: str, now: float) -> None:
         """Probe it, unless a probe of it is out; the first ping is due at once."""
         if any(one.name == name for one in self.open):
@@ -126,10 +132,14 @@
         ping = self.pings.get(number)
         if ping is None:
             return None
+        probe = ping.probe
         if ping.direct and not ping.answered:
-            self.pace.took(now - ping.sent)
+            over = not probe.answered and probe not in self.open
+            if not over or now >= self.late.get(sender, 0.0):  # one that stood still answers all at once
+                self.pace.took(now - ping.sent)
+            if over:
+                self.late[sender] = now + self.tuning.remember
         ping.answered = True
-        probe = ping.probe
         probe.signs.add(sender)
         if probe.answered or probe not in self.open:
             return None
