--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -178,7 +178,7 @@
         assert self.core is not None
         for step in self.core.step(self._now(), facts):
             self._do(step)
-        if self._timer is None or self.core.due != self._wake or self._timer.when() * 1000.0 <= self._now():
+        if self._timer is None or self.core.due != self._wake or self._wake <= self._now():
             if self._timer is not None:
                 self._timer.cancel()
             self._wake = self.core.due
