--- a/brassweir/lab/between/day.py
+++ b/brassweir/lab/between/day.py
@@ -16,6 +16,7 @@
 CLASSES = (ClassPlan("payment", "unsafe", 1.5, 4.0),
            ClassPlan("order", "keyed", 1.5, 4.0, window=16.0, in_order=True),
            ClassPlan("status", "safe", 1.0, 4.0))
+DROPS = 0.15  # share of messages whose client breaks off early, then asks both regions
 LONGEST = max(cls.deadline for cls in CLASSES)
 
 
@@ -23,7 +24,7 @@
     """One day. ``regions``: the region of each copy, by its number."""
     rng = np.random.default_rng([seed, 30])
     partners = {"north-bank": Manner(workers=4, service=0.04), "rail-cargo": Manner(workers=4, service=0.04),
-                "harbour": Manner(workers=4, service=0.04, asynchronous=True)}
+                "harbour": Manner(workers=8, service=0.2, asynchronous=True)}
     plan = FleetPlan(senders=len(regions), clients=2, partners=partners, slots=24, max_open=300,
                      drain_grace=5.0, classes=CLASSES)
     made = Day("between", seconds, plan, answer_grace=PATIENCE + 2.0)
@@ -43,5 +44,5 @@
         elsewhere = places[(first + 1) % len(places)] if len(places) > 1 else None
         made.orders.append((int(rng.integers(plan.clients)), Order(
             at, f"p-{number}", cls.name, cls.effect, partner, key, cls.deadline, places[first],
-            patience=PATIENCE, elsewhere=elsewhere)))
+            drops=bool(rng.random() < DROPS), patience=PATIENCE, elsewhere=elsewhere)))
     return made
--- a/brassweir/lab/client.py
+++ b/brassweir/lab/client.py
@@ -89,7 +89,7 @@
                 sent = sent.again(left)
             until = begun + order.left + order.patience + GRACE
             last = await self._try(order, sent, ident, attempt, until)
-            if last in ("lost", "refused") and order.elsewhere is not None:
+            if last in ("lost", "refused", "dropped") and order.elsewhere is not None:
                 there = await self._try(replace(order, sender=order.elsewhere), sent, ident, attempt, until)
                 last = there if there != "refused" else last
             if last in ("delivered", "failed", "rejected"):
