--- a/brassweir/peers/claims.py
+++ b/brassweir/peers/claims.py
@@ -50,8 +50,8 @@
         return Claim(name, self.life, self.inc, self.status, by)
 
 
-def weigh(held: Standing, claim: Claim) -> Weight:
-    """Which counts. A death found by others is looked into, unless it was suspected or unknown here."""
+def weigh(held: Standing, claim: Claim, joins: bool = False) -> Weight:
+    """Which counts. A death found by others is looked into; one that ``joins`` and knows nothing takes it."""
     mine, theirs = (held.life, held.inc), (claim.life, claim.inc)
     if theirs < mine or claim.status > DEAD:
         return Weight.STALE
@@ -64,4 +64,4 @@
         return Weight.CONFIRM if held.status == SUSPECTED else Weight.STALE
     if claim.by == claim.name or held.status == DEAD:
         return Weight.TAKE if newer or held.status != DEAD else Weight.STALE
-    return Weight.TAKE if held.life == 0 and held.status == ALIVE else Weight.DOUBT
+    return Weight.TAKE if joins and held.life == 0 and held.status == ALIVE else Weight.DOUBT
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -51,7 +51,7 @@
         self.counts: Counter[str] = Counter()
         self.health, self.pace = Health(tuning), Pace(tuning)
         self.contact = Contact(fleet, now, tuning)
-        self.table = Table(fleet, life, tuning, self.health, self.pace)
+        self.table = Table(fleet, life, now, tuning, self.health, self.pace)
         self.prober, self.errands = Prober(tuning, self.pace, rng), Errands()
         self.sharing = Sharing(self.table, fleet, tuning, rng)
         self.left = False
@@ -234,7 +234,7 @@
 
     def _call(self, name: str, what: int = PING) -> None:
         """Ask it, or only tell it, at once, with what is said of it."""
-        self._send(name, what, 0, self.sharing.ride(name))
+        self._send(name, what, 0, self.sharing.said(name))
 
     def _send(self, to: str, what: int, number: int, claims: Iterable[Claim], about: str = "",
               sync: bool = False) -> None:
--- a/brassweir/peers/sharing.py
+++ b/brassweir/peers/sharing.py
@@ -45,6 +45,10 @@
         claims = self.ride(to)
         return claims + self._state(self.tuning.push_claims if sync else 1, to)
 
+    def said(self, to: str) -> list[Claim]:
+        """What is said of the receiver and nothing else: it may be dead, and news must not go there."""
+        return self._first(to, [])
+
     def known(self, about: str) -> list[Claim]:
         """What is held of one, for who asked about it: it may never have heard of that life."""
         held = self.table.standings.get(about)
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -21,7 +21,8 @@
 class Table:
     """The shared part of a copy's state; ``changed`` collects the names whose standing changed."""
 
-    def __init__(self, fleet: Fleet, life: int, tuning: Tuning, health: Health, pace: Pace) -> None:
+    def __init__(self, fleet: Fleet, life: int, now: float, tuning: Tuning, health: Health,
+                 pace: Pace) -> None:
         self.tuning, self.health, self.pace = tuning, health, pace
         self.own, self.life, self.inc = fleet.own.name, life, 0
         self.relived = float("-inf")
@@ -31,6 +32,7 @@
         self.dead: frozenset[str] = frozenset()
         self.changed: set[str] = set()
         self.refuted = self.twins = 0
+        self.joins_until = now + tuning.join
         self.left = False  # this process ends: its death is no rumour
         self.listed(fleet)
 
@@ -56,7 +58,7 @@
         held = self.standings.get(claim.name)
         if held is None:
             return None  # not in this copy's file
-        weight = weigh(held, claim)
+        weight = weigh(held, claim, joins=now < self.joins_until)
         if weight is Weight.TAKE:
             self.take(claim, now)
         elif weight is Weight.CONFIRM:
--- a/tests/peers/test_guards.py
+++ b/tests/peers/test_guards.py
@@ -103,7 +103,7 @@
     return world.unsettled() + [f"{who} suspects {of}" for _, who, of, _ in world.said("suspected") if "c000" not in (who, of)]
 
 
-def blind(held: Standing, claim: Claim) -> Weight:
+def blind(held: Standing, claim: Claim, joins: bool = False) -> Weight:
     """Weighs without incarnations."""
     same = Standing()
     same.life, same.inc, same.status = held.life, claim.inc, held.status
