Renewals come before other proposals; dealings that end by an error give up the lead

Cause, from a reading: a copy took every member out of the file one after the other before it renewed, up to 3 s for each on a bad network, and a copy whose dealings ended by an error led on without renewing: in both leases lapse. Change: renew first, one member at a look; an error gives the log up, so that another leads. Measured: both new tests fail without it and pass with it.

--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -48,6 +48,7 @@
     def _ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and (error := task.exception()) is not None:
             self.note("agreed_ended", {"error": repr(error)})
+            self.give_up()  # one that leads and renews nothing would let all leases lapse
 
     def reload(self, config: Config, copies: tuple[CopyModel, ...], gone: set[str]) -> None:
         """An operator asks: other copies, other voters, the next epoch."""
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -114,11 +114,11 @@
             self.hear()  # nothing may have been applied, and a disk may have room again
             leader = self.group.status()["leader"]
             if leader and not self.machine.beyond:
+                await self._renew(leader == self.me.name)
                 await self._join()
                 await self._leave()
                 self._vote(leader == self.me.name)
                 await self._wish(leader == self.me.name)
-                await self._renew(leader == self.me.name)
             if self.wish is not None and self.asked and time.monotonic() > self.wish_until:
                 self._wish_over("wish_refused", self.wish, "no answer in time; it may still come")
 
@@ -149,8 +149,9 @@
             self.note("join_refused", {"field": result.field, "error": result.why})
 
     async def _leave(self) -> None:
-        """Those that an operator took out of the copies' file are members no longer."""
-        for name in sorted(self.left & self.machine.state.copies.keys()):
+        """Those that an operator took out of the copies' file are members no longer: one at each look, since
+        a proposal may take its time, and leases do not wait."""
+        for name in sorted(self.left & self.machine.state.copies.keys())[:1]:
             await self._propose(Leave(name))
         self.left -= self.left - self.machine.state.copies.keys()
 
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -12,6 +12,7 @@
 from brassweir.agreed.commands import Format, Leave, encode
 from brassweir.regions import planning
 from brassweir.service import agreeing, regionlog
+from brassweir.service.agreedside import AgreedSide
 from brassweir.service.regionfile import RegionFile
 from brassweir.service.regionlog import RegionLog
 from tests.conftest import run
@@ -193,3 +194,34 @@
     assert by_log.own.epoch is not None and by_log.own.epoch.turn == 1, "across a restart"
     by_log.applied(planning.renewed(by_log.own.epoch, told.issued + 10.0, 9_000.0, ASSUMED))
     assert notes[3:] == ["epoch "]
+
+
+def test_members_leave_one_at_a_look(tmp_path: Path) -> None:
+    async def work() -> None:
+        _, copies = await group(tmp_path)
+        end(copies)
+        deals, there = copies[0].deals, copies[0].member.machine.state.copies
+        deals.left = {"b", "c"}
+        await deals._leave()
+        assert sorted(there) == ["a", "c"] and deals.left == {"c"}
+
+    run(work())
+
+
+def test_a_copy_whose_dealings_end_by_an_error_leads_no_more() -> None:
+    async def play() -> None:
+        said: list[str] = []
+        side = AgreedSide.__new__(AgreedSide)
+        side.note = lambda event, _: said.append(event)
+        side.give_up = lambda: said.append("given up")  # type: ignore[method-assign]
+
+        async def broken() -> None:
+            raise RuntimeError("a fault of ours")
+
+        task = asyncio.create_task(broken())
+        task.add_done_callback(side._ended)
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        assert said == ["agreed_ended", "given up"]
+
+    run(play())
