--- a/brassweir/lab/between/copy.py
+++ b/brassweir/lab/between/copy.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import shutil
 import signal
 import sys
@@ -13,7 +12,6 @@
 from brassweir.lab.rigs.handle import SenderHandle
 
 SNAP_EVERY = 24  # entries between two snapshots: some in half a minute of renewals
-LISTENS = 15.0  # s within which a copy must listen, on a machine with every core busy
 
 
 class CopyHandle(SenderHandle):
@@ -36,31 +34,15 @@
 
     def environment(self) -> dict[str, str]:
         """Its variables."""
-        return {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path), CLOCK: str(self.clock),
-                FULL: str(self.agreed), SNAP: str(SNAP_EVERY), WITHOUT: self.without}
+        return {**super().environment(), CLOCK: str(self.clock), FULL: str(self.agreed),
+                SNAP: str(SNAP_EVERY), WITHOUT: self.without}
 
     async def start(self) -> None:
         """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
         self.full(False)
         self.run, self.listens = self.run + 1, False
-        with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
-                *self.command(), stderr=log, stdout=log, env=self.environment())
-        loop = asyncio.get_running_loop()
-        until = loop.time() + LISTENS
-        while loop.time() < until:
-            if self.process.returncode is not None:
-                raise RuntimeError(f"{self.name} ended with {self.process.returncode}: "
-                                   f"{self.log.read_text(errors='replace')[-500:]}")
-            try:
-                _, writer = await asyncio.open_connection("127.0.0.1", self.port)
-            except OSError:
-                await asyncio.sleep(0.05)
-                continue
-            writer.close()
-            self.listens = True
-            return
-        raise RuntimeError(f"{self.name} does not listen")
+        await super().start()
+        self.listens = True
 
     def stall(self) -> None:
         """SIGSTOP."""
--- a/brassweir/lab/rigs/handle.py
+++ b/brassweir/lab/rigs/handle.py
@@ -39,6 +39,8 @@
 class SenderHandle:
     """One sender as a process of its own."""
 
+    listens_within = 15.0  # s, on a machine with every core busy
+
     def __init__(self, name: str, settings: Path, port: int) -> None:
         self.name, self.settings, self.port = name, settings, port
         self.process: asyncio.subprocess.Process | None = None
@@ -49,16 +51,24 @@
         """Has it been started and not ended?"""
         return self.process is not None and self.process.returncode is None
 
+    def command(self) -> list[str]:
+        """What is started."""
+        return [sys.executable, "-m", "brassweir", "serve", str(self.settings)]
+
+    def environment(self) -> dict[str, str]:
+        """Its variables."""
+        return {**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)}
+
     async def start(self) -> None:
         """Start it and wait until it listens. Raises RuntimeError with its last words if it does not."""
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "brassweir", "serve", str(self.settings), stderr=log, stdout=log,
-                env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)})
-        for _ in range(300):
+                *self.command(), stderr=log, stdout=log, env=self.environment())
+        until = time.monotonic() + self.listens_within
+        while time.monotonic() < until:
             if self.process.returncode is not None:
                 raise RuntimeError(f"{self.name} ended with {self.process.returncode}: "
-                                   f"{self.log.read_text()[-500:]}")
+                                   f"{self.log.read_text(errors='replace')[-500:]}")
             try:
                 _, writer = await asyncio.open_connection("127.0.0.1", self.port)
             except OSError:
