Lab between: fault replace, two of five voters gone for good and replaced

The plan had no voter that never comes back. replace kills one for good, starts a new copy with a name of its own at that site, lists it everywhere and has it vote in the gone one's place (settings, SIGHUP). New property: voters as wanted.

--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -43,4 +43,4 @@
                 frozenset(name for name, state in views.items() if state == "alive"),
                 frozenset(name for name, state in views.items() if state == "dead"),
                 bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"],
-                agreed["trouble"], run)
+                agreed["trouble"], run, frozenset(agreed["voters"]))
--- a/brassweir/lab/between/judge_live.py
+++ b/brassweir/lab/between/judge_live.py
@@ -70,6 +70,19 @@
     return found
 
 
+def voters_as_wanted(told: Sequence[Told], copies: Sequence[str], wanted: Sequence[str]) -> Finding:
+    """At the end every copy shows those as voters that are wanted, and nobody else."""
+    found = Finding()
+    last = {one.copy: one for one in sorted(told, key=lambda one: one.at)}
+    for name in copies:
+        found.tested += 1
+        shown = last[name].voters if name in last else frozenset()
+        if shown != set(wanted):
+            found.broken.append(f"{name} shows {', '.join(sorted(shown)) or 'nobody'} as voters at the end, "
+                                f"wanted are {', '.join(sorted(wanted))}")
+    return found
+
+
 def no_false_death(told: Sequence[Told], away: Sequence[Away], cut: Sequence[tuple[str, str, float, float]],
                    slack: float) -> Finding:
     """Nobody is told dead that was neither away nor cut off from the one that tells, in the last ``slack`` s.
--- a/brassweir/lab/between/schedule.py
+++ b/brassweir/lab/between/schedule.py
@@ -19,9 +19,9 @@
 Share = Annotated[float, Field(ge=0, le=1)]
 
 PAIRS = ("cut", "oneway")  # need ``between``
-ONE = ("isolate", "stall", "kill", "lose", "restore", "full", "clock", "move")  # need ``who``
+ONE = ("isolate", "stall", "kill", "lose", "restore", "full", "clock", "move", "replace")  # need ``who``
 WHOLE = ("weather", "restart_all", "rolling")  # take neither, but weather may have ``between``
-TO_PROCESS = ("stall", "kill", "lose", "restore", "full", "clock", "restart_all", "rolling")
+TO_PROCESS = ("stall", "kill", "lose", "restore", "full", "clock", "restart_all", "rolling", "replace")
 DOWN = ("stall", "kill", "lose", "restore", "restart_all", "rolling")  # the copy serves nobody meanwhile
 
 
@@ -34,7 +34,7 @@
 
     at: Seconds
     what: Literal["cut", "oneway", "isolate", "stall", "kill", "lose", "restore", "full", "clock", "weather",
-                  "move", "restart_all", "rolling"]
+                  "move", "restart_all", "rolling", "replace"]
     who: Name | None = None
     between: tuple[Name, Name] | None = None
     lasts: Seconds = Field(1.0, alias="for")
@@ -78,6 +78,10 @@
 
     faults: tuple[Fault, ...] = Field(max_length=500)
 
+    def spares(self) -> int:
+        """How many copies take another's place."""
+        return sum(one.what == "replace" for one in self.faults)
+
     def last(self) -> float:
         """When the last of them is over (s); 0 if there are none."""
         return max((one.ends for one in self.faults), default=0.0)
--- a/brassweir/lab/between/seen.py
+++ b/brassweir/lab/between/seen.py
@@ -39,7 +39,8 @@
     """What one copy answered over HTTP at ``at``, in its ``run``-th process.
 
     ``alive`` and ``dead`` are the copies that it takes for such; ``granted`` which grants it knows;
-    ``trouble`` why it takes no part in the log; ``digest`` that of its replicated state, as of ``index``.
+    ``trouble`` why it takes no part in the log; ``voters`` who votes, as it knows; ``digest`` that of its
+    replicated state, as of ``index``.
     """
 
     at: float
@@ -58,6 +59,7 @@
     digest: str = ""
     trouble: str = ""
     run: int = 1
+    voters: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/lab/between/test_faults.py
+++ b/tests/lab/between/test_faults.py
@@ -85,6 +85,31 @@
     assert 2 <= len(off) < len(copy.beats()) - 4
 
 
+def test_one_that_is_replaced_is_never_started_again(tmp_path: Path) -> None:
+    old, new = (StandIn(name, tmp_path / f"{name}.yaml", free_port()) for name in ("s1", "s2"))
+    schedule = of_text("faults:\n- {at: 0, what: replace, who: s1, for: 0.3}\n- {at: 0.1, what: kill, who: s1, for: 0}\n"
+                       "- {at: 0.1, what: clock, who: s1, by_ms: 9, for: 0}\n- {at: 1.5, what: lose, who: s1, for: 0}\n"
+                       "- {at: 1.5, what: restart_all, for: 0}")
+    voted = []
+
+    async def run() -> Faults:
+        await old.start()
+        faults = Faults(schedule, [old], Fates(1, {"s1": "here"}), lambda: "", lambda name, age: None,
+                        spare=lambda gone: new, voters=lambda *names: voted.append((*names, new.running)))
+        try:
+            await faults.play()
+            assert new.running and not old.running
+        finally:
+            await new.kill()
+        return faults
+
+    faults = asyncio.run(run())
+    assert (old.run, new.run, voted, old.life) == (1, 2, [("s1", "s2", True)], 0)
+    assert not faults.problems and faults.replaced == {"s1": "s2"} and list(faults.copies) == ["s2"]
+    gone, born, *_ = faults.away
+    assert (gone.copy, gone.end, born.copy) == ("s1", float("inf"), "s2") and born.end < 1.5
+
+
 def test_one_that_ends_at_its_start_is_a_problem_and_nothing_is_left(tmp_path: Path) -> None:
     copy = StandIn("s1", tmp_path / "s1.yaml", free_port())
     copy.agreed.write_text("no folder")
--- a/tests/lab/between/test_judges.py
+++ b/tests/lab/between/test_judges.py
@@ -46,6 +46,15 @@
     assert "silent" in judge_live.caught_up(good[:1], "ab", 4.0).broken[0]
 
 
+def test_voters_that_are_not_those_wanted_are_seen() -> None:
+    good = [told(at, copy, voters=frozenset("abd" if at > 5 else "abc")) for at in (1.0, 9.0) for copy in "abd"]
+    assert not judge_live.voters_as_wanted(good, "abd", "abd").broken
+    for late in (frozenset("abc"), frozenset("abcd"), frozenset("ab"), frozenset()):
+        found = judge_live.voters_as_wanted([*good, told(9.5, "d", voters=late)], "abd", "abd")
+        assert len(found.broken) == 1 and found.broken[0].startswith("d shows"), late
+    assert "c shows nobody" in judge_live.voters_as_wanted(good, "abc", "abd").broken[0]
+
+
 def test_a_false_death_is_seen_and_a_cut_or_a_stall_excuses_one() -> None:
     lies = [told(10.0, "a", dead=frozenset("b"))]
     assert judge_live.no_false_death(lies, [], [], 3.0).broken
@@ -64,6 +73,7 @@
     assert not found.broken and found.figures["bytes_a_second_most"] == 1000.0
     assert found.figures["messages_a_second_mean"] == 15.0
     assert judge_traffic.traffic(tape, 0.0, 10.0, most=900.0).broken
+    assert not judge_traffic.traffic(tape, 0.0, 10.0, most=900.0, gone="a").broken
     assert "nothing" in judge_traffic.traffic(RelayTape(["a", "b"], tape.seen[:2]), 0.0, 10.0).broken[0]
 
 
