--- a/brassweir/lab/between/schedule.py
+++ b/brassweir/lab/between/schedule.py
@@ -24,6 +24,8 @@
 TO_PROCESS = ("stall", "kill", "lose", "restore", "full", "clock", "restart_all", "rolling", "replace")
 DOWN = ("stall", "kill", "lose", "restore", "restart_all", "rolling")  # the copy serves nobody meanwhile
 
+MOST_SPARES = 4  # copies that take another's place: each is one more process, and a port to every other
+
 
 class Fault(Strict):
     """One fault. Times in seconds from the start of play; ``for`` is how long it lasts.
@@ -91,6 +93,8 @@
     """Raise ConfigError unless what is named is of the rig and all is over in time."""
     copies, sites = {one.name for one in stands}, {one.site for one in stands}
     problems = []
+    if schedule.spares() > MOST_SPARES:
+        problems.append(f"{name}: faults: replace {schedule.spares()} times, {MOST_SPARES} are possible")
     for number, fault in enumerate(schedule.faults):
         place = f"{name}: faults[{number}]"
         if fault.ends > seconds:
--- a/tests/lab/between/test_judges.py
+++ b/tests/lab/between/test_judges.py
@@ -73,7 +73,7 @@
     assert not found.broken and found.figures["bytes_a_second_most"] == 1000.0
     assert found.figures["messages_a_second_mean"] == 15.0
     assert judge_traffic.traffic(tape, 0.0, 10.0, most=900.0).broken
-    assert not judge_traffic.traffic(tape, 0.0, 10.0, most=900.0, gone="a").broken
+    assert [one[0] for one in judge_traffic.traffic(tape, 0.0, 10.0, most=900.0, gone="a").broken] == ["b"]
     assert "nothing" in judge_traffic.traffic(RelayTape(["a", "b"], tape.seen[:2]), 0.0, 10.0).broken[0]
 
 
--- a/tests/lab/between/test_schedule.py
+++ b/tests/lab/between/test_schedule.py
@@ -54,3 +54,6 @@
         schedules.known(schedules.read(path), SITES, 12.0, "s.yaml")
     assert [one.partition(":")[2].split(":")[0].strip() for one in caught.value.problems] == [
         "faults[0].who", "faults[1].between", "faults[2].for", "faults[3].who", "faults[4].who"]
+    many = schedules.of_text("faults:\n" + "- {at: 1, what: replace, who: leader}\n" * 5)
+    with pytest.raises(ConfigError, match="replace 5 times"):
+        schedules.known(many, SITES, 12.0, "s.yaml")
