--- /dev/null
+++ b/tests/agreed/test_drawn.py
@@ -0,0 +1,61 @@
+"""What the drawn world of grants sees: nothing of the rules as they are, and each of these taken out, in a few runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import pytest
+
+from brassweir.agreed import machine
+from brassweir.regions import ownership, planning, sources
+from brassweir.regions.ownership import NotHere, Ownership, Why
+from tests.agreed.drawn import run, twice
+from tests.regions.test_regions import at_once
+
+RUNS = 30  # seeds 0 to 29, for the rules as they are and for each that is broken
+Patch = pytest.MonkeyPatch
+
+
+def _nothing(*_: object) -> None:
+    """In the place of a check."""
+
+
+def _deaf_to(why: Why) -> Callable[[Patch], None]:
+    """A copy that takes a message all the same."""
+    right = Ownership.may
+
+    def may(self: Ownership, *given: object) -> NotHere | None:
+        found = right(self, *given)  # type: ignore[arg-type]
+        return None if found is not None and found.why is why else found
+
+    return lambda patch: patch.setattr(Ownership, "may", may)
+
+
+def _turns(patch: Patch) -> None:
+    """Both that hold the turn: each alone refuses what the other would."""
+    patch.setattr(sources, "takes", _nothing)
+    patch.setattr(ownership, "follows", _nothing)
+
+
+BROKEN: dict[str, Callable[[Patch], None]] = {
+    "the log cuts leases short": lambda patch: patch.setattr(machine, "succeeds", _nothing),
+    "the log hands over and moves in one": lambda patch: patch.setattr(machine, "takes", _nothing),
+    "a copy follows both sources": _turns,
+    "a copy asks not who was before": lambda patch: patch.setattr(Ownership, "_before", _nothing),
+    "a copy goes on after its lease": _deaf_to(Why.LAPSED),
+    "a copy begins before its grant": _deaf_to(Why.MOVING),
+    "a copy believes any clock": lambda patch: patch.setattr(Ownership, "trusted", lambda *_: True),
+    "a move waits for nobody": lambda patch: patch.setattr(planning, "moved", at_once(planning.moved)),
+}
+
+
+def test_no_message_is_taken_by_two_regions_in_any_run() -> None:
+    tapes = [run(seed) for seed in range(RUNS)]
+    assert not [(seed, sorted(twice(tape))) for seed, tape in enumerate(tapes) if twice(tape)]
+    assert sum(len(tape) for tape in tapes) > 2_000, "the runs take messages"
+
+
+@pytest.mark.parametrize("rule", BROKEN)
+def test_a_rule_taken_out_is_seen_within_the_same_runs(monkeypatch: Patch, rule: str) -> None:
+    BROKEN[rule](monkeypatch)
+    assert any(twice(run(seed)) for seed in range(RUNS))
