--- a/tests/agreed/test_drawn.py
+++ b/tests/agreed/test_drawn.py
@@ -45,6 +45,7 @@
     "a copy goes on after its lease": _deaf_to(Why.LAPSED),
     "a copy begins before its grant": _deaf_to(Why.MOVING),
     "a copy believes any clock": lambda patch: patch.setattr(Ownership, "trusted", lambda *_: True),
+    "a plan forgets who was before": lambda patch: patch.setattr(planning, "_still", lambda *_: ()),
     "a move waits for nobody": lambda patch: patch.setattr(planning, "moved", at_once(planning.moved)),
 }
 
