--- a/brassweir/lab/between/run.py
+++ b/brassweir/lab/between/run.py
@@ -25,7 +25,7 @@
 from brassweir.lab.rigs.script import Day
 
 ALIVE_WITHIN = 8.0  # s after the last fault until all take all for alive
-LEADER_WITHIN = 8.0  # s until most know one: restarts 1, asking who remembers 3, elections 2 to 4
+LEADER_WITHIN = 8.0  # s until most know one: restarts 1, asking who remembers 5, elections 2 to 4
 LAG = 4.0  # s that a copy may be behind: those that follow ask every 2 s
 SLACK = 4.0  # s in which a view may still show what a fault that is over had brought about
 QUIET = 5.0  # s after the last fault before talk counts as idle
