A liveness timer that fires a moment early is set again; copies had gone silent for good

Views stood as they were.

Cause: port._step sets the timer anew only if what is due has changed or is past. A loop's clock is coarse and its time is kept for a turn, so a timer may fire up to a millisecond before its time; then nothing was due, nothing changed, and the timer that had just fired counted as set.

Change: a timer that has fired counts as none. Test: fails without it, without any rig.

--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -171,6 +171,7 @@
             self.loop.call_exception_handler({"message": f"handler of {envelope.kind}", "exception": error})
 
     def _due(self) -> None:
+        self._timer = None  # it has fired, perhaps a moment early: a loop keeps its time coarsely
         late = self._now() - self._wake
         self._step([Late(late)] if late >= self.tuning.late else [])
 
--- a/tests/peers/test_port.py
+++ b/tests/peers/test_port.py
@@ -133,3 +133,18 @@
         await a.stop()
         await b.stop()
     run(play, 2)
+
+
+def test_a_timer_that_fires_a_moment_early_is_set_again() -> None:
+    async def play(copies: list[Copy]) -> None:
+        port = PeerPort(copies[0].name, copies, [KEY], seed=1)
+        await port.start()
+        fired, wake = port._timer, port._wake
+        assert fired is not None
+        fired.cancel()
+        port._now = lambda: wake - 0.6  # type: ignore[method-assign]
+        port._due()
+        assert port._timer is not None and port._timer is not fired
+        await port.stop()
+
+    run(play)
