A peers' port that is taken: one clear error and an end, seen in a process

Need: the first failure an operator of copies meets is a port in use, and no test caused it. Change: a test takes the port that the copies' file names and starts a sender. Nothing of the program changed.

--- a/tests/service/test_three.py
+++ b/tests/service/test_three.py
@@ -135,3 +135,14 @@
     text = fleet.shown("s1", "/metrics").decode()
     assert 'brassweir_agreed{what="applied"}' in text and "brassweir_peers{" in text
     assert set(fleet.shown("s1", "/peers")) and fleet.log("s1").count("renewal_refused") == 0
+
+
+def test_a_port_that_is_taken_is_one_clear_error_and_an_end(fleet: Fleet) -> None:
+    listed = (fleet.home / "s1" / "copies.yaml").read_text().splitlines()[1]
+    port = int(listed.rsplit(":", 1)[1].rstrip("'}"))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as taken:
+        taken.bind(("127.0.0.1", port))
+        fleet.start("s1")
+        assert fleet.running["s1"].wait(WAIT) == 1
+    last = fleet.log("s1").splitlines()[-1]
+    assert "cannot listen" in last and "peers.copies" in last and str(port) in last
