--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -42,11 +42,12 @@
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
 REMEMBER_MOST = 4000  # of them
 SERVES_ON = 3.3  # seconds after SIGTERM: the platform kills no sooner than 3.7 s after it
-ENDS_IN = 0.25  # seconds for what was read to be answered, before the process ends
+ENDS_IN = 0.25  # seconds for what was read to be answered and for clients to close, before the process ends
 CLIENTS = 0.6  # share of the descriptors that clients may hold; usual ones take a third at most
 KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
 SETUPS = 64  # connections being made at once
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 BELIEF = 1.0  # seconds between two lines of what the sender believes
 COLLECT = (5_000, 10, 1000)  # as in ``serve``: what is no longer used goes without the collector
 ANSWERS = Limits(head=16_384, headers=64, body=65_536)  # of endpoints and of the platform
@@ -170,14 +171,18 @@
         self.discovery.move(config.discovery)
         self.notices.move(config.discovery)
 
-    async def leave(self) -> None:
-        """A planned restart: serve as long as there is time, answer what was read, and end."""
+    async def leave(self, told: float) -> None:
+        """A planned restart, told at a loop time: serve while there is time, answer what was read, and end.
+
+        A journal that breaks ends it at once, since nothing can be promised any more.
+        """
         self.log.info("leaving", open=self.engine.ledger.held)
-        self.engine.leaving(self.clock.now() + SERVES_ON * 1000.0)
-        await asyncio.sleep(SERVES_ON)
+        left = max(0.0, told + SERVES_ON - self.loop.time())
+        self.engine.leaving(self.clock.now() + left * 1000.0)
+        await asyncio.wait([self.broken], timeout=left)
         self.front.close()
         end = self.loop.time() + ENDS_IN
-        while self.front.open() and self.loop.time() < end:
+        while self.front.connections and self.loop.time() < end and not self.broken.done():
             await asyncio.sleep(0.01)
 
     def stop(self) -> None:
@@ -186,6 +191,7 @@
             self.telling.cancel()
         self.discovery.stop()
         self.front.close()
+        self.front.abandon()
         self.journal.close()
         self.log.info("stopped", open=self.engine.ledger.held, **usage())
 
@@ -206,10 +212,17 @@
 async def run(log: Any) -> None:
     """Run a sender until SIGTERM or SIGINT. Raises NodeError, Unusable, OSError, and Broken."""
     loop = asyncio.get_running_loop()
-    told, again = asyncio.Event(), asyncio.Event()
+    told: asyncio.Future[float] = loop.create_future()
+    again = asyncio.Event()
+
+    def end() -> None:
+        if not told.done():
+            told.set_result(loop.time())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, again.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came before there was a handler come now
     state = os.environ.get("RELAY_STATE", "")
     if not state:
         raise NodeError("RELAY_STATE is not set: it names the folder that lasts")
@@ -226,11 +239,12 @@
                 log.error("reload_refused", error=str(error))
 
     reloading = loop.create_task(reloads())
-    leaving = loop.create_task(told.wait())
-    either: set[asyncio.Future[Any]] = {leaving, process.broken}
+    either: set[asyncio.Future[Any]] = {told, process.broken}
     await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+    if not process.broken.done():
+        await process.leave(told.result())
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # it ends already: no second word may end it otherwise
+    reloading.cancel()
     if process.broken.done():
         raise Broken(str(process.broken.result()))
-    await process.leave()
-    reloading.cancel()
     process.stop()
--- /dev/null
+++ b/tests/relay/breaking.py
@@ -0,0 +1,28 @@
+"""Runs ``node`` on a folder that cannot be written any more once a file of the given name is there.
+
+Told to end, it would serve for a minute first.
+"""
+
+from __future__ import annotations
+
+import errno
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from brassweir.cli.main import main
+from brassweir.journal.storage import Files
+from brassweir.service import node
+
+if __name__ == "__main__":
+    sign, real = Path(sys.argv[1]), Files.append
+
+    def append(self: Files, *args: Any) -> None:
+        if sign.exists():
+            raise OSError(errno.EIO, os.strerror(errno.EIO))
+        real(self, *args)
+
+    Files.append = append  # type: ignore[assignment, method-assign]
+    node.SERVES_ON = 60.0
+    main(["node"])
