Connection pool split: address, connection, pool, with the field's names

Before the crossings of pool and limiter are mended, their code stands in three files that can be read one by one.

Change, none of it in behaviour: `net/links.py` becomes `address` (Address), `connection` (Stage, CallFailed, Connection, once Link) and `pool` (ConnectionPool, once Links; Limiter, once House). A connection knows its pool through a small protocol, `Owner`, so that imports run one way; what the pool does about one that is lost has moved to the pool. `net/house.py` and its class Pools keep their names here: twelve files import them.

--- a/brassweir/forward/carrier.py
+++ b/brassweir/forward/carrier.py
@@ -15,8 +15,10 @@
 from brassweir.forward.errors import ForwardError
 from brassweir.forward.link import Credentials, ForwardLink, ForwardLinks
 from brassweir.interface import Result
+from brassweir.net.address import Address
+from brassweir.net.connection import CallFailed, Stage
 from brassweir.net.house import Pools
-from brassweir.net.links import Address, CallFailed, Links, Stage
+from brassweir.net.pool import ConnectionPool
 
 INLINE = 16_384  # bytes: what is built in less time than a thread takes to hear of it
 Done = Callable[[Outcome], None]
@@ -121,7 +123,7 @@
             for _, _, _, done in ready:
                 done(endings.failed(failed))
 
-    def _make(self, address: Address, house: Pools) -> Links:
+    def _make(self, address: Address, house: Pools) -> ConnectionPool:
         return ForwardLinks(address, house, self.credentials)
 
     async def _send(self, link: ForwardLink, attempt: Attempt, chunk: str, data: bytes, done: Done) -> None:
--- a/brassweir/forward/endings.py
+++ b/brassweir/forward/endings.py
@@ -9,7 +9,7 @@
 from brassweir.core.ports import Outcome
 from brassweir.core.reading import no_answer
 from brassweir.interface import Result
-from brassweir.net.links import CallFailed, Stage
+from brassweir.net.connection import CallFailed, Stage
 
 ACKED = Outcome(Result.OK)
 
--- a/brassweir/forward/link.py
+++ b/brassweir/forward/link.py
@@ -9,8 +9,10 @@
 from brassweir.forward import handshake, message
 from brassweir.forward.errors import ForwardError
 from brassweir.forward.frames import Frames
+from brassweir.net.address import Address
+from brassweir.net.connection import CallFailed, Connection, Stage
 from brassweir.net.house import Pools
-from brassweir.net.links import Address, CallFailed, Link, Links, Stage
+from brassweir.net.pool import ConnectionPool
 
 ANSWER = 4096  # bytes of anything a destination says
 
@@ -25,22 +27,23 @@
     password: bytes = b""
 
 
-class ForwardLinks(Links):
+class ForwardLinks(ConnectionPool):
     """Connections to one forward endpoint."""
 
-    def __init__(self, address: Address, house: Pools, credentials: Credentials) -> None:
-        super().__init__(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
+    def __init__(self, address: Address, pools: Pools, credentials: Credentials) -> None:
+        super().__init__(address, pools.limits, pools.cap, pools.idle_time, pools.connect_time, limiter=pools)
         self.credentials = credentials
 
-    def make(self, loop: asyncio.AbstractEventLoop) -> Link:
+    def make(self, loop: asyncio.AbstractEventLoop) -> Connection:
         """A forward connection."""
         return ForwardLink(self, loop, self.credentials)
 
 
-class ForwardLink(Link):
+class ForwardLink(Connection):
     """One connection; a call on it is one or more chunks, each with an ack of its own."""
 
-    def __init__(self, pool: Links, loop: asyncio.AbstractEventLoop, credentials: Credentials) -> None:
+    def __init__(self, pool: ConnectionPool, loop: asyncio.AbstractEventLoop,
+                 credentials: Credentials) -> None:
         super().__init__(pool, loop)
         self.credentials = credentials
         self.frames = Frames(ANSWER)
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -9,11 +9,13 @@
 
 import httptools
 
+from brassweir.net.address import Address
+from brassweir.net.connection import CallFailed, Connection, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.links import Address, CallFailed, House, Link, Links, Stage
 from brassweir.net.parse import Feed, Incoming, TooLarge
+from brassweir.net.pool import ConnectionPool
 
-__all__ = ["Address", "CallFailed", "House", "Pool", "Reply", "Stage"]
+__all__ = ["Address", "CallFailed", "Pool", "Reply", "Stage"]
 
 
 @dataclass(slots=True)
@@ -29,7 +31,7 @@
 SETTLED = 0.03  # seconds that the rest of an answer has, once its first line has settled the call
 
 
-class Pool(Links):
+class Pool(ConnectionPool):
     """Connections to one endpoint over HTTP.
 
     ``settling`` holds the statuses whose line alone is the answer, for peers that say so: whatever follows
@@ -38,7 +40,7 @@
 
     settling: frozenset[int] = frozenset()
 
-    def make(self, loop: asyncio.AbstractEventLoop) -> Link:
+    def make(self, loop: asyncio.AbstractEventLoop) -> Connection:
         """An HTTP connection."""
         return _Connection(self, loop)
 
@@ -63,7 +65,7 @@
         return full.head(f"POST {at.target} HTTP/1.1")
 
 
-class _Connection(Link):
+class _Connection(Connection):
     """One HTTP connection."""
 
     def __init__(self, pool: Pool, loop: asyncio.AbstractEventLoop) -> None:
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -9,14 +9,15 @@
 
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
+from brassweir.net.address import Address
 from brassweir.net.client import Pool
 from brassweir.net.limits import Limits
-from brassweir.net.links import Address, House, Links, Short
+from brassweir.net.pool import ConnectionPool, Limiter, Short
 
-Make = Callable[[Address, "Pools"], Links]
+Make = Callable[[Address, "Pools"], ConnectionPool]
 
 
-class Pools(House):
+class Pools(Limiter):
     """The pools of all endpoints in use, under one budget of connections and one line for set-ups.
 
     A pool without connections and calls is forgotten: an endpoint that is not used costs nothing here.
@@ -27,8 +28,8 @@
         self.settling = settling  # see Pool
         self.limits, self.cap, self.idle_time, self.connect_time = limits, cap, idle, connect
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
-        self.pools: dict[str, Links] = {}
-        self.urls: dict[Links, str] = {}
+        self.pools: dict[str, ConnectionPool] = {}
+        self.urls: dict[ConnectionPool, str] = {}
         self.rooms: deque[asyncio.Future[None]] = deque()  # wishes that found the budget spent
         self.turns: dict[int, asyncio.Future[None]] = {}  # tickets in the line for set-ups
 
@@ -39,7 +40,7 @@
         assert isinstance(pool, Pool)  # a URL's scheme says what is spoken there
         return pool
 
-    def links(self, url: str, make: Make, name: str = "") -> Links:
+    def links(self, url: str, make: Make, name: str = "") -> ConnectionPool:
         """The pool of an endpoint, made by ``make`` if there is none. Raises ValueError on a bad URL."""
         key = f"{url} {name}" if name else url
         pool = self.pools.get(key)
@@ -58,10 +59,10 @@
         for pool in list(self.pools.values()):
             pool.close_idle()
 
-    # ---- as the pools' house
+    # ---- as the pools' limiter
 
     @asynccontextmanager
-    async def room(self, pool: Links) -> AsyncIterator[None]:
+    async def room(self, pool: ConnectionPool) -> AsyncIterator[None]:
         """Wait for room in the budget and for a turn, and hold both while a connection is set up."""
         url, loop = self.urls[pool], asyncio.get_running_loop()
         while True:
@@ -115,20 +116,20 @@
                 turn.set_result(None)
                 return
 
-    def opened(self, pool: Links) -> None:
+    def opened(self, pool: ConnectionPool) -> None:
         """A connection stands after all, though its set-up was given up."""
         self.budget.opened(self.urls[pool])
 
-    def closed(self, pool: Links) -> None:
+    def closed(self, pool: ConnectionPool) -> None:
         """A connection is gone."""
         self.budget.closed(self.urls[pool])
         self._room()
 
-    def busy(self, pool: Links) -> None:
+    def busy(self, pool: ConnectionPool) -> None:
         """A connection carries a call."""
         self.budget.busy(self.urls[pool])
 
-    def idle(self, pool: Links) -> None:
+    def idle(self, pool: ConnectionPool) -> None:
         """A connection carries none any more."""
         self.budget.idle(self.urls[pool], pool.cost)
         self._room()
@@ -139,7 +140,7 @@
         if victim is not None and victim in self.pools:
             self.pools[victim].close_idle(1)
 
-    def left(self, pool: Links) -> None:
+    def left(self, pool: ConnectionPool) -> None:
         """Forget a pool that nobody uses."""
         if not pool.users and not pool.open:
             url = self.urls.pop(pool, None)
@@ -147,7 +148,7 @@
                 del self.pools[url]
 
 
-def _http(address: Address, house: Pools) -> Links:
-    pool = Pool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
-    pool.settling = house.settling
+def _http(address: Address, pools: Pools) -> ConnectionPool:
+    pool = Pool(address, pools.limits, pools.cap, pools.idle_time, pools.connect_time, limiter=pools)
+    pool.settling = pools.settling
     return pool
--- a/brassweir/net/links.py
+++ b/brassweir/net/pool.py
@@ -1,8 +1,4 @@
-"""Connections to one endpoint, whatever is spoken on them: a pool with a cap, and honest endings.
-
-What a caller must know of a failed call is whether it can have been read. So every failure tells how far the
-call came: nothing was written, something was written, or part of an answer had come.
-"""
+"""The connection pool of one endpoint, whatever is spoken there, and what all pools share."""
 
 from __future__ import annotations
 
@@ -11,15 +7,12 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass
-from enum import Enum
 from ssl import SSLContext
-from typing import cast
-from urllib.parse import SplitResult, urlsplit
 
+from brassweir.net.address import Address
+from brassweir.net.connection import CallFailed, Connection, Stage
 from brassweir.net.limits import Limits
 
-PORTS = {"http": 80, "https": 443, "forward": 24224}  # schemes, and where they are at home
 # The system itself is short of something: no sign of the destination's health.
 SHORT = frozenset({errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM})
 COST_GAIN = 0.3  # weight of a new set-up time in its mean: some three are remembered
@@ -30,130 +23,34 @@
     """A set-up failed for want of a descriptor or port of ours."""
 
 
-class Stage(Enum):
-    """How far a failed call came."""
-
-    CONNECT = "connect"  # no connection: not a byte was written
-    SENT = "sent"  # some byte of the request went out, none of an answer came
-    HEAD = "head"  # cut within the answer's head
-    BODY = "body"  # cut within the answer's body
-    GARBLED = "garbled"  # the answer is no HTTP, or over a limit
-
-
-class CallFailed(Exception):
-    """A call without a whole answer. ``late``: its time ran out; else the peer or the path ended it.
-
-    ``kept``: the connection had carried calls before, so that its end says nothing of the peer now.
-    """
-
-    def __init__(self, stage: Stage, reason: str, late: bool = False, kept: bool = False) -> None:
-        super().__init__(f"{reason} ({stage.value})")
-        self.stage, self.reason, self.late, self.kept = stage, reason, late, kept
-
-
-@dataclass(frozen=True, slots=True)
-class Address:
-    """Where an endpoint is."""
-
-    host: str
-    port: int
-    target: str
-    tls: bool
-
-    @staticmethod
-    def of(url: str) -> Address:
-        """Read a URL. Raises ValueError with the reason."""
-        parts: SplitResult = urlsplit(url)
-        if parts.scheme not in PORTS or not parts.hostname:
-            raise ValueError(f"{url!r} is no http, https or forward URL with a host")
-        if parts.username or parts.password or parts.fragment:
-            raise ValueError(f"{url!r} may hold no user, password or fragment")
-        if any(char <= " " or char == "\x7f" for char in url):
-            raise ValueError(f"{url!r} holds a space or control character")
-        tls = parts.scheme == "https"
-        target = (parts.path or "/") + (f"?{parts.query}" if parts.query else "")
-        return Address(parts.hostname, parts.port or PORTS[parts.scheme], target, tls)
-
-
-class House:
+class Limiter:
     """What pools share; this one sets no limits. All is told of every connection and call."""
 
     @asynccontextmanager
-    async def room(self, pool: Links) -> AsyncIterator[None]:
+    async def room(self, pool: ConnectionPool) -> AsyncIterator[None]:
         """Hold room for one more connection while it is set up; it keeps it if this ends well."""
         yield
 
-    def opened(self, pool: Links) -> None:
+    def opened(self, pool: ConnectionPool) -> None:
         """A connection stands after all, though its set-up was given up."""
 
-    def closed(self, pool: Links) -> None:
+    def closed(self, pool: ConnectionPool) -> None:
         """A connection is gone."""
 
-    def busy(self, pool: Links) -> None:
+    def busy(self, pool: ConnectionPool) -> None:
         """A connection carries a call."""
 
-    def idle(self, pool: Links) -> None:
+    def idle(self, pool: ConnectionPool) -> None:
         """A connection carries none any more."""
 
     def short(self) -> None:
         """The system has no descriptor or port left."""
 
-    def left(self, pool: Links) -> None:
+    def left(self, pool: ConnectionPool) -> None:
         """A call or connection of the pool has ended."""
 
 
-class Link(asyncio.Protocol):
-    """One connection, one call at a time. What is spoken on it is a subclass's to know."""
-
-    def __init__(self, pool: Links, loop: asyncio.AbstractEventLoop) -> None:
-        self.pool, self.loop = pool, loop
-        self.transport: asyncio.Transport | None = None
-        self.usable = False
-        self.stage = Stage.SENT
-        self.timer: asyncio.TimerHandle | None = None
-        self.stale_at = float("inf")  # loop time from which the peer may have closed it
-
-    async def greet(self) -> None:
-        """What must pass before a first call; part of the set-up. Raises CallFailed."""
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """The connection stands."""
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass
-        self.usable = True
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """The peer, the path or we have ended it."""
-        self.usable = False
-        self.set_timer(None)
-        if self in self.pool.idle:
-            self.pool.idle.remove(self)
-        self.fail(CallFailed(self.stage, str(exc) if exc else "connection closed"))
-        self.pool.house.closed(self.pool)
-        self.pool._closed()
-
-    def fresh(self, now: float) -> bool:
-        """May a call go out on it? By the clock, and by what is known of the peer."""
-        return (self.usable and now < self.stale_at and self.transport is not None
-                and not self.transport.is_closing())
-
-    def set_timer(self, span: float | None) -> None:
-        """Close after so long (ms) unused, or never."""
-        if self.timer is not None:
-            self.timer.cancel()
-        self.timer = self.loop.call_later(span / 1000.0, self.drop) if span is not None else None
-
-    def drop(self) -> None:
-        """Close at once."""
-        self.usable = False
-        if self.transport is not None:
-            self.transport.abort()
-
-    def fail(self, error: CallFailed) -> None:
-        """End the call in work, if there is one."""
-        raise NotImplementedError
-
-
-class Links:
+class ConnectionPool:
     """Connections to one endpoint.
 
     ``cap`` bounds those open at once, ``idle`` (ms) is how long one is kept unused: shorter than the peer
@@ -161,22 +58,22 @@
     """
 
     def __init__(self, address: Address, limits: Limits, cap: int, idle: float, connect: float,
-                 tls: SSLContext | None = None, house: House | None = None) -> None:
+                 tls: SSLContext | None = None, limiter: Limiter | None = None) -> None:
         if address.tls and tls is None:
             raise ValueError("https endpoints need a TLS context, which this version does not make")
         self.address, self.limits, self.tls = address, limits, tls
         self.cap, self.idle_time, self.connect_time = cap, idle, connect
-        self.idle: deque[Link] = deque()
+        self.idle: deque[Connection] = deque()
         self.open = 0  # connections, those being made included
         self.waiting: deque[asyncio.Future[None]] = deque()
         self.made = self.calls = 0  # connections and calls so far
         self.users = 0  # calls under way, those that wait for a connection included
-        self.house = house or House()
+        self.limiter = limiter or Limiter()
         self.cost = 1.0  # ms that setting up a connection took lately
 
     @asynccontextmanager
     async def link(self, deadline: float, begin: float | None = None,
-                   go: Callable[[], bool] = lambda: True) -> AsyncIterator[Link]:
+                   go: Callable[[], bool] = lambda: True) -> AsyncIterator[Connection]:
         """A connection for one call, which is over by ``deadline`` (loop time, seconds). Raises CallFailed.
 
         Past ``begin``, or where ``go`` says no, none is given: a call whose caller has given it up, or called
@@ -189,7 +86,7 @@
         try:
             first = deadline if begin is None else min(begin, deadline)
             connection = await self._take(loop, first)
-            self.house.busy(self)
+            self.limiter.busy(self)
             try:
                 if loop.time() >= first:
                     raise CallFailed(Stage.CONNECT, "its time was over before it could be written", late=True)
@@ -197,13 +94,13 @@
                     raise CallFailed(Stage.CONNECT, "called back before anything was written")
                 yield connection
             finally:
-                self.house.idle(self)
+                self.limiter.idle(self)
                 self._give_back(connection)
         finally:
             self.users -= 1
-            self.house.left(self)
+            self.limiter.left(self)
 
-    def make(self, loop: asyncio.AbstractEventLoop) -> Link:
+    def make(self, loop: asyncio.AbstractEventLoop) -> Connection:
         """A connection of the protocol that is spoken here, not yet open."""
         raise NotImplementedError
 
@@ -214,7 +111,7 @@
             self.idle.popleft().drop()
         return count
 
-    async def _take(self, loop: asyncio.AbstractEventLoop, deadline: float) -> Link:
+    async def _take(self, loop: asyncio.AbstractEventLoop, deadline: float) -> Connection:
         until = min(loop.time() + self.connect_time / 1000.0, deadline)
         while True:
             while self.idle:
@@ -237,7 +134,7 @@
                 if turn in self.waiting:
                     self.waiting.remove(turn)
 
-    async def _connect(self, loop: asyncio.AbstractEventLoop, until: float) -> Link:
+    async def _connect(self, loop: asyncio.AbstractEventLoop, until: float) -> Connection:
         self.open += 1
         connection = self.make(loop)
         begun = False
@@ -245,7 +142,7 @@
             async with asyncio.timeout_at(until):
                 while True:
                     try:
-                        async with self.house.room(self):
+                        async with self.limiter.room(self):
                             begun = True
                             before = loop.time()
                             await self._dial(loop, connection)
@@ -254,13 +151,13 @@
                             self.cost += COST_GAIN * ((loop.time() - before) * 1000.0 - self.cost)
                             return connection
                     except Short:
-                        self.house.short()
+                        self.limiter.short()
                         await asyncio.sleep(RETRY)
         except BaseException as error:
             if connection.transport is None:
                 self._closed()
             else:  # it came to stand just as its time ran out: its own end counts it out
-                self.house.opened(self)
+                self.limiter.opened(self)
                 connection.drop()
             if isinstance(error, TimeoutError):
                 reason = "connect timed out" if begun else "no room for another connection in time"
@@ -271,7 +168,7 @@
                 raise CallFailed(Stage.CONNECT, error.strerror or str(error)) from None
             raise
 
-    async def _dial(self, loop: asyncio.AbstractEventLoop, connection: Link) -> None:
+    async def _dial(self, loop: asyncio.AbstractEventLoop, connection: Connection) -> None:
         try:
             await loop.create_connection(lambda: connection, self.address.host, self.address.port,
                                          ssl=self.tls)
@@ -280,7 +177,7 @@
                 raise Short from None
             raise
 
-    def _give_back(self, connection: Link) -> None:
+    def _give_back(self, connection: Connection) -> None:
         if connection.usable:
             self.idle.append(connection)
             connection.stale_at = connection.loop.time() + self.idle_time / 1000.0
@@ -289,10 +186,17 @@
         else:
             connection.drop()
 
+    def lost(self, connection: Connection) -> None:
+        """A connection is gone."""
+        if connection in self.idle:
+            self.idle.remove(connection)
+        self.limiter.closed(self)
+        self._closed()
+
     def _closed(self) -> None:
         self.open -= 1
         self._wake()
-        self.house.left(self)
+        self.limiter.left(self)
 
     def _wake(self) -> None:
         while self.waiting:
--- a/tests/service/test_asked.py
+++ b/tests/service/test_asked.py
@@ -20,11 +20,12 @@
 from brassweir.lab.rigs.idle_setup import KEY, Plan, Quiet, write
 from brassweir.lab.rigs.load import Mix
 from brassweir.lab.standins import hooks
-from brassweir.net import client, links
+from brassweir.net import client
 from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
 from brassweir.net.house import Pools
 from brassweir.net.limits import Limits
+from brassweir.net.pool import Short
 from brassweir.service.process import SenderProcess
 from tests.conftest import run
 
@@ -83,7 +84,7 @@
             nonlocal refused
             if sender.pools.budget.open > 8 and refused < 40:
                 refused += 1
-                raise links.Short
+                raise Short
             await dial(pool, of, connection)
 
         monkeypatch.setattr(client.Pool, "_dial", dial_short)
