Pool and limiter: a turn that its waiter cannot use goes on, and a lost set-up counts once

Seen, each first as a forced crossing on loopback that failed (uvloop and asyncio): - A call woken for a free connection that is cancelled, or on uvloop out of time, in the same turn took the wake-up with it: the next one waited beside the free connection until its own time was over (pool._take). The same in the line for room in the budget (house._wait). - Room that the first in line may not use (a further connection, in the part kept for waking destinations) woke only him; one behind who might have used it stayed in line (house._room). - A call that waited for room or for its set-up's turn stayed there while a connection of its own pool fell free, and failed with "no room in time" beside it: a budget never takes from the pool that asks. - A connection given up between connection_made and the dial's return was never counted out on uvloop, which tells no connection_lost there: open and budget stayed at 1 for good. One lost during its set-up was counted out twice (KeyError in Budget, which hid the ending). - A set-up given up as its turn came made a suspect of a destination that nothing had been tried at; one that met our own shortage cleared a suspect. - A connection that ends before its call has noticed forgot the holder; was another made first, busy went to -1, and the budget thought a busy connection idle.

Change: whoever leaves a pool's line by an exception offers on what may be free; woken for nothing, it keeps its place. Room is granted in the line, not asked for again after waking, and handed back if its taker has left. Calls that the limiter holds up are known to their pool and freed (Freed) once it has an idle connection. Only a connection whose set-up ended well (`standing`) is counted out by its end, so Limiter.opened is gone. Setups.done takes None for "says nothing"; a holder stays while it has connections or calls.

Held before: a caller that leaves before connection_made, the idle limit met exactly, and on asyncio's loop the waiter out of time in its turn (it runs what is ready before its timers). Failed try: waking only the next in line when the first may not use the room would go round between two for ever.

--- a/brassweir/destinations/budget.py
+++ b/brassweir/destinations/budget.py
@@ -78,8 +78,7 @@
         holder = self.holders[key]
         holder.open -= 1
         self.open -= 1
-        if not holder.open and not holder.pinned:
-            del self.holders[key]
+        self._forget(key, holder)
 
     def busy(self, key: str) -> None:
         """A call takes one of its connections."""
@@ -87,12 +86,11 @@
 
     def idle(self, key: str, cost: float) -> None:
         """A call has given its connection back; ``cost`` (ms) is what it would take to make it anew."""
-        holder = self.holders.get(key)
-        if holder is None:
-            return
+        holder = self.holders[key]
         holder.busy -= 1
         holder.uses += 1
         self._rank(key, holder, self.age + holder.uses * max(cost, 1e-3))
+        self._forget(key, holder)
 
     def pin(self, key: str, pinned: bool) -> None:
         """A trial is due there soon, or no more: pinned ones never give way."""
@@ -102,10 +100,9 @@
                 return
             holder = self.holders[key] = _Holder()
         holder.pinned = pinned
-        if not pinned and not holder.open:
-            del self.holders[key]
-        elif not pinned:
+        if not pinned:
             self._rank(key, holder, holder.rank)
+            self._forget(key, holder)
 
     def shortage(self, now: float) -> str | None:
         """The system has no more descriptors or ports: live with less from now on. Returns who gives way."""
@@ -118,6 +115,11 @@
             self.most = min(self.configured, max(self.most + 1, int(self.most * GROWTH)))
             self.short_at = now
 
+    def _forget(self, key: str, holder: _Holder) -> None:
+        """A connection may end before its call has noticed: a holder is kept for both."""
+        if not holder.open and not holder.busy and not holder.pinned:
+            del self.holders[key]
+
     def _rank(self, key: str, holder: _Holder, rank: float) -> None:
         self.stamps += 1
         holder.rank, holder.stamp = rank, self.stamps
--- a/brassweir/destinations/setups.py
+++ b/brassweir/destinations/setups.py
@@ -66,8 +66,9 @@
                 return ticket
         return None
 
-    def done(self, ticket: int, good: bool, now: float) -> None:
-        """A set-up has ended, or its asker has left the line."""
+    def done(self, ticket: int, good: bool | None, now: float) -> None:
+        """A set-up has ended, or its asker has left the line; ``good`` is None if that says nothing of the
+        destination."""
         place = self.out.pop(ticket, None)
         if place is None:
             for queue in self.lines.values():
@@ -79,10 +80,10 @@
         key, line = place
         if line is not Line.GROWING:
             self.waking.discard(key)
-        if good:
-            self.failed.pop(key, None)
-        else:
-            self.failed.pop(key, None)
+        if good is None:
+            return
+        self.failed.pop(key, None)
+        if not good:
             self.failed[key] = now  # the latest stand last
             while self.failed and now - next(iter(self.failed.values())) > REMEMBER:
                 del self.failed[next(iter(self.failed))]
--- a/brassweir/net/connection.py
+++ b/brassweir/net/connection.py
@@ -40,7 +40,7 @@
     limits: Limits
 
     def lost(self, connection: Connection) -> None:
-        """A connection is gone."""
+        """A connection that stood is gone."""
 
 
 class Connection(asyncio.Protocol):
@@ -50,6 +50,7 @@
         self.pool, self.loop = pool, loop
         self.transport: asyncio.Transport | None = None
         self.usable = False
+        self.standing = False  # set up, so that its end counts it out
         self.stage = Stage.SENT
         self.timer: asyncio.TimerHandle | None = None
         self.stale_at = float("inf")  # loop time from which the peer may have closed it
@@ -67,7 +68,9 @@
         self.usable = False
         self.set_timer(None)
         self.fail(CallFailed(self.stage, str(exc) if exc else "connection closed"))
-        self.pool.lost(self)
+        if self.standing:
+            self.standing = False
+            self.pool.lost(self)
 
     def fresh(self, now: float) -> bool:
         """May a call go out on it? By the clock, and by what is known of the peer."""
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
@@ -30,8 +29,8 @@
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
         self.pools: dict[str, ConnectionPool] = {}
         self.urls: dict[ConnectionPool, str] = {}
-        self.rooms: deque[asyncio.Future[None]] = deque()  # wishes that found the budget spent
-        self.turns: dict[int, asyncio.Future[None]] = {}  # tickets in the line for set-ups
+        self.rooms: dict[asyncio.Future[bool], str] = {}  # wishes that found the budget spent, in order
+        self.turns: dict[int, asyncio.Future[bool]] = {}  # tickets in the line for set-ups
 
     def of(self, url: str, name: str = "") -> Pool:
         """The pool of an endpoint over HTTP; ``name`` keeps apart endpoints that follow each other at one
@@ -65,25 +64,21 @@
     async def room(self, pool: ConnectionPool) -> AsyncIterator[None]:
         """Wait for room in the budget and for a turn, and hold both while a connection is set up."""
         url, loop = self.urls[pool], asyncio.get_running_loop()
-        while True:
-            step = self.budget.wish(url, loop.time() * 1000.0)
-            if step.close is not None and step.close in self.pools:
-                self.pools[step.close].close_idle(1)
-            if step.go:
-                break
-            await self._wait(self.rooms, loop)
-        self.budget.opened(url)
-        standing = good = False
+        if not self._grant(url, loop.time()):
+            await self._wait(pool, url, loop)
+        standing = begun = False
+        good: bool | None = None  # one that left the line, or met our own shortage, tells nothing
         ticket = self.setups.ask(url, pool.open > 1, loop.time() * 1000.0)
         turn = self.turns[ticket] = loop.create_future()
         try:
             self._turn()
-            await turn
+            await pool.stand(turn)
+            begun = True
             yield
             standing = good = True
         except BaseException as error:
-            # One whose time ran out in line, or that met our own shortage, says nothing of the destination.
-            good = isinstance(error, Short) or not turn.done() or turn.cancelled()
+            if begun and not isinstance(error, Short):
+                good = False
             raise
         finally:
             self.turns.pop(ticket, None)
@@ -93,32 +88,42 @@
                 self.budget.closed(url)
                 self._room()
 
-    @staticmethod
-    async def _wait(line: deque[asyncio.Future[None]], loop: asyncio.AbstractEventLoop) -> None:
-        turn: asyncio.Future[None] = loop.create_future()
-        line.append(turn)
+    def _grant(self, url: str, now: float) -> bool:
+        step = self.budget.wish(url, now * 1000.0)
+        if step.close is not None and step.close in self.pools:
+            self.pools[step.close].close_idle(1)
+        if step.go:
+            self.budget.opened(url)
+        return step.go
+
+    async def _wait(self, pool: ConnectionPool, url: str, loop: asyncio.AbstractEventLoop) -> None:
+        turn: asyncio.Future[bool] = loop.create_future()
+        self.rooms[turn] = url
         try:
-            await turn
-        finally:
-            if turn in line:
-                line.remove(turn)
+            await pool.stand(turn)
+        except BaseException:
+            if self.rooms.pop(turn, None) is None and turn.result():  # granted just as it left
+                self.budget.closed(url)
+                self._room()
+            raise
 
     def _turn(self) -> None:
         while (ticket := self.setups.next()) is not None:
             turn = self.turns.get(ticket)
             if turn is not None and not turn.done():
-                turn.set_result(None)
+                turn.set_result(True)
 
     def _room(self) -> None:
-        while self.rooms:
-            turn = self.rooms.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
-
-    def opened(self, pool: ConnectionPool) -> None:
-        """A connection stands after all, though its set-up was given up."""
-        self.budget.opened(self.urls[pool])
+        """Ask again for all that wait: one behind may use what the first in line may not. A pool with a free
+        connection of its own needs no other."""
+        now, refused = asyncio.get_running_loop().time(), set[str]()
+        for turn, url in list(self.rooms.items()):
+            if not turn.done() and url not in refused:
+                if not self.pools[url].idle and self._grant(url, now):
+                    del self.rooms[turn]
+                    turn.set_result(True)
+                else:
+                    refused.add(url)
 
     def closed(self, pool: ConnectionPool) -> None:
         """A connection is gone."""
--- a/brassweir/net/pool.py
+++ b/brassweir/net/pool.py
@@ -6,7 +6,7 @@
 import errno
 from collections import deque
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from ssl import SSLContext
 
 from brassweir.net.address import Address
@@ -23,17 +23,19 @@
     """A set-up failed for want of a descriptor or port of ours."""
 
 
+class Freed(Exception):
+    """While a call waited to set a connection up, one that stands became free."""
+
+
 class Limiter:
     """What pools share; this one sets no limits. All is told of every connection and call."""
 
     @asynccontextmanager
     async def room(self, pool: ConnectionPool) -> AsyncIterator[None]:
-        """Hold room for one more connection while it is set up; it keeps it if this ends well."""
+        """Hold room for one more connection while it is set up; it keeps it if this ends well. Waits by
+        :meth:`ConnectionPool.stand`, which may raise Freed."""
         yield
 
-    def opened(self, pool: ConnectionPool) -> None:
-        """A connection stands after all, though its set-up was given up."""
-
     def closed(self, pool: ConnectionPool) -> None:
         """A connection is gone."""
 
@@ -65,7 +67,8 @@
         self.cap, self.idle_time, self.connect_time = cap, idle, connect
         self.idle: deque[Connection] = deque()
         self.open = 0  # connections, those being made included
-        self.waiting: deque[asyncio.Future[None]] = deque()
+        self.waiting: deque[asyncio.Future[None]] = deque()  # calls for which the cap has no room
+        self.entering: dict[asyncio.Future[bool], None] = {}  # those that the limiter holds up
         self.made = self.calls = 0  # connections and calls so far
         self.users = 0  # calls under way, those that wait for a connection included
         self.limiter = limiter or Limiter()
@@ -94,8 +97,9 @@
                     raise CallFailed(Stage.CONNECT, "called back before anything was written")
                 yield connection
             finally:
-                self.limiter.idle(self)
                 self._give_back(connection)
+                self.limiter.idle(self)  # it may close the connection in favour of another pool
+                self._offer()
         finally:
             self.users -= 1
             self.limiter.left(self)
@@ -111,28 +115,51 @@
             self.idle.popleft().drop()
         return count
 
+    async def stand(self, turn: asyncio.Future[bool]) -> None:
+        """Wait in a line of the limiter. Raises Freed once there is no need to."""
+        self.entering[turn] = None
+        try:
+            if not await turn:
+                raise Freed
+        finally:
+            del self.entering[turn]
+
     async def _take(self, loop: asyncio.AbstractEventLoop, deadline: float) -> Connection:
         until = min(loop.time() + self.connect_time / 1000.0, deadline)
-        while True:
-            while self.idle:
-                connection = self.idle.pop()  # the one used last: the peer closes it last
-                # By the clock and not only by the timer, which a loop that stood still fires late.
-                if connection.fresh(loop.time()):
-                    connection.set_timer(None)
+        line = self.waiting.append
+        try:
+            while True:
+                connection = self._free(loop.time())
+                if connection is not None:
                     return connection
-                connection.drop()
-            if self.open < self.cap:
-                return await self._connect(loop, until)
-            turn: asyncio.Future[None] = loop.create_future()
-            self.waiting.append(turn)
-            try:
-                async with asyncio.timeout_at(until):
-                    await turn
-            except TimeoutError:
-                raise CallFailed(Stage.CONNECT, "no free connection in time", late=True) from None
-            finally:
-                if turn in self.waiting:
-                    self.waiting.remove(turn)
+                if self.open < self.cap:
+                    with suppress(Freed):
+                        return await self._connect(loop, until)
+                    continue
+                turn: asyncio.Future[None] = loop.create_future()
+                line(turn)
+                line = self.waiting.appendleft  # woken for nothing, it keeps its place
+                try:
+                    async with asyncio.timeout_at(until):
+                        await turn
+                except TimeoutError:
+                    raise CallFailed(Stage.CONNECT, "no free connection in time", late=True) from None
+                finally:
+                    if turn in self.waiting:
+                        self.waiting.remove(turn)
+        except BaseException:
+            self._offer()  # it may have been woken in the very turn in which it left
+            raise
+
+    def _free(self, now: float) -> Connection | None:
+        while self.idle:
+            connection = self.idle.pop()  # the one used last: the peer closes it last
+            # By the clock and not only by the timer, which a loop that stood still fires late.
+            if connection.fresh(now):
+                connection.set_timer(None)
+                return connection
+            connection.drop()
+        return None
 
     async def _connect(self, loop: asyncio.AbstractEventLoop, until: float) -> Connection:
         self.open += 1
@@ -147,6 +174,9 @@
                             before = loop.time()
                             await self._dial(loop, connection)
                             await connection.greet()
+                            if not connection.usable:
+                                raise CallFailed(Stage.CONNECT, "closed during its set-up")
+                            connection.standing = True
                             self.made += 1
                             self.cost += COST_GAIN * ((loop.time() - before) * 1000.0 - self.cost)
                             return connection
@@ -154,11 +184,8 @@
                         self.limiter.short()
                         await asyncio.sleep(RETRY)
         except BaseException as error:
-            if connection.transport is None:
-                self._closed()
-            else:  # it came to stand just as its time ran out: its own end counts it out
-                self.limiter.opened(self)
-                connection.drop()
+            connection.drop()
+            self._closed()
             if isinstance(error, TimeoutError):
                 reason = "connect timed out" if begun else "no room for another connection in time"
                 raise CallFailed(Stage.CONNECT, reason, late=True) from None
@@ -182,12 +209,11 @@
             self.idle.append(connection)
             connection.stale_at = connection.loop.time() + self.idle_time / 1000.0
             connection.set_timer(self.idle_time)
-            self._wake()
         else:
             connection.drop()
 
     def lost(self, connection: Connection) -> None:
-        """A connection is gone."""
+        """A connection that stood is gone."""
         if connection in self.idle:
             self.idle.remove(connection)
         self.limiter.closed(self)
@@ -195,12 +221,17 @@
 
     def _closed(self) -> None:
         self.open -= 1
-        self._wake()
+        self._offer()
         self.limiter.left(self)
 
-    def _wake(self) -> None:
-        while self.waiting:
+    def _offer(self) -> None:
+        """Wake one that waits, if a connection is free or there is room for one."""
+        while self.waiting and (self.idle or self.open < self.cap):
             turn = self.waiting.popleft()
             if not turn.done():
                 turn.set_result(None)
                 return
+        for entry in self.entering if self.idle else ():
+            if not entry.done():
+                entry.set_result(False)
+                return
--- a/tests/destinations/test_destinations.py
+++ b/tests/destinations/test_destinations.py
@@ -107,6 +107,16 @@
     assert "dear" in [connected(budget, str(i)) for i in range(10, 200)], "but not for ever"
 
 
+def test_a_connection_that_ends_before_its_call_has_noticed_leaves_no_count() -> None:
+    budget = Budget(2)
+    for told in (budget.opened, budget.busy, budget.closed, budget.opened):  # another is made at once
+        told("a")
+    budget.idle("a", 1.0)
+    assert budget.holders["a"].busy == 0
+    budget.closed("a")
+    assert not budget.holders and not budget.open
+
+
 def test_a_call_out_or_a_trial_due_never_gives_way() -> None:
     budget = Budget(2)
     for key in "ab":
