--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -12,7 +12,7 @@
 from brassweir.net.address import Address
 from brassweir.net.connection import CallFailed, Connection, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.parse import Feed, Incoming, TooLarge
+from brassweir.net.parse import Answers, Incoming, TooLarge
 from brassweir.net.pool import ConnectionPool
 
 __all__ = ["Address", "CallFailed", "Pool", "Reply", "Stage"]
@@ -50,7 +50,8 @@
         seconds). Raises CallFailed.
 
         For ``hold`` seconds the last byte is held back. A peer that has closed the connection, or resets it
-        as the request comes, shows it in that time, and cannot have run what it never had whole.
+        as the request comes, shows it in that time, and cannot have run what it never had whole. Whatever it
+        says in that time belongs to an earlier call, and ends the connection.
         """
         async with self.link(deadline, begin, go) as connection:
             assert isinstance(connection, _Connection)
@@ -70,7 +71,7 @@
 
     def __init__(self, pool: Pool, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(pool, loop)
-        self.feed = Feed(pool.limits)
+        self.feed = Answers(pool.limits)
         self.feed.parser = httptools.HttpResponseParser(self.feed)
         self.answer: asyncio.Future[Reply] | None = None
         self.settling = pool.settling
@@ -91,47 +92,50 @@
     async def call(self, data: bytes, deadline: float, hold: float = 0.0) -> Reply:
         """Write a request and wait for its answer."""
         assert self.transport is not None
-        kept, self.kept = self.kept, True
         if self.transport.is_closing():
-            raise CallFailed(Stage.CONNECT, "connection closed before anything was written", kept=kept)
-        self.answer = self.loop.create_future()
+            raise CallFailed(Stage.CONNECT, "connection closed before anything was written", kept=self.kept)
+        answer: asyncio.Future[Reply] = self.loop.create_future()
+        self.answer = answer
         self.stage = Stage.CONNECT if hold else Stage.SENT
         self.transport.write(data[:-1] if hold else data)
         try:
             async with asyncio.timeout_at(deadline):
                 if hold:
-                    await asyncio.sleep(hold)
-                    if self.answer.done():
-                        await self.answer  # the connection's end, if it has ended
-                        # Else an answer to a call that was not whole: another's, come twice or late.
-                        self.drop()
-                        raise CallFailed(Stage.CONNECT, "an answer came before the call was whole")
-                    self.stage = Stage.SENT
-                    self.transport.write(data[-1:])
-                reply = await self.answer
-                reply.kept = kept
-                return reply
-        except CallFailed as failed:
-            failed.kept = kept
-            raise
+                    await asyncio.wait((answer,), timeout=hold)
+                    if not answer.done():
+                        self.stage = Stage.SENT
+                        self.transport.write(data[-1:])
+                return await answer
         except TimeoutError:
-            self.drop()
-            raise CallFailed(self.stage, "no whole answer in time", late=True) from None
+            return self._overdue(answer)
         except asyncio.CancelledError:
             self.drop()
             raise
         finally:
-            self.answer = None
+            self.answer, self.kept = None, True
+            if not answer.cancelled() and answer.done():
+                answer.exception()  # nobody may be left to ask for it
             if self.settler is not None:
                 self.settler.cancel()
                 self.settler = None
 
+    def _overdue(self, answer: asyncio.Future[Reply]) -> Reply:
+        """What a call has come to as its time runs out: what was read up to that very turn counts."""
+        if answer.done() and not answer.cancelled():
+            return answer.result()
+        self.drop()
+        reply = self.settled()
+        if reply is None:
+            raise CallFailed(self.stage, "no whole answer in time", late=True)
+        return reply
+
     def fail(self, error: CallFailed) -> None:
         """End the call in work, if there is one."""
         self.usable = False
         if self.settling and self.settle():
             return
         if self.answer is not None and not self.answer.done():
+            error.kept = self.kept
             self.answer.set_exception(error)
 
     def data_received(self, data: bytes) -> None:
@@ -139,6 +143,10 @@
         if self.answer is None or self.answer.done():
             self.drop()
             return
+        if self.stage is Stage.CONNECT:
+            self.fail(CallFailed(Stage.CONNECT, "bytes came before the call was whole"))
+            self.drop()
+            return
         try:
             self.feed.feed(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -155,11 +163,11 @@
             self.drop()
             return
         queue = self.passed_over()
-        if queue and self.stage is not Stage.CONNECT:
+        if queue:
             self.stage = Stage.BODY if queue[0].head_done else Stage.HEAD
         if queue and queue[0].done:
             self.finish()
-        elif self.settling and self.settler is None and queue and queue[0].status in self.settling:
+        elif self.settling and self.settler is None and self.settled() is not None:
             self.settler = self.loop.call_later(SETTLED, self._late)
 
     def passed_over(self) -> deque[Incoming]:
@@ -175,13 +183,20 @@
         if self.settle():
             self.drop()
 
-    def settle(self) -> bool:
-        """End the call by what its status line alone says, if that is enough."""
+    def settled(self) -> Reply | None:
+        """What the status line alone says, if it is whole and that is enough."""
         queue = self.passed_over()
-        if self.answer is None or self.answer.done() or not queue or queue[0].status not in self.settling:
+        if not queue or not queue[0].line or queue[0].status not in self.settling:
+            return None
+        return Reply(queue[0].status, queue[0].headers, b"", self.kept)
+
+    def settle(self) -> bool:
+        """End the call by its status line, if that is enough."""
+        reply = self.settled()
+        if self.answer is None or self.answer.done() or reply is None:
             return False
         self.usable = False
-        self.answer.set_result(Reply(queue[0].status, queue[0].headers, b""))
+        self.answer.set_result(reply)
         return True
 
     def finish(self) -> None:
@@ -189,4 +204,5 @@
         incoming = self.feed.queue.popleft()
         self.usable = self.usable and incoming.keep and not self.feed.queue
         if self.answer is not None and not self.answer.done():
-            self.answer.set_result(Reply(incoming.status, incoming.headers, bytes(incoming.body)))
+            self.answer.set_result(
+                Reply(incoming.status, incoming.headers, bytes(incoming.body), self.kept))
--- a/brassweir/net/parse.py
+++ b/brassweir/net/parse.py
@@ -26,8 +26,8 @@
 class Incoming:
     """One message being received."""
 
-    __slots__ = ("body", "done", "head_done", "head_size", "headers", "keep", "method", "status",
-                 "target", "version")
+    __slots__ = ("body", "done", "head_done", "head_size", "headers", "keep", "line", "method",
+                 "status", "target", "version")
 
     def __init__(self) -> None:
         self.headers = Headers()
@@ -36,6 +36,7 @@
         self.head_size = 0
         self.method = self.version = ""
         self.status = 0
+        self.line = False  # an answer's first line came to its end
         self.head_done = self.done = self.keep = False
 
 
@@ -74,7 +75,7 @@
         self.queue.append(Incoming())
 
     def on_status(self, _: bytes) -> None:
-        """The status line is there, whatever comes of the rest."""
+        """Part of the reason phrase, and so the status."""
         self.queue[-1].status = int(self.parser.get_status_code())
 
     def on_url(self, url: bytes) -> None:
@@ -122,3 +123,24 @@
             return  # one over its limits was cut here: it never counts as whole
         now.done = True
         now.keep = self.parser.should_keep_alive()
+
+
+class Answers(Feed):
+    """The feed of a client. Each status line is parsed by itself, to know when it is whole: llhttp calls back
+    for parts of a reason phrase, and not for an empty one."""
+
+    def feed(self, data: bytes) -> None:
+        """Parse on, as Feed does."""
+        at = 0
+        while at < len(data):
+            now = self.queue[-1] if self.queue else None
+            known = now is not None and now.line and now.status >= 200
+            end = len(data) if known else data.find(b"\n", at) + 1 or len(data)
+            piece, at = data[at:end], end
+            try:
+                super().feed(piece)
+                if self.queue and piece.endswith(b"\n"):
+                    self.queue[-1].status = int(self.parser.get_status_code())
+            finally:
+                if self.queue and piece.endswith(b"\n"):
+                    self.queue[-1].line = True
--- a/tests/net/peers.py
+++ b/tests/net/peers.py
@@ -13,7 +13,8 @@
 
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
-from brassweir.net.client import Pool, Reply
+from brassweir.net.client import CallFailed, Pool, Reply
+from brassweir.net.connection import Connection, Stage
 from brassweir.net.headers import Headers
 from brassweir.net.house import Pools
 from brassweir.net.limits import Limits
@@ -42,6 +43,14 @@
             await asyncio.sleep(0.001)
 
 
+async def ending(task: asyncio.Task[Reply]) -> int | tuple[Stage, bool]:
+    """How a call ended: its status, or how far it came and whether its time ran out."""
+    try:
+        return (await task).status
+    except CallFailed as failed:
+        return failed.stage, failed.late
+
+
 class End:
     """The endpoint's end of one connection."""
 
@@ -111,6 +120,19 @@
         await end.request()
         return end
 
+    def seam(self, change: Callable[[Connection], object], pool: Pool | None = None) -> None:
+        """Change the next connection that a pool makes, before it is dialled."""
+        pool = pool or self.pool()
+        make = pool.make
+
+        def made(loop: asyncio.AbstractEventLoop) -> Connection:
+            pool.make = make  # type: ignore[method-assign]
+            connection = make(loop)
+            change(connection)
+            return connection
+
+        pool.make = made  # type: ignore[method-assign]
+
     def counts(self) -> dict[str, object]:
         """All that is counted and not zero."""
         pools = self.pools
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -138,20 +138,6 @@
     on(loop, work())
 
 
-def seam(at: Scene, then: Callable[[Connection], object], method: str = "connection_made") -> None:
-    """Do this right behind a method of the next connection that is made."""
-    pool = at.pool()
-    make = pool.make
-
-    def made(loop: asyncio.AbstractEventLoop) -> Connection:
-        connection = make(loop)
-        pool.make = make  # type: ignore[method-assign]
-        after(connection, method, lambda: then(connection))
-        return connection
-
-    pool.make = made  # type: ignore[method-assign]
-
-
 @both
 @pytest.mark.parametrize("when", ["as it comes up", "a moment before"])
 def test_a_connection_that_comes_up_as_its_caller_leaves_counts_no_more(loop: Loop, when: str) -> None:
@@ -159,7 +145,7 @@
         async with scene() as at:
             task: asyncio.Task[Any]
             if when == "as it comes up":
-                seam(at, lambda _: task.cancel())
+                at.seam(lambda connection: after(connection, "connection_made", lambda: task.cancel()))
                 task = at.call()
             else:
                 pool, here = at.pool(), asyncio.get_running_loop()
@@ -182,7 +168,7 @@
 def test_a_connection_lost_during_its_set_up_counts_once(loop: Loop, greets: bool) -> None:
     async def work() -> None:
         async with scene() as at:
-            def lose(connection: Connection) -> None:
+            def lost(connection: Connection) -> None:
                 gone = asyncio.Event()
                 after(connection, "connection_lost", gone.set)
 
@@ -192,9 +178,9 @@
 
                 if greets:
                     connection.greet = greet  # type: ignore[method-assign]
-                connection.drop()
+                after(connection, "connection_made", connection.drop)
 
-            seam(at, lose)
+            at.seam(lost)
             with pytest.raises(CallFailed) as caught:
                 await at.call()
             assert caught.value.stage is Stage.CONNECT
