A watch of the list that goes silent is left sooner, and only what is whole counts as heard

Need: a change of the list counts as told 6 s after a watch fell silent, or after discovery had it and could be reached. Seen under a moved time on real sockets (tests/relay/test_watch.py, against the code before): - bytes that trickle and never end a line kept a watch for ever (`data_received` set `heard` on any byte); - an open watch that falls silent and two that are not answered: told after 6 s (2.8 s each and waits); one more that gives its head alone, as a change comes just after a call has gone out: the same; - an object over several lines ended the watch as unreadable, and each one after it too (`on_body` decoded lines); - a connection that never comes up kept its descriptor after its watch was given up or moved: the task of `create_connection` was neither kept nor cancelled. 12 more descriptors in 10 s at 2 addresses, 5 in 5 moves.

Change: a watch has 1 s until the head of its answer and 2.5 s from one whole object or empty line to the next; the longest wait until the next is 0.2 s; the sum stands in the docstring and docs/design-node.md. `Objects` (pure) cuts a watch into objects by braces outside strings, line by line, each byte looked at once, bounded as before. The task that opens a connection is kept, and cancelled with its watch. An object that is cut in the middle is now met by silence (2.5 s), and no longer at once.

--- a/brassweir/relay/discovery.py
+++ b/brassweir/relay/discovery.py
@@ -1,7 +1,11 @@
-"""Keeps up the watch of the endpoint list: one open answer, an object a line, and a line every two seconds.
+"""Keeps up the watch of the endpoint list: one open answer, objects in lines, a line every two seconds.
 
-A watch that says nothing for too long is dead, whatever its connection says: another is opened, from the last
-version on. What cannot be read ends the watch; the list that is known stands.
+A watch that says nothing whole for too long is dead, whatever its connection says: another is opened, from
+the last version on. What cannot be read ends the watch; the list that is known stands.
+
+How late a change can be told, as a sum of waits: a watch that gave its head and fell silent costs ``SILENT``,
+one that was not answered ``UNANSWERED``, each with ``READ_FIRST`` and at most ``LONGEST`` until the next.
+After a silent one, and one more like it (5.44 s) or two not answered (5.16 s), a change is told within 6 s.
 """
 
 from __future__ import annotations
@@ -12,10 +16,12 @@
 
 import httptools
 
-from brassweir.relay.listing import Change, ListError, read
+from brassweir.relay.listing import Change, ListError, Objects, read
 
-SILENT = 2.8  # seconds without a byte: the platform sends an empty line every 2 s
-FIRST, LONGEST = 0.05, 0.6  # seconds until the next try, doubled up to the longest
+SILENT = 2.5  # seconds without a whole object or empty line: the platform sends one of them every 2 s
+UNANSWERED = 1.0  # seconds without the answer's head: whom we ask is on this machine, and answers at once
+READ_FIRST = 0.02  # seconds in which what lies in the socket is read before silence is believed
+FIRST, LONGEST = 0.05, 0.2  # seconds until the next try, doubled up to the longest
 LARGEST = 8 * 1024 * 1024  # bytes of one object
 
 Note = Callable[[str, dict[str, object]], None]
@@ -57,11 +63,10 @@
 
     def _open(self) -> None:
         self._drop()
-        loop = asyncio.get_running_loop()
-        watch = self.watch = _Watch(self, loop)
+        watch = self.watch = _Watch(self, asyncio.get_running_loop())
         self.opened += 1
         host, _, port = self.address.rpartition(":")
-        loop.create_task(watch.connect(host, int(port), self.rev()))
+        watch.open(host, int(port), self.rev())
 
     def ended(self, watch: _Watch, why: str) -> None:
         """A watch has ended; the next is opened after a while."""
@@ -72,8 +77,8 @@
         self.timer = asyncio.get_running_loop().call_later(self.wait, self._open)
         self.wait = min(2.0 * self.wait, LONGEST)
 
-    def line(self, watch: _Watch, data: bytes) -> None:
-        """One line of the watch. Raises ListError."""
+    def whole(self, watch: _Watch, data: bytes) -> None:
+        """One object of the watch, or an empty line. Raises ListError."""
         if watch is not self.watch:
             return
         if data.strip():
@@ -89,14 +94,18 @@
         self.owner, self.loop = owner, loop
         self.transport: asyncio.Transport | None = None
         self.parser: Any = httptools.HttpResponseParser(self)
-        self.rest = bytearray()
+        self.objects = Objects(LARGEST)
         self.failed = ""
         self.dropped = False
-        self.heard = loop.time()
-        self.timer: asyncio.TimerHandle | None = loop.call_later(SILENT, self._listen)
+        self.heard, self.patience = loop.time(), UNANSWERED
+        self.timer: asyncio.TimerHandle | None = loop.call_later(UNANSWERED, self._listen)
+        self.opening: asyncio.Task[None] | None = None
 
-    async def connect(self, host: str, port: int, rev: int) -> None:
+    def open(self, host: str, port: int, rev: int) -> None:
         """Open it and ask."""
+        self.opening = self.loop.create_task(self._connect(host, port, rev))
+
+    async def _connect(self, host: str, port: int, rev: int) -> None:
         try:
             await self.loop.create_connection(lambda: self, host, port)
         except OSError as error:
@@ -118,21 +127,20 @@
 
     def _listen(self) -> None:
         # The loop may have stood still itself: what lies in the socket is read before silence is believed.
-        left = self.heard + SILENT - self.loop.time()
+        left = self.heard + self.patience - self.loop.time()
         if left > 0.0:
             self.timer = self.loop.call_later(left, self._listen)
         else:
-            self.timer = self.loop.call_later(0.02, self._silent)
+            self.timer = self.loop.call_later(READ_FIRST, self._silent)
 
     def _silent(self) -> None:
-        if self.loop.time() - self.heard < SILENT:
+        if self.loop.time() - self.heard < self.patience:
             self._listen()
         else:
             self.end("silent")
 
     def data_received(self, data: bytes) -> None:
-        """Read on."""
-        self.heard = self.loop.time()
+        """Read on. Only what is whole counts as heard: its head, an object, an empty line."""
         try:
             self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
@@ -142,6 +150,7 @@
 
     def on_headers_complete(self) -> None:
         """The answer's head has come."""
+        self.heard, self.patience = self.loop.time(), SILENT
         if int(self.parser.get_status_code()) != 200:
             self.failed = f"status {self.parser.get_status_code()}"
 
@@ -149,16 +158,12 @@
         """Some of the list."""
         if self.failed:
             return
-        self.rest += part
-        while not self.failed and (end := self.rest.find(b"\n")) >= 0:
-            line = bytes(self.rest[:end])
-            del self.rest[:end + 1]
-            try:
-                self.owner.line(self, line)
-            except ListError as error:
-                self.failed = str(error)
-        if len(self.rest) > LARGEST:
-            self.failed = f"an object over {LARGEST} bytes"
+        try:
+            for data in self.objects.feed(part):
+                self.heard = self.loop.time()
+                self.owner.whole(self, data)
+        except ListError as error:
+            self.failed = str(error)
 
     def on_message_complete(self) -> None:
         """A watch lasts; an answer that ends is no watch."""
@@ -175,5 +180,7 @@
         if self.timer is not None:
             self.timer.cancel()
             self.timer = None
+        if self.opening is not None:
+            self.opening.cancel()  # one that never comes up would hold its descriptor for ever
         if self.transport is not None:
             self.transport.abort()
--- a/brassweir/relay/listing.py
+++ b/brassweir/relay/listing.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 import sys
+from collections.abc import Iterator
 from dataclasses import replace
 
 import msgspec
@@ -40,6 +42,40 @@
 _decoder = msgspec.json.Decoder(Change)
 
 
+# A string within a line, whole or cut by its end. It never goes back over what it read: no text takes long.
+_STRING = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"?')
+
+
+class Objects:
+    """Cuts the bytes of a watch into objects, each on one line or indented over several, and empty lines.
+
+    Braces outside strings say where an object ends; no string goes over a line's end. ``largest`` bounds the
+    bytes of one object.
+    """
+
+    def __init__(self, largest: int) -> None:
+        self.largest, self.depth = largest, 0
+        self.lines = bytearray()  # of the object that is open
+        self.line = bytearray()  # the one that has not ended
+
+    def feed(self, part: bytes) -> Iterator[bytes]:
+        """What is whole with these bytes. Raises ListError on an object that is too large."""
+        *ends, rest = part.split(b"\n")
+        for end in ends:
+            self.line += end
+            bare = _STRING.sub(b"", self.line)
+            self.depth += bare.count(b"{") - bare.count(b"}")
+            self.lines += self.line
+            self.line.clear()
+            if self.depth <= 0:
+                whole, self.depth = bytes(self.lines), 0
+                self.lines.clear()
+                yield whole
+        self.line += rest
+        if len(self.lines) + len(self.line) > self.largest:
+            raise ListError(f"an object over {self.largest} bytes")
+
+
 def read(data: bytes | memoryview) -> Change:
     """One object. Raises ListError, and then nothing of it counts."""
     try:
--- a/tests/relay/test_pure.py
+++ b/tests/relay/test_pure.py
@@ -10,7 +10,7 @@
 from brassweir.core.ports import Answer, FinalAnswer
 from brassweir.interface import ListKind, Result, State
 from brassweir.relay import endings, settings
-from brassweir.relay.listing import Change, ListError, Listing, Target, read
+from brassweir.relay.listing import Change, ListError, Listing, Objects, Target, read
 from brassweir.relay.notices import notice
 from tests.relay.world import configuration
 
@@ -109,3 +109,25 @@
 def test_a_configuration_that_cannot_be_used_names_its_field(change: dict[str, Any], field: str) -> None:
     with pytest.raises(settings.NodeError, match=field):
         settings.read(json.dumps({**configuration(), **change}).encode())
+
+
+@pytest.mark.parametrize("text", [
+    '{"a": 1}\n\n{"b": 2}\n', '{\n "a": "}{",\n\n "b": {\n }\n}\n\r\n{"c": "\\"}"}\n', '{"a": "\\\\", "b": {"}": ["{"]\n}}\n\n', "]\n{}\n",
+])
+def test_objects_are_cut_by_their_braces_however_they_come(text: str) -> None:
+    whole = text.encode()
+    wanted = [b"".join(one.split()) for one in Objects(1000).feed(whole)]
+    assert b"".join(wanted) == b"".join(whole.split()) and len(wanted) > 1
+    for size in (1, 2, 3, 7):
+        objects = Objects(1000)
+        pieces = [whole[i:i + size] for i in range(0, len(whole), size)]
+        assert [b"".join(one.split()) for piece in pieces for one in objects.feed(piece)] == wanted
+
+
+@pytest.mark.parametrize("part", [b"x", b'{"a":\n', b'"\\', b'"'])
+def test_an_object_that_never_ends_is_bounded(part: bytes) -> None:
+    objects = Objects(1000)
+    with pytest.raises(ListError, match="over 1000 bytes"):
+        for _ in range(1001):
+            assert list(objects.feed(part)) == []
+    assert len(objects.lines) + len(objects.line) <= 1000 + len(part)
--- /dev/null
+++ b/tests/relay/test_watch.py
@@ -0,0 +1,242 @@
+"""The watch of the list on real sockets under a moved time: how late a change can be told, whatever failed before."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import resource
+import socket
+import time
+from contextlib import suppress
+from typing import Any
+
+import pytest
+
+from brassweir.relay.discovery import Discovery
+from brassweir.relay.listing import Change
+from tests.conftest import run
+from tests.relay.moved import HEAD, Manner, Peer, chunk, moved, now, only_head, says, silent, trickles
+
+TOLD = 6.0  # seconds after which a change counts as told
+
+
+def change(rev: int, **more: Any) -> bytes:
+    return json.dumps({"rev": rev, "all": False, "targets": []}, **more).encode() + b"\n"
+
+
+class Heard:
+    """A watch at a peer, and when it told what."""
+
+    def __init__(self, address: str) -> None:
+        self.told: list[tuple[float, int]] = []
+        self.notes: list[object] = []
+        self.more = asyncio.Event()
+        self.watch = Discovery(address, lambda: self.told[-1][1] if self.told else 1, self._take,
+                               lambda _, details: self.notes.append(details["why"]))
+
+    def _take(self, change: Change) -> None:
+        self.told.append((now(), change.rev))
+        self.more.set()
+
+    async def until(self, rev: int) -> float:
+        """When a version was told."""
+        while not self.told or self.told[-1][1] < rev:
+            self.more.clear()
+            await self.more.wait()
+        return self.told[-1][0]
+
+
+OPEN = says(change(2), b"\n")
+TRICKLE = trickles(HEAD + chunk(change(2)), chunk(b"x"))
+HEADLESS = trickles(b"HTTP/1.1 200 ", b"x")
+
+
+@pytest.mark.parametrize(("first", "then"), [
+    (OPEN, []), (OPEN, [silent]), (OPEN, [silent, silent]), (OPEN, [only_head]), (OPEN, [HEADLESS, HEADLESS]),
+    (TRICKLE, []), (TRICKLE, [silent, silent]),
+], ids=["silence", "and one not answered", "and two", "and a head alone", "and heads that never end", "trickle", "trickle, then two not answered"])
+def test_an_open_watch_that_falls_silent_is_made_up_for_in_time(first: Manner, then: list[Manner]) -> None:
+    async def play() -> None:
+        async with Peer(first, *then, says(change(3))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            fell = await heard.until(2)
+            assert await heard.until(3) - fell < TOLD, heard.notes
+            assert [line.partition("since=")[2].partition(" ")[0] for _, line in peer.seen] == ["1", *["2"] * (1 + len(then))]
+            heard.watch.stop()
+
+    moved(play())
+
+
+@pytest.mark.parametrize("then", [[], [silent], [silent, silent], [only_head]], ids=["", "one not answered", "two", "a head alone"])
+def test_a_change_is_told_in_time_after_calls_that_failed(then: list[Manner]) -> None:
+    """The change and the way to it are there just after a call has gone out that is never answered."""
+    async def play() -> None:
+        # Many calls before, so that the wait between them is at its longest.
+        async with Peer(*[silent] * 12, only_head, *then, says(change(3))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await peer.asked(13)
+            there = now()
+            assert await heard.until(3) - there < TOLD, heard.notes
+            heard.watch.stop()
+
+    moved(play())
+
+
+def test_a_quiet_list_keeps_its_watch() -> None:
+    """Nothing has changed: the head comes at once, and the first empty line 2 s later."""
+    async def play() -> None:
+        async with Peer(trickles(HEAD, b"")) as idle, Peer(quiet) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await asyncio.sleep(20.0)
+            assert len(peer.seen) == 1 and not heard.notes
+            heard.watch.move(idle.address)
+            await idle.asked(2)
+            assert heard.notes == ["silent"], "the one that was left tells nothing more"
+            heard.watch.stop()
+            await asyncio.sleep(5.0)
+            assert len(peer.seen) == 1 and len(idle.seen) == 2
+
+    moved(play())
+
+
+async def quiet(writer: asyncio.StreamWriter) -> None:
+    """A list that does not change."""
+    writer.write(HEAD)
+    while True:
+        await asyncio.sleep(2.0)
+        writer.write(chunk(b"\n"))
+
+
+def test_lists_may_come_indented_and_in_any_pieces() -> None:
+    """Objects over several lines, cut anywhere; what is no object ends the watch at once."""
+    whole = change(2, indent=2) + b"\r\n" + change(3, indent="\t") + change(4)
+    bad = says(*(whole[i:i + 7] for i in range(0, len(whole), 7)), b"]\n")
+
+    async def play() -> None:
+        async with Peer(bad, says(change(5, indent=1))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            began = now()
+            assert await heard.until(5) - began < 1.0
+            assert [rev for _, rev in heard.told] == [2, 3, 4, 5] and len(peer.seen) == 2
+            heard.watch.stop()
+
+    moved(play())
+
+
+def test_what_lies_in_the_socket_is_read_before_silence_is_believed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The loop that serves runs its timers before it reads: it stands still while a change comes."""
+    for name in ("SILENT", "UNANSWERED"):
+        monkeypatch.setattr(f"brassweir.relay.discovery.{name}", 0.4)
+
+    async def play() -> None:
+        async with Peer(says(change(2))) as peer:
+            heard = Heard(peer.address)
+            take = heard.watch.take
+
+            def stand_still(told: Change) -> None:
+                take(told)
+                if told.rev == 2:
+                    peer.write(chunk(change(3)))
+                    time.sleep(0.5)
+
+            heard.watch.take = stand_still
+            heard.watch.start()
+            await heard.until(3)
+            await asyncio.sleep(0.05)
+            assert len(peer.seen) == 1 and not heard.notes
+            heard.watch.stop()
+
+    run(play())
+
+
+class Full:
+    """An address at which no connection comes up, and none is refused."""
+
+    def __enter__(self) -> str:
+        self.sockets = [socket.socket()]
+        self.sockets[0].bind(("127.0.0.1", 0))
+        self.sockets[0].listen(0)
+        for _ in range(3):
+            self.sockets.append(socket.socket())
+            self.sockets[-1].setblocking(False)
+            self.sockets[-1].connect_ex(self.sockets[0].getsockname())
+        return f"127.0.0.1:{self.sockets[0].getsockname()[1]}"
+
+    def __exit__(self, *_: object) -> None:
+        for one in self.sockets:
+            one.close()
+
+
+def descriptors() -> int:
+    return len(os.listdir("/proc/self/fd"))
+
+
+def test_connections_that_never_come_up_are_let_go() -> None:
+    """At either address, given up after a while or left in the middle of an open."""
+    async def play() -> None:
+        with Full() as here, Full() as there:
+            heard = Heard(here)
+            heard.watch.start()
+            await asyncio.sleep(0.01)
+            before = descriptors()
+            await asyncio.sleep(10.0)
+            assert len(heard.notes) > 5
+            for address in (there, here, there, there):
+                heard.watch.move(address)
+                await asyncio.sleep(0.01)
+            assert descriptors() <= before + 1
+            async with Peer(says(change(2))) as peer:
+                heard.watch.move(peer.address)
+                await heard.until(2)
+            heard.watch.stop()
+            await asyncio.sleep(0.01)
+            assert descriptors() < before
+
+    moved(play())
+
+
+def test_connections_that_are_left_are_let_go_in_service() -> None:
+    """The same on the loop that serves: here only a move gives them up."""
+    async def play() -> None:
+        with Full() as here:
+            heard = Heard(here)
+            heard.watch.start()
+            await asyncio.sleep(0.01)
+            before = descriptors()
+            for _ in range(5):
+                heard.watch.move(here)
+                await asyncio.sleep(0.01)
+            assert descriptors() <= before
+            heard.watch.stop()
+
+    run(play())
+
+
+def test_no_descriptor_left_puts_the_watch_off_and_no_more() -> None:
+    async def play() -> None:
+        async with Peer(says(change(2))) as peer:
+            heard = Heard(peer.address)
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            taken: list[int] = []
+            try:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 2, hard))
+                with suppress(OSError):
+                    while True:
+                        taken.append(os.dup(0))
+                heard.watch.start()
+                while not heard.notes:
+                    await asyncio.sleep(0.001)
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+                for one in taken:
+                    os.close(one)
+            began = now()
+            assert await heard.until(2) - began < 0.25 and "open files" in str(heard.notes[0])
+            heard.watch.stop()
+
+    run(play())
