News and told waits also call back what was decided before the module heard of them

Need: an attempt that waits for a connection is called back when its endpoint is told off or its destination tells another call to wait.

Change: an attempt is registered before its intent is kept, and one called back by then is not begun. What calls back does so when it is told and once more after the turn that hears it (`Engine._tell`). `recall.news` looks at the message's destination too.

--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -27,33 +27,12 @@
     Store,
     Submission,
 )
+from brassweir.core.watcher import Watcher
 
 LATE = 5.0  # ms: a time-out that comes later than this shows that the loop stood still
 READ_FIRST = 2.0  # ms until it counts then: the sockets are read before that
 
 
-class Watcher:
-    """Sees what passes; for logs and metrics. This one sees nothing. Must not raise."""
-
-    def taken(self, record: Record, how: Taken) -> None:
-        """A message was handed in."""
-
-    def sent(self, attempt: Attempt) -> None:
-        """An attempt goes out."""
-
-    def outcome(self, record: Record, number: int, outcome: Outcome, late: bool) -> None:
-        """An attempt ended; ``late`` says that the message already had its answer."""
-
-    def late(self, record: Record, number: int, outcome: Outcome) -> None:
-        """Something came for an attempt that had its outcome: a receipt after its time, or a second one."""
-
-    def final(self, record: Record) -> None:
-        """A message has its answer."""
-
-    def turn(self, events: int, actions: int, spent: float) -> None:
-        """One ``handle`` call was made; ``spent`` is its CPU time in seconds."""
-
-
 class Engine:
     """One sender's bookkeeping around the decision module.
 
@@ -83,8 +62,9 @@
         self.endpoints: dict[str, api.EndpointInfo] = {}
         self.facts: list[api.Event] = []
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
-        # Attempts given to a carrier that may not have begun, by destination, each with its ending.
+        # Attempts decided on that may not have begun, by destination, each with its ending.
         self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
+        self.recalls: list[Callable[[], None]] = []  # by what the module hears in the next turn
         self.promises: dict[int, Callable[[], None]] = {}  # see :meth:`held`
         self.turning = False
         self.stopping = False
@@ -161,10 +141,7 @@
         """Pass on news of the endpoint list."""
         for info in news.entries:
             self.endpoints[info.name] = info
-        homes = {info.destination for info in news.entries if info.state is not api.State.READY}
-        for home in homes & self.waiting.keys():
-            self._recall(recall.news(news.entries, self._unbegun(home)), recall.TOLD_OFF)
-        self._fact(news)
+        self._tell(news, lambda: recall.news(news.entries, self._unbegun(*self.waiting)), recall.TOLD_OFF)
 
     def _fact(self, event: api.Event) -> None:
         self.facts.append(event)
@@ -180,6 +157,7 @@
     def _turn(self) -> None:
         self.turning = False
         events, self.facts = self.facts, []
+        recalls, self.recalls = self.recalls, []
         before = thread_time()  # for the watcher only: nothing is decided by it
         now = self.clock.now()
         actions = self.sender.handle(now, events)
@@ -190,6 +168,8 @@
             self._promise(events, actions)
         for action in actions:
             self._carry_out(action)
+        for again in recalls:
+            again()
         for event in events:
             if isinstance(event, api.ListNews):
                 self._forget(event)
@@ -241,9 +221,7 @@
             line = self.waiting.get(info.destination)
             if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
                 del self.waiting[info.destination]
-            if outcome.wait > 0.0 and info.destination in self.waiting:
-                self._recall(recall.waits(attempt, outcome, self._unbegun(info.destination), self.apart),
-                             recall.TOLD_TO_WAIT)
+            self._recall(self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
             self._ended(attempt, started, outcome)
 
         def over() -> None:
@@ -263,19 +241,36 @@
 
         def go() -> None:
             nonlocal limit
+            if attempt.going.recalled:
+                return  # while its intent was kept
             self.watcher.sent(attempt)
             # Kept here and not by the carrier: one that hangs must not hold an answer back.
             limit = self.clock.call_at(attempt.abandon_at, over)
-            self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
             self.carrier_for(info).start(attempt, done)
 
         def unable(why: str) -> None:
             done(Outcome(api.Result.NO_CONNECTION, why))
 
+        self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
         self.store.keep(Fact.INTENT, action.id, attempt, go, unable)
 
-    def _unbegun(self, destination: int) -> list[Attempt]:
-        return [attempt for attempt, _ in self.waiting[destination].values() if not attempt.going.begun]
+    def _tell(self, event: api.Event, which: Callable[[], list[Attempt]], why: str) -> None:
+        """Tell what may call attempts back: now, and after the turn that hears it and may not heed it yet."""
+        def again() -> None:
+            self._recall(which(), why)
+
+        again()
+        self.recalls.append(again)
+        self._fact(event)
+
+    def _unbegun(self, *homes: int) -> list[Attempt]:
+        return [attempt for home in homes for attempt, _ in self.waiting.get(home, {}).values()
+                if not attempt.going.begun]
+
+    def _waits(self, attempt: Attempt, outcome: Outcome) -> list[Attempt]:
+        if outcome.wait <= 0.0:
+            return []
+        return recall.waits(attempt, outcome, self._unbegun(attempt.endpoint.destination), self.apart)
 
     def _recall(self, attempts: list[Attempt], why: str) -> None:
         for attempt in attempts:
@@ -301,8 +296,9 @@
                     self._finish(record, FinalAnswer(answer, outcome.reason))
                 self.ledger.shed(record)
                 closed = record.answer is not None
-            self._fact(api.AttemptEnded(attempt.id, attempt.number, attempt.endpoint.name, outcome.result,
-                                        latency, closed, outcome.wait, outcome.limit_left, outcome.limit))
+            ended = api.AttemptEnded(attempt.id, attempt.number, attempt.endpoint.name, outcome.result,
+                                     latency, closed, outcome.wait, outcome.limit_left, outcome.limit)
+            self._tell(ended, lambda: self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
 
         self.store.keep(Fact.OUTCOME, attempt.id, (attempt, outcome), tell, lambda _: tell())
 
--- a/brassweir/core/recall.py
+++ b/brassweir/core/recall.py
@@ -29,6 +29,7 @@
 
 
 def news(entries: Iterable[EndpointInfo], waiting: Iterable[Attempt]) -> list[Attempt]:
-    """Attempts that news of the list calls back: those to endpoints that are no longer ready."""
-    off = {info.name for info in entries if info.state is not State.READY}
-    return [one for one in waiting if one.endpoint.name in off] if off else []
+    """Attempts that news of the list calls back: to endpoints not ready, or of another destination now."""
+    told = {info.name: info for info in entries}
+    return [one for one in waiting if (info := told.get(one.endpoint.name)) is not None
+            and (info.state is not State.READY or info.destination != one.submission.destination)]
--- a/brassweir/lab/simulated/sender.py
+++ b/brassweir/lab/simulated/sender.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING
 
 from brassweir import interface as api
-from brassweir.core.engine import Engine, Watcher
+from brassweir.core.engine import Engine
 from brassweir.core.ledger import Record
 from brassweir.core.ports import Outcome
+from brassweir.core.watcher import Watcher
 from brassweir.interface import Result
 from brassweir.journal.recover import plan
 from brassweir.journal.restart import carry_out
--- a/brassweir/service/node_watch.py
+++ b/brassweir/service/node_watch.py
@@ -9,9 +9,9 @@
 from typing import Any
 
 from brassweir.control import Sender
-from brassweir.core.engine import Watcher
 from brassweir.core.ledger import Record
 from brassweir.core.ports import Outcome
+from brassweir.core.watcher import Watcher
 
 MOST_SICK = 6  # destinations told of in one line
 
--- a/brassweir/service/watch.py
+++ b/brassweir/service/watch.py
@@ -5,9 +5,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from brassweir.core.engine import Watcher
 from brassweir.core.ledger import Record, Taken
 from brassweir.core.ports import Attempt, Clock, Outcome
+from brassweir.core.watcher import Watcher
 from brassweir.observe.metrics import Metrics
 
 
--- a/tests/core/test_engine.py
+++ b/tests/core/test_engine.py
@@ -9,9 +9,9 @@
 from hypothesis import strategies as st
 
 from brassweir import interface as api
-from brassweir.core.engine import Watcher
 from brassweir.core.ledger import Record, Taken
 from brassweir.core.ports import Answer, Attempt, Fact, FinalAnswer, Outcome, Submission
+from brassweir.core.watcher import Watcher
 from tests.core.made import make
 
 
