Notices have connections of their own, give a silent post up sooner, and move with the platform

Need: a message that ended without a delivery is lost if its notice comes 300 ms late. Seen on real sockets under a moved time (tests/relay/test_notices.py): - a budget of connections that is busy with calls, or a line of set-ups that hang, held a notice for as long as they hung: `Notices` asked the `Pools` of the calls for its connection; - on a kept connection that had fallen silent a post hung for 1 s before it was told again (1.05 s late); - the platform moving (SIGHUP) while a post to the old address hung, or in the wait between tries: told at the new address up to 1 s later.

Change: two connections of those kept back are for notices alone. A post has 0.2 s, doubled with each failure up to the 1 s of before. A move ends the post or the wait that is under way and posts what is owed at the new address.

--- a/brassweir/relay/notices.py
+++ b/brassweir/relay/notices.py
@@ -1,7 +1,8 @@
 """Tells the platform of ends that are no delivery: ``POST /status``, one JSON object a line.
 
 A notice is owed until it was answered; until then it stands in the journal too. Notices that come while one
-post is under way go together in the next.
+post is under way go together in the next. A notice that is told twice does no harm, one that comes late does:
+so a post that may be lost is given up soon, and one to where the platform was is given up as it moves.
 """
 
 from __future__ import annotations
@@ -18,7 +19,7 @@
 from brassweir.net.house import Pools
 
 MOST = 200  # notices of one post: some 20 KB, under the platform's bound on bodies
-WITHIN = 1.0  # seconds for one post; the platform answers at once
+WITHIN, PATIENT = 0.2, 1.0  # seconds for one post, doubled up to the second; the platform answers at once
 FIRST, LONGEST = 0.05, 0.5  # seconds between tries, doubled up to the longest
 
 Note = Callable[[str, dict[str, object]], None]
@@ -51,34 +52,41 @@
         self.move(discovery)
 
     def move(self, discovery: str) -> None:
-        """From now on the platform listens elsewhere."""
+        """From now on the platform listens elsewhere: what is owed goes there at once."""
         self.url = f"http://{discovery}/status"
+        self.pools.close()
+        if self.task is not None:
+            self.task.cancel()
+            self._start()
 
     def owe(self, message: int, one: Notice) -> None:
         """A message has ended."""
         self.owed.append((message, one))
         if self.task is None or self.task.done():
-            self.task = asyncio.get_running_loop().create_task(self._run())
+            self._start()
+
+    def _start(self) -> None:
+        self.task = asyncio.get_running_loop().create_task(self._run())
 
     async def _run(self) -> None:
-        wait = FIRST
+        wait, within = FIRST, WITHIN
         while self.owed:
             batch = [self.owed[i] for i in range(min(1 if self.alone else MOST, len(self.owed)))]
-            self.alone = max(0, self.alone - 1)
-            if await self._post(batch):
+            if await self._post(batch, within):
+                self.alone = max(0, self.alone - 1)
                 for _ in batch:
                     self.owed.popleft()
                 for message, _ in batch:
                     self.told(message)
                 self.sent += len(batch)
-                wait = FIRST
+                wait, within = FIRST, WITHIN
             else:
                 await asyncio.sleep(wait)
-                wait = min(2.0 * wait, LONGEST)
+                wait, within = min(2.0 * wait, LONGEST), min(2.0 * within, PATIENT)
 
-    async def _post(self, batch: list[tuple[int, Notice]]) -> bool:
+    async def _post(self, batch: list[tuple[int, Notice]], within: float) -> bool:
         body = b"\n".join(msgspec.json.encode(one) for _, one in batch) + b"\n"
-        until = asyncio.get_running_loop().time() + WITHIN
+        until = asyncio.get_running_loop().time() + within
         try:
             pool: Pool = self.pools.of(self.url)
             reply = await pool.post(Headers([("Content-Type", "application/json")]), body, until)
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -46,6 +46,7 @@
 CLIENTS = 0.6  # share of the descriptors that clients may hold; usual ones take a third at most
 KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
+NOTICES = 2  # connections for notices, of those kept back: calls that hang hold none of them
 SETUPS = 64  # connections being made at once
 BELIEF = 1.0  # seconds between two lines of what the sender believes
 COLLECT = (5_000, 10, 1000)  # as in ``serve``: what is no longer used goes without the collector
@@ -90,7 +91,8 @@
         self.journal = Journaling(keeping, str, self._broken, self.note)
         self.engine = Engine(given, config.seed, self.clock, lambda _: self.carrier, store=self.journal.store,
                              watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
-        self.notices = Notices(self.pools, config.discovery, self.journal.store.told, self.note)
+        apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
+        self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
         self.front = Front(self.engine, Crowd(int(sockets * CLIENTS), sockets // 3), self.listing.listed,
                            lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
--- a/tests/relay/moved.py
+++ b/tests/relay/moved.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import selectors
+import socket
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
@@ -116,6 +117,24 @@
             writer.transport.abort()
 
 
+class Full:
+    """An address at which no connection comes up, and none is refused."""
+
+    def __enter__(self) -> str:
+        self.sockets = [socket.socket()]
+        self.sockets[0].bind(("127.0.0.1", 0))
+        self.sockets[0].listen(0)
+        for _ in range(3):
+            self.sockets.append(socket.socket())
+            self.sockets[-1].setblocking(False)
+            self.sockets[-1].connect_ex(self.sockets[0].getsockname())
+        return f"127.0.0.1:{self.sockets[0].getsockname()[1]}"
+
+    def __exit__(self, *_: object) -> None:
+        for one in self.sockets:
+            one.close()
+
+
 Manner = Callable[[asyncio.StreamWriter], Awaitable[None]]
 
 
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -6,7 +6,6 @@
 import json
 import os
 import resource
-import socket
 import time
 from contextlib import suppress
 from typing import Any
@@ -16,7 +15,7 @@
 from brassweir.relay.discovery import Discovery
 from brassweir.relay.listing import Change
 from tests.conftest import run
-from tests.relay.moved import HEAD, Manner, Peer, chunk, moved, now, only_head, says, silent, trickles
+from tests.relay.moved import HEAD, Full, Manner, Peer, chunk, moved, now, only_head, says, silent, trickles
 
 TOLD = 6.0  # seconds after which a change counts as told
 
@@ -154,24 +153,6 @@
     run(play())
 
 
-class Full:
-    """An address at which no connection comes up, and none is refused."""
-
-    def __enter__(self) -> str:
-        self.sockets = [socket.socket()]
-        self.sockets[0].bind(("127.0.0.1", 0))
-        self.sockets[0].listen(0)
-        for _ in range(3):
-            self.sockets.append(socket.socket())
-            self.sockets[-1].setblocking(False)
-            self.sockets[-1].connect_ex(self.sockets[0].getsockname())
-        return f"127.0.0.1:{self.sockets[0].getsockname()[1]}"
-
-    def __exit__(self, *_: object) -> None:
-        for one in self.sockets:
-            one.close()
-
-
 def descriptors() -> int:
     return len(os.listdir("/proc/self/fd"))
 
