--- a/tests/relay/moved.py
+++ b/tests/relay/moved.py
@@ -171,3 +171,8 @@
 async def answers_204(writer: asyncio.StreamWriter) -> None:
     """As the platform takes notices."""
     writer.write(b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n")
+
+
+async def says_200(writer: asyncio.StreamWriter) -> None:
+    """As an endpoint that serves."""
+    writer.write(b"HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n")
