Tests: descriptors held by idle clients, a move to an address that is silent, lists that come back

Need: paths of the watch that were read and not yet forced.

Change: test_node_list holds a process to the descriptors of its configuration and opens 400 idle clients; the watch is cut, and 41 messages end by call or notice. test_watch: after a move two calls that are not answered, or a head alone, and the change still comes within 4 s. test_list_crossings: an endpoint that a whole list lacked comes back.

With clients allowed more than there are descriptors the first fails; with the watch's waits of before the move to two silent answers fails.

--- a/tests/relay/test_list_crossings.py
+++ b/tests/relay/test_list_crossings.py
@@ -34,25 +34,28 @@
     return made
 
 
-@pytest.mark.parametrize(("change", "states", "rev"), [
-    (Change(4, True, [target("a"), target("b")]), {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(4, False, [target("b")]), {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(4, True, []), {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, True, [target("a"), target("b", "leaving")]), {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, False, []), {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, False, [target("c")]), {"a": State.READY, "b": State.DRAINING, "c": State.READY}, 5),
-    (Change(6, True, [target("b", "leaving")]), {"b": State.DRAINING}, 6),
-    (Change(6, True, [target("a", "leaving"), target("b")]), {"a": State.DRAINING, "b": State.READY}, 6),
-    (Change(9, False, [target("a", "left")]), {"b": State.DRAINING}, 9),
+@pytest.mark.parametrize(("change", "more", "states", "rev"), [
+    (Change(4, True, [target("a"), target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
+    (Change(4, False, [target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
+    (Change(4, True, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
+    (Change(5, True, [target("a"), target("b", "leaving")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
+    (Change(5, False, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
+    (Change(5, False, [target("c")]), [], {"a": State.READY, "b": State.DRAINING, "c": State.READY}, 5),
+    (Change(6, True, [target("b", "leaving")]), [], {"b": State.DRAINING}, 6),
+    (Change(6, True, [target("a", "leaving"), target("b")]), [], {"a": State.DRAINING, "b": State.READY}, 6),
+    (Change(9, False, [target("a", "left")]), [], {"b": State.DRAINING}, 9),
+    (Change(6, True, []), [Change(7, False, [target("a")])], {"a": State.READY}, 7),
+    (Change(6, True, []), [Change(5, True, [target("a")]), Change(6, True, [target("b")])], {"b": State.READY}, 6),
 ], ids=["a whole list that is behind", "a change that is behind", "an empty list that is behind", "the same version", "nothing new",
-        "the same version with more", "a whole list that lacks one", "a whole list that turns all round", "versions passed over"])
-def test_what_a_version_may_change(tmp_path: Path, change: Change, states: dict[str, State], rev: int) -> None:
+        "the same version with more", "a whole list that lacks one", "a whole list that turns all round", "versions passed over", "one that was lacked is back", "behind, then caught up"])
+def test_what_a_version_may_change(tmp_path: Path, change: Change, more: list[Change], states: dict[str, State], rev: int) -> None:
     """As after a move to an agent that knows less, as much or more."""
     async def play() -> None:
         sender = process(tmp_path, target("a"), target("b", "leaving"))
         await asyncio.sleep(0.0)
-        sender._change(change)
-        await asyncio.sleep(0.01)
+        for told in (change, *more):
+            sender._change(told)
+            await asyncio.sleep(0.01)
         known = sender.listing.known
         assert {name: info.state for name, info in known.items()} == states == {name: info.state for name, info in sender.engine.endpoints.items()}
         assert sender.listing.rev == rev and set(sender.listing.places) == set(states)
--- a/tests/relay/test_node_list.py
+++ b/tests/relay/test_node_list.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import signal
 from pathlib import Path
 
@@ -148,3 +149,28 @@
         await world.settled(1)
 
     play(tmp_path, day, Endpoint("a", 1, cut))
+
+
+def test_idle_clients_leave_descriptors_for_the_list_notices_calls_and_the_journal(tmp_path: Path) -> None:
+    """The system gives no more than the configuration says; idle clients by hundreds come meanwhile."""
+    async def day(world: World) -> None:
+        assert world.process is not None
+        client = await world.client()
+        assert await client.put("first", "note", 2) == b"+OK\r\n"  # one that was of no use gives way
+        resource.prlimit(world.process.pid, resource.RLIMIT_NOFILE, (256, 256))  # as the configuration says
+        idle = [await asyncio.open_connection("127.0.0.1", world.port) for _ in range(400)]
+        world.discovery.cut()
+        for _ in range(100):
+            if len(world.discovery.asked) > 1:
+                break
+            await asyncio.sleep(0.01)
+        assert len(world.discovery.asked) == 2
+        for i in range(40):
+            assert await client.put(f"m{i}", "note" if i % 2 else "pay", 1 + i % 2, 2500.0) == b"+OK\r\n"
+        await world.settled(41)
+        assert len(world.discovery.notices) == 20 and len(world.endpoints[1].delivered) == 21
+        assert "open files" not in world.log()
+        for _, writer in idle:
+            writer.close()
+
+    play(tmp_path, day, Endpoint("a", 1, cut), Endpoint("b", 2))
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -17,7 +17,7 @@
 from tests.conftest import run
 from tests.relay.moved import HEAD, Full, Manner, Peer, chunk, moved, now, only_head, says, silent, trickles
 
-TOLD = 6.0  # seconds after which a change counts as told
+TOLD, MOVED = 6.0, 4.0  # seconds after which a change counts as told; after a move
 
 
 def change(rev: int, **more: Any) -> bytes:
@@ -84,6 +84,23 @@
     moved(play())
 
 
+@pytest.mark.parametrize("then", [[silent, silent], [only_head]], ids=["two not answered", "a head alone"])
+def test_a_move_is_made_up_for_in_time(then: list[Manner]) -> None:
+    """Just after the old address was found silent, so that a wait is on."""
+    async def play() -> None:
+        async with Peer(silent) as old, Peer(*then, says(change(3))) as new:
+            heard = Heard(old.address)
+            heard.watch.start()
+            while not heard.notes:
+                await asyncio.sleep(0.01)
+            heard.watch.move(new.address)
+            left = now()
+            assert await heard.until(3) - left < MOVED and len(old.seen) == 1
+            heard.watch.stop()
+
+    moved(play())
+
+
 def test_a_quiet_list_keeps_its_watch() -> None:
     """Nothing has changed: the head comes at once, and the first empty line 2 s later."""
     async def play() -> None:
