A repeat begins within its key's window, or not at all, also over a restart

On simulated time a repeat decided 650 ms after the first attempt, with a connection that took 750 ms, was written after a window of 1 s. - With the last byte held back nothing was asked again before that byte, which is what begins a call. - A restart handed the module `left`, which it counts from its first turn. Whatever lay between the plan and that turn (carrying out, collecting, listening; in `serve` a whole order pause) pushed the deadline and the end of the window out by as much. - A key that holds in one zone only was repeated in any zone after a restart, or when a refused message was handed in again: the module is not told where the first attempt went.

Change: the ledger says until when a repeat may begin; `Going.go()` refuses past that, so it holds for every carrier, and the client asks it once more right before a byte that it held back. A record knows when its time is up, and what the module is told of it is worked out in the turn that tells it. The plan notes the moment that its times count from. Of a key that does not hold everywhere no repeat goes after a restart.

What held: the plan's own arithmetic (first intent of all lives that may have run, endings that prove that nothing ran left out), and what may not be repeated: with any intent it fails, without one it is tried.

A failed try: the first simulated stall moved only the clock, and events queued before set it back.

--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -21,6 +21,7 @@
     Clock,
     Fact,
     FinalAnswer,
+    Going,
     Handle,
     MemoryStore,
     Outcome,
@@ -81,7 +82,7 @@
         self.sender = Sender(settings, seed, clock.now())
         self.ledger = Ledger({cls.name: cls for cls in settings.classes}, remember, most)
         self.endpoints: dict[str, api.EndpointInfo] = {}
-        self.facts: list[api.Event] = []
+        self.facts: list[api.Event | Record] = []  # a record: a message that the module is to hold
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
         # Attempts given to a carrier that may not have begun, by destination, each with its ending.
         self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
@@ -118,9 +119,6 @@
             if refusal is not None:
                 self._finish(record, refusal)
                 return how, record
-            taken = record.submission
-            new = api.NewMessage(record.id, taken.class_name, taken.destination, taken.left, taken.key,
-                                 taken.resent)
 
             def kept() -> None:
                 if record.answer is not None:
@@ -129,9 +127,9 @@
                 for keeper in record.keepers:
                     keeper()
                 record.keepers.clear()
-                self._fact(new)
+                self._fact(record)
 
-            self.store.keep(Fact.TAKEN, record.id, taken, kept, lambda why: self._finish(
+            self.store.keep(Fact.TAKEN, record.id, record.submission, kept, lambda why: self._finish(
                 record, FinalAnswer(Answer.REFUSED, why, self.settings.max_retry_after)))
         return how, record
 
@@ -146,16 +144,14 @@
         for one in known:
             self._fact(one)
 
-    def resume(self, record: Record, left: float) -> None:
+    def resume(self, record: Record) -> None:
         """Go on with a message from before a restart, under its old id, without writing it down again."""
         self.ledger.by_id[record.id] = record
         self.ledger.by_name[record.submission.owner, record.submission.identity] = record
         self.ledger.last_id = max(self.ledger.last_id, record.id)
-        taken = record.submission
-        record.kept = True
+        record.kept = record.resumed = True
         self.watcher.taken(record, Taken.NEW)
-        self._fact(api.NewMessage(record.id, taken.class_name, taken.destination, left, taken.key, True,
-                                  admitted=True))
+        self._fact(record)
 
     def news(self, news: api.ListNews) -> None:
         """Pass on news of the endpoint list."""
@@ -166,7 +162,7 @@
             self._recall(recall.news(news.entries, self._unbegun(home)), recall.TOLD_OFF)
         self._fact(news)
 
-    def _fact(self, event: api.Event) -> None:
+    def _fact(self, event: api.Event | Record) -> None:
         self.facts.append(event)
         self._turn_soon()
 
@@ -179,9 +175,10 @@
 
     def _turn(self) -> None:
         self.turning = False
-        events, self.facts = self.facts, []
         before = thread_time()  # for the watcher only: nothing is decided by it
         now = self.clock.now()
+        events = [one.told(now) if isinstance(one, Record) else one for one in self.facts]
+        self.facts = []
         actions = self.sender.handle(now, events)
         self.watcher.turn(len(events), len(actions), thread_time() - before)
         if self.traced is not None:
@@ -229,9 +226,10 @@
     def _send(self, action: api.Send) -> None:
         record = self.ledger.by_id[action.id]
         info = self.endpoints[action.endpoint]
-        repeat = record.ran is not None
+        until, repeat = self.ledger.repeats_until(record), record.ran is not None
         number = self.ledger.sent(action.id, action.endpoint, self.clock.now())
-        attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat)
+        attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat,
+                          Going(lambda: self.clock.now() <= until))
         started = self.clock.now()
         limit: Handle | None = None
 
--- a/brassweir/core/ledger.py
+++ b/brassweir/core/ledger.py
@@ -12,7 +12,7 @@
 from enum import Enum, auto
 
 from brassweir.core.ports import Answer, FinalAnswer, Outcome, Submission
-from brassweir.interface import Effect, MessageClass
+from brassweir.interface import Effect, MessageClass, NewMessage
 
 Waiter = Callable[[FinalAnswer], None]
 
@@ -28,11 +28,13 @@
 
 @dataclass(slots=True)
 class Record:
-    """One message. ``ran`` is when the first attempt that may have taken effect was sent."""
+    """One message. ``until`` is when its time is up, ``ran`` when the first attempt that may have taken
+    effect was sent; ``resumed`` says that it was taken on before a restart."""
 
     id: int
     submission: Submission
     taken: float
+    until: float
     attempts: list[AttemptNote] = field(default_factory=list)
     waiters: list[Waiter] = field(default_factory=list)
     answer: FinalAnswer | None = None
@@ -40,12 +42,19 @@
     ran: float | None = None
     kept: bool = False  # it was written down: its client may rely on it
     keepers: list[Callable[[], None]] = field(default_factory=list)  # who waits for that
+    resumed: bool = False
 
     @property
     def out(self) -> bool:
         """Is an attempt without outcome?"""
         return any(note.outcome is None for note in self.attempts)
 
+    def told(self, now: float) -> NewMessage:
+        """What the module is told of it: its time ran on while it was written down, or a start took long."""
+        given = self.submission
+        return NewMessage(self.id, given.class_name, given.destination, self.until - now, given.key,
+                          given.resent, admitted=self.resumed)
+
 
 class Taken(Enum):
     """What became of a hand-in."""
@@ -93,7 +102,8 @@
                            submission.resent or known is not None, submission.payload, submission.reply,
                            now - known.ran if known is not None and known.ran is not None else None,
                            submission.born)
-        record = Record(self.last_id, fresh, now, waiters=[waiter], ran=known.ran if known else None)
+        record = Record(self.last_id, fresh, now, now + left, waiters=[waiter])
+        record.ran = known.ran if known else None
         if known is not None:
             self._drop(known)
         self.by_name[name] = self.by_id[record.id] = record
@@ -120,10 +130,16 @@
             return 0.0  # the old attempt may still end well: its outcome comes first
         if record.ran is None or cls.effect is Effect.SAFE:
             return float("inf")
-        if cls.effect is Effect.KEYED:
-            return max(0.0, record.ran + cls.window - now)
+        if cls.effect is Effect.KEYED and cls.group == "all":  # the module is not told of an earlier zone
+            return max(0.0, self.repeats_until(record) - now)
         return 0.0
 
+    def repeats_until(self, record: Record) -> float:
+        """Until when another attempt at a keyed message may begin at its endpoint: the end of the window."""
+        cls = self.classes[record.submission.class_name]
+        keyed = cls.effect is Effect.KEYED and record.ran is not None
+        return record.ran + cls.window if keyed and record.ran is not None else float("inf")
+
     def sent(self, ident: int, endpoint: str, now: float) -> int:
         """Note an attempt and return its number, from 0."""
         record = self.by_id[ident]
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -61,16 +61,21 @@
 
 
 class Going:
-    """Has an attempt's first byte gone out, or was it called back before? One of the two, never both."""
+    """Has an attempt's first byte gone out, or was it called back before? One of the two, never both.
 
-    __slots__ = ("begun", "recalled")
+    ``in_time`` says whether it may still begin: a repeat only while its destination knows the key.
+    """
+
+    __slots__ = ("begun", "in_time", "recalled")
 
-    def __init__(self) -> None:
+    def __init__(self, in_time: Callable[[], bool] = lambda: True) -> None:
         self.begun = self.recalled = False
+        self.in_time = in_time
 
     def go(self) -> bool:
-        """The carrier is about to write the first byte; false if it must not any more."""
-        self.begun = not self.recalled
+        """The carrier is about to write the first byte, or the last where that is held back; false if it must
+        not any more."""
+        self.begun = not self.recalled and self.in_time()
         return self.begun
 
     def recall(self) -> bool:
--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -50,8 +50,10 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What to do, in this order: know the past, remember answers, give fresh ones, hand in what goes on."""
+    """What to do, in this order: know the past, remember answers, give fresh ones, hand in what goes on.
+    ``at`` (wall ms) is the moment that all its times count from."""
 
+    at: float
     past: list[Past] = field(default_factory=list)
     answered: list[Answered] = field(default_factory=list)
     again: list[Again] = field(default_factory=list)
@@ -64,7 +66,7 @@
          order_pause: float, unknown: Sequence[str] = ()) -> Plan:
     """Decide on every message. ``wall`` is now (ms); ``unknown`` names destinations no longer in the settings."""
     now = max(wall, lives.last_at)
-    made = Plan(last_id=lives.last_id)
+    made = Plan(wall, last_id=lives.last_id)
     hidden = max((hole.known for hole in holes), default=0)
     # A refused message that was handed in again has a later life under the same name, which alone counts.
     newest = {(life.taken.owner, life.taken.identity): life.id for life in lives.by_id.values()
@@ -107,7 +109,9 @@
     left = min(taken.deadline - now, cls.deadline if cls is not None else 0.0)
     if first is not None and effect is Effect.KEYED and cls is not None:
         left = min(left, first + cls.window - now)
-    sent_once = first is not None and effect is Effect.UNSAFE
+    # A key that holds in one zone only counts here as none: a repeat could go to another zone.
+    zoned = effect is Effect.KEYED and cls is not None and cls.group != "all"
+    sent_once = first is not None and (effect is Effect.UNSAFE or zoned)
     if cls is None or unknown or left <= 0.0 or sent_once:
         harmless = first is None or effect is Effect.SAFE
         final = Final(life.id, "refused" if harmless else "failed", _why(cls, unknown, left), 0.0, now)
--- a/brassweir/journal/restart.py
+++ b/brassweir/journal/restart.py
@@ -25,15 +25,16 @@
     """Tell the engine the past, put back what ended, and go on with the rest, in the order taken.
 
     ``owing`` makes the waiter that brings a message's receipt, or None where none is owed. The engine has been
-    given its list. Answers made now are written down before anybody is told them.
+    given its list. Answers made now are written down before anybody is told them. Times count from when the
+    plan was made: a start that takes long must not push a deadline or the end of a window out.
     """
-    now = engine.clock.now()
+    now = engine.clock.now() - max(0.0, store.wall() - plan.at)
     engine.past(plan.past)
     engine.ledger.last_id = max(engine.ledger.last_id, plan.last_id)
     for one in sorted(plan.answered, key=lambda one: -one.ago):
         taken, final = one.taken, one.final
         submission = _submission(taken, number_of(taken.destination) or 0, 1.0)
-        record = Record(taken.id, submission, now - one.ago)
+        record = Record(taken.id, submission, now - one.ago, now - one.ago)
         record.ran = None if one.ran_ago is None else now - one.ran_ago
         record.answer = FinalAnswer(Answer(final.answer), final.reason, final.retry_after)
         record.answered = now - one.ago
@@ -44,13 +45,13 @@
         number = number_of(again.taken.destination)
         assert number is not None  # the plan was made knowing which destinations are gone
         submission = _submission(again.taken, number, again.left)
-        record = Record(again.taken.id, submission, now)
+        record = Record(again.taken.id, submission, now, now + again.left)
         record.ran = None if again.ran_ago is None else now - again.ran_ago
         waiter = owing(again.taken.id, submission) if again.taken.reply else None
         if waiter is not None:
             record.waiters.append(waiter)
         store.resumed(record.id, submission.class_name, again.number)
-        engine.resume(record, again.left)
+        engine.resume(record)
 
 
 def _give(engine: Engine, store: JournalStore, record: Record, waiter: Waiter | None, fresh: bool) -> None:
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -48,11 +48,12 @@
         seconds). Raises CallFailed.
 
         For ``hold`` seconds the last byte is held back. A peer that has closed the connection, or resets it
-        as the request comes, shows it in that time, and cannot have run what it never had whole.
+        as the request comes, shows it in that time, and cannot have run what it never had whole. Then ``go``
+        is asked once more: a call begins with its last byte, and the loop may have stood still meanwhile.
         """
         async with self.link(deadline, begin, go) as connection:
             assert isinstance(connection, _Connection)
-            return await connection.call(self._head(headers, len(body)) + body, deadline, hold)
+            return await connection.call(self._head(headers, len(body)) + body, deadline, hold, go)
 
     def _head(self, headers: Headers, length: int) -> bytes:
         at = self.address
@@ -86,7 +87,7 @@
                 self.finish()
         return False
 
-    async def call(self, data: bytes, deadline: float, hold: float = 0.0) -> Reply:
+    async def call(self, data: bytes, deadline: float, hold: float, go: Callable[[], bool]) -> Reply:
         """Write a request and wait for its answer."""
         assert self.transport is not None
         kept, self.kept = self.kept, True
@@ -104,6 +105,9 @@
                         # Else an answer to a call that was not whole: another's, come twice or late.
                         self.drop()
                         raise CallFailed(Stage.CONNECT, "an answer came before the call was whole")
+                    if not go():
+                        self.drop()
+                        raise CallFailed(Stage.CONNECT, "it may not begin any more", True)
                     self.stage = Stage.SENT
                     self.transport.write(data[-1:])
                 reply = await self.answer
--- a/tests/core/made.py
+++ b/tests/core/made.py
@@ -52,3 +52,44 @@
     entries = tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3) for j in (0, 1))
     engine.news(api.ListNews(api.ListKind.FULL, entries))
     return engine, clock, carrier
+
+
+class Slow:
+    """A carrier whose connections take a time that a test sets; told outcomes come ``takes`` after the first byte."""
+
+    def __init__(self, clock: SimClock) -> None:
+        self.clock, self.connects, self.takes = clock, list[float](), 10.0
+        self.written: list[tuple[float, str]] = []
+        self.outcomes: dict[str, Outcome] = {}
+
+    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
+        def write() -> None:
+            if not attempt.going.go():
+                done(Outcome(api.Result.NO_CONNECTION, "called back"))
+                return
+            name = attempt.submission.identity
+            self.written.append((self.clock.now(), name))
+            outcome = self.outcomes.get(name, Outcome(api.Result.OK))
+            self.clock.call_at(self.clock.now() + self.takes, lambda: done(outcome))
+
+        self.clock.call_at(self.clock.now() + (self.connects.pop(0) if self.connects else 1.0), write)
+
+    def close_idle(self, endpoint: str) -> None:
+        pass
+
+
+def slow(kinds: tuple[api.Kind, ...] = (), classes: tuple[api.MessageClass, ...] = CLASSES, at: float = 1000.0,
+         **more: object) -> tuple[Engine, SimClock, Slow]:
+    clock = SimClock(at)
+    carrier = Slow(clock)
+    sets = api.Settings(classes=classes, slots=6, max_open=80, max_retry_after=3000.0, kinds=kinds)
+    engine = Engine(sets, 1, clock, lambda _: carrier, **more)  # type: ignore[arg-type]
+    kind = kinds[0].name if kinds else ""
+    engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"d1-{j}", 1, kind) for j in (0, 1))))
+    return engine, clock, carrier
+
+
+def stand_still(clock: SimClock, span: float) -> None:
+    """The loop stands still for so long: all that was due meanwhile is late."""
+    clock.time += span
+    clock.queue = [(max(at, clock.time), number, handle) for at, number, handle in clock.queue]
--- a/tests/core/test_ledger.py
+++ b/tests/core/test_ledger.py
@@ -11,6 +11,7 @@
 CLASSES = {
     "pay": api.MessageClass("pay", 1000.0, 5000.0, api.Effect.UNSAFE),
     "key": api.MessageClass("key", 1000.0, 5000.0, api.Effect.KEYED, window=3000.0),
+    "zone": api.MessageClass("zone", 1000.0, 5000.0, api.Effect.KEYED, group="zone", window=3000.0),
     "safe": api.MessageClass("safe", 1000.0, 5000.0, api.Effect.SAFE),
 }
 REFUSED = FinalAnswer(Answer.REFUSED, "not now", 1000.0)
@@ -53,6 +54,8 @@
         ("safe", True, 1500.0, float("inf")),
         ("key", True, 1500.0, 1600.0),  # what is left of the window since the attempt at 100
         ("key", True, 3101.0, 0.0),
+        ("zone", False, 1500.0, float("inf")),
+        ("zone", True, 1500.0, 0.0),  # its key holds where the first attempt went, and nobody knows that any more
     ],
 )
 def test_what_a_refused_message_may_still_do(cls: str, ran: bool, at: float, allowed: float) -> None:
--- a/tests/core/test_recall.py
+++ b/tests/core/test_recall.py
@@ -2,50 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import pytest
 
 from brassweir import interface as api
 from brassweir.core import recall
-from brassweir.core.clock import SimClock
-from brassweir.core.engine import Engine
 from brassweir.core.ports import Attempt, FinalAnswer, Outcome, Submission
-from tests.core.made import CLASSES
-
-
-class Slow:
-    """A carrier whose connections take a time that a test sets; told outcomes come 10 ms after the first byte."""
-
-    def __init__(self, clock: SimClock) -> None:
-        self.clock, self.connects = clock, list[float]()
-        self.written: list[tuple[float, str]] = []
-        self.outcomes: dict[str, Outcome] = {}
-
-    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
-        def write() -> None:
-            if not attempt.going.go():
-                done(Outcome(api.Result.NO_CONNECTION, "called back"))
-                return
-            name = attempt.submission.identity
-            self.written.append((self.clock.now(), name))
-            outcome = self.outcomes.get(name, Outcome(api.Result.OK))
-            self.clock.call_at(self.clock.now() + 10.0, lambda: done(outcome))
-
-        self.clock.call_at(self.clock.now() + (self.connects.pop(0) if self.connects else 1.0), write)
-
-    def close_idle(self, endpoint: str) -> None:
-        pass
-
-
-def slow(kinds: tuple[api.Kind, ...] = ()) -> tuple[Engine, SimClock, Slow]:
-    clock = SimClock(1000.0)
-    carrier = Slow(clock)
-    sets = api.Settings(classes=CLASSES, slots=6, max_open=80, max_retry_after=3000.0, kinds=kinds)
-    engine = Engine(sets, 1, clock, lambda _: carrier)
-    kind = kinds[0].name if kinds else ""
-    engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"d1-{j}", 1, kind) for j in (0, 1))))
-    return engine, clock, carrier
+from tests.core.made import CLASSES, slow
 
 
 def test_a_told_wait_calls_back_what_has_not_been_written() -> None:
--- a/tests/net/test_client.py
+++ b/tests/net/test_client.py
@@ -216,3 +216,26 @@
         assert seen == [b"body", b"body"]
 
     run(with_peer(slow, work, cap=1))
+
+
+@pytest.mark.parametrize("hold", [0.0, 0.005])
+def test_the_last_byte_is_asked_for_again_and_stays_back_where_a_call_may_not_begin_any_more(hold: float) -> None:
+    """A call begins with its last byte: a repeat whose key's window ends while it is held back must not."""
+    came = bytearray()
+
+    async def peer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while data := await reader.read(1000):
+            came.extend(data)
+            if came.endswith(b"body"):
+                writer.write(ok())
+
+    async def work(pool: Pool) -> object:
+        says, until = iter([True, False]), asyncio.get_running_loop().time() + 1.0
+        try:
+            return (await pool.post(Headers(), b"body", until, until, lambda: next(says), hold)).status
+        except CallFailed as failed:
+            return failed.stage, pool.users
+
+    found = run(with_peer(peer, work))
+    assert found == ((Stage.CONNECT, 0) if hold else 200)
+    assert came.endswith(b"bod") if hold else came.endswith(b"body")
