A torn end of a segment is no damage at the second restart either; untried messages had been given up

Cause, found while forcing deaths between two steps: a process killed within a write leaves a torn record at the end of its segment, or a segment without a whole header. The next start took that for what it is, since it was the last segment. The start after that found another segment behind it and called it damage, with a hole that hides intents: every open message taken before it counted as "may have run from its first moment on". Shown with two lives on the simulated disk: one torn record, a second start, and the unsafe message before it was given up untried. Ruled out: the sequence numbers, which the next segment takes up at exactly the record that was torn; that is also the proof, now used, that it was never whole.

Change: bytes at the end of a segment wait until the next segment tells. If it begins with the very record that was due there, they were being written when the process died; if it begins behind it, a record is lost. A whole record missing at the end of a segment, with nothing behind it yet, is now seen as lost too: it had not been.

--- a/brassweir/journal/scan.py
+++ b/brassweir/journal/scan.py
@@ -33,7 +33,8 @@
     next_sequence: int = 1
     records: int = 0
     size: int = 0
-    torn: int = 0  # bytes at the very end that were being written when the process died
+    torn: int = 0  # bytes at ends of segments that were being written when a process died
+    tail: tuple[str, int] | None = None  # where such bytes may stand, until the next segment tells
 
 
 def scan(storage: Storage) -> Scan:
@@ -49,8 +50,7 @@
     order = sorted(named)
     found.next_segment = order[-1][0] + 1 if order else 1
     start = _newest_snapshot(storage, order, named, found)
-    last = order[-1] if order else None
-    expected: int | None = None
+    expected = 1 if order[:1] == [(1, False)] and start is None else None  # of the next record
     before = None
     for key in order:
         name = named[key]
@@ -60,10 +60,11 @@
             continue
         if before is not None and key[0] > before + 1:
             missing = f"segments {before + 1} to {key[0] - 1} are missing"
-            found.problems.append(missing)
-            found.holes.append(Hole(missing, found.lives.last_id))
+            _problem(missing, found)
         before = key[0]
-        expected = _segment(storage.read(name), name, key == last, expected, found)
+        expected = _segment(storage.read(name), name, expected, found)
+    if found.tail is not None:
+        found.torn += found.tail[1]  # the very end: never synced, and nobody relied on it
     return found
 
 
@@ -87,34 +88,34 @@
     return None
 
 
-def _segment(data: bytes, name: str, last: bool, expected: int | None, found: Scan) -> int | None:
+def _segment(data: bytes, name: str, expected: int | None, found: Scan) -> int | None:
     """One segment's records; returns the sequence number due next."""
     found.segments.append(name)
     found.size += len(data)
-    head = frame.read_header(data)
-    if expected is None and head is not None:
-        expected = head[1]  # behind a snapshot, whose records have numbers of their own
+    head, snapshot = frame.read_header(data), name.endswith(".snap")
+    if head is None and len(data) < frame.HEADER:
+        where, size = found.tail or (f"{name}:0: header is damaged", 0)
+        found.tail = where, size + len(data)
+        return expected
+    _settle(head[1] if head is not None and not snapshot else None, expected, found)
     if head is None:
-        if last and len(data) < frame.HEADER:
-            found.torn += len(data)
-            return expected
-        found.problems.append(f"{name}:0: header is damaged")
-        found.holes.append(Hole(f"{name}:0", found.lives.last_id))
-    snapshot = name.endswith(".snap")
+        _problem(f"{name}:0: header is damaged", found)
+    elif not snapshot:
+        if expected is not None and head[1] != expected:
+            _problem(f"{name}:0: record {head[1]} where {expected} was due", found)
+        expected = head[1]  # behind a snapshot nothing is due: its records have numbers of their own
+        found.next_sequence = max(found.next_sequence, expected)
     for part in frame.read(data, min(frame.HEADER, len(data))):
         if isinstance(part, Damage):
-            if last and part.tail:
-                found.torn += part.end - part.at  # never synced: nobody relied on it
-                continue
             where = f"{name}:{part.at}: {part.end - part.at} bytes: {part.why}"
-            found.problems.append(where)
-            found.holes.append(Hole(where, found.lives.last_id))
+            if part.tail:
+                found.tail = where, part.end - part.at
+                continue
+            _problem(where, found)
             expected = None
             continue
         if expected is not None and part.sequence != expected and not snapshot:
-            where = f"{name}:{part.at}: record {part.sequence} where {expected} was due"
-            found.problems.append(where)
-            found.holes.append(Hole(where, found.lives.last_id))
+            _problem(f"{name}:{part.at}: record {part.sequence} where {expected} was due", found)
         record: Record = part.record
         found.lives.apply(record)
         found.records += 1
@@ -123,4 +124,21 @@
     return None if snapshot else expected
 
 
+def _settle(begins: int | None, expected: int | None, found: Scan) -> None:
+    """What stands at the end of the segment before was being written when its process died if the next one
+    begins with that very record; if a later one follows, it was whole once, and is lost."""
+    if found.tail is not None:
+        where, size = found.tail
+        found.tail = None
+        if begins is not None and begins == expected:
+            found.torn += size
+        else:
+            _problem(where, found)
+
+
+def _problem(where: str, found: Scan) -> None:
+    found.problems.append(where)
+    found.holes.append(Hole(where, found.lives.last_id))
+
+
 __all__ = ["FormatError", "Scan", "scan", "segment_name"]
