--- a/brassweir/lab/standins/discovery.py
+++ b/brassweir/lab/standins/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any
 
 from brassweir.lab.standins.platform import _fields, wall
@@ -21,6 +22,7 @@
         self.status = 204
         self.refuses = b""  # answer 400 to posts that hold this
         self.silent = False
+        self.told: Callable[[], None] = lambda: None  # called when a notice has come, before its answer
         self.server: asyncio.Server | None = None
         self.port = 0
 
@@ -67,6 +69,7 @@
                     status = 400 if self.refuses and self.refuses in body else self.status
                     if status == 204:
                         self.notices += [(wall(), json.loads(line)) for line in body.splitlines() if line]
+                        self.told()
                     writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
                 elif not self.silent:
                     self.asked.append(int(head[0].partition("since=")[2].partition(" ")[0]))
--- a/tests/relay/dying.py
+++ b/tests/relay/dying.py
@@ -1,4 +1,5 @@
-"""Runs ``node`` and kills it at its n-th step of storage, in the middle of a write if the step is one."""
+"""Runs ``node`` and kills it at its n-th step of storage, in the middle of a write if the step is one; below
+zero right after the n-th write, when nothing that waited for it has gone on."""
 
 from __future__ import annotations
 
@@ -13,6 +14,19 @@
 STEPS = ("create", "append", "cut", "rename", "remove")
 
 
+def after(at: int) -> None:
+    """The process ends right after a write."""
+    real, done = Files.append, list[str]()
+
+    def append(self: Files, name: str, data: bytes) -> None:
+        real(self, name, data)
+        done.append(name)
+        if len(done) == at:
+            os.kill(os.getpid(), signal.SIGKILL)
+
+    Files.append = append  # type: ignore[method-assign]
+
+
 def dying(name: str, at: int, done: list[str]) -> None:
     """Let one kind of step count, and the process end at the ``at``-th of all."""
     real = getattr(Files, name)
@@ -30,6 +44,8 @@
 
 if __name__ == "__main__":
     seen: list[str] = []
-    for kind in STEPS:
+    if int(sys.argv[1]) < 0:
+        after(-int(sys.argv[1]))
+    for kind in STEPS if int(sys.argv[1]) > 0 else ():
         dying(kind, int(sys.argv[1]), seen)
     main(["node"])
