After a restart one bad endpoint closed its whole destination, and untried messages went untried with it

No wait told before it is ended by that. Endings count once; numbers go on from the highest.

Left, in the decision module and reported: of a destination that is out as a whole, or was told a wait of over twice the connect time-out, the untried are given up at once if the next trial lies beyond their time, though half of their time and more is left.

--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterator
 
+from brassweir.interface import Result
 from brassweir.journal.life import Life, Lives
 from brassweir.journal.records import Ended, Record, Told
 from brassweir.journal.sizes import LEAST
@@ -50,7 +51,9 @@
 
 
 def trails(lives: Lives) -> Iterator[Record]:
-    """Endings of messages that are forgotten still say how an endpoint fared."""
+    """Endings of messages that are forgotten still say how an endpoint fared: its last pass, and what came since."""
+    for endpoint, at in lives.passed.items():
+        yield Ended(0, 0, endpoint, Result.OK.value, at)
     for trail in lives.trails.values():
         for one in trail:
             yield Ended(0, 0, one.endpoint, one.result, one.at, one.wait)
--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -56,6 +56,7 @@
     def __init__(self) -> None:
         self.by_id: OrderedDict[int, Life] = OrderedDict()
         self.trails: dict[str, list[Ended]] = {}  # by endpoint: endings since its last pass, oldest first
+        self.passed: dict[str, float] = {}  # by endpoint: when a call last passed
         self.last_id = 0
         self.last_at = 0.0  # latest wall time seen in a record
         self.runs = 0
@@ -103,11 +104,14 @@
     def _trail(self, record: Ended) -> None:
         if record.result == Result.OK.value:
             # A pass ends a row of failures, but no told wait: the call may have gone out before it was told.
+            self.passed[record.endpoint] = max(record.at, self.passed.get(record.endpoint, 0.0))
             waits = [one for one in self.trails.pop(record.endpoint, []) if one.at + one.wait > record.at]
             if waits:
                 self.trails[record.endpoint] = waits
             return
         trail = self.trails.setdefault(record.endpoint, [])
+        if any((one.at, one.result) == (record.at, record.result) for one in trail):
+            return  # a snapshot told it, and the segment behind it does again
         trail.append(record)
         # The longest told wait stays, however many short ones came after it.
         if len(trail) > TRAIL:
--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+import math
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from brassweir.interface import Effect, MessageClass, Past, Result
@@ -55,6 +56,7 @@
 
     at: float
     past: list[Past] = field(default_factory=list)
+    passed: dict[str, float] = field(default_factory=dict)  # by endpoint: ms since a call last passed
     answered: list[Answered] = field(default_factory=list)
     again: list[Again] = field(default_factory=list)
     dropped: int = 0  # ended messages whose memory is over, and records without a message
@@ -85,9 +87,23 @@
                 made.pause = order_pause
     for endpoint, trail in lives.trails.items():
         made.past += [Past(endpoint, Result(one.result), max(0.0, now - one.at), one.wait) for one in trail]
+    made.past.sort(key=lambda one: -one.ago)
+    made.passed = {endpoint: max(0.0, now - at) for endpoint, at in lives.passed.items()}
     return made
 
 
+def standing(plan: Plan, place: Callable[[str], Hashable]) -> list[Past]:
+    """What of the past still stands, where ``place`` says which endpoints fare as one.
+
+    A pass at any of them ends a row of failures, but no wait told before it, as while the process ran: one bad
+    endpoint must not close its whole destination for a sender that comes back.
+    """
+    last: dict[Hashable, float] = {}
+    for endpoint, ago in plan.passed.items():
+        last[place(endpoint)] = min(ago, last.get(place(endpoint), ago))
+    return [one for one in plan.past if one.ago - one.wait < last.get(place(one.endpoint), math.inf)]
+
+
 def _ended(life: Life, taken: Taken, final: Final, now: float, remember: float, made: Plan) -> None:
     ago = max(0.0, now - final.at)
     owed = bool(taken.reply) and not life.told
@@ -118,7 +134,8 @@
         made.answered.append(Answered(taken, final, 0.0, None if first is None else now - first,
                                       bool(taken.reply), True))
         return
-    made.again.append(Again(taken, left, None if first is None else now - first, len(life.intents)))
+    number = max([*life.intents, *life.ended], default=-1) + 1  # damage may have taken some: none goes twice
+    made.again.append(Again(taken, left, None if first is None else now - first, number))
 
 
 def _why(cls: MessageClass | None, unknown: bool, left: float) -> str:
--- a/brassweir/journal/restart.py
+++ b/brassweir/journal/restart.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Hashable
 
 from brassweir.core.engine import Engine
 from brassweir.core.ledger import Record, Waiter
 from brassweir.core.ports import Answer, Fact, FinalAnswer, Payload, Submission
 from brassweir.journal.records import Taken
-from brassweir.journal.recover import Plan
+from brassweir.journal.recover import Plan, standing
 from brassweir.journal.store import JournalStore
 
 Owing = Callable[[int, Submission], Waiter | None]
@@ -28,8 +28,13 @@
     given its list. Answers made now are written down before anybody is told them. Times count from when the
     plan was made: a start that takes long must not push a deadline or the end of a window out.
     """
+
+    def place(name: str) -> Hashable:
+        info = engine.endpoints.get(name)
+        return name if info is None or info.kind in engine.apart else info.destination
+
     now = engine.clock.now() - max(0.0, store.wall() - plan.at)
-    engine.past(plan.past)
+    engine.past(standing(plan, place))
     engine.ledger.last_id = max(engine.ledger.last_id, plan.last_id)
     for one in sorted(plan.answered, key=lambda one: -one.ago):
         taken, final = one.taken, one.final
