A message that is over does not go out any more, though its send was decided or its attempt waits

Cause (paths 4 and 6, hand-overs), each crossing forced and seen to fail: the client leaves - in the turn in which its message is handed in, with another handed in behind it: the module looks at what it may send between the two, and its send came out beside the withdrawal; - while the attempt's intent is being written, or while it waits for a connection: nobody called it back. The same way stands open to a receipt that comes late and ends a message whose repeat waits for a connection. Such a call does work that nobody owns; of an unsafe message it is an effect after its answer.

Change: `Going.go()`, which every carrier asks right before its first byte (and before a last one held back), says no where the message has its answer. What ends so is moot and no evidence against its destination; the same now goes for a repeat whose window ended, which had counted as a missing connection. A forward attempt that may not begin says so at once: it had held its slot until its time was over.

Notices: the platform moves, or its 204 comes as the post is given up, or the connection breaks under it: the notice goes again, to the new address, and counts as told once.

--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -146,9 +146,7 @@
 
     def resume(self, record: Record) -> None:
         """Go on with a message from before a restart, under its old id, without writing it down again."""
-        self.ledger.by_id[record.id] = record
-        self.ledger.by_name[record.submission.owner, record.submission.identity] = record
-        self.ledger.last_id = max(self.ledger.last_id, record.id)
+        self.ledger.put(record)
         record.kept = record.resumed = True
         self.watcher.taken(record, Taken.NEW)
         self._fact(record)
@@ -229,13 +227,15 @@
         until, repeat = self.ledger.repeats_until(record), record.ran is not None
         number = self.ledger.sent(action.id, action.endpoint, self.clock.now())
         attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat,
-                          Going(lambda: self.clock.now() <= until))
+                          Going(lambda: record.answer is None and self.clock.now() <= until))
         started = self.clock.now()
         limit: Handle | None = None
 
         def done(outcome: Outcome) -> None:
             if limit is not None:
                 limit.cancel()
+            if attempt.going.refused:
+                outcome = Outcome(api.Result.MOOT, "its message or its window was over before it began")
             line = self.waiting.get(info.destination)
             if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
                 del self.waiting[info.destination]
--- a/brassweir/core/ledger.py
+++ b/brassweir/core/ledger.py
@@ -178,8 +178,12 @@
     def restore(self, record: Record) -> None:
         """Put back a message that ended before a restart. Those restored go from the oldest answer on."""
         assert record.answer is not None
-        self.by_name[record.submission.owner, record.submission.identity] = self.by_id[record.id] = record
+        self.put(record)
         self.ended[record.id] = record
+
+    def put(self, record: Record) -> None:
+        """Put back a message from before a restart, under its old id."""
+        self.by_name[record.submission.owner, record.submission.identity] = self.by_id[record.id] = record
         self.last_id = max(self.last_id, record.id)
 
     def closing(self, record: Record) -> FinalAnswer:
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -63,19 +63,21 @@
 class Going:
     """Has an attempt's first byte gone out, or was it called back before? One of the two, never both.
 
-    ``in_time`` says whether it may still begin: a repeat only while its destination knows the key.
+    ``may`` says whether it may still begin: not where its message is over, and a repeat only while its
+    destination knows the key. ``refused`` is that it could not.
     """
 
-    __slots__ = ("begun", "in_time", "recalled")
+    __slots__ = ("begun", "may", "recalled", "refused")
 
-    def __init__(self, in_time: Callable[[], bool] = lambda: True) -> None:
-        self.begun = self.recalled = False
-        self.in_time = in_time
+    def __init__(self, may: Callable[[], bool] = lambda: True) -> None:
+        self.begun = self.recalled = self.refused = False
+        self.may = may
 
     def go(self) -> bool:
         """The carrier is about to write the first byte, or the last where that is held back; false if it must
         not any more."""
-        self.begun = not self.recalled and self.in_time()
+        self.refused = self.refused or not self.may()
+        self.begun = not self.recalled and not self.refused
         return self.begun
 
     def recall(self) -> bool:
--- a/brassweir/forward/carrier.py
+++ b/brassweir/forward/carrier.py
@@ -128,7 +128,8 @@
         """One chunk of a call, to its own ending."""
         until = (attempt.abandon_at + self.linger) / 1000.0
         if not attempt.going.go():
-            return  # called back: the engine has ended it
+            done(Outcome(Result.NO_CONNECTION, "called back before anything was written"))
+            return
         try:
             waiting = link.send(chunk, data)
         except CallFailed as failed:
--- a/tests/forward/test_carrier.py
+++ b/tests/forward/test_carrier.py
@@ -166,3 +166,20 @@
             carrier.pools.close()
 
     run(work())
+
+
+def test_one_that_may_not_begin_any_more_is_not_written_and_says_so_at_once() -> None:
+    async def work() -> None:
+        server = Server(ack)
+        carrier = made(await server.start(), batch=2)
+        try:
+            going, over = attempt(0, 8.0), attempt(1, 8.0)
+            over.going.may = lambda: False
+            one, other = await asyncio.wait_for(carry(carrier, [going, over]), 4.0)
+            assert one.result is Result.OK and not other.may_have_run
+            assert [got.chunk for got in server.got] == [onward("edge", "c0")]
+        finally:
+            carrier.pools.close()
+            server.stop()
+
+    run(work())
--- /dev/null
+++ b/tests/relay/test_notices.py
@@ -0,0 +1,98 @@
+"""Notices at hand-overs: the platform moves, or its answer comes, just as a post is given up. Each is told once."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from brassweir.net.house import Pools
+from brassweir.net.limits import Limits
+from brassweir.relay import notices
+from brassweir.relay.notices import Notice, Notices
+from tests.conftest import run
+
+ANSWER = b"HTTP/1.1 204 X\r\nContent-Length: 0\r\n\r\n"
+Step = Callable[["Place", asyncio.StreamWriter], Awaitable[None]]
+
+
+class Place:
+    """An address of the platform; the first post meets ``step``, all others their answer."""
+
+    def __init__(self, step: Step | None = None) -> None:
+        self.step, self.got = step, list[list[str]]()
+
+    async def start(self) -> str:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+                self.got.append([json.loads(line)["ref"] for line in body.splitlines()])
+                step, self.step = self.step, None
+                if step is not None:
+                    await step(self, writer)
+                else:
+                    writer.write(ANSWER)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+async def cut(_: Place, writer: asyncio.StreamWriter) -> None:
+    """The connection breaks under the answer."""
+    writer.transport.abort()
+
+
+async def answered(_: Place, writer: asyncio.StreamWriter) -> None:
+    writer.write(ANSWER)
+
+
+async def silent(_: Place, writer: asyncio.StreamWriter) -> None:
+    """The answer never comes."""
+
+
+async def late(_: Place, writer: asyncio.StreamWriter) -> None:
+    """It comes as the post has just been given up."""
+    await asyncio.sleep(notices.WITHIN)
+    if not writer.is_closing():
+        writer.write(ANSWER)
+
+
+@pytest.mark.parametrize("moves", [False, True])
+@pytest.mark.parametrize(("step", "again"), [(cut, True), (answered, False), (silent, True), (late, True)])
+def test_a_notice_is_told_once_whatever_becomes_of_its_post(monkeypatch: pytest.MonkeyPatch, step: Step, again: bool, moves: bool) -> None:
+    monkeypatch.setattr(notices, "WITHIN", 0.05)
+
+    async def work() -> None:
+        told, line = list[int](), Notices(pools := Pools(Limits(), 8, 500.0, 300.0), "127.0.0.1:1", lambda one: told.append(one), lambda *_: None)
+        new = Place()
+        to = await new.start()
+
+        async def crossing(place: Place, writer: asyncio.StreamWriter) -> None:
+            line.owe(2, Notice("m2", "dead"))  # while the first is under way
+            if moves:
+                line.move(to)
+            await step(place, writer)
+
+        old = Place(crossing)
+        line.move(await old.start())
+        line.owe(1, Notice("m1", "bounced", 500))
+        for _ in range(100):
+            if len(told) == 2:
+                break
+            await asyncio.sleep(0.01)
+        assert told == [1, 2] and not line.owed
+        rest = [["m1", "m2"]] if again else [["m2"]]
+        assert (old.got, new.got) == (([["m1"]], rest) if moves else ([["m1"], *rest], []))
+        pools.close()
+        old.server.close()
+        new.server.close()
+
+    run(work())
