--- a/tests/core/made.py
+++ b/tests/core/made.py
@@ -8,7 +8,7 @@
 from brassweir import interface as api
 from brassweir.core.clock import SimClock
 from brassweir.core.engine import Engine
-from brassweir.core.ports import Attempt, Outcome
+from brassweir.core.ports import Attempt, MemoryStore, Outcome
 
 CLASSES = (
     api.MessageClass("pay", 1000.0, 5000.0, api.Effect.UNSAFE),
@@ -93,3 +93,13 @@
     """The loop stands still for so long: all that was due meanwhile is late."""
     clock.time += span
     clock.queue = [(max(at, clock.time), number, handle) for at, number, handle in clock.queue]
+
+
+class Store(MemoryStore):
+    """Keeps nothing, and knows the wall clock of a simulated start."""
+
+    def __init__(self, clock: SimClock) -> None:
+        self.wall = clock.now
+
+    def resumed(self, ident: int, class_name: str, attempts: int) -> None:
+        pass
--- a/tests/journal/test_untried.py
+++ b/tests/journal/test_untried.py
@@ -10,12 +10,12 @@
 from brassweir import interface as api
 from brassweir.core.clock import SimClock
 from brassweir.core.engine import Engine
-from brassweir.core.ports import FinalAnswer, MemoryStore
+from brassweir.core.ports import FinalAnswer
 from brassweir.journal import compact, recover
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Ended, Intent, Record
 from brassweir.journal.restart import carry_out
-from tests.core.made import Slow
+from tests.core.made import Slow, Store
 from tests.journal.made import taken
 
 NOW = 100_000.0
@@ -24,15 +24,6 @@
 BY_NAME = {cls.name: cls for cls in CLASSES}
 
 
-class Stub(MemoryStore):
-    """A store that only knows the wall clock."""
-
-    def __init__(self, clock: SimClock) -> None:
-        self.wall = clock.now
-
-    def resumed(self, ident: int, class_name: str, attempts: int) -> None: ...
-
-
 def ends(endpoint: str, *results: str, ago: float = 1000.0, wait: float = 0.0) -> list[Record]:
     """Endings at an endpoint, 50 ms apart, the first of them so long ago."""
     return [Ended(0, 0, endpoint, result, NOW - ago + 50.0 * i, wait) for i, result in enumerate(results)]
@@ -52,14 +43,14 @@
     carrier = Slow(clock)
     sets = api.Settings(classes=CLASSES, slots=slots, max_open=max_open, max_retry_after=2000.0, senders=senders, connect_timeout=1000.0,
                         cold=3000.0, start_capacity=0.3, weights="rough")
-    engine = Engine(sets, 1, clock, lambda _: carrier, store=Stub(clock))
+    engine = Engine(sets, 1, clock, lambda _: carrier, store=Store(clock))
     engine.news(api.ListNews(api.ListKind.CACHED, tuple(api.EndpointInfo(f"d{i}-{j}", i, "", rate=50.0) for i in (1, 2, 3, 4) for j in (0, 1))))
     found, given_up = Counter[str](), dict[str, float]()
 
     def owing(_: int, submission: object) -> Callable[[FinalAnswer], None]:
         return lambda answer: given_up.setdefault(submission.identity, NOW + left - clock.now()) and None  # type: ignore[attr-defined]
 
-    carry_out(recover.plan(lives, (), BY_NAME, NOW, 1e9, 0.0), engine, Stub(clock), int, owing)  # type: ignore[arg-type]
+    carry_out(recover.plan(lives, (), BY_NAME, NOW, 1e9, 0.0), engine, Store(clock), int, owing)  # type: ignore[arg-type]
     clock.run(NOW + left + 1000.0)
     assert len(given_up) == count, "each has its end"
     tried = {name for _, name in carrier.written}
--- a/tests/journal/test_windows.py
+++ b/tests/journal/test_windows.py
@@ -7,28 +7,16 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.core.clock import SimClock
-from brassweir.core.ports import Answer, FinalAnswer, MemoryStore, Outcome
+from brassweir.core.ports import Answer, FinalAnswer, Outcome
 from brassweir.journal import recover
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Ended, Intent, Record, Taken
 from brassweir.journal.restart import carry_out
-from tests.core.made import Slow, slow, stand_still
+from tests.core.made import Slow, Store, slow, stand_still
 
 FIRST = 10_000.0  # wall ms at which the first attempt's intent was written
 
 
-class Stub(MemoryStore):
-    """A store for a simulated start: it knows the wall clock, which is the engine's here."""
-
-    clock: SimClock
-
-    def wall(self) -> float:
-        return self.clock.now()
-
-    def resumed(self, ident: int, class_name: str, attempts: int) -> None: ...
-
-
 def started(classes: tuple[api.MessageClass, ...], records: list[Record], ready: float, pause: float = 0.0,
             turn: float = 0.0, prepare: Callable[[Slow], None] = lambda _: None) -> tuple[Slow, list[tuple[float, FinalAnswer]]]:
     """A process that reads ``records`` at ``ready``, takes ``pause`` until it carries its plan out and ``turn`` until
@@ -36,19 +24,18 @@
     lives = Lives()
     for record in records:
         lives.apply(record)
-    store = Stub()
-    engine, store.clock, carrier = slow(classes=classes, at=ready, store=store)
+    engine, clock, carrier = slow(classes=classes, at=ready)
     prepare(carrier)
     plan = recover.plan(lives, (), {cls.name: cls for cls in classes}, ready, 1e9, 0.0)
-    stand_still(store.clock, pause)
+    stand_still(clock, pause)
     got: list[tuple[float, FinalAnswer]] = []
 
     def owing(*_: object) -> Callable[[FinalAnswer], None]:
-        return lambda answer: got.append((store.clock.now(), answer))
+        return lambda answer: got.append((clock.now(), answer))
 
-    carry_out(plan, engine, store, int, owing)  # type: ignore[arg-type]
-    stand_still(store.clock, turn)
-    store.clock.run(ready + 10_000.0)
+    carry_out(plan, engine, Store(clock), int, owing)  # type: ignore[arg-type]
+    stand_still(clock, turn)
+    clock.run(ready + 10_000.0)
     return carrier, got
 
 
