--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -8,7 +8,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+import math
+from collections.abc import Callable, Hashable, Mapping, Sequence
 from dataclasses import dataclass, field
 
 from brassweir.interface import Effect, MessageClass, Past, Result
@@ -50,9 +51,12 @@
 
 @dataclass(slots=True)
 class Plan:
-    """What to do, in this order: know the past, remember answers, give fresh ones, hand in what goes on."""
+    """What to do, in this order: know the past, remember answers, give fresh ones, hand in what goes on.
+    ``at`` (wall ms) is the moment that all its times count from."""
 
+    at: float
     past: list[Past] = field(default_factory=list)
+    passed: dict[str, float] = field(default_factory=dict)  # by endpoint: ms since a call last passed
     answered: list[Answered] = field(default_factory=list)
     again: list[Again] = field(default_factory=list)
     dropped: int = 0  # ended messages whose memory is over, and records without a message
@@ -64,7 +68,7 @@
          order_pause: float, unknown: Sequence[str] = ()) -> Plan:
     """Decide on every message. ``wall`` is now (ms); ``unknown`` names destinations no longer in the settings."""
     now = max(wall, lives.last_at)
-    made = Plan(last_id=lives.last_id)
+    made = Plan(wall, last_id=lives.last_id)
     hidden = max((hole.known for hole in holes), default=0)
     # A refused message that was handed in again has a later life under the same name, which alone counts.
     newest = {(life.taken.owner, life.taken.identity): life.id for life in lives.by_id.values()
@@ -83,9 +87,23 @@
                 made.pause = order_pause
     for endpoint, trail in lives.trails.items():
         made.past += [Past(endpoint, Result(one.result), max(0.0, now - one.at), one.wait) for one in trail]
+    made.past.sort(key=lambda one: -one.ago)
+    made.passed = {endpoint: max(0.0, now - at) for endpoint, at in lives.passed.items()}
     return made
 
 
+def standing(plan: Plan, place: Callable[[str], Hashable]) -> list[Past]:
+    """What of the past still stands, where ``place`` says which endpoints fare as one.
+
+    A pass at any of them ends a row of failures, but no wait told before it, as while the process ran: one bad
+    endpoint must not close its whole destination for a sender that comes back.
+    """
+    last: dict[Hashable, float] = {}
+    for endpoint, ago in plan.passed.items():
+        last[place(endpoint)] = min(ago, last.get(place(endpoint), ago))
+    return [one for one in plan.past if one.ago - one.wait < last.get(place(one.endpoint), math.inf)]
+
+
 def _ended(life: Life, taken: Taken, final: Final, now: float, remember: float, made: Plan) -> None:
     ago = max(0.0, now - final.at)
     owed = bool(taken.reply) and not life.told
@@ -107,14 +125,17 @@
     left = min(taken.deadline - now, cls.deadline if cls is not None else 0.0)
     if first is not None and effect is Effect.KEYED and cls is not None:
         left = min(left, first + cls.window - now)
-    sent_once = first is not None and effect is Effect.UNSAFE
+    # A key that holds in one zone only counts here as none: a repeat could go to another zone.
+    zoned = effect is Effect.KEYED and cls is not None and cls.group != "all"
+    sent_once = first is not None and (effect is Effect.UNSAFE or zoned)
     if cls is None or unknown or left <= 0.0 or sent_once:
         harmless = first is None or effect is Effect.SAFE
         final = Final(life.id, "refused" if harmless else "failed", _why(cls, unknown, left), 0.0, now)
         made.answered.append(Answered(taken, final, 0.0, None if first is None else now - first,
                                       bool(taken.reply), True))
         return
-    made.again.append(Again(taken, left, None if first is None else now - first, len(life.intents)))
+    number = max([*life.intents, *life.ended], default=-1) + 1  # damage may have taken some: none goes twice
+    made.again.append(Again(taken, left, None if first is None else now - first, number))
 
 
 def _why(cls: MessageClass | None, unknown: bool, left: float) -> str:
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -51,11 +51,12 @@
 
         For ``hold`` seconds the last byte is held back. A peer that has closed the connection, or resets it
         as the request comes, shows it in that time, and cannot have run what it never had whole. Whatever it
-        says in that time belongs to an earlier call, and ends the connection.
+        says in that time belongs to an earlier call, and ends the connection. Then ``go`` is asked once more:
+        a call begins with its last byte, and the loop may have stood still meanwhile.
         """
         async with self.link(deadline, begin, go) as connection:
             assert isinstance(connection, _Connection)
-            return await connection.call(self._head(headers, len(body)) + body, deadline, hold)
+            return await connection.call(self._head(headers, len(body)) + body, deadline, hold, go)
 
     def _head(self, headers: Headers, length: int) -> bytes:
         at = self.address
@@ -89,7 +90,7 @@
                 self.finish()
         return False
 
-    async def call(self, data: bytes, deadline: float, hold: float = 0.0) -> Reply:
+    async def call(self, data: bytes, deadline: float, hold: float, go: Callable[[], bool]) -> Reply:
         """Write a request and wait for its answer."""
         assert self.transport is not None
         if self.transport.is_closing():
@@ -103,6 +104,9 @@
                 if hold:
                     await asyncio.wait((answer,), timeout=hold)
                     if not answer.done():
+                        if not go():
+                            self.drop()
+                            raise CallFailed(Stage.CONNECT, "it may not begin any more", True, self.kept)
                         self.stage = Stage.SENT
                         self.transport.write(data[-1:])
                 return await answer
