Restarts: a key that reaches through one zone only is not taken to another after it

Cause: a keyed class may have a key that reaches through one zone (group "zone"). While a process lives the module keeps to the zone of the first attempt and ends such a message as failed. After a restart neither is known: recover.py handed it in again as if nothing had run, so it could go to another zone, or be refused as harmless. Ruled out: the module while it lives (its rule stands in tests/checker.py and holds).

--- a/tests/journal/test_plan.py
+++ b/tests/journal/test_plan.py
@@ -47,6 +47,22 @@
         assert [one.left for one in plan.again] == [left] and not plan.answered
 
 
+@pytest.mark.parametrize(("seen", "answers", "again"), [
+    ([], [], [1]),
+    ([Intent(1, 0, "e", 500.0)], ["failed"], []),
+    ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], ["failed"], []),
+    ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], [], [1]),
+])
+def test_a_key_that_reaches_through_one_zone_is_not_taken_to_another(seen: list[records.Record], answers: list[str], again: list[int]) -> None:
+    """Nothing tells after a restart in which zone it may have run: neither another attempt nor a refusal is harmless."""
+    lives = Lives()
+    for record in (taken(1, "near"), *seen):
+        lives.apply(record)
+    near = api.MessageClass("near", 1000.0, 6000.0, api.Effect.KEYED, group="zone", window=5000.0)
+    plan = recover.plan(lives, (), {"near": near}, 700.0, 1e9, 100.0)
+    assert [one.final.answer for one in plan.answered] == answers and [one.taken.id for one in plan.again] == again
+
+
 def test_answers_are_remembered_for_their_time_and_receipts_until_told() -> None:
     final = Final(1, "delivered", "", 0.0, 1000.0)
     assert made(taken(1), final, wall=1500.0, remember=1000.0).answered[0].ago == 500.0
