Settings of another customer: names as they stand, whole numbers, and one error for a file too deep

The values are pairs here and no line is split at blanks, so they now stand as they are. - resp/handin.py read the name of a class as latin-1, the settings are UTF-8: a class "größe" was never found either. - A file nested too deep raised RecursionError past the one error there is: at a start a trace, at SIGHUP the end of the task that reads it, so that no later SIGHUP moved anything. It is refused like any other, and the next one is read. - A whole number written as 30.0 was refused where a count is wanted. - Two classes or kinds of one name were told with all that is known of every class (8.5 kB for sixty); now by names.

--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -121,8 +121,9 @@
             _check(name, getattr(self, name), 0 < getattr(self, name) < math.inf)
         for name in ("idle_close", "cold", "order_pause", "max_retry_after", "ask_within"):
             _check(name, getattr(self, name), 0 <= getattr(self, name) < math.inf)
-        _check("classes", self.classes, len({cls.name for cls in self.classes}) == len(self.classes) >= 1)
-        _check("kinds", self.kinds, len({kind.name for kind in self.kinds}) == len(self.kinds))
+        for name in ("classes", "kinds"):
+            names = [one.name for one in getattr(self, name)]
+            _check(name, names, len({*names}) == len(names) >= (name == "classes"))
         for cls in self.classes:
             _check(f"{cls.name}.deadline", cls.deadline, 0 < cls.deadline < math.inf)
             for name in ("aim", "window", "late_worth"):
--- a/brassweir/relay/settings.py
+++ b/brassweir/relay/settings.py
@@ -56,7 +56,7 @@
     """Read the file. Raises NodeError."""
     try:
         given = msgspec.json.decode(data, type=_File)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise NodeError(str(error)) from None
     for field, value in (("listen", given.listen), ("discovery", given.discovery)):
         if not address(value):
@@ -75,7 +75,7 @@
         # What the protocol says on sockets: a call carries one message, and endpoints hold few connections.
         kinds = tuple(replace(kind, batch=1) for kind in settings.kinds)
         settings = replace(settings, kinds=kinds, few_connections=True)
-    except (ListError, WireError, SettingsError) as error:
+    except (ListError, WireError, SettingsError, RecursionError) as error:
         raise NodeError(str(error)) from None
     return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings)
 
@@ -100,4 +100,6 @@
 def _plain(value: object) -> str:
     if isinstance(value, bool):
         return "true" if value else "false"
-    return str(value).replace(" ", "_")
+    if isinstance(value, float) and value.is_integer():
+        return str(int(value))  # some writers of JSON give every number a fraction
+    return str(value)
--- a/brassweir/resp/handin.py
+++ b/brassweir/resp/handin.py
@@ -36,7 +36,7 @@
     if len(body) > BODY:
         raise Unreadable("the body is over 65536 bytes")
     fields = _fields(names)
-    name = fields.get(b"c", b"").decode("latin-1")
+    name = fields.get(b"c", b"").decode("utf-8", "replace")  # as the settings are written
     cls = classes.get(name)
     if cls is None:
         raise Unreadable("c names no class")
--- /dev/null
+++ b/tests/relay/test_settings.py
@@ -0,0 +1,172 @@
+"""What another customer's settings may say: served, or one clear error that names the field."""
+
+from __future__ import annotations
+
+import asyncio
+import copy
+import json
+import signal
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from brassweir.control import Sender
+from brassweir.interface import (
+    AttemptEnded,
+    Effect,
+    EndpointInfo,
+    Kind,
+    ListKind,
+    ListNews,
+    NewMessage,
+    Result,
+    Send,
+)
+from brassweir.lab.standins.platform import Endpoint, hang
+from brassweir.relay import endings, settings
+from brassweir.resp import handin
+from tests.relay import world
+from tests.relay.plays import play
+
+GONE = object()
+
+
+def told(**changes: Any) -> bytes:
+    """The configuration with fields of its settings changed, or gone; a path's dots are written ``__``."""
+    found = copy.deepcopy(world.configuration())
+    for path, value in changes.items():
+        *above, last = [int(one) if one.isdecimal() else one for one in path.split("__")]
+        at: Any = found["settings"]
+        for one in above:
+            at = at[one]
+        if value is GONE:
+            del at[last]
+        else:
+            at[last] = value
+    return json.dumps(found).encode()
+
+
+def classes(*changes: dict[str, Any]) -> list[dict[str, Any]]:
+    """A class for each change of the first one."""
+    return [{**world.CLASSES[0], **change} for change in changes]
+
+
+@pytest.mark.parametrize("name", ["Allowed__IdleClose", "Allowed__MaxRetryAfter", "Allowed__RetryAfter", "Allowed__SecondCopies",
+                                  "Balancers", "RegistryMode", "Report", "Resolution", "Rules", "Skus", "Weights", "Specifics__KindApart",
+                                  "Specifics__KindBatch", "Specifics__Decay", "Classes__0__Objective", "Classes__0__Window",
+                                  "Classes__0__LateWorth", "Classes__0__Group"])
+@pytest.mark.parametrize("value", [GONE, None])
+def test_what_may_be_absent_is_not_missed(name: str, value: object) -> None:
+    assert len(settings.read(told(**{name: value})).settings.classes) == 3
+
+
+@pytest.mark.parametrize(("changes", "field"), [
+    ({"Allowed__ConnectTimeout": GONE}, "Allowed.ConnectTimeout"), ({"Allowed": 7}, "Allowed.MaxOpen"), ({"Classes": []}, "Classes.count"),
+    ({"Classes": {}}, "Classes.count"), ({"Classes": [7, {"Name": "a"}]}, "Classes.0.Idempotency"), ({"Classes__1__Name": GONE}, "Classes.1.Name"),
+    ({"Classes__0__Idempotency": "odd"}, "Classes.0.Idempotency"), ({"Classes__0__HardLimit": 0}, "note.deadline"),
+    ({"Classes__0__HardLimit": "soon"}, "Classes.0.HardLimit"), ({"Classes__0__Window": -1}, "note.window"), ({"Classes__1__Name": "note"}, "classes"),
+    ({"Specifics__CallSlots": 2.5}, "Specifics.CallSlots"), ({"Specifics__KindBatch": ["x"]}, "Specifics.KindBatch"), ({"Skus": ["a", "a"]}, "kinds"),
+    ({"Resolution": 0}, "tick"), ({"Rules__StartCapacity": 0}, "start_capacity"),
+])
+def test_what_cannot_be_served_is_one_line_that_names_the_field(changes: dict[str, Any], field: str) -> None:
+    with pytest.raises(settings.NodeError, match=field) as caught:
+        settings.read(told(**changes))
+    assert "\n" not in str(caught.value) and len(str(caught.value)) < 300
+
+
+@pytest.mark.parametrize("data", [b"", b"[]", b"null", b"\xff\xfe", told()[:-1], told(Note="deep").replace(b'"deep"', b'{"a":' * 5000 + b"1" + b"}" * 5000),
+                                  told(Note="deep").replace(b'"deep"', b'{"a":' * 985 + b"1" + b"}" * 985)])
+def test_a_file_that_is_no_configuration_is_no_other_error(data: bytes) -> None:
+    try:
+        settings.read(data)
+    except settings.NodeError as error:
+        assert "\n" not in str(error)
+
+
+@pytest.mark.parametrize("name", ["a b", "a=b", "Gate.open/2", "größe", "__", "7"])
+def test_a_class_is_found_by_its_name_as_it_stands(name: str) -> None:
+    found = {cls.name: cls for cls in settings.read(told(Classes=classes({"Name": name}))).settings.classes}
+    args = [b"MSG.PUT", b"0", b"id", f"c={name},d=100,dest=7".encode(), b""]
+    assert handin.read(args, found, {7}.__contains__).class_name == name
+    assert settings.read(told(Skus=[name, "x"], Specifics__KindApart=[True])).settings.kinds == (Kind(name, True), Kind("x"))
+
+
+def test_one_class_and_sixty() -> None:
+    for count in (1, 60):
+        found = settings.read(told(Classes=classes(*({"Name": f"c{i}", "HardLimit": 300 + i} for i in range(count))))).settings
+        assert [(cls.name, cls.deadline) for cls in found.classes] == [(f"c{i}", 300.0 + i) for i in range(count)]
+    with pytest.raises(settings.NodeError, match="classes") as caught:
+        settings.read(told(Classes=classes(*({"Name": f"c{i % 59}"} for i in range(60)))))
+    assert len(str(caught.value)) < 500, "the names, and not all that is known of sixty classes"
+
+
+def test_a_whole_number_may_come_as_a_fraction() -> None:
+    found = settings.read(told(Specifics__CallSlots=30.0, Allowed__MaxOpen=6e1, Specifics__KindBatch=[1.0], Balancers=2.0)).settings
+    assert (found.slots, found.max_open, found.senders) == (30, 60, 2)
+
+
+@pytest.mark.parametrize(("mode", "asks"), [("push", False), ("ask", True), ("odd", False), (3, False)])
+def test_the_list_is_watched_whatever_its_mode(mode: object, asks: bool) -> None:
+    """The platform has one watch; the mode only lets the module ask again for what the watch brings anyway."""
+    assert settings.read(told(RegistryMode=mode)).settings.ask_list is asks
+
+
+@pytest.mark.parametrize("names", [["x0", "x1"], ["x1", "x0"], ["x1"], [], ["load"]])
+def test_a_report_is_read_by_its_names_whatever_their_order(names: list[str]) -> None:
+    settings.read(told(Report__Names=names))
+    values = {"x0": "0.4", "x1": "25", "load": "7"}
+    text = ",".join(f"{name}={values[name]}" for name in names)
+    assert endings.report(text) == (0.4 if "x0" in names else None, 25.0 if "x1" in names else None)
+
+
+@pytest.mark.parametrize("more", [{}, {"Projects": [{"Name": "hill", "QuotaRps": 3.5}, {"Name": "lake"}]}, {"Projects": []}])
+def test_tenants_are_no_matter_of_the_sender(more: dict[str, Any]) -> None:
+    assert settings.read(told(**more)).settings == settings.read(told()).settings
+
+
+@pytest.mark.parametrize("window", [0, GONE])
+def test_a_keyed_class_without_a_window_goes_out_once(window: object) -> None:
+    given = settings.read(told(Classes=classes({"Idempotency": "token"}), Classes__0__Window=window)).settings
+    assert (given.classes[0].effect, given.classes[0].window) == (Effect.KEYED, 0.0)
+    sender = Sender(given, 1, 0.0)
+    list_news = ListNews(ListKind.FULL, tuple(EndpointInfo(name, 1, "office") for name in "ab"))
+    sent = [one for one in sender.handle(0.0, [list_news, NewMessage(1, "note", 1, 5000.0, "k")]) if isinstance(one, Send)]
+    assert len(sent) == 1
+    then = sender.handle(900.0, [AttemptEnded(1, 0, sent[0].endpoint, Result.TIMEOUT, 900.0)])
+    assert not [one for one in then if isinstance(one, Send)], "it may have run, and no repeat of it is dropped"
+
+
+def test_sixty_classes_of_300_ms_in_a_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """One is delivered, one hangs and ends by a notice in its time, and what names no class is told so."""
+    monkeypatch.setattr(world, "CLASSES", classes(*({"Name": f"heart beat {i}", "HardLimit": 300.0, "Objective": 200.0} for i in range(60))))
+
+    async def day(seen: world.World) -> None:
+        client = await seen.client()
+        assert await client.put("m1", "heart beat 59", 1, 300.0) == b"+OK\r\n"
+        assert await client.put("m2", "heart beat 0", 2, 300.0) == b"+OK\r\n"
+        assert (await client.put("m3", "heart_beat_0", 1, 300.0)).startswith(b"-ERR")
+        await seen.settled(2)
+        assert seen.seen().delivered == ["m1"] and [one["ref"] for _, one in seen.discovery.notices] == ["m2"]
+
+    play(tmp_path, day, Endpoint("a", 1), Endpoint("b", 2, hang))
+
+
+def test_a_file_too_deep_to_read_changes_nothing_and_the_next_one_is_read(tmp_path: Path) -> None:
+    async def day(seen: world.World) -> None:
+        assert seen.process is not None
+        file = seen.folder / "config.json"
+        good = file.read_text()
+        for text, event, count in ((good.replace("null", '{"a":' * 5000 + "1" + "}" * 5000), "reload_refused", 1), (good, "reloaded", 1)):
+            file.write_text(text)
+            seen.process.send_signal(signal.SIGHUP)
+            for _ in range(100):
+                if seen.log().count(event) == count:
+                    break
+                await asyncio.sleep(0.02)
+            assert seen.log().count(event) == count, seen.log()[-2000:]
+        client = await seen.client()
+        assert await client.put("m1", "note", 1) == b"+OK\r\n"
+        await seen.settled(1)
+
+    play(tmp_path, day, Endpoint("a", 1))
