Restarts: what came before its class was keyed has no key to go again by, and ends

Cause: the settings of a new process may give a class another effect. Each step asks the settings of now, which is right for safe and unsafe; but a message that came when its class was safe or unsafe has no idempotency key, and once the class is keyed it went out again without one. The front demands the key only of hand-ins from then on. Seen: in a process, one call out as it is killed, then started with the class keyed: three calls without a key in all. Held: safe to safe goes again; safe to unsafe ends after its one call.

--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -119,6 +119,17 @@
     made.again.append(Again(taken, left, None if first is None else now - first, len(life.intents)))
 
 
+def keyless(made: Plan, classes: Mapping[str, MessageClass], wall: float) -> None:
+    """End what is in a keyed class now and came when it was none, so without the key (the subject) that makes a
+    repeat harmless: refused if nothing can have run, else failed. For senders that take no other such message."""
+    for one in made.again[:]:
+        if classes[one.taken.class_name].effect is Effect.KEYED and not one.taken.subject:
+            made.again.remove(one)
+            final = Final(one.taken.id, "refused" if one.ran_ago is None else "failed",
+                          "its class is keyed now, and it has no key", 0.0, wall)
+            made.answered.append(Answered(one.taken, final, 0.0, one.ran_ago, bool(one.taken.reply), True))
+
+
 def _why(cls: MessageClass | None, unknown: bool, left: float) -> str:
     if cls is None:
         return "its class is no longer in the settings"
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -25,6 +25,7 @@
 from brassweir.destinations.setups import Setups
 from brassweir.journal import sizes
 from brassweir.journal.records import Taken
+from brassweir.journal.recover import keyless
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
 from brassweir.net.house import Pools
@@ -36,7 +37,7 @@
 from brassweir.relay.settings import NodeConfig, NodeError, read
 from brassweir.resp.crowd import Crowd
 from brassweir.resp.front import Front
-from brassweir.service.journaling import Journaling, Keeping
+from brassweir.service.journaling import Journaling, Keeping, wall
 from brassweir.service.node_watch import Counting, belief, usage
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
@@ -129,6 +130,7 @@
         """Go on where the process before this one was, whatever ended it."""
         plan = self.journal.plan(_number)
         plan.again = [replace(one, taken=_as_now(one.taken, self.classes)) for one in plan.again]
+        keyless(plan, self.classes, wall())
         found = self.journal.found
         self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
                       owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
--- a/tests/journal/test_plan.py
+++ b/tests/journal/test_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 
 from brassweir import interface as api
@@ -63,6 +64,23 @@
     assert [one.final.answer for one in plan.answered] == answers and [one.taken.id for one in plan.again] == again
 
 
+@pytest.mark.parametrize(("effect", "subject", "seen", "answers"), [
+    (api.Effect.KEYED, "", [], ["refused"]),
+    (api.Effect.KEYED, "", [Intent(1, 0, "e", 500.0)], ["failed"]),
+    (api.Effect.KEYED, "k1", [Intent(1, 0, "e", 500.0)], []),
+    (api.Effect.SAFE, "", [Intent(1, 0, "e", 500.0)], []),
+])
+def test_what_came_before_its_class_was_keyed_has_no_key_to_go_again_by(effect: api.Effect, subject: str, seen: list[records.Record], answers: list[str]) -> None:
+    lives = Lives()
+    for record in (msgspec.structs.replace(taken(1, "note", reply=b"n"), subject=subject), *seen):
+        lives.apply(record)
+    known = {"note": api.MessageClass("note", 1000.0, 6000.0, effect, window=5000.0)}
+    plan = recover.plan(lives, (), known, 700.0, 1e9, 100.0)
+    recover.keyless(plan, known, 700.0)
+    assert [one.final.answer for one in plan.answered] == answers and len(plan.again) == 1 - len(answers)
+    assert all(one.owed and one.fresh for one in plan.answered)
+
+
 def test_answers_are_remembered_for_their_time_and_receipts_until_told() -> None:
     final = Final(1, "delivered", "", 0.0, 1000.0)
     assert made(taken(1), final, wall=1500.0, remember=1000.0).answered[0].ago == 500.0
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -170,3 +170,21 @@
         await seen.settled(1)
 
     play(tmp_path, day, Endpoint("a", 1))
+
+
+@pytest.mark.parametrize(("effect", "again"), [("pure", True), ("token", False), ("side_effect", False)])
+def test_a_class_that_has_another_effect_after_a_restart(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, effect: str, again: bool) -> None:
+    """It was safe and its call is out as the process dies. It has no idempotency key: only a safe one goes again."""
+    async def day(seen: world.World) -> None:
+        client = await seen.client()
+        assert await client.put("m1", "note", 1, 1500.0) == b"+OK\r\n"
+        while not seen.endpoints[0].calls:
+            await asyncio.sleep(0.01)
+        await seen.kill()
+        monkeypatch.setattr(world, "CLASSES", classes({"Idempotency": effect, "Window": 5000.0}))
+        seen.write()
+        await seen.start()
+        await seen.settled(1)
+        assert (len(seen.endpoints[0].calls) > 1) is again
+
+    play(tmp_path, day, Endpoint("a", 1, hang))
