--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -107,9 +107,9 @@
     left = min(taken.deadline - now, cls.deadline if cls is not None else 0.0)
     if first is not None and effect is Effect.KEYED and cls is not None:
         left = min(left, first + cls.window - now)
-    # A key that reaches through one zone only guards nothing here: in which one it may have run is not kept.
-    unguarded = effect is Effect.UNSAFE or (effect is Effect.KEYED and cls is not None and cls.group != "all")
-    sent_once = first is not None and unguarded
+    # A key that holds in one zone only counts here as none: a repeat could go to another zone.
+    zoned = effect is Effect.KEYED and cls is not None and cls.group != "all"
+    sent_once = first is not None and (effect is Effect.UNSAFE or zoned)
     if cls is None or unknown or left <= 0.0 or sent_once:
         harmless = first is None or effect is Effect.SAFE
         final = Final(life.id, "refused" if harmless else "failed", _why(cls, unknown, left), 0.0, now)
