--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -121,9 +121,8 @@
             _check(name, getattr(self, name), 0 < getattr(self, name) < math.inf)
         for name in ("idle_close", "cold", "order_pause", "max_retry_after", "ask_within"):
             _check(name, getattr(self, name), 0 <= getattr(self, name) < math.inf)
-        for name in ("classes", "kinds"):
-            names = [one.name for one in getattr(self, name)]
-            _check(name, names, len({*names}) == len(names) >= (name == "classes"))
+        _check("classes", names := [cls.name for cls in self.classes], len({*names}) == len(names) >= 1)
+        _check("kinds", names := [kind.name for kind in self.kinds], len({*names}) == len(names))
         for cls in self.classes:
             _check(f"{cls.name}.deadline", cls.deadline, 0 < cls.deadline < math.inf)
             for name in ("aim", "window", "late_worth"):
