--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -40,7 +40,13 @@
         """Start to listen and return the port. Raises OSError."""
         loop = asyncio.get_running_loop()
         # Bound here: a loop that is given a name starts threads to look it up, and this process needs none.
-        bound = socket.create_server((host, port), backlog=BACKLOG)
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # named: see TCP_NODELAY
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            bound.bind((host, port))
+        except OSError:
+            bound.close()
+            raise
         self.listener = await loop.create_server(lambda: Connection(self, loop), sock=bound, backlog=BACKLOG)
         self.looking = loop.call_later(LOOK, self._look, loop)
         return int(self.listener.sockets[0].getsockname()[1])
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -25,6 +25,7 @@
 from brassweir.destinations.setups import Setups
 from brassweir.journal import sizes
 from brassweir.journal.records import Taken
+from brassweir.journal.recover import keyless
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
 from brassweir.net.house import Pools
@@ -33,10 +34,11 @@
 from brassweir.relay.discovery import Discovery
 from brassweir.relay.listing import Change, Listing
 from brassweir.relay.notices import Notices, notice
-from brassweir.relay.settings import NodeConfig, NodeError, read
+from brassweir.relay.settings import NodeConfig, NodeError
 from brassweir.resp.crowd import Crowd
 from brassweir.resp.front import Front
-from brassweir.service.journaling import Journaling, Keeping
+from brassweir.service.journaling import Journaling, Keeping, wall
+from brassweir.service.node_file import configured
 from brassweir.service.node_watch import Counting, belief, usage
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
@@ -132,6 +134,7 @@
         """Go on where the process before this one was, whatever ended it."""
         plan = self.journal.plan(_number)
         plan.again = [replace(one, taken=_as_now(one.taken, self.classes)) for one in plan.again]
+        keyless(plan, self.classes, wall())
         found = self.journal.found
         self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
                       owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
@@ -198,19 +201,6 @@
         self.log.info("stopped", open=self.engine.ledger.held, **usage())
 
 
-def configured() -> NodeConfig:
-    """The configuration that the environment names. Raises NodeError naming file and field."""
-    path = os.environ.get("RELAY_CONFIG", "")
-    if not path:
-        raise NodeError("RELAY_CONFIG is not set: it names the configuration file")
-    try:
-        return read(Path(path).read_bytes())
-    except OSError as error:
-        raise NodeError(f"{path}: {error.strerror or error}") from None
-    except NodeError as error:
-        raise NodeError(f"{path}: {error}") from None
-
-
 async def run(log: Any) -> None:
     """Run a sender until SIGTERM or SIGINT. Raises NodeError, Unusable, OSError, and Broken."""
     loop = asyncio.get_running_loop()
