Trials after a told wait are drawn from its end on: 200 senders tried as one at the return

Cause: a destination that is shut and tells its wait tells all senders the same end. Fewer than the rest of the fleet were also taken to have met the outage, since the row of failures begins with the refusal that tells of it: whoever calls during the wait meets it too (full, `met`). Change: trials are drawn from the end of the told wait on, and the outage is taken to last to that end.

--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -113,9 +113,9 @@
             self.tokens -= 1.0
         return False
 
-    def close(self, now: float) -> None:
-        """Take the destination for out: only single trials from here on."""
-        self.shut, self.last_fail, self.trial = True, now, now + self.safe_gap(now)
+    def close(self, now: float, wait: float = 0.0) -> None:
+        """Take the destination for out: only single trials, drawn from the end of a told wait on."""
+        self.shut, self.last_fail, self.trial = True, now, now + wait + self.safe_gap(now)
 
     def passed(self, now: float) -> None:
         """A call was served."""
@@ -160,7 +160,7 @@
             return
         self.full_at, lasting = now, False
         self.since = min(self.since, now)
-        self.met = now - self.since
+        self.met = now + wait - self.since
         if wait <= 0 and not self.shut:
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
@@ -171,7 +171,7 @@
             self.refused += not self.told  # else reports tell when there is room
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
         if trial or ((wait > long or lasting) and not self.shut):
-            self.close(now)
+            self.close(now, wait)
         if not self.shut:
             # Drawn: guards against a burst refused as one coming back as one.
             self.tokens = min(self.tokens, -TOKENS_SPREAD * self.rng.random())
--- a/tests/control/test_gate.py
+++ b/tests/control/test_gate.py
@@ -22,6 +22,18 @@
     assert gate.when(12100.0) == float("inf")  # and only one
 
 
+def test_a_fleet_told_the_same_end_does_not_try_as_one() -> None:
+    fleet, first = replace(SETTINGS, senders=200), []
+    for seed in range(200):
+        gate = Gate(fleet, Random(seed), 0.0)
+        gate.limit(10.0, False)
+        gate.told_wait(0.0, 60000.0)
+        gate.full(0.0, 60000.0, False, 0.0)
+        assert gate.when(0.0) > 60000.0
+        first.append(gate.when(0.0) - 60000.0)
+    assert max(sum(at <= other < at + 2000.0 for other in first) for at in first) < 20, "some six are to be expected"
+
+
 def test_late_pass_does_not_end_a_told_closing() -> None:
     gate = Gate(SETTINGS, Random(1), 0.0)
     gate.told_wait(0.0, 12000.0)
