The ramp goes on beyond the cold time while more is held: what was held went at once

Cause: at the end of the cold time `allowed` returned the pace, which is infinite where nothing told a limit, and twice the even part where reports do: all that a sender had held through outage and ramp went in one moment (control/gate.py, allowed). The ramps of a fleet end within a second or two of each other. Change: the ramp grows on at its slope until at most one message is held there (Gate.when, told by Choosing._route), then the pace holds. A sender with a single message waits no longer than before. The test of the ramp asked for an end at the cold time whatever is held: that was the fault. It now asks for under the tipping rate and over half of it while more is held, for the ramp in force before the cold time's end also for a last message, and for the end with the last one after it.

--- a/brassweir/control/choosing.py
+++ b/brassweir/control/choosing.py
@@ -117,7 +117,8 @@
         for endpoint in dest.endpoints.values():
             if not endpoint.usable or not self._in_group(message, endpoint):
                 continue
-            at = max(endpoint.gate.when(self.now), endpoint.avoid if not endpoint.gate.shut else -math.inf)
+            at = endpoint.gate.when(self.now, len(dest.heap) <= 1)
+            at = max(at, endpoint.avoid if not endpoint.gate.shut else -math.inf)
             if at > self.now or endpoint.out >= max(1.0, endpoint.conns):
                 soonest = min(soonest, at if at > self.now else math.inf)
                 continue
--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -81,11 +81,10 @@
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
-        into = now - self.ramp
-        if into >= self.sets.cold or self.ramp == -INF:
+        if self.ramp == -INF or not self.sets.cold:
             return self.pace
-        share = self.sets.start_capacity + (1.0 - self.sets.start_capacity) * into / self.sets.cold
-        return min(self.pace, self.safe_rate(now, RAMP * share))
+        into, first = (now - self.ramp) / self.sets.cold, self.sets.start_capacity
+        return min(self.pace, self.safe_rate(now, RAMP * (first + (1.0 - first) * into)))
 
     def refill(self, now: float) -> float:
         """Bring the bucket up to date and return the rate in force."""
@@ -94,8 +93,11 @@
         self.stamp = now
         return rate
 
-    def when(self, now: float) -> float:
-        """The earliest time for the next call; infinite while a trial is out."""
+    def when(self, now: float, last: bool = False) -> float:
+        """The earliest time for the next call, perhaps the last one held; infinite while a trial is out. The
+        ramp lasts until then: guards against a fleet sending at once what it held through the cold time."""
+        if last and now - self.ramp >= self.sets.cold:
+            self.ramp = -INF
         at = max(now, self.wait)
         if self.shut:
             return INF if self.trial_out else max(at, self.trial)
@@ -106,12 +108,10 @@
 
     def sent(self, now: float) -> bool:
         """A call goes out; true if it is the trial."""
-        if self.shut:
-            self.trial_out = True
-            return True
-        if self.refill(now) != INF:
+        self.trial_out |= self.shut
+        if not self.shut and self.refill(now) != INF:
             self.tokens -= 1.0
-        return False
+        return self.shut
 
     def close(self, now: float, wait: float = 0.0) -> None:
         """Take the destination for out: only single trials, drawn from the end of a told wait on."""
--- a/tests/control/test_gate.py
+++ b/tests/control/test_gate.py
@@ -4,12 +4,15 @@
 
 import math
 from dataclasses import replace
+from itertools import pairwise
 from random import Random
 
 import pytest
 
+from brassweir import interface as api
+from brassweir.control import Sender
 from brassweir.control.gate import OTHERS, Gate
-from tests.control.made import SETTINGS
+from tests.control.made import SETTINGS, listed, new, over, sends, warm
 
 
 def test_long_told_wait_means_shut() -> None:
@@ -140,9 +143,43 @@
     limit = SETTINGS.tip_multiple * SETTINGS.start_capacity * 10.0 / SETTINGS.senders
     assert gate.allowed(2000.0) < limit
     assert gate.when(2000.0) > 2000.0
+    limit = SETTINGS.tip_multiple * 10.0 / SETTINGS.senders
+    assert gate.when(2000.0 + SETTINGS.cold) < math.inf
+    assert 0.5 * limit < gate.allowed(2000.0 + SETTINGS.cold) < limit, "while more is held"
+    assert gate.when(1000.0 + SETTINGS.cold, True) < math.inf
+    assert gate.allowed(1000.0 + SETTINGS.cold) < limit, "the last one held, yet in the cold time"
+    assert gate.when(2000.0 + SETTINGS.cold, True) == 2000.0 + SETTINGS.cold
     assert gate.allowed(2000.0 + SETTINGS.cold) == float("inf")
 
 
+def test_what_was_held_through_the_cold_time_does_not_go_at_once() -> None:
+    sender, now = Sender(replace(SETTINGS, weights="rough"), 1, 0.0), 2000.0
+    sender.handle(0.0, [listed(1)])
+    warm(sender, 1)
+    gate = sender.dests[1].gate
+    gate.close(100.0)
+    gate.passed(now)
+    assert not sends(sender.handle(now, [new(ident) for ident in range(1, 6)]))
+    gate.ramp = now - SETTINGS.cold  # all of them held through the cold time
+    gone: list[tuple[float, int]] = []
+    events: list[api.Event] = [api.TimerDue()]
+    while now < 4000.0:
+        ids = sends(sender.handle(now, events))
+        gone += [(now, ident) for ident in ids]
+        events, now = [over(ident, api.Result.OK) for ident in ids] or [api.TimerDue()], now + 10.0
+    assert [ident for _, ident in gone] == [1, 2, 3, 4, 5]
+    gaps = [after - before for (before, _), (after, _) in pairwise(gone)]
+    assert gaps[:3] == pytest.approx([220.0, 220.0, 210.0], abs=20.0), "the ramp's gaps, while more are held"
+    assert gaps[3] == 0.0, "and the last one at once"
+
+
+def test_without_a_cold_time_there_is_no_ramp() -> None:
+    gate = Gate(replace(SETTINGS, cold=0.0), Random(1), 0.0)
+    gate.close(0.0)
+    gate.passed(100.0)
+    assert gate.when(100.0) == 100.0 and gate.allowed(100.0) == math.inf
+
+
 def test_an_untold_limit_is_not_taken_for_a_call_a_second_of_each_sender() -> None:
     gate = Gate(replace(SETTINGS, senders=300), Random(1), 0.0)
     gate.arrivals = 1.0
--- a/tests/lab/test_faults.py
+++ b/tests/lab/test_faults.py
@@ -69,14 +69,14 @@
 
     __slots__ = ()
 
-    def close(self, now: float) -> None:
+    def close(self, now: float, wait: float = 0.0) -> None:
         """Stay open."""
 
     def allowed(self, now: float) -> float:
         """Everything."""
         return float("inf")
 
-    def when(self, now: float) -> float:
+    def when(self, now: float, last: bool = False) -> float:
         """Now."""
         return now
 
