--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -40,7 +40,7 @@
         """Start to listen and return the port. Raises OSError."""
         loop = asyncio.get_running_loop()
         # Bound here: a loop that is given a name starts threads to look it up, and this process needs none.
-        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # named: else TCP delays
+        bound = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)  # else TCP delays
         bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
             bound.bind((host, port))
