What clients have sent and is not taken up is bounded over all of them, not for each alone

Seen: 1,000 connections that each sent 65,000 bytes of a command and stopped took the process from 32.1 to 99.6 MB within a second, where the configuration gave 96 (2,048 descriptors; each connection keeps up to 68 KB for two seconds, and nothing bounded the sum). Cause: resp/codec.py bounds one command, nobody all. Change: Crowd weighs what connections keep; beyond 6% of the memory the longest unheard of those that have handed nothing in goes, then others.

--- a/brassweir/resp/codec.py
+++ b/brassweir/resp/codec.py
@@ -38,6 +38,11 @@
         """Bytes that are not read yet."""
         return len(self.buffer) - self.position
 
+    @property
+    def weight(self) -> int:
+        """Bytes that are kept: those, and the parts of a command that is not whole."""
+        return self.held + (self.size if self.left else 0)
+
     def feed(self, data: bytes) -> None:
         """Take what came."""
         if not self.failed:
--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -130,6 +130,7 @@
         self.advancing = False
         if self.standing is not None:
             self.standing.working, self.standing.half = bool(self.slots), self.decoder.partial
+            self.front.weigh(self.standing, self.decoder.weight)
         if not self.ending:
             self.pause(self.resting or self.choked or len(self.slots) >= MOST_OPEN)
         elif not self.slots and not self.choked:
--- a/brassweir/resp/crowd.py
+++ b/brassweir/resp/crowd.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 IDLE = 2.0  # seconds: after this the platform lets a sender close an idle connection
@@ -25,15 +26,20 @@
     greeted: bool = False  # it has sent a PING
     working: bool = False  # a command of it has no answer yet
     half: bool = False  # a command of it has begun and is not whole
+    weight: int = 0  # bytes of it that are kept and not taken up yet
 
 
 class Crowd:
-    """All connections of clients; at most ``most``, of which usual clients hold ``usual`` at once."""
+    """All connections of clients; at most ``most``, of which usual clients hold ``usual`` at once.
 
-    def __init__(self, most: int, usual: int) -> None:
+    ``room`` is for bytes that they have sent and that are not taken up yet.
+    """
+
+    def __init__(self, most: int, usual: int, room: float = math.inf) -> None:
         if most < 1:
             raise ValueError(f"room for {most} clients serves nobody")
-        self.most, self.usual = most, usual
+        self.most, self.usual, self.room = most, usual, room
+        self.held = 0  # bytes, of all
         self.standing: dict[int, Standing] = {}
         self.silent: dict[int, Standing] = {}  # those that have handed nothing in, in the order of coming
 
@@ -55,8 +61,20 @@
 
     def leave(self, ident: int) -> None:
         """A connection is gone."""
-        self.standing.pop(ident, None)
+        one = self.standing.pop(ident, None)
         self.silent.pop(ident, None)
+        self.held -= one.weight if one is not None else 0
+
+    def weigh(self, one: Standing, weight: int) -> int | None:
+        """A connection keeps so many bytes; who has to go, if all together keep too many. A body comes within
+        a packet or two: who keeps a part of one for long sends it in pieces, or not at all."""
+        self.held += weight - one.weight
+        one.weight = weight
+        if self.held <= self.room:
+            return None
+        heavy = [other for other in self.silent.values() if other.weight]
+        heavy = heavy or [other for other in self.standing.values() if other.weight]
+        return min(heavy, key=lambda other: other.heard).id
 
     def _victim(self, now: float) -> int | None:
         if self.silent:
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -71,6 +71,12 @@
         self.connections[self.last] = connection
         return self.crowd.standing[self.last]
 
+    def weigh(self, one: Standing, weight: int) -> None:
+        """A client keeps so many bytes here, for which another may have to go."""
+        victim = self.crowd.weigh(one, weight)
+        if victim is not None:
+            self.connections[victim].drop()
+
     def left(self, ident: int) -> None:
         """A client is gone."""
         self.crowd.leave(ident)
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -47,6 +47,7 @@
 ENDS_IN = 0.25  # seconds for what was read to be answered and for clients to close, before the process ends
 CLIENTS = 0.6  # share of the descriptors that clients may hold; usual ones take a third at most
 KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
+UNREAD = 0.06  # share of the memory for what clients have sent and was not taken up yet
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
 NOTICES = 2  # connections for notices, of those kept back: calls that hang hold none of them
 SETUPS = 64  # connections being made at once
@@ -97,7 +98,8 @@
         apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
         self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
-        self.front = Front(self.engine, Crowd(int(sockets * CLIENTS), sockets // 3), self.listing.listed,
+        crowd = Crowd(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
+        self.front = Front(self.engine, crowd, self.listing.listed,
                            lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
         self.telling: asyncio.TimerHandle | None = None
 
--- a/tests/resp/desk.py
+++ b/tests/resp/desk.py
@@ -52,7 +52,7 @@
 class Desk:
     """The front, what it rests on, and clients as bare sockets."""
 
-    def __init__(self, max_open: int = 60, room: int = 100) -> None:
+    def __init__(self, max_open: int = 60) -> None:
         self.loop = asyncio.get_running_loop()
         classes = tuple(api.MessageClass(name, 1000.0, 5000.0, effect) for name, effect in
                         (("pay", api.Effect.UNSAFE), ("note", api.Effect.SAFE)))
@@ -61,7 +61,7 @@
         self.engine = Engine(sets, 1, LoopClock(self.loop), lambda _: self.carrier, store=self.store)
         self.engine.news(api.ListNews(api.ListKind.FULL, (api.EndpointInfo("a", 1, ""),)))
         self.ends: list[FinalAnswer] = []
-        self.front = Front(self.engine, Crowd(room, room), lambda one: one == 1, lambda _: self.ends.append,
+        self.front = Front(self.engine, Crowd(100, 100), lambda one: one == 1, lambda _: self.ends.append,
                            lambda _: None)
         self.port = 0
         self.clients: list[socket.socket] = []
--- a/tests/resp/test_closing.py
+++ b/tests/resp/test_closing.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 
@@ -18,9 +19,9 @@
 Day = Callable[[Desk], Awaitable[None]]
 
 
-def play(day: Day, max_open: int = 60) -> None:
+def play(day: Day, **settings: Any) -> None:
     async def whole() -> None:
-        desk = await Desk(max_open).open()
+        desk = await Desk(**settings).open()
         try:
             await day(desk)
         finally:
