A reset that came while the loop stood still is read before the held-back last byte; it had counted as run

Cause, found when a test of kept connections failed once on a busy machine: the last byte of a call is held back for 5 ms, so that a reset shows before it. On the loop that the service runs on, timers come before sockets in a turn: where the loop stood still for longer than that, the timer wrote the last byte although the reset had long come and lay unread. The call then counted as one that may have run: what may not be repeated ended as failed, though its endpoint never had it whole. A sender on a part of a core stands still for 5 ms often.

Change: one more turn after the hold, in which the sockets are read.

--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -100,6 +100,7 @@
             async with asyncio.timeout_at(deadline):
                 if hold:
                     await asyncio.sleep(hold)
+                    await asyncio.sleep(0)  # timers come before the sockets in a turn: now these are read
                     if self.answer.done():
                         await self.answer  # the connection's end, if it has ended
                         # Else an answer to a call that was not whole: another's, come twice or late.
