--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -103,6 +103,7 @@
             async with asyncio.timeout_at(deadline):
                 if hold:
                     await asyncio.wait((answer,), timeout=hold)
+                    await asyncio.sleep(0)  # timers come before the sockets in a turn: now these are read
                     if not answer.done():
                         if not go():
                             self.drop()
