--- a/brassweir/lab/models/coldworld.py
+++ b/brassweir/lab/models/coldworld.py
@@ -98,7 +98,7 @@
             self.held.pop(ident, None)
             self.past.clear()
         else:
-            self.past = [*self.past[-4:], (world.now, event)]
+            self.past = [*self.past[-7:], (world.now, event)]
             self.met |= plan.out <= sent < plan.back
         self.turn([event])
 
