--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -12,6 +12,7 @@
 from brassweir.interface import NEVER_RAN, Result
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told, Whole
 
+OWN = (Result.MOOT.value, Result.CANCELLED.value)  # endings that are our doing, and tell nothing of an endpoint
 TRAIL = 8  # endings since the last pass that are kept of an endpoint: enough to see an outage
 
 
@@ -102,6 +103,8 @@
             life.told = True
 
     def _trail(self, record: Ended) -> None:
+        if record.result in OWN:
+            return
         if record.result == Result.OK.value:
             # A pass ends a row of failures, but no told wait: the call may have gone out before it was told.
             self.passed[record.endpoint] = max(record.at, self.passed.get(record.endpoint, 0.0))
--- a/tests/core/test_handovers.py
+++ b/tests/core/test_handovers.py
@@ -111,3 +111,15 @@
         engine.withdraw(record)
     assert play.end() == []
     assert not any(gate.fails for gate in engine.sender.dests[1].gates())
+
+
+@pytest.mark.parametrize("held", [0.0, 700.0])
+def test_the_time_of_a_message_runs_on_while_it_is_written_down(held: float) -> None:
+    play = Play("safe", Fact.TAKEN)
+    play.carrier.connects = [1e9] * 20
+    ended: list[float] = []
+    play.record.waiters.append(lambda _: ended.append(play.clock.now()))
+    play.clock.run(1000.0 + held)
+    play.store.let_go()
+    play.clock.run(9000.0)
+    assert len(ended) == 1 and ended[0] <= 1000.0 + 4000.0 + 1.0
--- a/tests/journal/test_untried.py
+++ b/tests/journal/test_untried.py
@@ -116,6 +116,13 @@
     assert list(compact.kept(again, NOW, 1e9)) == kept
 
 
+def test_what_was_our_own_doing_drives_no_evidence_out() -> None:
+    lives = Lives()
+    for record in [*ends("a", *FAILS), *ends("a", *["moot", "cancelled"] * 6, ago=800.0)]:
+        lives.apply(record)
+    assert [one.result.value for one in recover.plan(lives, (), BY_NAME, NOW, 1e9, 0.0).past] == list(FAILS)
+
+
 def test_an_attempt_after_damage_has_a_number_of_its_own() -> None:
     """Else its ending could pass for that of an earlier attempt, which may have run."""
     lives = Lives()
