--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -81,11 +81,10 @@
 
     def allowed(self, now: float) -> float:
         """Calls a second that may go now: the pace, and after an outage the ramp."""
-        into = now - self.ramp
-        if into >= self.sets.cold or self.ramp == -INF:
+        if self.ramp == -INF or not self.sets.cold:
             return self.pace
-        share = self.sets.start_capacity + (1.0 - self.sets.start_capacity) * into / self.sets.cold
-        return min(self.pace, self.safe_rate(now, RAMP * share))
+        into, first = (now - self.ramp) / self.sets.cold, self.sets.start_capacity
+        return min(self.pace, self.safe_rate(now, RAMP * (first + (1.0 - first) * into)))
 
     def refill(self, now: float) -> float:
         """Bring the bucket up to date and return the rate in force."""
@@ -94,8 +93,11 @@
         self.stamp = now
         return rate
 
-    def when(self, now: float) -> float:
-        """The earliest time for the next call; infinite while a trial is out."""
+    def when(self, now: float, last: bool = False) -> float:
+        """The earliest time for the next call, perhaps the last one held; infinite while a trial is out. The
+        ramp lasts until then: guards against a fleet sending at once what it held through the cold time."""
+        if last and now - self.ramp >= self.sets.cold:
+            self.ramp = -INF
         at = max(now, self.wait)
         if self.shut:
             return INF if self.trial_out else max(at, self.trial)
@@ -106,16 +108,14 @@
 
     def sent(self, now: float) -> bool:
         """A call goes out; true if it is the trial."""
-        if self.shut:
-            self.trial_out = True
-            return True
-        if self.refill(now) != INF:
+        self.trial_out |= self.shut
+        if not self.shut and self.refill(now) != INF:
             self.tokens -= 1.0
-        return False
+        return self.shut
 
-    def close(self, now: float) -> None:
-        """Take the destination for out: only single trials from here on."""
-        self.shut, self.last_fail, self.trial = True, now, now + self.safe_gap(now)
+    def close(self, now: float, wait: float = 0.0) -> None:
+        """Take the destination for out: only single trials, drawn from the end of a told wait on."""
+        self.shut, self.last_fail, self.trial = True, now, now + wait + self.safe_gap(now)
 
     def passed(self, now: float) -> None:
         """A call was served."""
@@ -160,7 +160,7 @@
             return
         self.full_at, lasting = now, False
         self.since = min(self.since, now)
-        self.met = now - self.since
+        self.met = now + wait - self.since
         if wait <= 0 and not self.shut:
             # Longer with each refusal in a row while there should be room: guards against a fleet hammering
             # a full queue, which burns its messages' attempts and pushes the destination over at its return.
@@ -171,7 +171,7 @@
             self.refused += not self.told  # else reports tell when there is room
         # A wait far over any span of a limit means shut: guards against a burst of all at its end.
         if trial or ((wait > long or lasting) and not self.shut):
-            self.close(now)
+            self.close(now, wait)
         if not self.shut:
             # Drawn: guards against a burst refused as one coming back as one.
             self.tokens = min(self.tokens, -TOKENS_SPREAD * self.rng.random())
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -21,39 +21,19 @@
     Clock,
     Fact,
     FinalAnswer,
+    Going,
     Handle,
     MemoryStore,
     Outcome,
     Store,
     Submission,
 )
+from brassweir.core.watcher import Watcher
 
 LATE = 5.0  # ms: a time-out that comes later than this shows that the loop stood still
 READ_FIRST = 2.0  # ms until it counts then: the sockets are read before that
 
 
-class Watcher:
-    """Sees what passes; for logs and metrics. This one sees nothing. Must not raise."""
-
-    def taken(self, record: Record, how: Taken) -> None:
-        """A message was handed in."""
-
-    def sent(self, attempt: Attempt) -> None:
-        """An attempt goes out."""
-
-    def outcome(self, record: Record, number: int, outcome: Outcome, late: bool) -> None:
-        """An attempt ended; ``late`` says that the message already had its answer."""
-
-    def late(self, record: Record, number: int, outcome: Outcome) -> None:
-        """Something came for an attempt that had its outcome: a receipt after its time, or a second one."""
-
-    def final(self, record: Record) -> None:
-        """A message has its answer."""
-
-    def turn(self, events: int, actions: int, spent: float) -> None:
-        """One ``handle`` call was made; ``spent`` is its CPU time in seconds."""
-
-
 class Engine:
     """One sender's bookkeeping around the decision module.
 
@@ -81,10 +61,11 @@
         self.sender = Sender(settings, seed, clock.now())
         self.ledger = Ledger({cls.name: cls for cls in settings.classes}, remember, most)
         self.endpoints: dict[str, api.EndpointInfo] = {}
-        self.facts: list[api.Event] = []
+        self.facts: list[api.Event | Record] = []  # a record: a message that the module is to hold
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
-        # Attempts given to a carrier that may not have begun, by destination, each with its ending.
+        # Attempts decided on that may not have begun, by destination, each with its ending.
         self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
+        self.recalls: list[Callable[[], None]] = []  # by what the module hears in the next turn
         self.promises: dict[int, Callable[[], None]] = {}  # see :meth:`held`
         self.turning = False
         self.stopping = False
@@ -118,9 +99,6 @@
             if refusal is not None:
                 self._finish(record, refusal)
                 return how, record
-            taken = record.submission
-            new = api.NewMessage(record.id, taken.class_name, taken.destination, taken.left, taken.key,
-                                 taken.resent)
 
             def kept() -> None:
                 if record.answer is not None:
@@ -129,9 +107,9 @@
                 for keeper in record.keepers:
                     keeper()
                 record.keepers.clear()
-                self._fact(new)
+                self._fact(record)
 
-            self.store.keep(Fact.TAKEN, record.id, taken, kept, lambda why: self._finish(
+            self.store.keep(Fact.TAKEN, record.id, record.submission, kept, lambda why: self._finish(
                 record, FinalAnswer(Answer.REFUSED, why, self.settings.max_retry_after)))
         return how, record
 
@@ -146,27 +124,20 @@
         for one in known:
             self._fact(one)
 
-    def resume(self, record: Record, left: float) -> None:
+    def resume(self, record: Record) -> None:
         """Go on with a message from before a restart, under its old id, without writing it down again."""
-        self.ledger.by_id[record.id] = record
-        self.ledger.by_name[record.submission.owner, record.submission.identity] = record
-        self.ledger.last_id = max(self.ledger.last_id, record.id)
-        taken = record.submission
-        record.kept = True
+        self.ledger.put(record)
+        record.kept = record.resumed = True
         self.watcher.taken(record, Taken.NEW)
-        self._fact(api.NewMessage(record.id, taken.class_name, taken.destination, left, taken.key, True,
-                                  admitted=True))
+        self._fact(record)
 
     def news(self, news: api.ListNews) -> None:
         """Pass on news of the endpoint list."""
         for info in news.entries:
             self.endpoints[info.name] = info
-        homes = {info.destination for info in news.entries if info.state is not api.State.READY}
-        for home in homes & self.waiting.keys():
-            self._recall(recall.news(news.entries, self._unbegun(home)), recall.TOLD_OFF)
-        self._fact(news)
+        self._tell(news, lambda: recall.news(news.entries, self._unbegun(*self.waiting)), recall.TOLD_OFF)
 
-    def _fact(self, event: api.Event) -> None:
+    def _fact(self, event: api.Event | Record) -> None:
         self.facts.append(event)
         self._turn_soon()
 
@@ -179,9 +150,11 @@
 
     def _turn(self) -> None:
         self.turning = False
-        events, self.facts = self.facts, []
+        recalls, self.recalls = self.recalls, []
         before = thread_time()  # for the watcher only: nothing is decided by it
         now = self.clock.now()
+        events = [one.told(now) if isinstance(one, Record) else one for one in self.facts]
+        self.facts = []
         actions = self.sender.handle(now, events)
         self.watcher.turn(len(events), len(actions), thread_time() - before)
         if self.traced is not None:
@@ -190,6 +163,8 @@
             self._promise(events, actions)
         for action in actions:
             self._carry_out(action)
+        for again in recalls:
+            again()
         for event in events:
             if isinstance(event, api.ListNews):
                 self._forget(event)
@@ -229,21 +204,22 @@
     def _send(self, action: api.Send) -> None:
         record = self.ledger.by_id[action.id]
         info = self.endpoints[action.endpoint]
-        repeat = record.ran is not None
+        until, repeat = self.ledger.repeats_until(record), record.ran is not None
         number = self.ledger.sent(action.id, action.endpoint, self.clock.now())
-        attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat)
+        attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat,
+                          Going(lambda: record.answer is None and self.clock.now() <= until))
         started = self.clock.now()
         limit: Handle | None = None
 
         def done(outcome: Outcome) -> None:
             if limit is not None:
                 limit.cancel()
+            if attempt.going.refused:
+                outcome = Outcome(api.Result.MOOT, "its message or its window was over before it began")
             line = self.waiting.get(info.destination)
             if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
                 del self.waiting[info.destination]
-            if outcome.wait > 0.0 and info.destination in self.waiting:
-                self._recall(recall.waits(attempt, outcome, self._unbegun(info.destination), self.apart),
-                             recall.TOLD_TO_WAIT)
+            self._recall(self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
             self._ended(attempt, started, outcome)
 
         def over() -> None:
@@ -263,19 +239,36 @@
 
         def go() -> None:
             nonlocal limit
+            if attempt.going.recalled:
+                return  # while its intent was kept
             self.watcher.sent(attempt)
             # Kept here and not by the carrier: one that hangs must not hold an answer back.
             limit = self.clock.call_at(attempt.abandon_at, over)
-            self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
             self.carrier_for(info).start(attempt, done)
 
         def unable(why: str) -> None:
             done(Outcome(api.Result.NO_CONNECTION, why))
 
+        self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
         self.store.keep(Fact.INTENT, action.id, attempt, go, unable)
 
-    def _unbegun(self, destination: int) -> list[Attempt]:
-        return [attempt for attempt, _ in self.waiting[destination].values() if not attempt.going.begun]
+    def _tell(self, event: api.Event, which: Callable[[], list[Attempt]], why: str) -> None:
+        """Tell what may call attempts back: now, and after the turn that hears it and may not heed it yet."""
+        def again() -> None:
+            self._recall(which(), why)
+
+        again()
+        self.recalls.append(again)
+        self._fact(event)
+
+    def _unbegun(self, *homes: int) -> list[Attempt]:
+        return [attempt for home in homes for attempt, _ in self.waiting.get(home, {}).values()
+                if not attempt.going.begun]
+
+    def _waits(self, attempt: Attempt, outcome: Outcome) -> list[Attempt]:
+        if outcome.wait <= 0.0:
+            return []
+        return recall.waits(attempt, outcome, self._unbegun(attempt.endpoint.destination), self.apart)
 
     def _recall(self, attempts: list[Attempt], why: str) -> None:
         for attempt in attempts:
@@ -301,8 +294,9 @@
                     self._finish(record, FinalAnswer(answer, outcome.reason))
                 self.ledger.shed(record)
                 closed = record.answer is not None
-            self._fact(api.AttemptEnded(attempt.id, attempt.number, attempt.endpoint.name, outcome.result,
-                                        latency, closed, outcome.wait, outcome.limit_left, outcome.limit))
+            ended = api.AttemptEnded(attempt.id, attempt.number, attempt.endpoint.name, outcome.result,
+                                     latency, closed, outcome.wait, outcome.limit_left, outcome.limit)
+            self._tell(ended, lambda: self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
 
         self.store.keep(Fact.OUTCOME, attempt.id, (attempt, outcome), tell, lambda _: tell())
 
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -3,20 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
+from brassweir.net.address import Address
 from brassweir.net.client import Pool
 from brassweir.net.limits import Limits
-from brassweir.net.links import Address, House, Links, Short
+from brassweir.net.pool import ConnectionPool, Limiter, Short
 
-Make = Callable[[Address, "Pools"], Links]
+Make = Callable[[Address, "Pools"], ConnectionPool]
 
 
-class Pools(House):
+class Pools(Limiter):
     """The pools of all endpoints in use, under one budget of connections and one line for set-ups.
 
     A pool without connections and calls is forgotten: an endpoint that is not used costs nothing here.
@@ -27,10 +27,10 @@
         self.settling = settling  # see Pool
         self.limits, self.cap, self.idle_time, self.connect_time = limits, cap, idle, connect
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
-        self.pools: dict[str, Links] = {}
-        self.urls: dict[Links, str] = {}
-        self.rooms: deque[asyncio.Future[None]] = deque()  # wishes that found the budget spent
-        self.turns: dict[int, asyncio.Future[None]] = {}  # tickets in the line for set-ups
+        self.pools: dict[str, ConnectionPool] = {}
+        self.urls: dict[ConnectionPool, str] = {}
+        self.rooms: dict[asyncio.Future[bool], str] = {}  # wishes that found the budget spent, in order
+        self.turns: dict[int, asyncio.Future[bool]] = {}  # tickets in the line for set-ups
 
     def of(self, url: str, name: str = "") -> Pool:
         """The pool of an endpoint over HTTP; ``name`` keeps apart endpoints that follow each other at one
@@ -39,7 +39,7 @@
         assert isinstance(pool, Pool)  # a URL's scheme says what is spoken there
         return pool
 
-    def links(self, url: str, make: Make, name: str = "") -> Links:
+    def links(self, url: str, make: Make, name: str = "") -> ConnectionPool:
         """The pool of an endpoint, made by ``make`` if there is none. Raises ValueError on a bad URL."""
         key = f"{url} {name}" if name else url
         pool = self.pools.get(key)
@@ -58,31 +58,27 @@
         for pool in list(self.pools.values()):
             pool.close_idle()
 
-    # ---- as the pools' house
+    # ---- as the pools' limiter
 
     @asynccontextmanager
-    async def room(self, pool: Links) -> AsyncIterator[None]:
+    async def room(self, pool: ConnectionPool) -> AsyncIterator[None]:
         """Wait for room in the budget and for a turn, and hold both while a connection is set up."""
         url, loop = self.urls[pool], asyncio.get_running_loop()
-        while True:
-            step = self.budget.wish(url, loop.time() * 1000.0)
-            if step.close is not None and step.close in self.pools:
-                self.pools[step.close].close_idle(1)
-            if step.go:
-                break
-            await self._wait(self.rooms, loop)
-        self.budget.opened(url)
-        standing = good = False
+        if not self._grant(url, loop.time()):
+            await self._wait(pool, url, loop)
+        standing = begun = False
+        good: bool | None = None  # one that left the line, or met our own shortage, tells nothing
         ticket = self.setups.ask(url, pool.open > 1, loop.time() * 1000.0)
         turn = self.turns[ticket] = loop.create_future()
         try:
             self._turn()
-            await turn
+            await pool.stand(turn)
+            begun = True
             yield
             standing = good = True
         except BaseException as error:
-            # One whose time ran out in line, or that met our own shortage, says nothing of the destination.
-            good = isinstance(error, Short) or not turn.done() or turn.cancelled()
+            if begun and not isinstance(error, Short):
+                good = False
             raise
         finally:
             self.turns.pop(ticket, None)
@@ -92,43 +88,53 @@
                 self.budget.closed(url)
                 self._room()
 
-    @staticmethod
-    async def _wait(line: deque[asyncio.Future[None]], loop: asyncio.AbstractEventLoop) -> None:
-        turn: asyncio.Future[None] = loop.create_future()
-        line.append(turn)
+    def _grant(self, url: str, now: float) -> bool:
+        step = self.budget.wish(url, now * 1000.0)
+        if step.close is not None and step.close in self.pools:
+            self.pools[step.close].close_idle(1)
+        if step.go:
+            self.budget.opened(url)
+        return step.go
+
+    async def _wait(self, pool: ConnectionPool, url: str, loop: asyncio.AbstractEventLoop) -> None:
+        turn: asyncio.Future[bool] = loop.create_future()
+        self.rooms[turn] = url
         try:
-            await turn
-        finally:
-            if turn in line:
-                line.remove(turn)
+            await pool.stand(turn)
+        except BaseException:
+            if self.rooms.pop(turn, None) is None and turn.result():  # granted just as it left
+                self.budget.closed(url)
+                self._room()
+            raise
 
     def _turn(self) -> None:
         while (ticket := self.setups.next()) is not None:
             turn = self.turns.get(ticket)
             if turn is not None and not turn.done():
-                turn.set_result(None)
+                turn.set_result(True)
 
     def _room(self) -> None:
-        while self.rooms:
-            turn = self.rooms.popleft()
-            if not turn.done():
-                turn.set_result(None)
-                return
-
-    def opened(self, pool: Links) -> None:
-        """A connection stands after all, though its set-up was given up."""
-        self.budget.opened(self.urls[pool])
-
-    def closed(self, pool: Links) -> None:
+        """Ask again for all that wait: one behind may use what the first in line may not. A pool with a free
+        connection of its own needs no other."""
+        now, refused = asyncio.get_running_loop().time(), set[str]()
+        for turn, url in list(self.rooms.items()):
+            if not turn.done() and url not in refused:
+                if not self.pools[url].idle and self._grant(url, now):
+                    del self.rooms[turn]
+                    turn.set_result(True)
+                else:
+                    refused.add(url)
+
+    def closed(self, pool: ConnectionPool) -> None:
         """A connection is gone."""
         self.budget.closed(self.urls[pool])
         self._room()
 
-    def busy(self, pool: Links) -> None:
+    def busy(self, pool: ConnectionPool) -> None:
         """A connection carries a call."""
         self.budget.busy(self.urls[pool])
 
-    def idle(self, pool: Links) -> None:
+    def idle(self, pool: ConnectionPool) -> None:
         """A connection carries none any more."""
         self.budget.idle(self.urls[pool], pool.cost)
         self._room()
@@ -139,7 +145,7 @@
         if victim is not None and victim in self.pools:
             self.pools[victim].close_idle(1)
 
-    def left(self, pool: Links) -> None:
+    def left(self, pool: ConnectionPool) -> None:
         """Forget a pool that nobody uses."""
         if not pool.users and not pool.open:
             url = self.urls.pop(pool, None)
@@ -147,7 +153,7 @@
                 del self.pools[url]
 
 
-def _http(address: Address, house: Pools) -> Links:
-    pool = Pool(address, house.limits, house.cap, house.idle_time, house.connect_time, house=house)
-    pool.settling = house.settling
+def _http(address: Address, pools: Pools) -> ConnectionPool:
+    pool = Pool(address, pools.limits, pools.cap, pools.idle_time, pools.connect_time, limiter=pools)
+    pool.settling = pools.settling
     return pool
--- a/brassweir/relay/settings.py
+++ b/brassweir/relay/settings.py
@@ -51,6 +51,12 @@
     known: Change | None
     settings: Settings
 
+    @property
+    def longest(self) -> float:
+        """The longest deadline, in seconds: nothing that is held needs this process for longer, and platforms
+        with short ones kill a leaving one sooner."""
+        return max(cls.deadline for cls in self.settings.classes) / 1000.0
+
 
 def read(data: bytes) -> NodeConfig:
     """Read the file. Raises NodeError."""
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -9,7 +9,7 @@
 import gc
 import os
 import signal
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -34,20 +34,24 @@
 from brassweir.relay.discovery import Discovery
 from brassweir.relay.listing import Change, Listing
 from brassweir.relay.notices import Notices, notice
-from brassweir.relay.settings import NodeConfig, NodeError, read
+from brassweir.relay.settings import NodeConfig, NodeError
 from brassweir.resp.crowd import Crowd
 from brassweir.resp.front import Front
 from brassweir.service.journaling import Journaling, Keeping, wall
+from brassweir.service.node_file import configured
 from brassweir.service.node_watch import Counting, belief, usage
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
 REMEMBER_MOST = 4000  # of them
 SERVES_ON = 3.3  # seconds after SIGTERM: the platform kills no sooner than 3.7 s after it
-ENDS_IN = 0.25  # seconds for what was read to be answered, before the process ends
+ENDS_IN = 0.25  # seconds for what was read to be answered and for clients to close, before the process ends
 CLIENTS = 0.6  # share of the descriptors that clients may hold; usual ones take a third at most
 KEPT_BACK = 24  # descriptors for the journal, the list, notices, the log and the loop itself
+UNREAD = 0.06  # share of the memory for what clients have sent and was not taken up yet
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
+NOTICES = 2  # connections for notices, of those kept back: calls that hang hold none of them
 SETUPS = 64  # connections being made at once
+SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 BELIEF = 1.0  # seconds between two lines of what the sender believes
 COLLECT = (5_000, 10, 1000)  # as in ``serve``: what is no longer used goes without the collector
 ANSWERS = Limits(head=16_384, headers=64, body=65_536)  # of endpoints and of the platform
@@ -67,12 +71,6 @@
     return msgspec.structs.replace(taken, key="", subject=taken.key)
 
 
-def serving_on(classes: Iterable[api.MessageClass]) -> float:
-    """Seconds for which to serve on after SIGTERM: no longer than the longest deadline, since a platform with
-    short ones was seen to kill some 0.7 s after that."""
-    return min(SERVES_ON, max(cls.deadline for cls in classes) / 1000.0)
-
-
 class NodeProcess:
     """A running sender. Made inside the loop that it will run on."""
 
@@ -97,9 +95,11 @@
         self.journal = Journaling(keeping, str, self._broken, self.note)
         self.engine = Engine(given, config.seed, self.clock, lambda _: self.carrier, store=self.journal.store,
                              watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
-        self.notices = Notices(self.pools, config.discovery, self.journal.store.told, self.note)
+        apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
+        self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
-        self.front = Front(self.engine, Crowd(int(sockets * CLIENTS), sockets // 3), self.listing.listed,
+        crowd = Crowd(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
+        self.front = Front(self.engine, crowd, self.listing.listed,
                            lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
         self.telling: asyncio.TimerHandle | None = None
 
@@ -178,15 +178,18 @@
         self.discovery.move(config.discovery)
         self.notices.move(config.discovery)
 
-    async def leave(self) -> None:
-        """A planned restart: serve as long as there is time, answer what was read, and end."""
+    async def leave(self, told: float) -> None:
+        """A planned restart, told at a loop time: serve while there is time, answer what was read, and end.
+
+        A journal that breaks ends it at once, since nothing can be promised any more.
+        """
         self.log.info("leaving", open=self.engine.ledger.held)
-        serves = serving_on(self.config.settings.classes)
-        self.engine.leaving(self.clock.now() + serves * 1000.0)
-        await asyncio.sleep(serves)
+        left = max(0.0, told + min(SERVES_ON, self.config.longest) - self.loop.time())
+        self.engine.leaving(self.clock.now() + left * 1000.0)
+        await asyncio.wait([self.broken], timeout=left)
         self.front.close()
         end = self.loop.time() + ENDS_IN
-        while self.front.open() and self.loop.time() < end:
+        while self.front.connections and self.loop.time() < end and not self.broken.done():
             await asyncio.sleep(0.01)
 
     def stop(self) -> None:
@@ -195,30 +198,25 @@
             self.telling.cancel()
         self.discovery.stop()
         self.front.close()
+        self.front.abandon()
         self.journal.close()
         self.log.info("stopped", open=self.engine.ledger.held, **usage())
 
 
-def configured() -> NodeConfig:
-    """The configuration that the environment names. Raises NodeError naming file and field."""
-    path = os.environ.get("RELAY_CONFIG", "")
-    if not path:
-        raise NodeError("RELAY_CONFIG is not set: it names the configuration file")
-    try:
-        return read(Path(path).read_bytes())
-    except OSError as error:
-        raise NodeError(f"{path}: {error.strerror or error}") from None
-    except NodeError as error:
-        raise NodeError(f"{path}: {error}") from None
-
-
 async def run(log: Any) -> None:
     """Run a sender until SIGTERM or SIGINT. Raises NodeError, Unusable, OSError, and Broken."""
     loop = asyncio.get_running_loop()
-    told, again = asyncio.Event(), asyncio.Event()
+    told: asyncio.Future[float] = loop.create_future()
+    again = asyncio.Event()
+
+    def end() -> None:
+        if not told.done():
+            told.set_result(loop.time())
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, told.set)
+        loop.add_signal_handler(number, end)
     loop.add_signal_handler(signal.SIGHUP, again.set)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came before there was a handler come now
     state = os.environ.get("RELAY_STATE", "")
     if not state:
         raise NodeError("RELAY_STATE is not set: it names the folder that lasts")
@@ -235,11 +233,12 @@
                 log.error("reload_refused", error=str(error))
 
     reloading = loop.create_task(reloads())
-    leaving = loop.create_task(told.wait())
-    either: set[asyncio.Future[Any]] = {leaving, process.broken}
+    either: set[asyncio.Future[Any]] = {told, process.broken}
     await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
+    if not process.broken.done():
+        await process.leave(told.result())
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # it ends already: no second word may end it otherwise
+    reloading.cancel()
     if process.broken.done():
         raise Broken(str(process.broken.result()))
-    await process.leave()
-    reloading.cancel()
     process.stop()
--- /dev/null
+++ b/tests/relay/test_watch.py
@@ -0,0 +1,168 @@
+"""The watch of the list on real sockets under a moved time: how late a change can be told, whatever failed before."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import pytest
+
+from brassweir.relay.listing import Change
+from tests.conftest import run
+from tests.relay.moved import (
+    HEAD,
+    Heard,
+    Manner,
+    Peer,
+    change,
+    chunk,
+    moved,
+    now,
+    only_head,
+    says,
+    silent,
+    trickles,
+)
+
+TOLD, MOVED = 6.0, 4.0  # seconds after which a change counts as told; after a move
+
+
+OPEN = says(change(2), b"\n")
+TRICKLE = trickles(HEAD + chunk(change(2)), chunk(b"x"))
+HEADLESS = trickles(b"HTTP/1.1 200 ", b"x")
+
+
+@pytest.mark.parametrize(("first", "then"), [
+    (OPEN, []), (OPEN, [silent]), (OPEN, [silent, silent]), (OPEN, [only_head]), (OPEN, [HEADLESS, HEADLESS]),
+    (TRICKLE, []), (TRICKLE, [silent, silent]),
+], ids=["silence", "and one not answered", "and two", "and a head alone", "and heads that never end", "trickle", "trickle, then two not answered"])
+def test_an_open_watch_that_falls_silent_is_made_up_for_in_time(first: Manner, then: list[Manner]) -> None:
+    async def play() -> None:
+        async with Peer(first, *then, says(change(3))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            fell = await heard.until(2)
+            assert await heard.until(3) - fell < TOLD, heard.notes
+            assert [line.partition("since=")[2].partition(" ")[0] for _, line in peer.seen] == ["1", *["2"] * (1 + len(then))]
+            heard.watch.stop()
+
+    moved(play())
+
+
+@pytest.mark.parametrize("then", [[], [silent], [silent, silent], [only_head]], ids=["", "one not answered", "two", "a head alone"])
+@pytest.mark.parametrize("out", [[], [silent], [silent, silent], [only_head]], ids=["a patient one", "the next", "the second", "a head"])
+def test_a_change_is_told_in_time_after_calls_that_failed(out: list[Manner], then: list[Manner]) -> None:
+    """The change and the way to it are there just after a call has gone out that is never answered."""
+    async def play() -> None:
+        # Many calls before, so that the wait between them is at its longest; the last of them is a patient one.
+        before = [*[silent] * 12, *out]
+        async with Peer(*before, *then, says(change(3))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await peer.asked(len(before))
+            there = now()
+            assert await heard.until(3) - there < TOLD, heard.notes
+            heard.watch.stop()
+
+    moved(play())
+
+
+@pytest.mark.parametrize("then", [[silent, silent], [only_head]], ids=["two not answered", "a head alone"])
+def test_a_move_is_made_up_for_in_time(then: list[Manner]) -> None:
+    """Just after the old address was found silent, so that a wait is on."""
+    async def play() -> None:
+        async with Peer(silent) as old, Peer(*then, says(change(3))) as new:
+            heard = Heard(old.address)
+            heard.watch.start()
+            while not heard.notes:
+                await asyncio.sleep(0.01)
+            heard.watch.move(new.address)
+            left = now()
+            assert await heard.until(3) - left < MOVED and len(old.seen) == 1
+            heard.watch.stop()
+
+    moved(play())
+
+
+def test_an_agent_that_is_slow_to_answer_is_heard_in_the_end() -> None:
+    async def slow(writer: asyncio.StreamWriter) -> None:
+        await asyncio.sleep(2.0)
+        writer.write(HEAD + chunk(change(2)))
+
+    async def play() -> None:
+        async with Peer(slow) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await heard.until(2)
+            heard.watch.stop()
+
+    moved(play(), 10.0)
+
+
+def test_a_quiet_list_keeps_its_watch() -> None:
+    """Nothing has changed: the head comes at once, and the first empty line 2 s later."""
+    async def play() -> None:
+        async with Peer(trickles(HEAD, b"")) as idle, Peer(quiet) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await asyncio.sleep(20.0)
+            assert len(peer.seen) == 1 and not heard.notes
+            heard.watch.move(idle.address)
+            await idle.asked(2)
+            assert heard.notes == ["silent"], "the one that was left tells nothing more"
+            heard.watch.stop()
+            await asyncio.sleep(5.0)
+            assert len(peer.seen) == 1 and len(idle.seen) == 2
+
+    moved(play())
+
+
+async def quiet(writer: asyncio.StreamWriter) -> None:
+    """A list that does not change."""
+    writer.write(HEAD)
+    while True:
+        await asyncio.sleep(2.0)
+        writer.write(chunk(b"\n"))
+
+
+def test_lists_may_come_indented_and_in_any_pieces() -> None:
+    """Objects over several lines, cut anywhere; what is no object ends the watch at once."""
+    whole = change(2, indent=2) + b"\r\n" + change(3, indent="\t") + change(4)
+    bad = says(*(whole[i:i + 7] for i in range(0, len(whole), 7)), b"]\n")
+
+    async def play() -> None:
+        async with Peer(bad, says(change(5, indent=1))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            began = now()
+            assert await heard.until(5) - began < 1.0
+            assert [rev for _, rev in heard.told] == [2, 3, 4, 5] and len(peer.seen) == 2
+            heard.watch.stop()
+
+    moved(play())
+
+
+def test_what_lies_in_the_socket_is_read_before_silence_is_believed(monkeypatch: pytest.MonkeyPatch) -> None:
+    """The loop that serves runs its timers before it reads: it stands still while a change comes."""
+    for name in ("SILENT", "UNANSWERED"):
+        monkeypatch.setattr(f"brassweir.relay.discovery.{name}", 0.4)
+
+    async def play() -> None:
+        async with Peer(says(change(2))) as peer:
+            heard = Heard(peer.address)
+            take = heard.watch.take
+
+            def stand_still(told: Change) -> None:
+                take(told)
+                if told.rev == 2:
+                    peer.write(chunk(change(3)))
+                    time.sleep(0.5)
+
+            heard.watch.take = stand_still
+            heard.watch.start()
+            await heard.until(3)
+            await asyncio.sleep(0.05)
+            assert len(peer.seen) == 1 and not heard.notes
+            heard.watch.stop()
+
+    run(play())
