--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -184,7 +184,7 @@
         A journal that breaks ends it at once, since nothing can be promised any more.
         """
         self.log.info("leaving", open=self.engine.ledger.held)
-        left = max(0.0, told + SERVES_ON - self.loop.time())
+        left = max(0.0, told + min(SERVES_ON, self.config.longest) - self.loop.time())
         self.engine.leaving(self.clock.now() + left * 1000.0)
         await asyncio.wait([self.broken], timeout=left)
         self.front.close()
