--- a/tests/relay/breaking.py
+++ b/tests/relay/breaking.py
@@ -1,6 +1,6 @@
 """Runs ``node`` on a folder that cannot be written any more once a file of the given name is there.
 
-Told to end, it would serve for a minute first.
+Told to end, it would serve for as long as its longest deadline first.
 """
 
 from __future__ import annotations
--- a/tests/relay/test_node_signals.py
+++ b/tests/relay/test_node_signals.py
@@ -21,9 +21,9 @@
     return ["-m", "tests.relay.signalled", moment, number]
 
 
-async def ended(world: World) -> int:
+async def ended(world: World, within: float = 8.0) -> int:
     assert world.process is not None
-    return await asyncio.wait_for(world.process.wait(), 8.0)
+    return await asyncio.wait_for(world.process.wait(), within)
 
 
 @pytest.mark.parametrize("number", ["SIGTERM", "SIGINT"])
@@ -87,7 +87,7 @@
             await asyncio.sleep(0.01)
         (world.folder / "broken").touch()
         assert await client.put("m2", "note", 1) == b"", "nothing is promised that is not written down"
-        assert await ended(world) == 4
+        assert await ended(world, 3.0) == 4
         assert world.log().count('"journal_broken"') == 1 and '"stopped"' not in world.log()
 
     world = World(tmp_path)
