--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -68,9 +68,9 @@
         own = self.arrivals * 1000.0 / max(now - self.start, self.sets.cold, 1.0)
         return max(self.rate / self.sets.senders, own)
 
-    def safe_gap(self, now: float) -> float:
+    def safe_gap(self, now: float, low: float = 0.5) -> float:
         """Calls about so far apart cannot push a returning destination over, though all senders make them."""
-        return 1000.0 / self.safe_rate(now, TRIAL_PART * self.sets.start_capacity) * (0.5 + self.rng.random())
+        return 1000.0 / self.safe_rate(now, TRIAL_PART * self.sets.start_capacity) * (low + self.rng.random())
 
     def safe_rate(self, now: float, share: float) -> float:
         """This sender's part of the tipping rate at a share of the capacity. Where senders call so rarely
@@ -114,8 +114,9 @@
         return self.shut
 
     def close(self, now: float, wait: float = 0.0) -> None:
-        """Take the destination for out: only single trials, drawn from the end of a told wait on."""
-        self.shut, self.last_fail, self.trial = True, now, now + wait + self.safe_gap(now)
+        """Take the destination for out: single trials, spread from a told wait's end on, one of all then."""
+        gap = self.safe_gap(now, -1.0 / self.sets.senders if wait else 0.5)
+        self.shut, self.last_fail, self.trial = True, now, now + wait + max(0.0, gap)
 
     def passed(self, now: float) -> None:
         """A call was served."""
