--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -78,6 +78,7 @@
         self.settling = pool.settling
         self.settler: asyncio.TimerHandle | None = None
         self.kept = False  # it has carried a call before
+        self.holder: asyncio.Handle | None = None  # of a last byte held back
 
     def eof_received(self) -> bool:
         """The peer sends no more: an answer without length ends here (RFC 9112, section 6.3, rule 8)."""
@@ -99,17 +100,10 @@
         self.answer = answer
         self.stage = Stage.CONNECT if hold else Stage.SENT
         self.transport.write(data[:-1] if hold else data)
+        if hold:
+            self.holder = self.loop.call_later(hold, self._whole, data[-1:], deadline, go)
         try:
             async with asyncio.timeout_at(deadline):
-                if hold:
-                    await asyncio.wait((answer,), timeout=hold)
-                    await asyncio.sleep(0)  # timers come before the sockets in a turn: now these are read
-                    if not answer.done():
-                        if not go():
-                            self.drop()
-                            raise CallFailed(Stage.CONNECT, "it may not begin any more", True, self.kept)
-                        self.stage = Stage.SENT
-                        self.transport.write(data[-1:])
                 return await answer
         except TimeoutError:
             return self._overdue(answer)
@@ -117,6 +111,9 @@
             self.drop()
             raise
         finally:
+            if self.holder is not None:
+                self.holder.cancel()
+                self.holder = None
             self.answer, self.kept = None, True
             if not answer.cancelled() and answer.done():
                 answer.exception()  # nobody may be left to ask for it
@@ -124,6 +121,22 @@
                 self.settler.cancel()
                 self.settler = None
 
+    def _whole(self, last: bytes, deadline: float, go: Callable[[], bool], turns: int = 2) -> None:
+        """The last byte goes out, if there is time and the connection still stands and has said nothing.
+
+        Timers may come before the sockets in a turn, and the loop may have stood still: they are read first.
+        """
+        assert self.transport is not None
+        if turns:
+            self.holder = self.loop.call_soon(self._whole, last, deadline, go, turns - 1)
+        elif self.loop.time() < deadline and self.usable and not self.transport.is_closing():
+            if go():
+                self.stage = Stage.SENT
+                self.transport.write(last)
+            else:
+                self.fail(CallFailed(Stage.CONNECT, "it may not begin any more", late=True))
+                self.drop()
+
     def _overdue(self, answer: asyncio.Future[Reply]) -> Reply:
         """What a call has come to as its time runs out: what was read up to that very turn counts."""
         if answer.done() and not answer.cancelled():
