--- a/brassweir/lab/rigs/handle.py
+++ b/brassweir/lab/rigs/handle.py
@@ -25,6 +25,8 @@
     for _ in range(PART):
         port = first + next(_chosen) % PART
         with socket.socket(socket.AF_INET, kind) as probe:
+            if kind == socket.SOCK_STREAM:  # as listeners do: what rests of ended ones is in no way
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
