--- a/tests/relay/test_node_signals.py
+++ b/tests/relay/test_node_signals.py
@@ -124,3 +124,14 @@
     asyncio.run(played(world, day, Endpoint("a", 1)))
 
 
+
+
+def test_it_has_one_thread_so_that_no_other_can_take_a_signal(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        client = await world.client()
+        assert await client.put("m1", "note", 1) == b"+OK\r\n"
+        await world.settled(1)
+        assert world.process is not None
+        assert len(list(Path(f"/proc/{world.process.pid}/task").iterdir())) == 1
+
+    asyncio.run(played(World(tmp_path), day, Endpoint("a", 1)))
