--- a/benchmarks/open_messages.py
+++ b/benchmarks/open_messages.py
@@ -28,15 +28,26 @@
     """Print JSON."""
     clock = SimClock(1000.0)
     cls = api.MessageClass("pay", 60_000.0, 600_000.0, api.Effect.UNSAFE)
-    engine = Engine(api.Settings(classes=(cls,), slots=2 * COUNT, max_open=2 * COUNT), 1, clock, lambda _: Silent())
+    engine = Engine(
+        api.Settings(classes=(cls,), slots=2 * COUNT, max_open=2 * COUNT), 1, clock, lambda _: Silent()
+    )
     engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"e{i}", i, "") for i in range(100))))
     clock.run(1001.0)
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     for i in range(COUNT):
-        engine.submit(Submission("office", f"bank\n<{i}@office>", "pay", i % 100, 500_000.0,
-                                 payload=Payload("a/b", bytes(CONTENT))), lambda _: None)
+        engine.submit(
+            Submission(
+                "office",
+                f"bank\n<{i}@office>",
+                "pay",
+                i % 100,
+                500_000.0,
+                payload=Payload("a/b", bytes(CONTENT)),
+            ),
+            lambda _: None,
+        )
     clock.run(1100.0)
     gc.collect()
     used = (tracemalloc.get_traced_memory()[0] - before) / COUNT
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -38,8 +38,10 @@
     cpu = time.process_time() - cpu
     messages, size = net.messages - messages, net.bytes - size
     each = messages / copies / span
-    return (f"{copies:>6} {each:>10.1f} {size / copies / span:>10.0f} {(size + messages * HEADERS) / copies / span:>12.0f} "
-            f"{each / (2.0 * (copies - 1)):>12.2f} {cpu / copies / span:>9.4f}")
+    return (
+        f"{copies:>6} {each:>10.1f} {size / copies / span:>10.0f} {(size + messages * HEADERS) / copies / span:>12.0f} "
+        f"{each / (2.0 * (copies - 1)):>12.2f} {cpu / copies / span:>9.4f}"
+    )
 
 
 def deaths(copies: int, trials: int) -> str:
@@ -65,8 +67,10 @@
             into.append(max(took.get(who, float("inf")) for who in others))
             each += [took.get(who, float("inf")) for who in others] if word == "dead" else []
             false += sum(what == "dead" and of != name for _, _, of, what in net.tape)
-    return (f"{copies:>6} {trials:>7} {part(each, 0.5):>9.0f} {part(each, 0.99):>9.0f} {part(last, 0.5):>9.0f} "
-            f"{part(last, 0.99):>9.0f} {max(last):>9.0f} {max(back):>9.0f} {false:>6}")
+    return (
+        f"{copies:>6} {trials:>7} {part(each, 0.5):>9.0f} {part(each, 0.99):>9.0f} {part(last, 0.5):>9.0f} "
+        f"{part(last, 0.99):>9.0f} {max(last):>9.0f} {max(back):>9.0f} {false:>6}"
+    )
 
 
 def bad(copies: int, seconds: float) -> str:
@@ -78,8 +82,10 @@
     net.run(seconds * 1_000.0)
     said = [what for _, _, _, what in net.tape]
     refuted = sum(node.core.table.refuted for node in net.nodes.values())
-    return (f"{copies:>6} {seconds:>8.0f} {said.count('dead'):>12} {refuted:>10} {(net.messages - messages) / copies / seconds:>10.1f} "
-            f"{(net.bytes - size) / copies / seconds:>10.0f}")
+    return (
+        f"{copies:>6} {seconds:>8.0f} {said.count('dead'):>12} {refuted:>10} {(net.messages - messages) / copies / seconds:>10.1f} "
+        f"{(net.bytes - size) / copies / seconds:>10.0f}"
+    )
 
 
 def main() -> None:
@@ -90,7 +96,9 @@
     print("idle, a copy\ncopies messages/s    bytes/s with headers of all-to-all CPU share")
     for copies in SIZES:
         print(idle(copies), flush=True)
-    print("\nms from kill to shown dead\ncopies  trials  each p50  each p99  last p50  last p99  last max  back max  false")
+    print(
+        "\nms from kill to shown dead\ncopies  trials  each p50  each p99  last p50  last p99  last max  back max  false"
+    )
     for copies, trials in zip(SIZES, (300, 100, 100 if full else 20), strict=True):
         print(deaths(copies, trials), flush=True)
     print("\n20% lost, 200 ms late\ncopies  seconds false deaths    refuted messages/s    bytes/s")
--- a/brassweir/agreed/changes.py
+++ b/brassweir/agreed/changes.py
@@ -66,8 +66,10 @@
         known.last = self.now
         if self.now - known.since >= timing.READMIT and self.now >= self.readmitted.get(sender, 0.0):
             self.readmitted[sender] = self.now + timing.READMIT_REST
-            self.wanted += [Change(0, sender, False, self.now + timing.CATCH_UP),
-                            Change(0, sender, True, self.now + timing.CATCH_UP)]
+            self.wanted += [
+                Change(0, sender, False, self.now + timing.CATCH_UP),
+                Change(0, sender, True, self.now + timing.CATCH_UP),
+            ]
 
     def tend_changes(self) -> None:
         """Carry the next change out, once the one before is agreed and this term has agreed on something."""
--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -37,8 +37,9 @@
 class Core(Changes):
     """One member."""
 
-    def __init__(self, name: str, kept: Kept, machine: Machine, rng: Random, now: float,
-                 founders: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self, name: str, kept: Kept, machine: Machine, rng: Random, now: float, founders: tuple[str, ...] = ()
+    ) -> None:
         """``kept``: what is durable, this run counted in it; ``founders``: who founds a group that is new."""
         super().__init__(name, kept, machine, rng, now, founders)
         self.progress, self.queued = {}, {}
@@ -196,7 +197,8 @@
             case m.Vote():
                 self.on_vote(sender, member, message)
             case m.Append() if message.term >= self.term and not self.log.fits(
-                    self.agreed, message.prev, message.prev_term, message.entries):
+                self.agreed, message.prev, message.prev_term, message.entries
+            ):
                 self.count("a leader of the past")  # agreed entries of a later term came here by a feeder
             case m.Append():
                 self.on_append(sender, message)
--- a/brassweir/agreed/disk.py
+++ b/brassweir/agreed/disk.py
@@ -17,7 +17,7 @@
     at = max((i for i, write in enumerate(writes) if write.whole), default=-1)
     if at >= 0:
         store.write_whole(writes[at].records)
-    records = tuple(record for write in writes[at + 1:] for record in write.records)
+    records = tuple(record for write in writes[at + 1 :] for record in write.records)
     if records:
         store.write(records)
 
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -185,7 +185,7 @@
         """Send a piece, or tell of a newer snapshot by silence."""
         index, data = self.sending
         if index == message.index:
-            piece = data[message.at: message.at + timing.CHUNK]
+            piece = data[message.at : message.at + timing.CHUNK]
             self.post(sender, Chunk(index, message.at, len(data), piece))
 
     def on_chunk(self, sender: str, message: Chunk) -> None:
@@ -199,7 +199,7 @@
         self.since = self.now
         missing = [at for at in range(0, f.size, timing.CHUNK) if at not in f.parts]
         if missing:
-            asked = [at for at in missing if at > message.at][timing.CHUNKS - 1: timing.CHUNKS]
+            asked = [at for at in missing if at > message.at][timing.CHUNKS - 1 : timing.CHUNKS]
             for at in asked:
                 self.post(sender, AskChunk(f.index, at))
             return
--- a/brassweir/agreed/log.py
+++ b/brassweir/agreed/log.py
@@ -85,7 +85,7 @@
 
     def cut(self, index: int) -> None:
         """Drop all from ``index`` on."""
-        del self.entries[max(0, index - self.base.index - 1):]
+        del self.entries[max(0, index - self.base.index - 1) :]
         self.members = [pair for pair in self.members if pair[0] < index] or self.members[:1]
 
     def begin_at(self, index: int) -> None:
--- a/brassweir/agreed/machine.py
+++ b/brassweir/agreed/machine.py
@@ -52,8 +52,9 @@
         try:
             level, body = commands.split(command)
             if not 1 <= level <= state.level:
-                return Result(False, state.level, "level",
-                              f"a command of level {level}; level {state.level} is agreed")
+                return Result(
+                    False, state.level, "level", f"a command of level {level}; level {state.level} is agreed"
+                )
             return self._carry_out(index, self._decode(level, body))
         except CommandError as error:
             return Result(False, 0, "command", str(error))
@@ -83,8 +84,12 @@
         if state.epoch == epoch:
             return Result(True, state.granted)
         if given.after != state.granted:
-            return Result(False, state.granted, "after",
-                          f"it was made from version {given.after}, and {state.granted} is there")
+            return Result(
+                False,
+                state.granted,
+                "after",
+                f"it was made from version {given.after}, and {state.granted} is there",
+            )
         size = len(msgspec.msgpack.encode(epoch))
         if size > MOST_EPOCH:
             return Result(False, state.granted, "epoch", f"{size} bytes of ranges; {MOST_EPOCH} are the most")
@@ -107,8 +112,9 @@
         if (there.pin if there is not None else None) == given.pin:
             return Result(True, version)
         if given.after != version:
-            return Result(False, version, "after",
-                          f"it was made from version {given.after}, and {version} is there")
+            return Result(
+                False, version, "after", f"it was made from version {given.after}, and {version} is there"
+            )
         if given.pin is None:
             self.pins -= 1
             del of[given.shard]
@@ -117,8 +123,9 @@
             return Result(True, 0)
         if there is None:
             if len(of) >= MOST_PINS_OF_ONE or self.pins >= MOST_PINS:
-                return Result(False, 0, "customer", f"no room: {len(of)} pins of this customer, {self.pins} "
-                                                    "of all")
+                return Result(
+                    False, 0, "customer", f"no room: {len(of)} pins of this customer, {self.pins} of all"
+                )
             self.pins += 1
         self.state.placements.setdefault(given.customer, of)[given.shard] = Placed(given.pin, index)
         return Result(True, index)
@@ -130,8 +137,9 @@
         if there is not None and there.standing == given.standing:
             return Result(True, version)
         if given.after != version:
-            return Result(False, version, "after",
-                          f"it was made from version {given.after}, and {version} is there")
+            return Result(
+                False, version, "after", f"it was made from version {given.after}, and {version} is there"
+            )
         if there is None and len(sites) >= MOST_SITES:
             return Result(False, 0, "site", f"no room: {len(sites)} sites have a verdict")
         sites[given.site] = Verdict(given.standing, given.since, given.by, index)
@@ -142,8 +150,11 @@
         if given.reads < level:
             return Result(False, level, "reads", f"it reads up to level {given.reads}; {level} is agreed")
         there = copies.get(given.name)
-        if there is not None and (there.site, there.region, there.reads) == (given.site, given.region,
-                                                                             given.reads):
+        if there is not None and (there.site, there.region, there.reads) == (
+            given.site,
+            given.region,
+            given.reads,
+        ):
             return Result(True, there.version)
         if there is None and len(copies) >= MOST_COPIES:
             return Result(False, 0, "name", f"no room: {len(copies)} copies are members")
--- a/brassweir/agreed/member.py
+++ b/brassweir/agreed/member.py
@@ -50,8 +50,15 @@
 class Member:
     """Runs one member. ``machine`` is blank when it is handed over, and read by anybody on the loop."""
 
-    def __init__(self, name: str, folder: Path | Callable[[], Storage], machine: Machine, port: Port,
-                 founders: tuple[str, ...] = (), copies: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        name: str,
+        folder: Path | Callable[[], Storage],
+        machine: Machine,
+        port: Port,
+        founders: tuple[str, ...] = (),
+        copies: tuple[str, ...] = (),
+    ) -> None:
         """``founders``: settings' voters; ``copies``: all names there are. Nothing is opened yet."""
         self.name, self.machine, self.port, self.founders, self.copies = name, machine, port, founders, copies
         self.blank = machine.snapshot()
--- a/brassweir/agreed/messages.py
+++ b/brassweir/agreed/messages.py
@@ -195,8 +195,26 @@
     index: Count
 
 
-Message = (AskVote | Vote | Append | Appended | Forward | Pull | Feed | Full | Offer | AskChunk | Chunk
-           | Hello | Remembered | AskFound | NewHere | TakeOver | AskRead | ReadAt)
+Message = (
+    AskVote
+    | Vote
+    | Append
+    | Appended
+    | Forward
+    | Pull
+    | Feed
+    | Full
+    | Offer
+    | AskChunk
+    | Chunk
+    | Hello
+    | Remembered
+    | AskFound
+    | NewHere
+    | TakeOver
+    | AskRead
+    | ReadAt
+)
 
 
 class Envelope(msgspec.Struct, frozen=True, array_like=True):
--- a/brassweir/agreed/records.py
+++ b/brassweir/agreed/records.py
@@ -129,7 +129,7 @@
                 case Cut():
                     if record.index <= self.agreed:
                         raise ValueError(f"cut at {record.index}, but {self.agreed} is agreed")
-                    del self.entries[max(0, record.index - self.base.index - 1):]
+                    del self.entries[max(0, record.index - self.base.index - 1) :]
                 case Agreed():
                     self.agreed = max(self.agreed, record.index)
                     for ack in record.acks:
--- a/brassweir/agreed/renewing.py
+++ b/brassweir/agreed/renewing.py
@@ -94,6 +94,10 @@
     if not lost:
         return made
     ends = {(one.region, one.low): one.ends for one in before.grants}
-    return msgspec.structs.replace(made, grants=tuple(
-        msgspec.structs.replace(one, ends=ends[one.region, one.low]) if one.region in lost else one
-        for one in made.grants))
+    return msgspec.structs.replace(
+        made,
+        grants=tuple(
+            msgspec.structs.replace(one, ends=ends[one.region, one.low]) if one.region in lost else one
+            for one in made.grants
+        ),
+    )
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -50,7 +50,7 @@
     def queue_again(self) -> None:
         """What of the log has not taken effect."""
         first = max(self.applied, self.log.base.index)
-        entries = self.log.entries[first - self.log.base.index:]
+        entries = self.log.entries[first - self.log.base.index :]
         self.queued = {(entry.session, entry.seq): entry.index for entry in entries if entry.kind == COMMAND}
 
     def beat(self) -> None:
@@ -163,8 +163,11 @@
 
     def in_touch(self) -> set[str]:
         """Names of voters that answered within the shortest election time, this one with them."""
-        found = {name for name, p in self.progress.items()
-                 if self.now - p.heard < timing.ELECT and self.voter(name, p.member)}
+        found = {
+            name
+            for name, p in self.progress.items()
+            if self.now - p.heard < timing.ELECT and self.voter(name, p.member)
+        }
         return found | ({self.name} if self.votes else set())
 
     # Followers
--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -13,7 +13,13 @@
 from brassweir.agreed.replica import Machine, Replica
 
 LEARNER, FOLLOWER, ASKING, CANDIDATE, ELECTED, LEADER = (
-    "learner", "follower", "asking", "candidate", "elected", "leader")
+    "learner",
+    "follower",
+    "asking",
+    "candidate",
+    "elected",
+    "leader",
+)
 
 
 @dataclass
@@ -33,8 +39,9 @@
     snap_every, keep = timing.SNAP_EVERY, timing.KEEP
     term_start: int = 0  # index of the first entry of this leader's term
 
-    def __init__(self, name: str, kept: Kept, machine: Machine, rng: Random, now: float,
-                 founders: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self, name: str, kept: Kept, machine: Machine, rng: Random, now: float, founders: tuple[str, ...] = ()
+    ) -> None:
         """``kept`` is durable with its run already counted; ``rng`` draws waits and ids."""
         self.name, self.rng, self.now, self.founders = name, rng, now, founders
         self.identity = kept.identity
@@ -145,8 +152,15 @@
 
     def image(self) -> Kept:
         """All that must be on disk."""
-        return Kept(self.identity, Ballot(self.term, self.vote), self.log.base, list(self.log.entries),
-                    self.agreed, self.snap, dict(self.memory))
+        return Kept(
+            self.identity,
+            Ballot(self.term, self.vote),
+            self.log.base,
+            list(self.log.entries),
+            self.agreed,
+            self.snap,
+            dict(self.memory),
+        )
 
     # What is agreed, and what comes of it
 
--- a/brassweir/agreed/status.py
+++ b/brassweir/agreed/status.py
@@ -47,8 +47,22 @@
     """A running member as it stands."""
     age, mine = core.age(), core.identity
     return Status(
-        core.name, trouble or core.broken, mine.group, mine.member, mine.life, core.sure or not core.votes,
-        core.role, core.leader, core.term, core.log.last, core.agreed, core.applied,
+        core.name,
+        trouble or core.broken,
+        mine.group,
+        mine.member,
+        mine.life,
+        core.sure or not core.votes,
+        core.role,
+        core.leader,
+        core.term,
+        core.log.last,
+        core.agreed,
+        core.applied,
         age if age < 1e15 else -1.0,
-        core.log.membership.names(), sorted(core.children), core.feeder, len(core.asked.open),
-        {**dropped, **core.dropped})
+        core.log.membership.names(),
+        sorted(core.children),
+        core.feeder,
+        len(core.asked.open),
+        {**dropped, **core.dropped},
+    )
--- a/brassweir/agreed/store.py
+++ b/brassweir/agreed/store.py
@@ -42,7 +42,7 @@
     if len(data) - at < _FRAME.size:
         return None
     mark, found, length, crc = _FRAME.unpack_from(data, at)
-    payload = data[at + _FRAME.size: at + _FRAME.size + length]
+    payload = data[at + _FRAME.size : at + _FRAME.size + length]
     if mark != MARK or len(payload) != length or number not in (None, found):
         return None
     if google_crc32c.value(struct.pack("<QI", found, length) + payload) != crc:
--- a/brassweir/agreed/wanted.py
+++ b/brassweir/agreed/wanted.py
@@ -23,19 +23,23 @@
 def recent(first: Epoch, now: float) -> None:
     """Raise EpochError if a log's first epoch is too old to be proposed without an operator's word."""
     if now - first.issued > FIRST_FOR:
-        raise EpochError("it was made over an hour ago: a group founded with it may have moved places since. "
-                         "If none of it is left, SIGHUP proposes it")
+        raise EpochError(
+            "it was made over an hour ago: a group founded with it may have moved places since. "
+            "If none of it is left, SIGHUP proposes it"
+        )
 
 
-def proposal(wish: Epoch, there: Epoch | None, now: float, lease: float,
-             assumed: Assumed) -> tuple[Epoch, str] | None:
+def proposal(
+    wish: Epoch, there: Epoch | None, now: float, lease: float, assumed: Assumed
+) -> tuple[Epoch, str] | None:
     """The epoch to propose, and the region that it states as lost ("" for none); None if there is nothing to
     do. Raises EpochError with the reason where the wish does not follow."""
     check(wish)
     if there is None or publisher(there) is not Source.AGREED:
         if publisher(wish) is not Source.AGREED:
-            raise EpochError(f"epoch {wish.number} is the file's to publish (turn {wish.turn}): hand over "
-                             "first")
+            raise EpochError(
+                f"epoch {wish.number} is the file's to publish (turn {wish.turn}): hand over first"
+            )
         return wish, ""
     if wish.number <= there.number:
         return None
@@ -72,9 +76,15 @@
 
 def _pausing(wish: Epoch, assumed: Assumed) -> Assumed:
     """What the operator assumed shows in the pause of the move; the longer one counts."""
-    pauses = [one.begins - max(before.ends, wish.issued) for one in wish.grants for before in wish.past
-              if one.region != before.region and before.low < one.high and one.low < before.high
-              and one.begins > wish.issued]
+    pauses = [
+        one.begins - max(before.ends, wish.issued)
+        for one in wish.grants
+        for before in wish.past
+        if one.region != before.region
+        and before.low < one.high
+        and one.low < before.high
+        and one.begins > wish.issued
+    ]
     shown = min(pauses, default=0.0) - 2.0 * assumed.clock_error
     return replace(assumed, longest=max(assumed.longest, shown))
 
--- a/brassweir/as2/carrier.py
+++ b/brassweir/as2/carrier.py
@@ -30,8 +30,17 @@
     recorded, and is the answer if none was given.
     """
 
-    def __init__(self, book: Partnerships, urls: Urls, pools: Pools, receipts: Receipts, offload: Offload,
-                 note: Note, name: str = "", linger: float = 2000.0) -> None:
+    def __init__(
+        self,
+        book: Partnerships,
+        urls: Urls,
+        pools: Pools,
+        receipts: Receipts,
+        offload: Offload,
+        note: Note,
+        name: str = "",
+        linger: float = 2000.0,
+    ) -> None:
         super().__init__(urls, pools, note, name)
         self.book, self.pools = book, pools
         self.receipts, self.offload, self.linger = receipts, offload, linger
@@ -92,15 +101,16 @@
         headers.add("Content-Type", built.content_type)
         headers.add("Disposition-Notification-To", mime.shown_name(self.book.ours.as2_id))
         if partner.signed_receipt:
-            headers.add("Disposition-Notification-Options",
-                        "signed-receipt-protocol=required, pkcs7-signature; "
-                        f"signed-receipt-micalg=required, {cms.micalg(built.micalg)}")
+            headers.add(
+                "Disposition-Notification-Options",
+                "signed-receipt-protocol=required, pkcs7-signature; "
+                f"signed-receipt-micalg=required, {cms.micalg(built.micalg)}",
+            )
         if partner.asynchronous:
             headers.add("Receipt-Delivery-Option", back)
         return headers
 
-    async def _read(self, call: asyncio.Task[Reply], expected: endings.Expected,
-                    partner: Partner) -> Outcome:
+    async def _read(self, call: asyncio.Task[Reply], expected: endings.Expected, partner: Partner) -> Outcome:
         """What a synchronous answer says."""
         try:
             reply = await call
@@ -118,19 +128,25 @@
 
     @staticmethod
     def _parse(reply: Reply, partner: Partner) -> mdn.Mdn:
-        entity = mime.of_http(reply.headers.first("content-type"),
-                              reply.headers.first("content-transfer-encoding"), reply.body)
+        entity = mime.of_http(
+            reply.headers.first("content-type"), reply.headers.first("content-transfer-encoding"), reply.body
+        )
         return mdn.parse(entity, valid_now(partner.certificates, time.time()), legacy=partner.legacy)
 
-    async def _asynchronous(self, call: asyncio.Task[Reply], waiting: asyncio.Future[mdn.Mdn],
-                            expected: endings.Expected, partner: Partner, until: float,
-                            done: Callable[[Outcome], None]) -> None:
+    async def _asynchronous(
+        self,
+        call: asyncio.Task[Reply],
+        waiting: asyncio.Future[mdn.Mdn],
+        expected: endings.Expected,
+        partner: Partner,
+        until: float,
+        done: Callable[[Outcome], None],
+    ) -> None:
         """The receipt decides, come before or after the post's own answer; waits until ``until``."""
         loop = asyncio.get_running_loop()
         hints = Told()
         either: set[asyncio.Future[Any]] = {call, waiting}
-        await asyncio.wait(either, timeout=max(0.0, until - loop.time()),
-                           return_when=asyncio.FIRST_COMPLETED)
+        await asyncio.wait(either, timeout=max(0.0, until - loop.time()), return_when=asyncio.FIRST_COMPLETED)
         if call.done() and not waiting.done():
             try:
                 reply = await call
--- a/brassweir/as2/cms.py
+++ b/brassweir/as2/cms.py
@@ -32,22 +32,40 @@
 PrivateKey = rsa.RSAPrivateKey | ec.EllipticCurvePrivateKey
 
 DIGESTS: dict[str, Callable[[], hashes.HashAlgorithm]] = {
-    "sha1": hashes.SHA1, "sha224": hashes.SHA224, "sha256": hashes.SHA256, "sha384": hashes.SHA384,
+    "sha1": hashes.SHA1,
+    "sha224": hashes.SHA224,
+    "sha256": hashes.SHA256,
+    "sha384": hashes.SHA384,
     "sha512": hashes.SHA512,
 }
 LEGACY_DIGESTS = frozenset({"sha1"})
-CIPHERS = {"aes128-cbc": 16, "aes192-cbc": 24, "aes256-cbc": 32, "3des": 24,
-           "aes128-gcm": 16, "aes192-gcm": 24, "aes256-gcm": 32}
+CIPHERS = {
+    "aes128-cbc": 16,
+    "aes192-cbc": 24,
+    "aes256-cbc": 32,
+    "3des": 24,
+    "aes128-gcm": 16,
+    "aes192-gcm": 24,
+    "aes256-gcm": 32,
+}
 LEGACY_CIPHERS = frozenset({"3des"})
-_CIPHER_OIDS = {"aes128_cbc": "aes128-cbc", "aes192_cbc": "aes192-cbc", "aes256_cbc": "aes256-cbc",
-                "tripledes_3key": "3des", "aes128_gcm": "aes128-gcm", "aes192_gcm": "aes192-gcm",
-                "aes256_gcm": "aes256-gcm"}
+_CIPHER_OIDS = {
+    "aes128_cbc": "aes128-cbc",
+    "aes192_cbc": "aes192-cbc",
+    "aes256_cbc": "aes256-cbc",
+    "tripledes_3key": "3des",
+    "aes128_gcm": "aes128-gcm",
+    "aes192_gcm": "aes192-gcm",
+    "aes256_gcm": "aes256-gcm",
+}
 _PLAIN_CIPHERS: dict[str, Any] = {"aes128-cbc": algorithms.AES128, "aes256-cbc": algorithms.AES256}
 _MOST_SIGNERS = 8  # signatures are costly to check: a message with more is no honest one
 
 # The DER of the object identifiers (RFC 3565, section 4.1), which stand within the head of an EnvelopedData.
-_PLAIN_OIDS = {"aes128-cbc": bytes.fromhex("06096086480165030401" "02"),
-               "aes256-cbc": bytes.fromhex("06096086480165030401" "2a")}
+_PLAIN_OIDS = {
+    "aes128-cbc": bytes.fromhex("0609608648016503040102"),
+    "aes256-cbc": bytes.fromhex("060960864801650304012a"),
+}
 _HEAD = 4096
 
 _P = ParamSpec("_P")
@@ -69,9 +87,19 @@
                 return function(*args, **kwargs)
             except As2Error:
                 raise
-            except (ValueError, TypeError, KeyError, IndexError, AttributeError, OverflowError,
-                    RecursionError, UnsupportedAlgorithm, InvalidTag, zlib.error,
-                    NotImplementedError) as error:
+            except (
+                ValueError,
+                TypeError,
+                KeyError,
+                IndexError,
+                AttributeError,
+                OverflowError,
+                RecursionError,
+                UnsupportedAlgorithm,
+                InvalidTag,
+                zlib.error,
+                NotImplementedError,
+            ) as error:
                 raise As2Error(modifier, f"{what}: {type(error).__name__}: {str(error)[:200]}") from None
 
         inner.__name__, inner.__doc__ = function.__name__, function.__doc__
@@ -116,13 +144,23 @@
 # ---- signatures
 
 
-def sign(content: bytes, key: PrivateKey, certificate: x509.Certificate, digest: str, *, pss: bool = False,
-         detached: bool = True) -> bytes:
+def sign(
+    content: bytes,
+    key: PrivateKey,
+    certificate: x509.Certificate,
+    digest: str,
+    *,
+    pss: bool = False,
+    detached: bool = True,
+) -> bytes:
     """A SignedData over ``content`` with one signer, DER (RFC 5652, section 5)."""
     if digest not in LEGACY_DIGESTS:
         scheme = _pss(DIGESTS[digest]()) if pss and isinstance(key, rsa.RSAPrivateKey) else None
-        builder = pkcs7.PKCS7SignatureBuilder().set_data(content).add_signer(
-            certificate, key, cast(Any, DIGESTS[digest]()), rsa_padding=scheme)
+        builder = (
+            pkcs7.PKCS7SignatureBuilder()
+            .set_data(content)
+            .add_signer(certificate, key, cast(Any, DIGESTS[digest]()), rsa_padding=scheme)
+        )
         options = [pkcs7.PKCS7Options.Binary, pkcs7.PKCS7Options.NoCapabilities]
         if detached:
             options.append(pkcs7.PKCS7Options.DetachedSignature)
@@ -134,17 +172,24 @@
     return padding.PSS(padding.MGF1(algorithm), algorithm.digest_size)
 
 
-def _sign_legacy(content: bytes, key: PrivateKey, certificate: x509.Certificate, digest: str,
-                 detached: bool) -> bytes:
+def _sign_legacy(
+    content: bytes, key: PrivateKey, certificate: x509.Certificate, digest: str, detached: bool
+) -> bytes:
     """The same with a digest that cryptography's own builder no longer writes."""
     algorithm = DIGESTS[digest]()
     cert = _asn1(certificate)
-    attributes = cms.CMSAttributes([
-        cms.CMSAttribute({"type": "content_type", "values": ["data"]}),
-        cms.CMSAttribute({"type": "signing_time",
-                          "values": [cms.Time({"utc_time": datetime.now(UTC).replace(microsecond=0)})]}),
-        cms.CMSAttribute({"type": "message_digest", "values": [hashlib.new(digest, content).digest()]}),
-    ])
+    attributes = cms.CMSAttributes(
+        [
+            cms.CMSAttribute({"type": "content_type", "values": ["data"]}),
+            cms.CMSAttribute(
+                {
+                    "type": "signing_time",
+                    "values": [cms.Time({"utc_time": datetime.now(UTC).replace(microsecond=0)})],
+                }
+            ),
+            cms.CMSAttribute({"type": "message_digest", "values": [hashlib.new(digest, content).digest()]}),
+        ]
+    )
     signed = attributes.dump()
     if isinstance(key, ec.EllipticCurvePrivateKey):
         signature = key.sign(signed, ec.ECDSA(algorithm))
@@ -152,22 +197,37 @@
     else:
         signature = key.sign(signed, padding.PKCS1v15(), algorithm)
         kind = {"algorithm": "rsassa_pkcs1v15"}
-    signer = cms.SignerInfo({
-        "version": "v1",
-        "sid": cms.SignerIdentifier({"issuer_and_serial_number": {
-            "issuer": cert.issuer, "serial_number": cert.serial_number}}),
-        "digest_algorithm": {"algorithm": digest},
-        "signed_attrs": attributes,
-        "signature_algorithm": kind,
-        "signature": signature,
-    })
-    return bytes(cms.ContentInfo({"content_type": "signed_data", "content": cms.SignedData({
-        "version": "v1",
-        "digest_algorithms": [{"algorithm": digest}],
-        "encap_content_info": {"content_type": "data", "content": None if detached else content},
-        "certificates": [cert],
-        "signer_infos": [signer],
-    })}).dump())
+    signer = cms.SignerInfo(
+        {
+            "version": "v1",
+            "sid": cms.SignerIdentifier(
+                {"issuer_and_serial_number": {"issuer": cert.issuer, "serial_number": cert.serial_number}}
+            ),
+            "digest_algorithm": {"algorithm": digest},
+            "signed_attrs": attributes,
+            "signature_algorithm": kind,
+            "signature": signature,
+        }
+    )
+    return bytes(
+        cms.ContentInfo(
+            {
+                "content_type": "signed_data",
+                "content": cms.SignedData(
+                    {
+                        "version": "v1",
+                        "digest_algorithms": [{"algorithm": digest}],
+                        "encap_content_info": {
+                            "content_type": "data",
+                            "content": None if detached else content,
+                        },
+                        "certificates": [cert],
+                        "signer_infos": [signer],
+                    }
+                ),
+            }
+        ).dump()
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -180,8 +240,9 @@
 
 
 @_guard(Modifier.AUTHENTICATION, "signature cannot be read")
-def verify(data: bytes, trusted: Sequence[x509.Certificate], content: bytes | None, *,
-           legacy: bool = False) -> Signed:
+def verify(
+    data: bytes, trusted: Sequence[x509.Certificate], content: bytes | None, *, legacy: bool = False
+) -> Signed:
     """Check a SignedData against the trusted certificates; ``content`` is given if it is detached.
 
     Raises As2Error: integrity-check-failed if the content is not what was signed, authentication-failed if
@@ -222,8 +283,11 @@
     # Signed as an explicit SET OF in DER, whatever the message holds (RFC 5652, section 5.4). Nearly always
     # it holds just that but for the tag; putting it in order anew costs more than the signature.
     held = attributes.dump()
-    return (held[1] != 0x80 and _holds(signer, certificate, digest, b"\x31" + held[1:])
-            or _holds(signer, certificate, digest, attributes.untag().dump(force=True)))
+    return (
+        held[1] != 0x80
+        and _holds(signer, certificate, digest, b"\x31" + held[1:])
+        or _holds(signer, certificate, digest, attributes.untag().dump(force=True))
+    )
 
 
 def _holds(signer: Any, certificate: x509.Certificate, digest: str, covered: bytes) -> bool:
@@ -279,53 +343,88 @@
     if not isinstance(public, rsa.RSAPublicKey):
         raise ValueError("only RSA certificates can be encrypted to")
     if cipher in _PLAIN_CIPHERS and not oaep:
-        return pkcs7.PKCS7EnvelopeBuilder().set_data(content).add_recipient(
-            certificate).set_content_encryption_algorithm(_PLAIN_CIPHERS[cipher]).encrypt(
-                serialization.Encoding.DER, [pkcs7.PKCS7Options.Binary])
+        return (
+            pkcs7.PKCS7EnvelopeBuilder()
+            .set_data(content)
+            .add_recipient(certificate)
+            .set_content_encryption_algorithm(_PLAIN_CIPHERS[cipher])
+            .encrypt(serialization.Encoding.DER, [pkcs7.PKCS7Options.Binary])
+        )
     secret = os.urandom(CIPHERS[cipher])
     cert = _asn1(certificate)
     if oaep:
         wrapped = public.encrypt(secret, padding.OAEP(padding.MGF1(hashes.SHA256()), hashes.SHA256(), None))
-        transport: Any = {"algorithm": "rsaes_oaep", "parameters": algos.RSAESOAEPParams({
-            "hash_algorithm": {"algorithm": "sha256"},
-            "mask_gen_algorithm": {"algorithm": "mgf1", "parameters": {"algorithm": "sha256"}}})}
+        transport: Any = {
+            "algorithm": "rsaes_oaep",
+            "parameters": algos.RSAESOAEPParams(
+                {
+                    "hash_algorithm": {"algorithm": "sha256"},
+                    "mask_gen_algorithm": {"algorithm": "mgf1", "parameters": {"algorithm": "sha256"}},
+                }
+            ),
+        }
     else:
         wrapped = public.encrypt(secret, padding.PKCS1v15())
         transport = {"algorithm": "rsaes_pkcs1v15"}
-    recipient = cms.RecipientInfo("ktri", cms.KeyTransRecipientInfo({
-        "version": "v0",
-        "rid": cms.RecipientIdentifier({"issuer_and_serial_number": {
-            "issuer": cert.issuer, "serial_number": cert.serial_number}}),
-        "key_encryption_algorithm": transport,
-        "encrypted_key": wrapped,
-    }))
+    recipient = cms.RecipientInfo(
+        "ktri",
+        cms.KeyTransRecipientInfo(
+            {
+                "version": "v0",
+                "rid": cms.RecipientIdentifier(
+                    {"issuer_and_serial_number": {"issuer": cert.issuer, "serial_number": cert.serial_number}}
+                ),
+                "key_encryption_algorithm": transport,
+                "encrypted_key": wrapped,
+            }
+        ),
+    )
     if cipher.endswith("-gcm"):
         nonce = os.urandom(12)
         sealed = AESGCM(secret).encrypt(nonce, content, None)
         parameters = core.Any(_GcmParameters({"nonce": nonce, "icv_len": 16}))
-        body = cms.AuthEnvelopedData({
-            "version": "v0", "recipient_infos": [recipient],
-            "auth_encrypted_content_info": {
-                "content_type": "data",
-                "content_encryption_algorithm": {"algorithm": cipher.replace("-", "_"),
-                                                 "parameters": parameters},
-                "encrypted_content": sealed[:-16]},
-            "mac": sealed[-16:]})
-        return bytes(cms.ContentInfo({"content_type": "authenticated_enveloped_data",
-                                      "content": body}).dump())
+        body = cms.AuthEnvelopedData(
+            {
+                "version": "v0",
+                "recipient_infos": [recipient],
+                "auth_encrypted_content_info": {
+                    "content_type": "data",
+                    "content_encryption_algorithm": {
+                        "algorithm": cipher.replace("-", "_"),
+                        "parameters": parameters,
+                    },
+                    "encrypted_content": sealed[:-16],
+                },
+                "mac": sealed[-16:],
+            }
+        )
+        return bytes(
+            cms.ContentInfo({"content_type": "authenticated_enveloped_data", "content": body}).dump()
+        )
     block = 8 if cipher == "3des" else 16
     iv = os.urandom(block)
     padder = PKCS7(block * 8).padder()
     encryptor = _cbc(cipher, secret, iv).encryptor()
     sealed = encryptor.update(padder.update(content) + padder.finalize()) + encryptor.finalize()
     name = "tripledes_3key" if cipher == "3des" else cipher.replace("-", "_")
-    return bytes(cms.ContentInfo({"content_type": "enveloped_data", "content": cms.EnvelopedData({
-        "version": "v0", "recipient_infos": [recipient],
-        "encrypted_content_info": {
-            "content_type": "data",
-            "content_encryption_algorithm": {"algorithm": name, "parameters": iv},
-            "encrypted_content": sealed},
-    })}).dump())
+    return bytes(
+        cms.ContentInfo(
+            {
+                "content_type": "enveloped_data",
+                "content": cms.EnvelopedData(
+                    {
+                        "version": "v0",
+                        "recipient_infos": [recipient],
+                        "encrypted_content_info": {
+                            "content_type": "data",
+                            "content_encryption_algorithm": {"algorithm": name, "parameters": iv},
+                            "encrypted_content": sealed,
+                        },
+                    }
+                ),
+            }
+        ).dump()
+    )
 
 
 def _cbc(cipher: str, secret: bytes, iv: bytes) -> Cipher[modes.CBC]:
@@ -334,8 +433,9 @@
 
 
 @_guard(Modifier.DECRYPTION, "cannot be decrypted")
-def decrypt(data: bytes, key: PrivateKey, certificate: x509.Certificate, *,
-            legacy: bool = False) -> tuple[bytes, str]:
+def decrypt(
+    data: bytes, key: PrivateKey, certificate: x509.Certificate, *, legacy: bool = False
+) -> tuple[bytes, str]:
     """The content of an EnvelopedData or AuthEnvelopedData, and its cipher. Raises As2Error.
 
     A key that does not unwrap is replaced by a random one, so that whoever probes paddings sees no
@@ -380,14 +480,16 @@
 
 def _unwrap(recipients: Any, key: rsa.RSAPrivateKey, certificate: x509.Certificate, size: int) -> bytes:
     cert = _asn1(certificate)
-    for recipient in list(recipients)[:_MOST_SIGNERS * 4]:
+    for recipient in list(recipients)[: _MOST_SIGNERS * 4]:
         if recipient.name != "ktri":
             continue
         chosen = recipient.chosen
         rid = chosen["rid"]
         if rid.name == "issuer_and_serial_number":
-            mine = (rid.chosen["serial_number"].native == cert.serial_number
-                    and rid.chosen["issuer"].hashable == cert.issuer.hashable)
+            mine = (
+                rid.chosen["serial_number"].native == cert.serial_number
+                and rid.chosen["issuer"].hashable == cert.issuer.hashable
+            )
         else:
             mine = rid.chosen.native == cert.key_identifier
         if not mine:
@@ -412,11 +514,20 @@
 
 def compress(content: bytes) -> bytes:
     """A CompressedData with zlib, DER (RFC 3274)."""
-    return bytes(cms.ContentInfo({"content_type": "compressed_data", "content": cms.CompressedData({
-        "version": "v0",
-        "compression_algorithm": {"algorithm": "zlib"},
-        "encap_content_info": {"content_type": "data", "content": zlib.compress(content)},
-    })}).dump())
+    return bytes(
+        cms.ContentInfo(
+            {
+                "content_type": "compressed_data",
+                "content": cms.CompressedData(
+                    {
+                        "version": "v0",
+                        "compression_algorithm": {"algorithm": "zlib"},
+                        "encap_content_info": {"content_type": "data", "content": zlib.compress(content)},
+                    }
+                ),
+            }
+        ).dump()
+    )
 
 
 @_guard(Modifier.DECOMPRESSION, "cannot be decompressed")
--- a/brassweir/as2/endings.py
+++ b/brassweir/as2/endings.py
@@ -18,11 +18,19 @@
 # Statuses that speak of the message itself: it would be no other at a later try (RFC 9110, section 15.5).
 ABOUT_THE_MESSAGE = frozenset({413, 414, 415, 422, 431})
 # Modifiers that do: the partner has read the message and will not take it.
-ABOUT_THE_CONTENT = frozenset({
-    Modifier.AUTHENTICATION.value, Modifier.DECRYPTION.value, Modifier.DECOMPRESSION.value,
-    Modifier.SECURITY.value, Modifier.SELF.value, "unsupported format", "unsupported-format",
-    "unsupported mic-algorithms", "unsupported-mic-algorithms",
-})
+ABOUT_THE_CONTENT = frozenset(
+    {
+        Modifier.AUTHENTICATION.value,
+        Modifier.DECRYPTION.value,
+        Modifier.DECOMPRESSION.value,
+        Modifier.SECURITY.value,
+        Modifier.SELF.value,
+        "unsupported format",
+        "unsupported-format",
+        "unsupported mic-algorithms",
+        "unsupported-mic-algorithms",
+    }
+)
 
 
 def status(code: int, hints: Told, busy: frozenset[int]) -> Outcome | None:
--- a/brassweir/as2/front.py
+++ b/brassweir/as2/front.py
@@ -57,9 +57,20 @@
     for the answer's own way. ``most`` bounds a decompressed message in bytes.
     """
 
-    def __init__(self, book: Partnerships, engine: Submits, receipts: Receipts, owed: Owed, offload: Offload,
-                 note: Note, *, hold: float = 100.0, margin: float = 100.0, most: int = 50_000_000,
-                 told: Callable[[int], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        book: Partnerships,
+        engine: Submits,
+        receipts: Receipts,
+        owed: Owed,
+        offload: Offload,
+        note: Note,
+        *,
+        hold: float = 100.0,
+        margin: float = 100.0,
+        most: int = 50_000_000,
+        told: Callable[[int], None] = lambda _: None,
+    ) -> None:
         self.book, self.engine, self.receipts, self.owed = book, engine, receipts, owed
         self.offload, self.note, self.told = offload, note, told
         self.hold, self.margin, self.most = hold, margin, most
@@ -81,8 +92,15 @@
             return self._turned_away(request, 400, str(error))
 
     def _turned_away(self, request: Request, status: int, reason: str) -> Response:
-        self.note("turned_away", {"peer": request.peer, "status": status, "reason": reason,
-                                  "as2_from": request.headers.first("as2-from")[:128]})
+        self.note(
+            "turned_away",
+            {
+                "peer": request.peer,
+                "status": status,
+                "reason": reason,
+                "as2_from": request.headers.first("as2-from")[:128],
+            },
+        )
         return _plain(status, reason)
 
     # ---- messages
@@ -101,9 +119,11 @@
             # No receipt: there is no agreement that says what its signature would be worth.
             return self._turned_away(request, 403, error.reason)
         try:
-            asked = mdn.asked(headers.one("disposition-notification-to"),
-                              headers.one("disposition-notification-options"),
-                              headers.one("receipt-delivery-option"))
+            asked = mdn.asked(
+                headers.one("disposition-notification-to"),
+                headers.one("disposition-notification-options"),
+                headers.one("receipt-delivery-option"),
+            )
         except As2Error as error:
             return await self._unacceptable(request, client, receiver, ident, Asked(True), error)
         try:
@@ -117,8 +137,16 @@
                 payload = replace(opened.payload, subject=headers.one("subject"))
                 destination = self.book.number(receiver)
                 assert destination is not None  # the partnership was found under this name
-                submission = Submission(sender, f"{receiver}\n{ident}", mapped.class_name, destination,
-                                        mapped.left, mapped.key, payload=payload, born=mapped.born)
+                submission = Submission(
+                    sender,
+                    f"{receiver}\n{ident}",
+                    mapped.class_name,
+                    destination,
+                    mapped.left,
+                    mapped.key,
+                    payload=payload,
+                    born=mapped.born,
+                )
                 answered: asyncio.Future[FinalAnswer] = asyncio.get_running_loop().create_future()
                 receipt = _Receipt(self, client, receiver, ident, asked, opened.mic, opened.micalg)
                 if asked.wanted and asked.delivery and client.receipt_url:
@@ -144,10 +172,12 @@
             trusted = valid_now(client.certificates, time.time())
             if client.signed and not trusted:
                 raise As2Error(Modifier.AUTHENTICATION, f"no certificate of {client.as2_id} is valid now")
-            entity = mime.of_http(headers.one("content-type"), headers.one("content-transfer-encoding"),
-                                  request.body)
-            got = message.read(entity, self.book.ours, trusted, most=self.most, legacy=client.legacy,
-                               digest=asked.micalg)
+            entity = mime.of_http(
+                headers.one("content-type"), headers.one("content-transfer-encoding"), request.body
+            )
+            got = message.read(
+                entity, self.book.ours, trusted, most=self.most, legacy=client.legacy, digest=asked.micalg
+            )
             partnership.secure_enough(client, got)
             return got
 
@@ -160,11 +190,20 @@
             self.known.popitem(last=False)
         return received
 
-    async def _unacceptable(self, request: Request, client: Client, receiver: str, ident: str, asked: Asked,
-                            error: As2Error) -> Response:
+    async def _unacceptable(
+        self, request: Request, client: Client, receiver: str, ident: str, asked: Asked, error: As2Error
+    ) -> Response:
         """A message that cannot be taken: the receipt says why, in the protocol's own words."""
-        self.note("unacceptable", {"peer": request.peer, "as2_from": client.as2_id, "message_id": ident,
-                                   "modifier": error.modifier.value, "reason": error.reason})
+        self.note(
+            "unacceptable",
+            {
+                "peer": request.peer,
+                "as2_from": client.as2_id,
+                "message_id": ident,
+                "modifier": error.modifier.value,
+                "reason": error.reason,
+            },
+        )
         if not asked.wanted:
             return _plain(400, error.reason)
         receipt = _Receipt(self, client, receiver, ident, asked)
@@ -177,8 +216,14 @@
             return Response(202)
         return content
 
-    async def _later(self, request: Request, receipt: _Receipt, answered: asyncio.Future[FinalAnswer],
-                     how: Taken, record: Record) -> Response:
+    async def _later(
+        self,
+        request: Request,
+        receipt: _Receipt,
+        answered: asyncio.Future[FinalAnswer],
+        how: Taken,
+        record: Record,
+    ) -> Response:
         """An asynchronous client: a refusal at once is told by status, all else by a receipt."""
         if not receipt.client.receipt_url:
             return self._turned_away(request, 403, "no receipt URL is agreed for this client")
@@ -219,8 +264,9 @@
             partner = self.book.partners.get(sender)
             if partner is None:
                 return self._turned_away(request, 403, f"no partnership with {sender!r}")
-            entity = mime.of_http(headers.one("content-type"), headers.one("content-transfer-encoding"),
-                                  request.body)
+            entity = mime.of_http(
+                headers.one("content-type"), headers.one("content-transfer-encoding"), request.body
+            )
             trusted = valid_now(partner.certificates, time.time())
             got = await self.offload(lambda: mdn.parse(entity, trusted, legacy=partner.legacy))
         except As2Error as error:
@@ -229,9 +275,15 @@
             return self._turned_away(request, 403, "the receipt is not signed")
         verdict = self.receipts.came(sender, got)
         if verdict is not Verdict.DUE:
-            self.note("stray_receipt", {"verdict": verdict.name.lower(), "partner": sender,
-                                        "original": got.original_message_id[:200],
-                                        "disposition": str(got.disposition)})
+            self.note(
+                "stray_receipt",
+                {
+                    "verdict": verdict.name.lower(),
+                    "partner": sender,
+                    "original": got.original_message_id[:200],
+                    "disposition": str(got.disposition),
+                },
+            )
         if verdict is Verdict.WRONG_PARTNER:
             return _plain(403, "this receipt is not yours to give")
         return Response(200)  # also for stray ones: bringing them again would change nothing
@@ -240,15 +292,24 @@
 class _Receipt:
     """Builds what one client is told of one message."""
 
-    def __init__(self, front: As2Front, client: Client, receiver: str, ident: str, asked: Asked,
-                 mic: str = "", micalg: str = "") -> None:
+    def __init__(
+        self,
+        front: As2Front,
+        client: Client,
+        receiver: str,
+        ident: str,
+        asked: Asked,
+        mic: str = "",
+        micalg: str = "",
+    ) -> None:
         self.front, self.client, self.receiver = front, client, receiver
         self.ident, self.asked, self.mic, self.micalg = ident, asked, mic, micalg
 
     def note(self) -> bytes:
         """What is needed to make it again after a restart."""
-        return msgspec.msgpack.encode((self.receiver, self.ident, self.asked.signed, self.asked.micalgs,
-                                       self.mic, self.micalg))
+        return msgspec.msgpack.encode(
+            (self.receiver, self.ident, self.asked.signed, self.asked.micalgs, self.mic, self.micalg)
+        )
 
     @staticmethod
     def noted(front: As2Front, submission: Submission) -> _Receipt | None:
@@ -257,7 +318,8 @@
         if client is None or not client.receipt_url:
             return None
         receiver, ident, signed, micalgs, mic, micalg = msgspec.msgpack.decode(
-            submission.reply, type=tuple[str, str, bool, tuple[str, ...], str, str])
+            submission.reply, type=tuple[str, str, bool, tuple[str, ...], str, str]
+        )
         return _Receipt(front, client, receiver, ident, Asked(True, signed, micalgs, "noted"), mic, micalg)
 
     async def response(self, answer: FinalAnswer, by_receipt: bool = False) -> Response:
@@ -271,10 +333,14 @@
             words = f"Refused: {answer.reason}. A later try is harmless. Send it again after {seconds} s."
             if by_receipt:
                 return await self.build(Disposition("processed", "error", Modifier.UNEXPECTED.value), words)
-            return Response(503, Headers([("Retry-After", str(seconds)), ("Content-Type", "text/plain")]),
-                            words.encode("ascii", "replace") + b"\n")
-        words = (f"Failed: {answer.reason}. Whether it took effect is not known. "
-                 "Do not send it as a new message.")
+            return Response(
+                503,
+                Headers([("Retry-After", str(seconds)), ("Content-Type", "text/plain")]),
+                words.encode("ascii", "replace") + b"\n",
+            )
+        words = (
+            f"Failed: {answer.reason}. Whether it took effect is not known. Do not send it as a new message."
+        )
         if not self.asked.wanted:
             return _plain(422, words)
         return await self.build(Disposition("processed", "error", Modifier.UNEXPECTED.value), words)
@@ -289,8 +355,9 @@
         headers.add("AS2-Version", "1.2")
         headers.add("AS2-From", mime.shown_name(self.receiver))
         headers.add("AS2-To", mime.shown_name(self.client.as2_id))
-        headers.add("Message-ID", partnership.onward_id("receipt", f"{self.client.as2_id}\n{self.ident}",
-                                                        ours.as2_id))
+        headers.add(
+            "Message-ID", partnership.onward_id("receipt", f"{self.client.as2_id}\n{self.ident}", ours.as2_id)
+        )
         headers.add("Date", formatdate(usegmt=True))
         headers.add("MIME-Version", "1.0")
         headers.add("Content-Type", content_type)
@@ -306,5 +373,6 @@
 
 
 def _plain(status: int, reason: str) -> Response:
-    return Response(status, Headers([("Content-Type", "text/plain")]),
-                    (reason + "\n").encode("ascii", "replace"))
+    return Response(
+        status, Headers([("Content-Type", "text/plain")]), (reason + "\n").encode("ascii", "replace")
+    )
--- a/brassweir/as2/inspect.py
+++ b/brassweir/as2/inspect.py
@@ -73,18 +73,30 @@
 
 
 def _receipt(got: mdn.Mdn) -> dict[str, Any]:
-    return {"original_message_id": got.original_message_id, "disposition": str(got.disposition),
-            "good": got.disposition.good, "mic": got.mic, "micalg": got.micalg,
-            "final_recipient": got.final_recipient, "text": got.text,
-            "signer": keys.show(got.signer).subject if got.signer else None}
-
-
-def _message(entity: mime.Entity, ours: Identity | None,
-             trusted: Sequence[x509.Certificate]) -> dict[str, Any]:
+    return {
+        "original_message_id": got.original_message_id,
+        "disposition": str(got.disposition),
+        "good": got.disposition.good,
+        "mic": got.mic,
+        "micalg": got.micalg,
+        "final_recipient": got.final_recipient,
+        "text": got.text,
+        "signer": keys.show(got.signer).subject if got.signer else None,
+    }
+
+
+def _message(
+    entity: mime.Entity, ours: Identity | None, trusted: Sequence[x509.Certificate]
+) -> dict[str, Any]:
     try:
         got = message.read(entity, ours or _nobody(), trusted, most=_MOST, legacy=True)
     except As2Error as error:
         return {"problem": f"{error.modifier.value}: {error.reason}"}
-    return {"layers": list(got.layers), "signer": keys.show(got.signer).subject if got.signer else None,
-            "mic": got.mic, "micalg": got.micalg, "content_type": got.payload.content_type,
-            "bytes": len(got.payload.content)}
+    return {
+        "layers": list(got.layers),
+        "signer": keys.show(got.signer).subject if got.signer else None,
+        "mic": got.mic,
+        "micalg": got.micalg,
+        "content_type": got.payload.content_type,
+        "bytes": len(got.payload.content),
+    }
--- a/brassweir/as2/keys.py
+++ b/brassweir/as2/keys.py
@@ -29,11 +29,17 @@
         raise ValueError(f"kind {kind!r} is none of {', '.join(KINDS)}")
     name = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, as2_id[:64])])
     begin = start or datetime.now(UTC) - timedelta(minutes=5)
-    certificate = (x509.CertificateBuilder().subject_name(name).issuer_name(name)
-                   .public_key(key.public_key()).serial_number(x509.random_serial_number())
-                   .not_valid_before(begin).not_valid_after(begin + timedelta(days=days))
-                   .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), False)
-                   .sign(key, hashes.SHA256()))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(x509.random_serial_number())
+        .not_valid_before(begin)
+        .not_valid_after(begin + timedelta(days=days))
+        .add_extension(x509.SubjectKeyIdentifier.from_public_key(key.public_key()), False)
+        .sign(key, hashes.SHA256())
+    )
     return Identity(as2_id, key, certificate)
 
 
@@ -51,9 +57,11 @@
     base = file_name(identity.as2_id)
     key, certificate = folder / f"{base}.key.pem", folder / f"{base}.crt.pem"
     key.touch(mode=0o600, exist_ok=False)
-    key.write_bytes(identity.key.private_bytes(serialization.Encoding.PEM,
-                                               serialization.PrivateFormat.PKCS8,
-                                               serialization.NoEncryption()))
+    key.write_bytes(
+        identity.key.private_bytes(
+            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
+    )
     certificate.write_bytes(identity.certificate.public_bytes(serialization.Encoding.PEM))
     return key, certificate
 
@@ -80,7 +88,12 @@
         key = f"EC {public.curve.name}"
     else:
         key = type(public).__name__
-    return Shown(certificate.subject.rfc4514_string(), certificate.issuer.rfc4514_string(),
-                 f"{certificate.serial_number:x}", certificate.not_valid_before_utc.isoformat(),
-                 certificate.not_valid_after_utc.isoformat(), key,
-                 certificate.fingerprint(hashes.SHA256()).hex())
+    return Shown(
+        certificate.subject.rfc4514_string(),
+        certificate.issuer.rfc4514_string(),
+        f"{certificate.serial_number:x}",
+        certificate.not_valid_before_utc.isoformat(),
+        certificate.not_valid_after_utc.isoformat(),
+        key,
+        certificate.fingerprint(hashes.SHA256()).hex(),
+    )
--- a/brassweir/as2/mdn.py
+++ b/brassweir/as2/mdn.py
@@ -15,7 +15,9 @@
 
 _DISPOSITION = re.compile(
     r"\s*([^;\s]+)\s*;\s*(processed|failed|displayed|deleted|dispatched|denied)\s*"
-    r"(?:/\s*(error|failure|warning)\s*)?(?::\s*(.*?)\s*)?", re.IGNORECASE | re.DOTALL)
+    r"(?:/\s*(error|failure|warning)\s*)?(?::\s*(.*?)\s*)?",
+    re.IGNORECASE | re.DOTALL,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -114,30 +116,43 @@
 
 def build(mdn: Mdn, ours: Identity, sign: str) -> tuple[str, bytes]:
     """Content-Type and body of a receipt; ``sign`` is the digest, or empty for an unsigned one."""
-    fields = [("Reporting-UA", "brassweir"),
-              ("Original-Recipient", f"rfc822; {mime.shown_name(mdn.original_recipient)}"),
-              ("Final-Recipient", f"rfc822; {mime.shown_name(mdn.final_recipient)}"),
-              ("Original-Message-ID", mdn.original_message_id),
-              ("Disposition", str(mdn.disposition))]
+    fields = [
+        ("Reporting-UA", "brassweir"),
+        ("Original-Recipient", f"rfc822; {mime.shown_name(mdn.original_recipient)}"),
+        ("Final-Recipient", f"rfc822; {mime.shown_name(mdn.final_recipient)}"),
+        ("Original-Message-ID", mdn.original_message_id),
+        ("Disposition", str(mdn.disposition)),
+    ]
     if not mdn.original_recipient:
         del fields[1]
     if mdn.mic:
         fields.append(("Received-Content-MIC", f"{mdn.mic}, {cms.micalg(mdn.micalg)}"))
-    text = mime.entity([("Content-Type", "text/plain; charset=us-ascii"),
-                        ("Content-Transfer-Encoding", "7bit")],
-                       mdn.text.encode("ascii", "replace").replace(b"\n", b"\r\n") + b"\r\n")
-    report = mime.entity([("Content-Type", "message/disposition-notification"),
-                          ("Content-Transfer-Encoding", "7bit")], mime.entity(fields, b""))
-    content_type, body = mime.multipart("report", [("report-type", "disposition-notification")],
-                                        [text, report])
+    text = mime.entity(
+        [("Content-Type", "text/plain; charset=us-ascii"), ("Content-Transfer-Encoding", "7bit")],
+        mdn.text.encode("ascii", "replace").replace(b"\n", b"\r\n") + b"\r\n",
+    )
+    report = mime.entity(
+        [("Content-Type", "message/disposition-notification"), ("Content-Transfer-Encoding", "7bit")],
+        mime.entity(fields, b""),
+    )
+    content_type, body = mime.multipart(
+        "report", [("report-type", "disposition-notification")], [text, report]
+    )
     if not sign:
         return content_type, body
     whole = mime.entity([("Content-Type", content_type)], body)
-    signature = mime.entity([("Content-Type", "application/pkcs7-signature; name=smime.p7s"),
-                             ("Content-Transfer-Encoding", "binary")],
-                            cms.sign(whole, ours.key, ours.certificate, sign))
-    return mime.multipart("signed", [("protocol", "application/pkcs7-signature"),
-                                     ("micalg", cms.micalg(sign))], [whole, signature])
+    signature = mime.entity(
+        [
+            ("Content-Type", "application/pkcs7-signature; name=smime.p7s"),
+            ("Content-Transfer-Encoding", "binary"),
+        ],
+        cms.sign(whole, ours.key, ours.certificate, sign),
+    )
+    return mime.multipart(
+        "signed",
+        [("protocol", "application/pkcs7-signature"), ("micalg", cms.micalg(sign))],
+        [whole, signature],
+    )
 
 
 def parse(entity: mime.Entity, trusted: Sequence[x509.Certificate], *, legacy: bool = False) -> Mdn:
@@ -172,6 +187,13 @@
         mic, micalg = mic.strip(), cms.digest_name(micalg) if micalg.strip() else ""
     if not field("Disposition"):
         raise As2Error(Modifier.FORMAT, "notification without disposition")
-    return Mdn(field("Original-Message-ID"), Disposition.of(field("Disposition")), mic, micalg,
-               recipient("Final-Recipient"), recipient("Original-Recipient"),
-               text.decoded().decode("utf-8", "replace").strip()[:2000] if text is not None else "", signer)
+    return Mdn(
+        field("Original-Message-ID"),
+        Disposition.of(field("Disposition")),
+        mic,
+        micalg,
+        recipient("Final-Recipient"),
+        recipient("Original-Recipient"),
+        text.decoded().decode("utf-8", "replace").strip()[:2000] if text is not None else "",
+        signer,
+    )
--- a/brassweir/as2/message.py
+++ b/brassweir/as2/message.py
@@ -85,19 +85,30 @@
 
 
 def _pkcs7(kind: str, data: bytes) -> bytes:
-    return mime.entity([("Content-Type", f"application/pkcs7-mime; smime-type={kind}; name=smime.p7m"),
-                        ("Content-Transfer-Encoding", "binary")], data)
-
-
-def build(payload: Payload, security: Security, ours: Identity,
-          theirs: x509.Certificate | None, digest: str = "sha256") -> Built:
+    return mime.entity(
+        [
+            ("Content-Type", f"application/pkcs7-mime; smime-type={kind}; name=smime.p7m"),
+            ("Content-Transfer-Encoding", "binary"),
+        ],
+        data,
+    )
+
+
+def build(
+    payload: Payload,
+    security: Security,
+    ours: Identity,
+    theirs: x509.Certificate | None,
+    digest: str = "sha256",
+) -> Built:
     """Wrap a payload as agreed; ``digest`` is for the MIC where nothing is signed.
 
     Raises ValueError if it is to be encrypted and ``theirs`` has no RSA key.
     """
     # Declared binary: line ends and bytes are then nobody's to change on the way.
-    inner = mime.entity([("Content-Type", payload.content_type), ("Content-Transfer-Encoding", "binary")],
-                        payload.content)
+    inner = mime.entity(
+        [("Content-Type", payload.content_type), ("Content-Transfer-Encoding", "binary")], payload.content
+    )
     whole, content_type, body = inner, payload.content_type, payload.content
     if security.compress == "before":
         whole = _pkcs7("compressed-data", cms.compress(whole))
@@ -105,13 +116,19 @@
     if security.sign:
         digest, covered = security.sign, whole
         signature = cms.sign(whole, ours.key, ours.certificate, digest, pss=security.pss)
-        part = mime.entity([("Content-Type", "application/pkcs7-signature; name=smime.p7s"),
-                            ("Content-Transfer-Encoding", "base64"),
-                            ("Content-Disposition", "attachment; filename=smime.p7s")],
-                           base64.encodebytes(signature).replace(b"\n", b"\r\n").rstrip())
+        part = mime.entity(
+            [
+                ("Content-Type", "application/pkcs7-signature; name=smime.p7s"),
+                ("Content-Transfer-Encoding", "base64"),
+                ("Content-Disposition", "attachment; filename=smime.p7s"),
+            ],
+            base64.encodebytes(signature).replace(b"\n", b"\r\n").rstrip(),
+        )
         content_type, body = mime.multipart(
-            "signed", [("protocol", "application/pkcs7-signature"), ("micalg", cms.micalg(digest))],
-            [whole, part])
+            "signed",
+            [("protocol", "application/pkcs7-signature"), ("micalg", cms.micalg(digest))],
+            [whole, part],
+        )
         whole = mime.entity([("Content-Type", content_type)], body)
     if security.compress == "after":
         whole = _pkcs7("compressed-data", cms.compress(whole))
@@ -127,8 +144,15 @@
     return Built(content_type, body, mic_of(covered, digest), digest)
 
 
-def read(entity: Entity, ours: Identity, trusted: Sequence[x509.Certificate], *, most: int,
-         legacy: bool = False, digest: str = "sha256") -> Received:
+def read(
+    entity: Entity,
+    ours: Identity,
+    trusted: Sequence[x509.Certificate],
+    *,
+    most: int,
+    legacy: bool = False,
+    digest: str = "sha256",
+) -> Received:
     """Unwrap a message. ``most`` bounds each decompressed layer; ``digest`` is for the MIC if unsigned.
 
     Raises As2Error.
--- a/brassweir/as2/mime.py
+++ b/brassweir/as2/mime.py
@@ -76,7 +76,7 @@
         if len(raw) > LONGEST_HEAD:
             raise As2Error(Modifier.FORMAT, "header of a MIME part has no end within its limit")
         return Entity(raw, _fields(raw), b"")
-    return Entity(raw, _fields(raw[: found.start()] + b"\r\n\r\n"), raw[found.end():])
+    return Entity(raw, _fields(raw[: found.start()] + b"\r\n\r\n"), raw[found.end() :])
 
 
 def of_http(content_type: str, coding: str, body: bytes) -> Entity:
@@ -123,8 +123,8 @@
         last, after = line
         if start >= 0:
             # The line end before a mark belongs to the mark (RFC 2046, section 5.1.1); there may be none.
-            end = at - 2 if body[at - 2: at] == b"\r\n" else at - 1
-            found.append(parse(body[start: max(start, end)]))
+            end = at - 2 if body[at - 2 : at] == b"\r\n" else at - 1
+            found.append(parse(body[start : max(start, end)]))
         if last:
             return found
         if len(found) >= MOST_PARTS:
@@ -134,16 +134,16 @@
 
 def _mark_line(body: bytes, at: int, size: int) -> tuple[bool, int] | None:
     """Is this a boundary line: is it the last, and where does the next line begin? None if it is none."""
-    if at and body[at - 1: at] != b"\n":
+    if at and body[at - 1 : at] != b"\n":
         return None
     rest = at + size
-    last = body[rest: rest + 2] == b"--"
+    last = body[rest : rest + 2] == b"--"
     rest += 2 * last
-    while body[rest: rest + 1] in (b" ", b"\t"):
+    while body[rest : rest + 1] in (b" ", b"\t"):
         rest += 1
-    if body[rest: rest + 2] == b"\r\n":
+    if body[rest : rest + 2] == b"\r\n":
         return last, rest + 2
-    if body[rest: rest + 1] == b"\n":
+    if body[rest : rest + 1] == b"\n":
         return last, rest + 1
     return (last, rest) if rest >= len(body) else None
 
--- a/brassweir/as2/partnership.py
+++ b/brassweir/as2/partnership.py
@@ -72,8 +72,11 @@
     def client(self, sender: str, receiver: str) -> Client:
         """The agreement a message falls under. Raises As2Error if there is none."""
         client = self.clients.get(sender)
-        allowed = client is not None and (receiver in client.may_send_to or receiver in self.listed and any(
-            fnmatchcase(receiver, pattern) for pattern in client.may_send_to))
+        allowed = client is not None and (
+            receiver in client.may_send_to
+            or receiver in self.listed
+            and any(fnmatchcase(receiver, pattern) for pattern in client.may_send_to)
+        )
         if client is None or not allowed or self.number(receiver) is None:
             raise As2Error(Modifier.AUTHENTICATION, f"no partnership from {sender!r} to {receiver!r}")
         return client
@@ -89,8 +92,11 @@
 
 def valid_now(certificates: Sequence[x509.Certificate], when: float) -> tuple[x509.Certificate, ...]:
     """The certificates whose time holds at ``when`` (seconds, wall)."""
-    return tuple(cert for cert in certificates
-                 if cert.not_valid_before_utc.timestamp() <= when <= cert.not_valid_after_utc.timestamp())
+    return tuple(
+        cert
+        for cert in certificates
+        if cert.not_valid_before_utc.timestamp() <= when <= cert.not_valid_after_utc.timestamp()
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,8 +109,13 @@
     born: float | None = None  # its Date, in ms since 1970
 
 
-def mapped(client: Client, classes: Mapping[str, MessageClass], header: Callable[[str], str],
-           wall: float, margin: float) -> Mapped:
+def mapped(
+    client: Client,
+    classes: Mapping[str, MessageClass],
+    header: Callable[[str], str],
+    wall: float,
+    margin: float,
+) -> Mapped:
     """Class, key and time left, from the agreement and standard headers alone.
 
     The class and key come from the first rule whose pattern the Subject matches. The time left is the class's
@@ -133,8 +144,12 @@
         raise As2Error(Modifier.UNEXPECTED, "no time is left to deliver it")
     # Many clients date each post anew: a Date tells when a message was made only where that is agreed.
     made = _date(header("date")) if client.dated else None
-    return Mapped(rule.class_name, f"{client.as2_id}\n{key}" if key else "", left,
-                  made * 1000.0 if made is not None else None)
+    return Mapped(
+        rule.class_name,
+        f"{client.as2_id}\n{key}" if key else "",
+        left,
+        made * 1000.0 if made is not None else None,
+    )
 
 
 def _date(text: str) -> float | None:
--- a/brassweir/as2/sending.py
+++ b/brassweir/as2/sending.py
@@ -42,32 +42,52 @@
     receipt: Mdn | None = None
 
 
-def letter(ours: Identity, receiver: str, theirs: x509.Certificate | None, payload: Payload, ident: str, *,
-           security: Security | None = None, wait: float = 0.0, receipt: bool = True,
-           signed_receipt: bool = True, receipt_url: str = "") -> Letter:
+def letter(
+    ours: Identity,
+    receiver: str,
+    theirs: x509.Certificate | None,
+    payload: Payload,
+    ident: str,
+    *,
+    security: Security | None = None,
+    wait: float = 0.0,
+    receipt: bool = True,
+    signed_receipt: bool = True,
+    receipt_url: str = "",
+) -> Letter:
     """Build a message; ``wait`` is how many seconds the client waits, told as ``Prefer: wait``."""
     security = security or Security()
     built = message.build(payload, security, ours, theirs)
     headers = Headers()
     for name, value in (
-            ("AS2-Version", "1.2"), ("AS2-From", mime.shown_name(ours.as2_id)),
-            ("AS2-To", mime.shown_name(receiver)), ("Message-ID", ident), ("Subject", payload.subject),
-            ("Date", formatdate(usegmt=True)), ("MIME-Version", "1.0"), ("Content-Type", built.content_type)):
+        ("AS2-Version", "1.2"),
+        ("AS2-From", mime.shown_name(ours.as2_id)),
+        ("AS2-To", mime.shown_name(receiver)),
+        ("Message-ID", ident),
+        ("Subject", payload.subject),
+        ("Date", formatdate(usegmt=True)),
+        ("MIME-Version", "1.0"),
+        ("Content-Type", built.content_type),
+    ):
         headers.add(name, value)
     if wait > 0:
         headers.add("Prefer", f"wait={int(wait)}")
     if receipt:
         headers.add("Disposition-Notification-To", mime.shown_name(ours.as2_id))
     if receipt and signed_receipt:
-        headers.add("Disposition-Notification-Options", "signed-receipt-protocol=required, pkcs7-signature; "
-                    f"signed-receipt-micalg=required, {cms.micalg(built.micalg)}")
+        headers.add(
+            "Disposition-Notification-Options",
+            "signed-receipt-protocol=required, pkcs7-signature; "
+            f"signed-receipt-micalg=required, {cms.micalg(built.micalg)}",
+        )
     if receipt and receipt_url:
         headers.add("Receipt-Delivery-Option", receipt_url)
     return Letter(headers, built, ident)
 
 
-async def post(pool: Pool, sent: Letter, trusted: x509.Certificate, deadline: float,
-               offload: Offload) -> Told:
+async def post(
+    pool: Pool, sent: Letter, trusted: x509.Certificate, deadline: float, offload: Offload
+) -> Told:
     """Post it and read the answer. Raises CallFailed."""
     reply = await pool.post(sent.headers, sent.built.body, deadline)
     return await offload(lambda: read(reply, sent, trusted))
@@ -76,8 +96,11 @@
 def read(reply: Reply, sent: Letter, trusted: x509.Certificate) -> Told:
     """What a synchronous answer says."""
     if reply.status == 503:
-        return Told("refused", reply.body.decode("ascii", "replace").strip(),
-                    told(reply.headers.first, 0.0).wait / 1000.0)
+        return Told(
+            "refused",
+            reply.body.decode("ascii", "replace").strip(),
+            told(reply.headers.first, 0.0).wait / 1000.0,
+        )
     if reply.status == 202:
         return Told("accepted")
     if reply.status == 422:
--- a/brassweir/cli/as2.py
+++ b/brassweir/cli/as2.py
@@ -61,8 +61,20 @@
 @click.option("--message-id", help="Send under this Message-ID, for instance again.")
 @click.option("--wait", default=30, show_default=True, type=click.IntRange(1, 3600), help="Seconds to wait.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def send_command(file: Path, url: str, sender: str, key: Path, cert: Path, receiver: str, to_cert: Path,
-                 subject: str, content_type: str, message_id: str | None, wait: int, as_json: bool) -> None:
+def send_command(
+    file: Path,
+    url: str,
+    sender: str,
+    key: Path,
+    cert: Path,
+    receiver: str,
+    to_cert: Path,
+    subject: str,
+    content_type: str,
+    message_id: str | None,
+    wait: int,
+    as_json: bool,
+) -> None:
     """Post FILE, signed and encrypted, and print what the receipt says.
 
     Exits with 0 if it was delivered, 2 if refused, 1 otherwise.
@@ -90,8 +102,16 @@
     with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
         told = runner.run(work())
     if as_json:
-        click.echo(json.dumps({"message_id": ident, "answer": told.answer, "reason": told.reason,
-                               "retry_after": told.retry_after}))
+        click.echo(
+            json.dumps(
+                {
+                    "message_id": ident,
+                    "answer": told.answer,
+                    "reason": told.reason,
+                    "retry_after": told.retry_after,
+                }
+            )
+        )
     else:
         click.echo(f"{ident}: {told.answer}" + (f" ({told.reason})" if told.reason else ""))
     sys.exit({"delivered": 0, "accepted": 0, "refused": 2}.get(told.answer, 1))
@@ -103,11 +123,17 @@
 @click.option("--key", type=_path, required=True, help="Our key (PEM).")
 @click.option("--cert", type=_path, required=True, help="Our certificate (PEM).")
 @click.option("--trust", type=_path, multiple=True, required=True, help="Certificates of senders (PEM).")
-@click.option("--count", default=1, show_default=True, type=click.IntRange(1, 1_000_000),
-              help="End after so many messages.")
+@click.option(
+    "--count",
+    default=1,
+    show_default=True,
+    type=click.IntRange(1, 1_000_000),
+    help="End after so many messages.",
+)
 @click.option("--folder", type=click.Path(path_type=Path, file_okay=False), help="Write contents here.")
-def receive_command(listen: str, as2_id: str, key: Path, cert: Path, trust: tuple[Path, ...], count: int,
-                    folder: Path | None) -> None:
+def receive_command(
+    listen: str, as2_id: str, key: Path, cert: Path, trust: tuple[Path, ...], count: int, folder: Path | None
+) -> None:
     """Take messages as a partner would, give receipts, and print one JSON line for each."""
     ours = _identity(as2_id, key, cert)
     trusted = [read_certificate(path) for path in trust]
@@ -143,13 +169,15 @@
         raise click.ClickException(f"cannot listen on {listen}: {error.strerror}") from None
 
 
-def _take(request: Request, ours: Identity, trusted: list[Any],
-          folder: Path | None) -> tuple[Response, dict[str, Any]]:
+def _take(
+    request: Request, ours: Identity, trusted: list[Any], folder: Path | None
+) -> tuple[Response, dict[str, Any]]:
     headers = request.headers
     ident = headers.first("message-id")
     line: dict[str, Any] = {"message_id": ident, "from": headers.first("as2-from")}
-    entity = mime.of_http(headers.first("content-type"), headers.first("content-transfer-encoding"),
-                          request.body)
+    entity = mime.of_http(
+        headers.first("content-type"), headers.first("content-transfer-encoding"), request.body
+    )
     try:
         got = message.read(entity, ours, trusted, most=100_000_000)
         receipt = Mdn(ident, Disposition(), got.mic, got.micalg, ours.as2_id, ours.as2_id, "Processed.")
@@ -160,17 +188,34 @@
             path.write_bytes(got.payload.content)
             line["file"] = str(path)
     except As2Error as error:
-        receipt = Mdn(ident, Disposition("processed", "error", error.modifier.value), "", "", ours.as2_id,
-                      ours.as2_id, error.reason)
+        receipt = Mdn(
+            ident,
+            Disposition("processed", "error", error.modifier.value),
+            "",
+            "",
+            ours.as2_id,
+            ours.as2_id,
+            error.reason,
+        )
         line["problem"] = f"{error.modifier.value}: {error.reason}"
-    asked = mdn.asked(headers.first("disposition-notification-to"),
-                      headers.first("disposition-notification-options"), "")
+    asked = mdn.asked(
+        headers.first("disposition-notification-to"), headers.first("disposition-notification-options"), ""
+    )
     if not asked.wanted:
         return Response(200 if "problem" not in line else 400), line
     content_type, body = mdn.build(receipt, ours, asked.micalg if asked.signed else "")
-    return Response(200, Headers([("AS2-Version", "1.2"), ("AS2-From", mime.shown_name(ours.as2_id)),
-                                  ("AS2-To", headers.first("as2-from")),
-                                  ("Content-Type", content_type)]), body), line
+    return Response(
+        200,
+        Headers(
+            [
+                ("AS2-Version", "1.2"),
+                ("AS2-From", mime.shown_name(ours.as2_id)),
+                ("AS2-To", headers.first("as2-from")),
+                ("Content-Type", content_type),
+            ]
+        ),
+        body,
+    ), line
 
 
 @as2.command("inspect")
@@ -179,8 +224,9 @@
 @click.option("--cert", type=_path, help="The certificate of that key (PEM).")
 @click.option("--trust", type=_path, multiple=True, help="Certificates (PEM) that may have signed it.")
 @click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-def inspect_command(file: Path, key: Path | None, cert: Path | None, trust: tuple[Path, ...],
-                    as_json: bool) -> None:
+def inspect_command(
+    file: Path, key: Path | None, cert: Path | None, trust: tuple[Path, ...], as_json: bool
+) -> None:
     """Explain the AS2 message or receipt in FILE (header fields, an empty line, the body as sent)."""
     if (key is None) != (cert is None):
         raise click.ClickException("--key and --cert go together")
--- a/brassweir/cli/journal.py
+++ b/brassweir/cli/journal.py
@@ -46,16 +46,24 @@
 def verify_command(folder: Path, as_json: bool) -> None:
     """Read every record and name what is damaged. Exits with 1 if anything is."""
     found = _scan(folder)
-    tree = {"good": not found.problems, "records": found.records, "bytes": found.size,
-            "torn_bytes": found.torn, "segments": found.segments, "stale": found.stale,
-            "problems": found.problems}
+    tree = {
+        "good": not found.problems,
+        "records": found.records,
+        "bytes": found.size,
+        "torn_bytes": found.torn,
+        "segments": found.segments,
+        "stale": found.stale,
+        "problems": found.problems,
+    }
     if as_json:
         click.echo(json.dumps(tree))
     else:
         for problem in found.problems:
             click.echo(problem)
-        click.echo(f"{found.records} records in {len(found.segments)} segments, {found.size} bytes, "
-                   f"{found.torn} torn at the end, {len(found.problems)} problems")
+        click.echo(
+            f"{found.records} records in {len(found.segments)} segments, {found.size} bytes, "
+            f"{found.torn} torn at the end, {len(found.problems)} problems"
+        )
     sys.exit(0 if not found.problems else 1)
 
 
@@ -70,9 +78,14 @@
         name = life.taken.class_name if life.taken is not None else "(lost)"
         counts[f"{name} {life.final.answer if life.final is not None else 'open'}"] += 1
     kept = list(compact.kept(found.lives, time.time() * 1000.0, float("inf")))
-    tree = {"messages": dict(sorted(counts.items())), "runs": found.lives.runs, "bytes": found.size,
-            "records": found.records, "records_kept_by_a_snapshot": len(kept),
-            "endpoints_with_trouble": len(found.lives.trails)}
+    tree = {
+        "messages": dict(sorted(counts.items())),
+        "runs": found.lives.runs,
+        "bytes": found.size,
+        "records": found.records,
+        "records_kept_by_a_snapshot": len(kept),
+        "endpoints_with_trouble": len(found.lives.trails),
+    }
     if as_json:
         click.echo(json.dumps(tree))
     else:
@@ -90,9 +103,15 @@
     Ended messages that a snapshot has passed over keep their name and answer only.
     """
     found = _scan(folder)
-    wanted = {life.id for life in found.lives.by_id.values()
-              if str(life.id) == message or (life.taken is not None and message in (
-                  life.taken.identity, life.taken.identity.partition("\n")[2]))}
+    wanted = {
+        life.id
+        for life in found.lives.by_id.values()
+        if str(life.id) == message
+        or (
+            life.taken is not None
+            and message in (life.taken.identity, life.taken.identity.partition("\n")[2])
+        )
+    }
     lines = [line for name in found.segments for line in _lines(folder / name, wanted)]
     if not lines:
         raise click.ClickException(f"{folder}: no record of {message!r}")
@@ -120,8 +139,13 @@
 
 @journal.command("export")
 @_folder
-@click.option("--parquet", "path", required=True, type=click.Path(path_type=Path, dir_okay=False),
-              help="The file to write.")
+@click.option(
+    "--parquet",
+    "path",
+    required=True,
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="The file to write.",
+)
 @_json
 def export_command(folder: Path, path: Path, as_json: bool) -> None:
     """Write one row for each message to a Parquet file; columns are in docs/journal-format.md.
@@ -134,10 +158,20 @@
     except ImportError:
         raise click.ClickException("Parquet needs the extra: pip install 'brassweir[analysis]'") from None
     found = _scan(folder)
-    types = {"int64": pa.int64(), "int32": pa.int32(), "string": pa.string(), "bool": pa.bool_(),
-             "timestamp": pa.timestamp("ms", tz="UTC"), "list": pa.list_(pa.string())}
-    schema = pa.schema([pa.field(name, types[kind], metadata={"meaning": meaning})
-                        for name, (kind, meaning) in table.COLUMNS.items()])
+    types = {
+        "int64": pa.int64(),
+        "int32": pa.int32(),
+        "string": pa.string(),
+        "bool": pa.bool_(),
+        "timestamp": pa.timestamp("ms", tz="UTC"),
+        "list": pa.list_(pa.string()),
+    }
+    schema = pa.schema(
+        [
+            pa.field(name, types[kind], metadata={"meaning": meaning})
+            for name, (kind, meaning) in table.COLUMNS.items()
+        ]
+    )
     count = 0
     fresh = path.with_name(path.name + ".new")
     try:
@@ -166,8 +200,13 @@
 
 @journal.command("compact")
 @_folder
-@click.option("--remember-hours", default=1.0, show_default=True, type=click.FloatRange(0.0, 10_000.0),
-              help="Keep answers that are younger.")
+@click.option(
+    "--remember-hours",
+    default=1.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 10_000.0),
+    help="Keep answers that are younger.",
+)
 def compact_command(folder: Path, remember_hours: float) -> None:
     """Rewrite a journal with what still matters. Refused while a process uses it, and on a damaged one."""
     try:
@@ -179,8 +218,10 @@
     try:
         found = scan(storage)
         if found.problems:
-            raise click.ClickException(f"{folder} is damaged ({found.problems[0]}): a sender recovers from "
-                                       "it as it is; rewriting it would hide what was lost")
+            raise click.ClickException(
+                f"{folder} is damaged ({found.problems[0]}): a sender recovers from "
+                "it as it is; rewriting it would hide what was lost"
+            )
         writer = Writer(storage, found)
         writer.open()
         now = time.time() * 1000.0
--- a/brassweir/cli/kept.py
+++ b/brassweir/cli/kept.py
@@ -23,11 +23,18 @@
 
 
 def _tree(path: Path, item: Item) -> dict[str, Any]:
-    return {"name": path.stem, "owner": item.owner, "identity": item.identity,
-            "destination": item.destination, "class": item.class_name, "label": item.label,
-            "reason": item.reason,
-            "kept_at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(item.at / 1000.0)),
-            "content_type": item.content_type, "bytes": len(item.content)}
+    return {
+        "name": path.stem,
+        "owner": item.owner,
+        "identity": item.identity,
+        "destination": item.destination,
+        "class": item.class_name,
+        "label": item.label,
+        "reason": item.reason,
+        "kept_at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime(item.at / 1000.0)),
+        "content_type": item.content_type,
+        "bytes": len(item.content),
+    }
 
 
 @kept.command("list")
@@ -43,18 +50,25 @@
             click.echo(f"{path}: {one}", err=True)
         elif destination is None or one.destination == destination:
             tree = _tree(path, one)
-            words = (f"{tree['name'][:12]} {tree['kept_at']} {one.owner} {one.identity} -> {one.destination} "
-                     f"({tree['bytes']} bytes): {one.reason}")
+            words = (
+                f"{tree['name'][:12]} {tree['kept_at']} {one.owner} {one.identity} -> {one.destination} "
+                f"({tree['bytes']} bytes): {one.reason}"
+            )
             click.echo(json.dumps(tree) if as_json else words)
     sys.exit(1 if damaged else 0)
 
 
 def _find(folder: Path, name: str) -> tuple[Path, Item]:
-    found = [(path, one) for path, one in read_all(folder)
-             if path.name.startswith(name) or (isinstance(one, Item) and name == one.identity)]
+    found = [
+        (path, one)
+        for path, one in read_all(folder)
+        if path.name.startswith(name) or (isinstance(one, Item) and name == one.identity)
+    ]
     if len(found) != 1:
-        raise click.ClickException(f"{name!r} names {len(found)} kept messages: use the name that list "
-                                   "prints, or an identity that stands once")
+        raise click.ClickException(
+            f"{name!r} names {len(found)} kept messages: use the name that list "
+            "prints, or an identity that stands once"
+        )
     path, one = found[0]
     if isinstance(one, str):
         raise click.ClickException(f"{path}: {one}")
@@ -86,5 +100,3 @@
     path.unlink()
     tree = {"dropped": path.stem, "identity": item.identity}
     click.echo(json.dumps(tree) if as_json else f"dropped {item.identity} of {item.owner}")
-
-
--- a/brassweir/cli/keys.py
+++ b/brassweir/cli/keys.py
@@ -19,8 +19,12 @@
 
 @keys.command("make")
 @click.argument("as2_id")
-@click.option("--folder", type=click.Path(path_type=Path, file_okay=False), default=Path("."),
-              help="Where NAME.key.pem and NAME.crt.pem go.")
+@click.option(
+    "--folder",
+    type=click.Path(path_type=Path, file_okay=False),
+    default=Path("."),
+    help="Where NAME.key.pem and NAME.crt.pem go.",
+)
 @click.option("--kind", type=click.Choice(as2_keys.KINDS), default="rsa2048", show_default=True)
 @click.option("--days", type=click.FloatRange(0.001, 36500), default=365.0, show_default=True)
 def make_command(as2_id: str, folder: Path, kind: str, days: float) -> None:
--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -34,11 +34,13 @@
     """Play days over loopback sockets against stand-in partners, and check the six rules."""
 
 
-_seed = click.option("--seed", default=1, show_default=True, type=click.IntRange(0, 1_000_000),
-                     help="One seed, one day.")
+_seed = click.option(
+    "--seed", default=1, show_default=True, type=click.IntRange(0, 1_000_000), help="One seed, one day."
+)
 _json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
-_keep = click.option("--folder", type=click.Path(path_type=Path, file_okay=False),
-                     help="Keep keys, settings and logs here.")
+_keep = click.option(
+    "--folder", type=click.Path(path_type=Path, file_okay=False), help="Keep keys, settings and logs here."
+)
 
 
 @lab.command("demo")
@@ -55,8 +57,13 @@
 
 @lab.command("day")
 @click.argument("name", type=click.Choice(["bad"]))
-@click.option("--fronts", default="as2", show_default=True, type=click.Choice(["as2", "as2,forward"]),
-              help="Over what messages are handed in.")
+@click.option(
+    "--fronts",
+    default="as2",
+    show_default=True,
+    type=click.Choice(["as2", "as2,forward"]),
+    help="Over what messages are handed in.",
+)
 @_seed
 @_json
 @_keep
@@ -71,8 +78,9 @@
 
 @lab.command("crash")
 @click.option("--kills", default=40, show_default=True, type=click.IntRange(1, 1000))
-@click.option("--rate", default=15.0, show_default=True, type=click.FloatRange(0.5, 100.0),
-              help="Messages a second.")
+@click.option(
+    "--rate", default=15.0, show_default=True, type=click.FloatRange(0.5, 100.0), help="Messages a second."
+)
 @_seed
 @_json
 @_keep
@@ -86,8 +94,13 @@
 
 @lab.command("sweep")
 @click.option("--messages", default=30, show_default=True, type=click.IntRange(1, 500))
-@click.option("--every", default=1, show_default=True, type=click.IntRange(1, 1000),
-              help="Take every n-th storage step.")
+@click.option(
+    "--every",
+    default=1,
+    show_default=True,
+    type=click.IntRange(1, 1000),
+    help="Take every n-th storage step.",
+)
 @click.option("--loops", default=1, show_default=True, type=click.IntRange(1, 20), help="Crashes in a row.")
 @_seed
 @_json
@@ -98,45 +111,98 @@
     """
     total = steps_of(Script.draw(seed, messages, 2500.0), seed)
     found = sweep(seed, messages, MODES, range(1, total + 1, every), loops=loops)
-    tree = {"steps": total, "points": found.points, "crashes": found.crashes, "messages": found.messages,
-            "problems": found.problems[:50]}
+    tree = {
+        "steps": total,
+        "points": found.points,
+        "crashes": found.crashes,
+        "messages": found.messages,
+        "problems": found.problems[:50],
+    }
     click.echo(json.dumps(tree) if as_json else json.dumps(tree, indent=2))
     sys.exit(1 if found.problems else 0)
 
 
 @lab.command("idle")
-@click.option("--destinations", default=10_000, show_default=True, type=click.IntRange(1, 200_000),
-              help="Idle ones.")
+@click.option(
+    "--destinations", default=10_000, show_default=True, type=click.IntRange(1, 200_000), help="Idle ones."
+)
 @click.option("--busy", default=8, show_default=True, type=click.IntRange(1, 1000))
-@click.option("--rate", default=510.0, show_default=True, type=click.FloatRange(1.0, 20_000.0),
-              help="Messages a second to the busy ones.")
-@click.option("--wakes", default=20.0, show_default=True, type=click.FloatRange(0.0, 5000.0),
-              help="First messages a second to idle ones.")
-@click.option("--wave", "waves", multiple=True, type=(float, int, float),
-              help="SECOND COUNT SPAN: so many idle ones wake within so many seconds.")
-@click.option("--strike", "strikes", multiple=True, type=(str, int, int, float, float),
-              help="KIND FIRST LAST START END: receivers hang, error, close or have lost answers.")
-@click.option("--replace", "lists", multiple=True, type=(float, float),
-              help="SECOND SHARE: a list that replaces that share of the idle ones.")
-@click.option("--shortage", "shortages", multiple=True, type=(float, int, float),
-              help="SECOND LEFT SECONDS: the system gives the sender no more than LEFT further descriptors.")
+@click.option(
+    "--rate",
+    default=510.0,
+    show_default=True,
+    type=click.FloatRange(1.0, 20_000.0),
+    help="Messages a second to the busy ones.",
+)
+@click.option(
+    "--wakes",
+    default=20.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 5000.0),
+    help="First messages a second to idle ones.",
+)
+@click.option(
+    "--wave",
+    "waves",
+    multiple=True,
+    type=(float, int, float),
+    help="SECOND COUNT SPAN: so many idle ones wake within so many seconds.",
+)
+@click.option(
+    "--strike",
+    "strikes",
+    multiple=True,
+    type=(str, int, int, float, float),
+    help="KIND FIRST LAST START END: receivers hang, error, close or have lost answers.",
+)
+@click.option(
+    "--replace",
+    "lists",
+    multiple=True,
+    type=(float, float),
+    help="SECOND SHARE: a list that replaces that share of the idle ones.",
+)
+@click.option(
+    "--shortage",
+    "shortages",
+    multiple=True,
+    type=(float, int, float),
+    help="SECOND LEFT SECONDS: the system gives the sender no more than LEFT further descriptors.",
+)
 @click.option("--connections", default=4000, show_default=True, type=click.IntRange(1, 100_000))
 @click.option("--journal", is_flag=True, help="The sender keeps its journal; else nothing is kept.")
 @click.option("--seconds", default=60.0, show_default=True, type=click.FloatRange(1.0, 600.0))
 @_seed
 @_json
-def idle_command(destinations: int, busy: int, rate: float, wakes: float,
-                 waves: tuple[tuple[float, int, float], ...],
-                 strikes: tuple[tuple[str, int, int, float, float], ...],
-                 lists: tuple[tuple[float, float], ...], shortages: tuple[tuple[float, int, float], ...],
-                 connections: int, journal: bool, seconds: float, seed: int, as_json: bool) -> None:
+def idle_command(
+    destinations: int,
+    busy: int,
+    rate: float,
+    wakes: float,
+    waves: tuple[tuple[float, int, float], ...],
+    strikes: tuple[tuple[str, int, int, float, float], ...],
+    lists: tuple[tuple[float, float], ...],
+    shortages: tuple[tuple[float, int, float], ...],
+    connections: int,
+    journal: bool,
+    seconds: float,
+    seed: int,
+    as_json: bool,
+) -> None:
     """Very many idle webhook destinations beside a few busy ones: their cost and first message's latency.
 
     Exits with 1 if a rule was broken or a message was lost.
     """
     mix = Mix(seconds, rate, busy, destinations, wakes, waves=waves)
-    plan = Plan(mix, seed, connections=connections, strikes=[Strike(*one) for one in strikes],
-                lists=list(lists), shortages=list(shortages), journaled=journal)
+    plan = Plan(
+        mix,
+        seed,
+        connections=connections,
+        strikes=[Strike(*one) for one in strikes],
+        lists=list(lists),
+        shortages=list(shortages),
+        journaled=journal,
+    )
     with tempfile.TemporaryDirectory(prefix="brassweir-") as temporary:
         try:
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -150,8 +216,9 @@
 @lab.command("forward-flood")
 @click.option("--sources", default=50, show_default=True, type=click.IntRange(2, 2000))
 @click.option("--idle", "idle_sources", default=1000, show_default=True, type=click.IntRange(10, 2000))
-@click.option("--seconds", default=12.0, show_default=True, type=click.FloatRange(3.0, 120.0),
-              help="Of each phase.")
+@click.option(
+    "--seconds", default=12.0, show_default=True, type=click.FloatRange(3.0, 120.0), help="Of each phase."
+)
 @_seed
 @_json
 def flood_command(sources: int, idle_sources: int, seconds: float, seed: int, as_json: bool) -> None:
@@ -206,8 +273,14 @@
     rules = Table(title="the six rules")
     for column in ("rule", "put to the test", "broken"):
         rules.add_column(column)
-    words = ("one final answer in time", "no effect twice", "drains kept", "returning not pushed over",
-             "order by key", "waits heeded")
+    words = (
+        "one final answer in time",
+        "no effect twice",
+        "drains kept",
+        "returning not pushed over",
+        "order by key",
+        "waits heeded",
+    )
     for rule, word in enumerate(words, 1):
         verdict = report.verdict
         rules.add_row(f"{rule} {word}", str(verdict.tested[rule]), str(len(verdict.broken[rule])))
--- a/brassweir/cli/main.py
+++ b/brassweir/cli/main.py
@@ -10,9 +10,17 @@
 
 # Each command's module and its name there. A lean sender must not pay for what it does not use.
 COMMANDS = {
-    "as2": "as2:as2", "check": "serving:check_command", "destinations": "destinations:destinations",
-    "import": "importing:importing", "journal": "journal:journal", "kept": "kept:kept", "keys": "keys:keys",
-    "lab": "lab:lab", "node": "node:node", "regions": "regions:regions", "serve": "serving:serve_command",
+    "as2": "as2:as2",
+    "check": "serving:check_command",
+    "destinations": "destinations:destinations",
+    "import": "importing:importing",
+    "journal": "journal:journal",
+    "kept": "kept:kept",
+    "keys": "keys:keys",
+    "lab": "lab:lab",
+    "node": "node:node",
+    "regions": "regions:regions",
+    "serve": "serving:serve_command",
 }
 
 
@@ -41,12 +49,17 @@
 def _missing(name: str, package: str) -> click.Command:
     """Stands for a command whose packages are not installed, as beside a lean ``node``."""
 
-    @click.command(name, context_settings={"ignore_unknown_options": True},
-                   help=f"Not installed here: needs {package}, which comes with the whole of brassweir.")
+    @click.command(
+        name,
+        context_settings={"ignore_unknown_options": True},
+        help=f"Not installed here: needs {package}, which comes with the whole of brassweir.",
+    )
     @click.argument("_", nargs=-1, type=click.UNPROCESSED)
     def missing(_: tuple[str, ...]) -> None:
-        raise click.ClickException(f"{name} needs {package}, which is not installed here; "
-                                   "pip install -e . brings all that brassweir needs")
+        raise click.ClickException(
+            f"{name} needs {package}, which is not installed here; "
+            "pip install -e . brings all that brassweir needs"
+        )
 
     return missing
 
--- a/brassweir/cli/model.py
+++ b/brassweir/cli/model.py
@@ -185,7 +185,9 @@
     return {
         "turns": found.turns,
         "events": found.events,
-        "difference": None if one is None else {
+        "difference": None
+        if one is None
+        else {
             "turn": one.turn,
             "now_ms": one.now,
             "events": one.events,
--- a/brassweir/cli/regions.py
+++ b/brassweir/cli/regions.py
@@ -18,12 +18,27 @@
 _path = click.Path(path_type=Path, exists=True, dir_okay=False)
 _out = click.argument("out", type=click.Path(path_type=Path, dir_okay=False))
 _lease = click.option("--lease-s", default=60.0, show_default=True, type=click.FloatRange(1.0, 86_400.0))
-_error = click.option("--clock-error-ms", default=500.0, show_default=True,
-                      type=click.FloatRange(1.0, 60_000.0), help="No region's clock is further off.")
-_longest = click.option("--longest-s", default=60.0, show_default=True, type=click.FloatRange(0.1, 86_400.0),
-                        help="The longest deadline of a message.")
-_asks = click.option("--asks-on-s", default=3600.0, show_default=True, type=click.FloatRange(0.0, 1e6),
-                     help="For how long clients ask for an answer.")
+_error = click.option(
+    "--clock-error-ms",
+    default=500.0,
+    show_default=True,
+    type=click.FloatRange(1.0, 60_000.0),
+    help="No region's clock is further off.",
+)
+_longest = click.option(
+    "--longest-s",
+    default=60.0,
+    show_default=True,
+    type=click.FloatRange(0.1, 86_400.0),
+    help="The longest deadline of a message.",
+)
+_asks = click.option(
+    "--asks-on-s",
+    default=3600.0,
+    show_default=True,
+    type=click.FloatRange(0.0, 1e6),
+    help="For how long clients ask for an answer.",
+)
 _json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
 
 
@@ -44,13 +59,24 @@
     for grant in epoch.grants:
         if grant.begins <= now < grant.ends:
             shares[grant.region] += (grant.high - grant.low) / PLACES
-    return {"number": epoch.number, "issued_s_ago": round((now - epoch.issued) / 1000.0, 1),
-            "share_owned_now": {name: round(share, 4) for name, share in shares.items()},
-            "nobody_s_now": round(1.0 - sum(shares.values()), 4),
-            "grants": [{"region": one.region, "low": one.low, "high": one.high,
-                        "begins_in_s": round((one.begins - now) / 1000.0, 1),
-                        "ends_in_s": round((one.ends - now) / 1000.0, 1)} for one in epoch.grants],
-            "past_owners": len(epoch.past), "next_by": publisher(epoch).value}
+    return {
+        "number": epoch.number,
+        "issued_s_ago": round((now - epoch.issued) / 1000.0, 1),
+        "share_owned_now": {name: round(share, 4) for name, share in shares.items()},
+        "nobody_s_now": round(1.0 - sum(shares.values()), 4),
+        "grants": [
+            {
+                "region": one.region,
+                "low": one.low,
+                "high": one.high,
+                "begins_in_s": round((one.begins - now) / 1000.0, 1),
+                "ends_in_s": round((one.ends - now) / 1000.0, 1),
+            }
+            for one in epoch.grants
+        ],
+        "past_owners": len(epoch.past),
+        "next_by": publisher(epoch).value,
+    }
 
 
 def _write(epoch: Epoch, out: Path, as_json: bool, **more: object) -> None:
@@ -67,8 +93,9 @@
 @_lease
 @click.option("--for-log", is_flag=True, help="The agreed log publishes, not a file.")
 @_json
-def first_command(out: Path, given: tuple[tuple[str, str], ...], lease_s: float, for_log: bool,
-                  as_json: bool) -> None:
+def first_command(
+    out: Path, given: tuple[tuple[str, str], ...], lease_s: float, for_log: bool, as_json: bool
+) -> None:
     """Split all messages evenly between regions and write the first epoch to OUT."""
     if out.exists():
         raise click.ClickException(f"{out} exists: a second first epoch would give away what is owned")
@@ -98,8 +125,16 @@
 @_asks
 @click.option("--hand-over", is_flag=True, help="No new lease: the last epoch of its source.")
 @_json
-def renew_command(file: Path, out: Path, lease_s: float, clock_error_ms: float, longest_s: float,
-                  asks_on_s: float, hand_over: bool, as_json: bool) -> None:
+def renew_command(
+    file: Path,
+    out: Path,
+    lease_s: float,
+    clock_error_ms: float,
+    longest_s: float,
+    asks_on_s: float,
+    hand_over: bool,
+    as_json: bool,
+) -> None:
     """Give every owner another lease; run it several times within one."""
     epoch, now = _read(file), time.time() * 1000.0
     if hand_over:
@@ -122,13 +157,30 @@
 @_longest
 @_asks
 @_json
-def move_command(file: Path, out: Path, low: float, high: float, region: str, lease_s: float,
-                 clock_error_ms: float, longest_s: float, asks_on_s: float, as_json: bool) -> None:
+def move_command(
+    file: Path,
+    out: Path,
+    low: float,
+    high: float,
+    region: str,
+    lease_s: float,
+    clock_error_ms: float,
+    longest_s: float,
+    asks_on_s: float,
+    as_json: bool,
+) -> None:
     """Move a share of all messages to a region; prints for how long unsafe and keyed ones will wait."""
     assumed = _assumed(clock_error_ms, longest_s, asks_on_s)
     try:
-        move = planning.moved(_read(file), round(low * PLACES), round(high * PLACES), region,
-                              time.time() * 1000.0, lease_s * 1000.0, assumed)
+        move = planning.moved(
+            _read(file),
+            round(low * PLACES),
+            round(high * PLACES),
+            region,
+            time.time() * 1000.0,
+            lease_s * 1000.0,
+            assumed,
+        )
     except EpochError as error:
         raise click.ClickException(str(error)) from None
     _write(move.epoch, out, as_json, pause_s=round(move.pause / 1000.0, 1))
@@ -146,15 +198,29 @@
 @_longest
 @_asks
 @_json
-def drain_command(file: Path, out: Path, region: str, lost: bool, stopped: bool, kept: bool, lease_s: float,
-                  clock_error_ms: float, longest_s: float, asks_on_s: float, as_json: bool) -> None:
+def drain_command(
+    file: Path,
+    out: Path,
+    region: str,
+    lost: bool,
+    stopped: bool,
+    kept: bool,
+    lease_s: float,
+    clock_error_ms: float,
+    longest_s: float,
+    asks_on_s: float,
+    as_json: bool,
+) -> None:
     """Give all that a region owns to the others: planned, or after losing it for good."""
     assumed = _assumed(clock_error_ms, longest_s, asks_on_s)
     now, lease = time.time() * 1000.0, lease_s * 1000.0
     try:
         epoch = _read(file)
-        move = (planning.taken_over(epoch, region, now, lease, assumed, planning.Lost(stopped, kept)) if lost
-                else planning.drained(epoch, region, now, lease, assumed))
+        move = (
+            planning.taken_over(epoch, region, now, lease, assumed, planning.Lost(stopped, kept))
+            if lost
+            else planning.drained(epoch, region, now, lease, assumed)
+        )
     except EpochError as error:
         raise click.ClickException(str(error)) from None
     _write(move.epoch, out, as_json, pause_s=round(move.pause / 1000.0, 1))
--- a/brassweir/config/load.py
+++ b/brassweir/config/load.py
@@ -53,8 +53,11 @@
     except ValidationError as error:
         found = error.errors()
         # A list with a bad item also counts as too short: only the item is at fault.
-        found = [one for one in found if one["type"] != "too_short" or not any(
-            _within(other["loc"], one["loc"]) for other in found)]
+        found = [
+            one
+            for one in found
+            if one["type"] != "too_short" or not any(_within(other["loc"], one["loc"]) for other in found)
+        ]
         problems = sorted(_place(tree, one["loc"], one["msg"], one["type"]) for one in found)
         raise ConfigError([f"{name}:{line}: {what}" for line, what in problems]) from None
 
@@ -79,4 +82,3 @@
     field = "".join(f"[{step}]" if isinstance(step, int) else f".{step}" for step in loc).lstrip(".")
     words = {"missing": "is missing", "extra_forbidden": "is no known field"}.get(kind, message)
     return line, f"{field}: {words}" if field else words
-
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -109,15 +109,23 @@
                 record.keepers.clear()
                 self._fact(record)
 
-            self.store.keep(Fact.TAKEN, record.id, record.submission, kept, lambda why: self._finish(
-                record, FinalAnswer(Answer.REFUSED, why, self.settings.max_retry_after)))
+            self.store.keep(
+                Fact.TAKEN,
+                record.id,
+                record.submission,
+                kept,
+                lambda why: self._finish(
+                    record, FinalAnswer(Answer.REFUSED, why, self.settings.max_retry_after)
+                ),
+            )
         return how, record
 
     def knows(self, owner: str, identity: str) -> bool:
         """Would a hand-in of this message join it or be told its answer, rather than be taken as new?"""
         record = self.ledger.by_name.get((owner, identity))
-        return record is not None and (record.answer is None
-                                       or self.ledger.reopens(record, self.clock.now()) <= 0.0)
+        return record is not None and (
+            record.answer is None or self.ledger.reopens(record, self.clock.now()) <= 0.0
+        )
 
     def past(self, known: Iterable[api.Past]) -> None:
         """Tell what was known of endpoints before a restart; after the list, before any message."""
@@ -206,8 +214,15 @@
         info = self.endpoints[action.endpoint]
         until, repeat = self.ledger.repeats_until(record), record.ran is not None
         number = self.ledger.sent(action.id, action.endpoint, self.clock.now())
-        attempt = Attempt(action.id, number, record.submission, info, action.abandon_at, repeat,
-                          Going(lambda: record.answer is None and self.clock.now() <= until))
+        attempt = Attempt(
+            action.id,
+            number,
+            record.submission,
+            info,
+            action.abandon_at,
+            repeat,
+            Going(lambda: record.answer is None and self.clock.now() <= until),
+        )
         started = self.clock.now()
         limit: Handle | None = None
 
@@ -254,6 +269,7 @@
 
     def _tell(self, event: api.Event, which: Callable[[], list[Attempt]], why: str) -> None:
         """Tell what may call attempts back: now, and after the turn that hears it and may not heed it yet."""
+
         def again() -> None:
             self._recall(which(), why)
 
@@ -262,8 +278,12 @@
         self._fact(event)
 
     def _unbegun(self, *homes: int) -> list[Attempt]:
-        return [attempt for home in homes for attempt, _ in self.waiting.get(home, {}).values()
-                if not attempt.going.begun]
+        return [
+            attempt
+            for home in homes
+            for attempt, _ in self.waiting.get(home, {}).values()
+            if not attempt.going.begun
+        ]
 
     def _waits(self, attempt: Attempt, outcome: Outcome) -> list[Attempt]:
         if outcome.wait <= 0.0:
@@ -294,8 +314,17 @@
                     self._finish(record, FinalAnswer(answer, outcome.reason))
                 self.ledger.shed(record)
                 closed = record.answer is not None
-            ended = api.AttemptEnded(attempt.id, attempt.number, attempt.endpoint.name, outcome.result,
-                                     latency, closed, outcome.wait, outcome.limit_left, outcome.limit)
+            ended = api.AttemptEnded(
+                attempt.id,
+                attempt.number,
+                attempt.endpoint.name,
+                outcome.result,
+                latency,
+                closed,
+                outcome.wait,
+                outcome.limit_left,
+                outcome.limit,
+            )
             self._tell(ended, lambda: self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
 
         self.store.keep(Fact.OUTCOME, attempt.id, (attempt, outcome), tell, lambda _: tell())
--- a/brassweir/core/ledger.py
+++ b/brassweir/core/ledger.py
@@ -52,8 +52,15 @@
     def told(self, now: float) -> NewMessage:
         """What the module is told of it: its time ran on while it was written down, or a start took long."""
         given = self.submission
-        return NewMessage(self.id, given.class_name, given.destination, self.until - now, given.key,
-                          given.resent, admitted=self.resumed)
+        return NewMessage(
+            self.id,
+            given.class_name,
+            given.destination,
+            self.until - now,
+            given.key,
+            given.resent,
+            admitted=self.resumed,
+        )
 
 
 class Taken(Enum):
@@ -97,11 +104,19 @@
                 return Taken.ENDED, known
             left = min(left, allowed)
         self.last_id += 1
-        fresh = Submission(submission.owner, submission.identity, submission.class_name,
-                           submission.destination, left, submission.key,
-                           submission.resent or known is not None, submission.payload, submission.reply,
-                           now - known.ran if known is not None and known.ran is not None else None,
-                           submission.born)
+        fresh = Submission(
+            submission.owner,
+            submission.identity,
+            submission.class_name,
+            submission.destination,
+            left,
+            submission.key,
+            submission.resent or known is not None,
+            submission.payload,
+            submission.reply,
+            now - known.ran if known is not None and known.ran is not None else None,
+            submission.born,
+        )
         record = Record(self.last_id, fresh, now, now + left, waiters=[waiter])
         record.ran = known.ran if known else None
         if known is not None:
@@ -172,8 +187,17 @@
         """Let go of the content of an ended message with nothing out: only its answer is still asked for."""
         if record.answer is not None and not record.out:
             old = record.submission
-            record.submission = Submission(old.owner, old.identity, old.class_name, old.destination, old.left,
-                                           old.key, old.resent, None, old.reply)
+            record.submission = Submission(
+                old.owner,
+                old.identity,
+                old.class_name,
+                old.destination,
+                old.left,
+                old.key,
+                old.resent,
+                None,
+                old.reply,
+            )
 
     def restore(self, record: Record) -> None:
         """Put back a message that ended before a restart. Those restored go from the oldest answer on."""
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -178,8 +178,14 @@
 class Store(Protocol):
     """Keeps facts; ``then`` runs once the fact is as durable as the store makes it."""
 
-    def keep(self, fact: Fact, message: int, detail: object, then: Callable[[], None],
-             unable: Callable[[str], None]) -> None:
+    def keep(
+        self,
+        fact: Fact,
+        message: int,
+        detail: object,
+        then: Callable[[], None],
+        unable: Callable[[str], None],
+    ) -> None:
         """Keep one fact of one message: its Submission, Attempt, (Attempt, Outcome) or FinalAnswer.
 
         Either ``then`` runs, perhaps before this returns, or, for a fact that there is no room for,
@@ -190,7 +196,13 @@
 class MemoryStore:
     """Keeps nothing beyond the process: every fact counts as kept at once."""
 
-    def keep(self, fact: Fact, message: int, detail: object, then: Callable[[], None],
-             unable: Callable[[str], None]) -> None:
+    def keep(
+        self,
+        fact: Fact,
+        message: int,
+        detail: object,
+        then: Callable[[], None],
+        unable: Callable[[str], None],
+    ) -> None:
         """Go on at once."""
         then()
--- a/brassweir/core/recall.py
+++ b/brassweir/core/recall.py
@@ -17,19 +17,28 @@
 TOLD_OFF = "its endpoint was told off before anything was written"
 
 
-def waits(ended: Attempt, outcome: Outcome, waiting: Iterable[Attempt],
-          apart: frozenset[str]) -> list[Attempt]:
+def waits(
+    ended: Attempt, outcome: Outcome, waiting: Iterable[Attempt], apart: frozenset[str]
+) -> list[Attempt]:
     """Attempts that a told wait calls back: those to the same destination, or where the kind's routes have
     limits of their own (``apart``), to the same endpoint."""
     if outcome.wait <= 0.0:
         return []
     own = ended.endpoint.kind in apart
-    return [one for one in waiting if one.endpoint.destination == ended.endpoint.destination
-            and (not own or one.endpoint.name == ended.endpoint.name)]
+    return [
+        one
+        for one in waiting
+        if one.endpoint.destination == ended.endpoint.destination
+        and (not own or one.endpoint.name == ended.endpoint.name)
+    ]
 
 
 def news(entries: Iterable[EndpointInfo], waiting: Iterable[Attempt]) -> list[Attempt]:
     """Attempts that news of the list calls back: to endpoints not ready, or of another destination now."""
     told = {info.name: info for info in entries}
-    return [one for one in waiting if (info := told.get(one.endpoint.name)) is not None
-            and (info.state is not State.READY or info.destination != one.submission.destination)]
+    return [
+        one
+        for one in waiting
+        if (info := told.get(one.endpoint.name)) is not None
+        and (info.state is not State.READY or info.destination != one.submission.destination)
+    ]
--- a/brassweir/destinations/shown.py
+++ b/brassweir/destinations/shown.py
@@ -28,18 +28,28 @@
 
 def _gate(gate: Gate, now: float) -> dict[str, Any]:
     state = "shut" if gate.shut else "waiting" if gate.wait > now else "open"
-    return {"state": state, "wait_ms": _plain(max(0.0, gate.wait - now)),
-            "pace_per_second": _plain(gate.pace),
-            "failures_in_a_row": gate.fails, "share_failed": round(gate.bad, 3),
-            "next_trial_ms": _plain(gate.trial - now) if gate.shut else None,
-            "returned_ms_ago": _plain(now - gate.ramp)}
+    return {
+        "state": state,
+        "wait_ms": _plain(max(0.0, gate.wait - now)),
+        "pace_per_second": _plain(gate.pace),
+        "failures_in_a_row": gate.fails,
+        "share_failed": round(gate.bad, 3),
+        "next_trial_ms": _plain(gate.trial - now) if gate.shut else None,
+        "returned_ms_ago": _plain(now - gate.ramp),
+    }
 
 
 def _endpoint(one: Endpoint, own: bool, now: float) -> dict[str, Any]:
     shown: dict[str, Any] = {
-        "name": one.info.name, "kind": one.info.kind, "zone": one.info.zone, "state": one.info.state.value,
-        "usable": one.usable, "out": one.out, "failures_in_a_row": one.fails,
-        "last_used_ms_ago": _plain(now - one.used)}
+        "name": one.info.name,
+        "kind": one.info.kind,
+        "zone": one.info.zone,
+        "state": one.info.state.value,
+        "usable": one.usable,
+        "out": one.out,
+        "failures_in_a_row": one.fails,
+        "last_used_ms_ago": _plain(now - one.used),
+    }
     return shown | ({"gate": _gate(one.gate, now)} if own else {})
 
 
@@ -50,18 +60,40 @@
         nap = sender.asleep.get(number)
         if nap is None:
             return None
-        return {"asleep": True, "endpoints": [info.name for info in nap[2::2]],
-                "remembers": sum(len(part) // 2 for part in nap[1])}
-    return {"asleep": False, "ill": dest.ill, "open": dest.load.open, "out": dest.load.out,
-            "held": sum(entry[2].held for entry in dest.heap), "mean_call_ms": round(dest.mean.value, 3),
-            "usual_call_ms": round(dest.mean.usual, 3), "gate": _gate(dest.gate, now),
-            "endpoints": [_endpoint(one, one.gate is not dest.gate, now) for one in dest.endpoints.values()]}
+        return {
+            "asleep": True,
+            "endpoints": [info.name for info in nap[2::2]],
+            "remembers": sum(len(part) // 2 for part in nap[1]),
+        }
+    return {
+        "asleep": False,
+        "ill": dest.ill,
+        "open": dest.load.open,
+        "out": dest.load.out,
+        "held": sum(entry[2].held for entry in dest.heap),
+        "mean_call_ms": round(dest.mean.value, 3),
+        "usual_call_ms": round(dest.mean.usual, 3),
+        "gate": _gate(dest.gate, now),
+        "endpoints": [_endpoint(one, one.gate is not dest.gate, now) for one in dest.endpoints.values()],
+    }
 
 
 def top(sender: Sender, name_of: Callable[[int], str], by: str, count: int) -> dict[str, Any]:
     """The ``count`` destinations that lead in one respect. Raises KeyError for an unknown one."""
     order = ORDERS[by]
     leading = nlargest(count, sender.dests.values(), key=order)
-    return {"by": by, "awake": len(sender.dests), "asleep": len(sender.asleep),
-            "top": [{"destination": name_of(dest.id), by: round(order(dest), 3), "open": dest.load.open,
-                     "out": dest.load.out, "ill": dest.ill} for dest in leading]}
+    return {
+        "by": by,
+        "awake": len(sender.dests),
+        "asleep": len(sender.asleep),
+        "top": [
+            {
+                "destination": name_of(dest.id),
+                by: round(order(dest), 3),
+                "open": dest.load.open,
+                "out": dest.load.out,
+                "ill": dest.ill,
+            }
+            for dest in leading
+        ],
+    }
--- a/brassweir/forward/carrier.py
+++ b/brassweir/forward/carrier.py
@@ -28,9 +28,19 @@
     """Carries attempts of one kind. ``tag`` is given to documents that came without one; ``linger`` (ms) is
     how long a call whose time is over is still listened to."""
 
-    def __init__(self, urls: Urls, pools: Pools, credentials: Credentials, offload: Offload, note: Note, *,
-                 batch: int = 1, tag: str = "brassweir", compress: bool = False,
-                 linger: float = 2000.0) -> None:
+    def __init__(
+        self,
+        urls: Urls,
+        pools: Pools,
+        credentials: Credentials,
+        offload: Offload,
+        note: Note,
+        *,
+        batch: int = 1,
+        tag: str = "brassweir",
+        compress: bool = False,
+        linger: float = 2000.0,
+    ) -> None:
         super().__init__(urls, pools, note, credentials.hostname)
         self.pools, self.credentials, self.offload, self.tag = pools, credentials, offload, tag
         self.compress, self.linger = compress, linger
@@ -70,6 +80,7 @@
                 if number not in told:
                     told.add(number)
                     calls[number][1](outcome)
+
             return done
 
         each = [once(number) for number in range(len(calls))]
@@ -80,8 +91,9 @@
                 done(Outcome(Result.CANCELLED, "the sender stopped"))
             raise
         except Exception as error:  # a fault here must not leave an attempt without an outcome
-            self.note("carrier_fault", {"message": calls[0][0].id,
-                                        "error": f"{type(error).__name__}: {error}"})
+            self.note(
+                "carrier_fault", {"message": calls[0][0].id, "error": f"{type(error).__name__}: {error}"}
+            )
             for done in each:
                 done(Outcome(Result.ERROR, f"internal: {type(error).__name__}"))
 
--- a/brassweir/forward/decide/rules.py
+++ b/brassweir/forward/decide/rules.py
@@ -45,8 +45,9 @@
         wanted = {int(name) for name in re.findall(r"\{(\d+)\}", template)}
         if wanted and max(wanted) >= len(parts):
             return None
-        return re.sub(r"\{(tag|\d+)\}",
-                      lambda found: tag if found[1] == "tag" else parts[int(found[1])], template)
+        return re.sub(
+            r"\{(tag|\d+)\}", lambda found: tag if found[1] == "tag" else parts[int(found[1])], template
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/forward/events.py
+++ b/brassweir/forward/events.py
@@ -59,15 +59,21 @@
 
 def pack(events: list[Event], *, integer_times: bool = False) -> bytes:
     """Packed entries."""
-    return b"".join(packed([event.time.seconds if integer_times else event.time.ext(), event.record])
-                    for event in events)
+    return b"".join(
+        packed([event.time.seconds if integer_times else event.time.ext(), event.record]) for event in events
+    )
 
 
 def unpack(data: bytes, most: int) -> Iterator[Event]:
     """Read packed entries one by one, at most so many. Raises ForwardError, perhaps after some were given."""
     total = count(data, most)
-    reader = Unpacker(read_size=4096, max_buffer_size=max(4096, len(data)), strict_map_key=False,
-                      unicode_errors="replace", ext_hook=_ext)
+    reader = Unpacker(
+        read_size=4096,
+        max_buffer_size=max(4096, len(data)),
+        strict_map_key=False,
+        unicode_errors="replace",
+        ext_hook=_ext,
+    )
     reader.feed(data)
     for number in range(total):
         try:
@@ -126,8 +132,12 @@
 def _shallow(record: dict[Any, Any], number: int) -> None:
     level: list[Any] = [record]
     for _ in range(DEEPEST):
-        level = [inner for outer in level for inner in (outer.values() if isinstance(outer, dict) else outer)
-                 if isinstance(inner, dict | list)]
+        level = [
+            inner
+            for outer in level
+            for inner in (outer.values() if isinstance(outer, dict) else outer)
+            if isinstance(inner, dict | list)
+        ]
         if not level:
             return
     raise ForwardError(f"entry {number} is nested deeper than {DEEPEST}")
@@ -187,8 +197,14 @@
 
 def _keyed(value: Any) -> Any:
     if isinstance(value, dict):
-        return {key if isinstance(key, str) else key.decode("utf-8", "replace") if isinstance(key, bytes)
-                else str(key): _keyed(inner) for key, inner in value.items()}
+        return {
+            key
+            if isinstance(key, str)
+            else key.decode("utf-8", "replace")
+            if isinstance(key, bytes)
+            else str(key): _keyed(inner)
+            for key, inner in value.items()
+        }
     if isinstance(value, list):
         return [_keyed(inner) for inner in value]
     if isinstance(value, int) and not -(1 << 63) <= value < 1 << 64:
--- a/brassweir/forward/front.py
+++ b/brassweir/forward/front.py
@@ -36,10 +36,22 @@
 class ForwardFront:
     """Serves sources. ``margin`` (ms) is kept of each chunk's time for the ack's own way."""
 
-    def __init__(self, sources: Mapping[str, Source], gate: Gatekeeper, hostname: str,
-                 classes: Mapping[str, MessageClass], number_of: Callable[[str], int | None], engine: Submits,
-                 offload: Offload, keeps: Keeps, note: Note, bounds: Bounds | None = None, *,
-                 margin: float = 100.0, counts: Counts | None = None) -> None:
+    def __init__(
+        self,
+        sources: Mapping[str, Source],
+        gate: Gatekeeper,
+        hostname: str,
+        classes: Mapping[str, MessageClass],
+        number_of: Callable[[str], int | None],
+        engine: Submits,
+        offload: Offload,
+        keeps: Keeps,
+        note: Note,
+        bounds: Bounds | None = None,
+        *,
+        margin: float = 100.0,
+        counts: Counts | None = None,
+    ) -> None:
         self.sources, self.gate, self.hostname, self.classes = sources, gate, hostname, classes
         self.number_of, self.engine, self.offload, self.keeps = number_of, engine, offload, keeps
         self.note, self.bounds, self.margin = note, bounds or Bounds(), margin
@@ -56,13 +68,15 @@
 
     # ---- life
 
-    async def listen(self, host: str, port: int, tls: SSLContext | None = None, *,
-                     beats: bool = False) -> int:
+    async def listen(
+        self, host: str, port: int, tls: SSLContext | None = None, *, beats: bool = False
+    ) -> int:
         """Start to listen and return the port; ``tls`` is the seam for a later direction. With ``beats``,
         heartbeats over UDP are answered at the same port."""
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: self._connection(loop), host, port, ssl=tls,
-                                                 backlog=1024)
+        self.listener = await loop.create_server(
+            lambda: self._connection(loop), host, port, ssl=tls, backlog=1024
+        )
         port = int(self.listener.sockets[0].getsockname()[1])
         if beats:
             transport, _ = await loop.create_datagram_endpoint(_Heart, local_addr=(host, port))
@@ -70,8 +84,9 @@
         return port
 
     def _connection(self, loop: asyncio.AbstractEventLoop) -> Connection:
-        session = Session(self.gate, self.hostname, secrets.token_bytes(16), secrets.token_bytes(16),
-                          self.bounds.chunk)
+        session = Session(
+            self.gate, self.hostname, secrets.token_bytes(16), secrets.token_bytes(16), self.bounds.chunk
+        )
         return Connection(self, session, loop)
 
     def stop_taking(self) -> None:
@@ -101,8 +116,10 @@
     def complain(self, connection: Connection, reason: str) -> None:
         """Note what a peer did that cannot be served."""
         self.counts.told("turned_away")
-        self.note("forward_turned_away", {"peer": connection.peer, "source": connection.source,
-                                          "reason": reason[:300]})
+        self.note(
+            "forward_turned_away",
+            {"peer": connection.peer, "source": connection.source, "reason": reason[:300]},
+        )
 
     # ---- turns
 
@@ -153,8 +170,17 @@
         identity = given.chunk or f"{_OWN}-{secrets.token_hex(12)}"
         placed = place(source.rules, source.name, given.tag)
         number = self.number_of(placed.destination) if placed is not None else None
-        nowhere = Item(source.name, identity, placed.destination if placed else "",
-                       placed.class_name if placed else "", given.tag, "", 0.0, events.PACKED, given.data)
+        nowhere = Item(
+            source.name,
+            identity,
+            placed.destination if placed else "",
+            placed.class_name if placed else "",
+            given.tag,
+            "",
+            0.0,
+            events.PACKED,
+            given.data,
+        )
         if not asked and source.acks_required:
             return Told(Tell.CLOSE, "a chunk without an id, which could not be acknowledged"), nowhere
         if placed is None or number is None:
@@ -178,8 +204,15 @@
                 payload = await self._opened(given, placed)  # forgotten while it stood in line
             answered: asyncio.Future[FinalAnswer] = loop.create_future()
             taken = loop.time()
-            submission = Submission(source.name, identity, placed.class_name, number,
-                                    cls.deadline - self.margin, placed.key, payload=payload)
+            submission = Submission(
+                source.name,
+                identity,
+                placed.class_name,
+                number,
+                cls.deadline - self.margin,
+                placed.key,
+                payload=payload,
+            )
             self.engine.submit(submission, _setter(answered))
         answer = await answered
         told = answers.final(answer, asked)
@@ -189,8 +222,17 @@
         if told.tell is Tell.KEEP and payload is None:
             payload = await self._opened(given, placed)
         kept = payload or Payload(events.PACKED, given.data, given.tag)
-        return told, Item(source.name, identity, placed.destination, placed.class_name, given.tag,
-                          told.reason, 0.0, kept.content_type, kept.content)
+        return told, Item(
+            source.name,
+            identity,
+            placed.destination,
+            placed.class_name,
+            given.tag,
+            told.reason,
+            0.0,
+            kept.content_type,
+            kept.content,
+        )
 
     async def _opened(self, given: Message, placed: Placed) -> Payload:
         """The chunk in the form that it goes on in. Raises ForwardError."""
@@ -224,8 +266,16 @@
         if told.tell is Tell.CLOSE:
             self.turns.refused(name, told.pause, asyncio.get_running_loop().time() * 1000.0)
             self.counts.told("closed")
-            self.note("forward_closed", {"source": name, "tag": given.tag[:200], "chunk": given.chunk,
-                                         "reason": told.reason, "pause_ms": round(told.pause)})
+            self.note(
+                "forward_closed",
+                {
+                    "source": name,
+                    "tag": given.tag[:200],
+                    "chunk": given.chunk,
+                    "reason": told.reason,
+                    "pause_ms": round(told.pause),
+                },
+            )
             connection.close()
             return
         if given.chunk:
@@ -234,16 +284,40 @@
 
     async def _keep(self, told: Told, item: Item, asked: bool) -> Told:
         """Keep a chunk for the operator; where that fails its source keeps it, if it can."""
-        kept = Item(item.owner, item.identity, item.destination, item.class_name, item.label, told.reason,
-                    time.time() * 1000.0, item.content_type, item.content)
+        kept = Item(
+            item.owner,
+            item.identity,
+            item.destination,
+            item.class_name,
+            item.label,
+            told.reason,
+            time.time() * 1000.0,
+            item.content_type,
+            item.content,
+        )
         try:
             await self.keeps(kept)
         except OSError as error:
-            self.note("not_kept", {"source": item.owner, "chunk": item.identity, "reason": told.reason,
-                                   "error": str(error), "lost": not asked})
+            self.note(
+                "not_kept",
+                {
+                    "source": item.owner,
+                    "chunk": item.identity,
+                    "reason": told.reason,
+                    "error": str(error),
+                    "lost": not asked,
+                },
+            )
             return Told(Tell.CLOSE, f"{told.reason}; and not kept: {error}", answers.MISPLACED)
-        self.note("kept", {"source": item.owner, "chunk": item.identity, "destination": item.destination,
-                           "reason": told.reason})
+        self.note(
+            "kept",
+            {
+                "source": item.owner,
+                "chunk": item.identity,
+                "destination": item.destination,
+                "reason": told.reason,
+            },
+        )
         self.counts.told("kept")
         return told
 
--- a/brassweir/forward/handshake.py
+++ b/brassweir/forward/handshake.py
@@ -80,8 +80,9 @@
         return same(self.digest, digest(salt, self.hostname, nonce, key))
 
 
-def ping(helo: Helo, hostname: str, salt: bytes, key: bytes, username: str = "",
-         password: bytes = b"") -> Ping:
+def ping(
+    helo: Helo, hostname: str, salt: bytes, key: bytes, username: str = "", password: bytes = b""
+) -> Ping:
     """The client's answer to a HELO; a password is told only where one is asked for."""
     proof = password_digest(helo.auth, username, password) if helo.auth else ""
     return Ping(hostname, salt, digest(salt, hostname, helo.nonce, key), username if helo.auth else "", proof)
--- a/brassweir/forward/link.py
+++ b/brassweir/forward/link.py
@@ -42,8 +42,9 @@
 class ForwardLink(Connection):
     """One connection; a call on it is one or more chunks, each with an ack of its own."""
 
-    def __init__(self, pool: ConnectionPool, loop: asyncio.AbstractEventLoop,
-                 credentials: Credentials) -> None:
+    def __init__(
+        self, pool: ConnectionPool, loop: asyncio.AbstractEventLoop, credentials: Credentials
+    ) -> None:
         super().__init__(pool, loop)
         self.credentials = credentials
         self.frames = Frames(ANSWER)
@@ -64,7 +65,8 @@
             helo = handshake.read_helo(await self._hear())
             assert self.transport is not None
             self.transport.write(
-                handshake.ping(helo, own.hostname, salt, own.key, own.username, own.password).encode())
+                handshake.ping(helo, own.hostname, salt, own.key, own.username, own.password).encode()
+            )
             pong = handshake.read_pong(await self._hear())
         except ForwardError as error:
             raise CallFailed(Stage.CONNECT, str(error)) from None
--- a/brassweir/forward/message.py
+++ b/brassweir/forward/message.py
@@ -69,14 +69,14 @@
     tag = _text(reader.unpack(), "the tag", TAG)
     start = reader.tell()
     kind = frame[start]
-    if kind >> 4 == 0x9 or kind in (0xdc, 0xdd):
+    if kind >> 4 == 0x9 or kind in (0xDC, 0xDD):
         mode, most = Mode.FORWARD, 3
         count = reader.read_array_header()
         start = reader.tell()
         for _ in range(count):
             reader.skip()
-        data = frame[start:reader.tell()]
-    elif kind >> 5 == 0x5 or kind in (0xc4, 0xc5, 0xc6, 0xd9, 0xda, 0xdb):
+        data = frame[start : reader.tell()]
+    elif kind >> 5 == 0x5 or kind in (0xC4, 0xC5, 0xC6, 0xD9, 0xDA, 0xDB):
         mode, most = Mode.PACKED, 3
         data = reader.unpack()
     else:
@@ -85,7 +85,7 @@
             raise ForwardError("a time without a record")
         reader.skip()
         reader.skip()
-        data = b"\x92" + frame[start:reader.tell()]
+        data = b"\x92" + frame[start : reader.tell()]
     if length > most:
         raise ForwardError(f"an array of {length} is no message")
     given = reader.unpack() if length == most else None
@@ -123,8 +123,15 @@
         raise ForwardError(f"{what} is no UTF-8") from None
 
 
-def build(mode: Mode, tag: str, entries: list[Event], chunk: str = "", *, size: int | None = None,
-          integer_times: bool = False) -> bytes:
+def build(
+    mode: Mode,
+    tag: str,
+    entries: list[Event],
+    chunk: str = "",
+    *,
+    size: int | None = None,
+    integer_times: bool = False,
+) -> bytes:
     """A message of any mode. ``size`` is what is told as the count; one MESSAGE carries one entry."""
     options: dict[str, Any] = {}
     if chunk:
@@ -137,8 +144,13 @@
     if mode is Mode.FORWARD:
         listed = [[one.time.seconds if integer_times else one.time.ext(), one.record] for one in entries]
         return packed([tag, listed, options])
-    return packed_message(tag, events.pack(entries, integer_times=integer_times), chunk, options["size"],
-                          compress=mode is Mode.COMPRESSED)
+    return packed_message(
+        tag,
+        events.pack(entries, integer_times=integer_times),
+        chunk,
+        options["size"],
+        compress=mode is Mode.COMPRESSED,
+    )
 
 
 def packed_message(tag: str, entries: bytes, chunk: str, size: int, *, compress: bool = False) -> bytes:
--- a/brassweir/lab/between/asking.py
+++ b/brassweir/lab/between/asking.py
@@ -38,9 +38,22 @@
 def told_of(at: float, copy: str, life: int, run: int, agreed: dict[str, Any], peers: dict[str, Any]) -> Told:
     """What ``/agreed`` and ``/peers`` said. Raises KeyError naming what is missing."""
     views = peers["copies"]
-    return Told(at, copy, life, agreed["role"], int(agreed["term"]), agreed["leader"] or "",
-                int(agreed["agreed"]), int(agreed["applied"]),
-                frozenset(name for name, state in views.items() if state == "alive"),
-                frozenset(name for name, state in views.items() if state == "dead"),
-                bool(peers["self_suspected"]), int(agreed["granted"]), int(agreed["index"]), agreed["digest"],
-                agreed["trouble"], run, frozenset(agreed["voters"]))
+    return Told(
+        at,
+        copy,
+        life,
+        agreed["role"],
+        int(agreed["term"]),
+        agreed["leader"] or "",
+        int(agreed["agreed"]),
+        int(agreed["applied"]),
+        frozenset(name for name, state in views.items() if state == "alive"),
+        frozenset(name for name, state in views.items() if state == "dead"),
+        bool(peers["self_suspected"]),
+        int(agreed["granted"]),
+        int(agreed["index"]),
+        agreed["digest"],
+        agreed["trouble"],
+        run,
+        frozenset(agreed["voters"]),
+    )
--- a/brassweir/lab/between/judge_traffic.py
+++ b/brassweir/lab/between/judge_traffic.py
@@ -11,8 +11,9 @@
 IDLE_MOST = 2000.0  # bytes a second that a copy sends when nothing goes on
 
 
-def traffic(tape: RelayTape, start: float, end: float, most: float = IDLE_MOST,
-            gone: Collection[str] = ()) -> Finding:
+def traffic(
+    tape: RelayTape, start: float, end: float, most: float = IDLE_MOST, gone: Collection[str] = ()
+) -> Finding:
     """What each copy sends in a quiet span, in bytes and messages a second; none over ``most`` bytes of what
     peers say of being there (``live``). The agreed log's talk is told beside it: its leader feeds all.
     Nothing is asked of who is ``gone``."""
@@ -38,7 +39,8 @@
         "bytes_a_second_mean": round(sum(sizes.values()) / span / max(1, len(tape.names)), 1),
         "log_bytes_a_second_most": round(max((logged[name] for name in tape.names), default=0) / span, 1),
         "log_bytes_a_second_mean": round(sum(logged.values()) / span / max(1, len(tape.names)), 1),
-        "messages_a_second_mean": round(sum(counts.values()) / span / max(1, len(tape.names)), 2)}
+        "messages_a_second_mean": round(sum(counts.values()) / span / max(1, len(tape.names)), 2),
+    }
     return found
 
 
--- a/brassweir/lab/between/relay.py
+++ b/brassweir/lab/between/relay.py
@@ -38,7 +38,7 @@
             return
         if passage.spoilt >= 0 and data:
             at = passage.spoilt % (8 * len(data))
-            data = data[: at // 8] + bytes([data[at // 8] ^ 1 << at % 8]) + data[at // 8 + 1:]
+            data = data[: at // 8] + bytes([data[at // 8] ^ 1 << at % 8]) + data[at // 8 + 1 :]
         if passage.hold and self.held is None:
             self.held = data
             asyncio.get_running_loop().call_later(HOLD, self.release)
--- a/brassweir/lab/between/schedule.py
+++ b/brassweir/lab/between/schedule.py
@@ -35,8 +35,22 @@
     """
 
     at: Seconds
-    what: Literal["cut", "oneway", "isolate", "stall", "kill", "lose", "restore", "full", "clock", "weather",
-                  "move", "restart_all", "rolling", "replace"]
+    what: Literal[
+        "cut",
+        "oneway",
+        "isolate",
+        "stall",
+        "kill",
+        "lose",
+        "restore",
+        "full",
+        "clock",
+        "weather",
+        "move",
+        "restart_all",
+        "rolling",
+        "replace",
+    ]
     who: Name | None = None
     between: tuple[Name, Name] | None = None
     lasts: Seconds = Field(1.0, alias="for")
@@ -61,8 +75,11 @@
             raise ValueError(f"{self.what} takes no between")
         if self.what == "clock" and not self.by_ms:
             raise ValueError("clock needs by_ms")
-        ours = {"weather": {"lose", "double", "swap", "spoil", "delay", "delay_ms"}, "restore": {"age"},
-                "clock": {"by_ms"}}
+        ours = {
+            "weather": {"lose", "double", "swap", "spoil", "delay", "delay_ms"},
+            "restore": {"age"},
+            "clock": {"by_ms"},
+        }
         for what, fields in ours.items():
             odd = sorted(self.model_fields_set & fields)
             if odd and self.what != what:
--- a/brassweir/lab/models/coldjudge.py
+++ b/brassweir/lab/models/coldjudge.py
@@ -33,7 +33,7 @@
         if count > allowed + 2.0 * math.sqrt(allowed) + 2.0 and at - last > SPAN:
             last = at
             falls[warm] += 1
-            told += sum(copy.met for _, copy in calls[start:stop + 1]) * 3 > 2 * count
+            told += sum(copy.met for _, copy in calls[start : stop + 1]) * 3 > 2 * count
     return Judged(ratio[0], ratio[1], falls[0], falls[1], told, world.served)
 
 
