--- a/brassweir/lab/models/sitetypes.py
+++ b/brassweir/lab/models/sitetypes.py
@@ -15,8 +15,9 @@
 FALL = 3000.0  # ms that a site which tipped over is down
 TRY = 0.05  # share of its even rate that goes to an endpoint known to be dead
 
-Kind = Literal["lost", "endpoints", "copies", "half", "slow", "burst", "answers", "cut", "log", "late",
-"restart"]
+Kind = Literal[
+    "lost", "endpoints", "copies", "half", "slow", "burst", "answers", "cut", "log", "late", "restart"
+]
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/lab/rigs/local.py
+++ b/brassweir/lab/rigs/local.py
@@ -36,8 +36,9 @@
 class LocalSender:
     """Starts and drains like a sender of its own process; ``tamper`` is shown the parts before they run."""
 
-    def __init__(self, name: str, settings: Path, port: int,
-                 tamper: Callable[[SenderProcess], None] | None = None) -> None:
+    def __init__(
+        self, name: str, settings: Path, port: int, tamper: Callable[[SenderProcess], None] | None = None
+    ) -> None:
         self.name, self.settings, self.port, self.tamper = name, settings, port, tamper
         self.log = Lines()
         self.process: SenderProcess | None = None
--- a/brassweir/lab/simulated/disk.py
+++ b/brassweir/lab/simulated/disk.py
@@ -73,7 +73,7 @@
         keep = self.synced.get(name, b"")[:size]
         if name in self.synced:
             self.synced[name] = keep
-        self.loose[name] = [whole[len(keep):]]
+        self.loose[name] = [whole[len(keep) :]]
 
     def sync(self, name: str) -> None:
         """Make it durable."""
@@ -117,7 +117,7 @@
                 files[name] = base + whole[: rng.randint(0, len(whole))]
             elif mode == "reordered":
                 data = b"".join(parts)
-                blocks = [data[i: i + 64] for i in range(0, len(data), 64)]
+                blocks = [data[i : i + 64] for i in range(0, len(data), 64)]
                 held = [block if rng.random() < 0.5 else b"\0" * len(block) for block in blocks]
                 files[name] = base + b"".join(held)
             elif name not in self.made:
@@ -133,8 +133,9 @@
     def __init__(self, clock: SimClock, span: float) -> None:
         self.clock, self.span = clock, span
 
-    def run(self, work: Callable[[], Any], done: Callable[[Any], None],
-            failed: Callable[[BaseException], None]) -> None:
+    def run(
+        self, work: Callable[[], Any], done: Callable[[Any], None], failed: Callable[[BaseException], None]
+    ) -> None:
         """Run ``work`` after ``span``. A crash passes through: it ends the run."""
 
         def later() -> None:
--- a/brassweir/lab/standins/platform.py
+++ b/brassweir/lab/standins/platform.py
@@ -129,8 +129,15 @@
                 fields = _fields(head)
                 body = await reader.readexactly(int(fields["content-length"]))
                 assert head[0] == "POST /receive HTTP/1.1", head[0]
-                call = Call(wall(), self.uid, fields["x-correlation-id"], fields.get("idempotency-key", ""),
-                            fields.get("x-time-left", ""), body, number)
+                call = Call(
+                    wall(),
+                    self.uid,
+                    fields["x-correlation-id"],
+                    fields.get("idempotency-key", ""),
+                    fields.get("x-time-left", ""),
+                    body,
+                    number,
+                )
                 self.calls.append(call)
                 if self.manner in SERVING:
                     self.delivered.append(call.id)
@@ -144,5 +151,13 @@
 
     def entry(self, state: str = "active") -> dict[str, Any]:
         """This endpoint as the list tells it."""
-        return {"uid": self.uid, "endpoint": f"127.0.0.1:{self.port}", "az": "a", "model": "office",
-                "pod_group": self.destination, "state": state, "capacity_hint": 50.0, "boot_ms": 0}
+        return {
+            "uid": self.uid,
+            "endpoint": f"127.0.0.1:{self.port}",
+            "az": "a",
+            "model": "office",
+            "pod_group": self.destination,
+            "state": state,
+            "capacity_hint": 50.0,
+            "boot_ms": 0,
+        }
--- a/brassweir/lab/standins/relay_client.py
+++ b/brassweir/lab/standins/relay_client.py
@@ -48,8 +48,17 @@
         self.writer.write(data)
         return await asyncio.wait_for(self.reader.readline(), 5.0)
 
-    async def put(self, ident: str, class_name: str, destination: int, span: float = 8000.0, key: str = "",
-                  body: bytes = b"text", more: str = "", order: bytes = b"0" * 16) -> bytes:
+    async def put(
+        self,
+        ident: str,
+        class_name: str,
+        destination: int,
+        span: float = 8000.0,
+        key: str = "",
+        body: bytes = b"text",
+        more: str = "",
+        order: bytes = b"0" * 16,
+    ) -> bytes:
         """Hand one message in; returns the line of the answer. ``order`` is the key it goes in turn by."""
         names = f"c={class_name},d={span:.0f},dest={destination}" + (f",k={key}" if key else "") + more
         at = wall()
--- a/brassweir/lab/standins/sink.py
+++ b/brassweir/lab/standins/sink.py
@@ -166,5 +166,3 @@
         """Close at once."""
         if self.transport is not None:
             self.transport.abort()
-
-
--- a/brassweir/net/client.py
+++ b/brassweir/net/client.py
@@ -44,8 +44,15 @@
         """An HTTP connection."""
         return _Connection(self, loop)
 
-    async def post(self, headers: Headers, body: bytes, deadline: float, begin: float | None = None,
-                   go: Callable[[], bool] = lambda: True, hold: float = 0.0) -> Reply:
+    async def post(
+        self,
+        headers: Headers,
+        body: bytes,
+        deadline: float,
+        begin: float | None = None,
+        go: Callable[[], bool] = lambda: True,
+        hold: float = 0.0,
+    ) -> Reply:
         """Make one call, begun by ``begin`` if ``go`` still says so, and over by ``deadline`` (loop time,
         seconds). Raises CallFailed.
 
@@ -222,5 +229,4 @@
         incoming = self.feed.queue.popleft()
         self.usable = self.usable and incoming.keep and not self.feed.queue
         if self.answer is not None and not self.answer.done():
-            self.answer.set_result(
-                Reply(incoming.status, incoming.headers, bytes(incoming.body), self.kept))
+            self.answer.set_result(Reply(incoming.status, incoming.headers, bytes(incoming.body), self.kept))
--- a/brassweir/net/connection.py
+++ b/brassweir/net/connection.py
@@ -74,8 +74,12 @@
 
     def fresh(self, now: float) -> bool:
         """May a call go out on it? By the clock, and by what is known of the peer."""
-        return (self.usable and now < self.stale_at and self.transport is not None
-                and not self.transport.is_closing())
+        return (
+            self.usable
+            and now < self.stale_at
+            and self.transport is not None
+            and not self.transport.is_closing()
+        )
 
     def set_timer(self, span: float | None) -> None:
         """Close after so long (ms) unused, or never."""
--- a/brassweir/net/house.py
+++ b/brassweir/net/house.py
@@ -23,8 +23,16 @@
     A pool without connections and calls is forgotten: an endpoint that is not used costs nothing here.
     """
 
-    def __init__(self, limits: Limits, cap: int, idle: float, connect: float, budget: Budget | None = None,
-                 setups: Setups | None = None, settling: frozenset[int] = frozenset()) -> None:
+    def __init__(
+        self,
+        limits: Limits,
+        cap: int,
+        idle: float,
+        connect: float,
+        budget: Budget | None = None,
+        setups: Setups | None = None,
+        settling: frozenset[int] = frozenset(),
+    ) -> None:
         self.settling = settling  # see Pool
         self.limits, self.cap, self.idle_time, self.connect_time = limits, cap, idle, connect
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
--- a/brassweir/net/parse.py
+++ b/brassweir/net/parse.py
@@ -26,8 +26,19 @@
 class Incoming:
     """One message being received."""
 
-    __slots__ = ("body", "done", "head_done", "head_size", "headers", "keep", "line", "method",
-                 "status", "target", "version")
+    __slots__ = (
+        "body",
+        "done",
+        "head_done",
+        "head_size",
+        "headers",
+        "keep",
+        "line",
+        "method",
+        "status",
+        "target",
+        "version",
+    )
 
     def __init__(self) -> None:
         self.headers = Headers()
--- a/brassweir/net/pool.py
+++ b/brassweir/net/pool.py
@@ -59,8 +59,16 @@
     keeps it, or calls meet its closing. ``tls`` is the seam for a later direction.
     """
 
-    def __init__(self, address: Address, limits: Limits, cap: int, idle: float, connect: float,
-                 tls: SSLContext | None = None, limiter: Limiter | None = None) -> None:
+    def __init__(
+        self,
+        address: Address,
+        limits: Limits,
+        cap: int,
+        idle: float,
+        connect: float,
+        tls: SSLContext | None = None,
+        limiter: Limiter | None = None,
+    ) -> None:
         if address.tls and tls is None:
             raise ValueError("https endpoints need a TLS context, which this version does not make")
         self.address, self.limits, self.tls = address, limits, tls
@@ -75,8 +83,9 @@
         self.cost = 1.0  # ms that setting up a connection took lately
 
     @asynccontextmanager
-    async def link(self, deadline: float, begin: float | None = None,
-                   go: Callable[[], bool] = lambda: True) -> AsyncIterator[Connection]:
+    async def link(
+        self, deadline: float, begin: float | None = None, go: Callable[[], bool] = lambda: True
+    ) -> AsyncIterator[Connection]:
         """A connection for one call, which is over by ``deadline`` (loop time, seconds). Raises CallFailed.
 
         Past ``begin``, or where ``go`` says no, none is given: a call whose caller has given it up, or called
@@ -197,8 +206,9 @@
 
     async def _dial(self, loop: asyncio.AbstractEventLoop, connection: Connection) -> None:
         try:
-            await loop.create_connection(lambda: connection, self.address.host, self.address.port,
-                                         ssl=self.tls)
+            await loop.create_connection(
+                lambda: connection, self.address.host, self.address.port, ssl=self.tls
+            )
         except OSError as error:
             if error.errno in SHORT:
                 raise Short from None
--- a/brassweir/net/server.py
+++ b/brassweir/net/server.py
@@ -70,8 +70,9 @@
     async def listen(self, host: str, port: int, tls: SSLContext | None = None) -> int:
         """Start to listen and return the port; ``tls`` is the seam for a later direction."""
         loop = asyncio.get_running_loop()
-        self.listener = await loop.create_server(lambda: _Connection(self, loop), host, port, ssl=tls,
-                                                 backlog=1024)
+        self.listener = await loop.create_server(
+            lambda: _Connection(self, loop), host, port, ssl=tls, backlog=1024
+        )
         return int(self.listener.sockets[0].getsockname()[1])
 
     def drain(self) -> None:
@@ -263,8 +264,13 @@
     def serve(self, incoming: Incoming) -> None:
         """Hand one whole request to the handler."""
         self.set_timer(None)
-        self.request = Request(incoming.method, incoming.target.decode("latin-1"), incoming.headers,
-                               bytes(incoming.body), self.peer)
+        self.request = Request(
+            incoming.method,
+            incoming.target.decode("latin-1"),
+            incoming.headers,
+            bytes(incoming.body),
+            self.peer,
+        )
         self.count(self.queued(), len(incoming.body))
         self.server.settle(self)
         self.task = self.loop.create_task(self.answer(self.request, incoming.keep))
@@ -308,8 +314,9 @@
         headers.add("Content-Length", str(len(response.body)))
         headers.add("Connection", "keep-alive" if keep else "close")
         phrase = HTTPStatus(response.status).phrase
-        self.transport.write(headers.head(f"HTTP/1.1 {response.status} {phrase}")
-                             + (b"" if bare else response.body))
+        self.transport.write(
+            headers.head(f"HTTP/1.1 {response.status} {phrase}") + (b"" if bare else response.body)
+        )
 
     def finish(self) -> None:
         """Close once all is written; a peer that does not read it has the write time."""
--- a/brassweir/observe/lines.py
+++ b/brassweir/observe/lines.py
@@ -15,8 +15,9 @@
 class Lines:
     """A log with the face of the service's other one. A storm of one event cannot fill disk or CPU."""
 
-    def __init__(self, stream: TextIO | None = None, now: Callable[[], float] = time.time,
-                 **bound: Any) -> None:
+    def __init__(
+        self, stream: TextIO | None = None, now: Callable[[], float] = time.time, **bound: Any
+    ) -> None:
         self.stream, self.now, self.bound = stream or sys.stderr, now, bound
         self.spans: dict[str, tuple[float, int, int]] = {}  # event: start, lines, held back
 
--- a/brassweir/observe/metrics.py
+++ b/brassweir/observe/metrics.py
@@ -16,41 +16,68 @@
 
     def __init__(self) -> None:
         self.registry = CollectorRegistry()
-        self.taken = Counter("brassweir_messages_taken", "Hand-ins by class and by what they were",
-                             ["class_name", "how"], registry=self.registry)
-        self.answers = Counter("brassweir_final_answers", "Final answers", ["class_name", "answer"],
-                               registry=self.registry)
-        self.age = Histogram("brassweir_answer_seconds", "From hand-in to final answer",
-                             ["class_name", "answer"], buckets=SECONDS, registry=self.registry)
-        self.attempts = Counter("brassweir_attempts", "Attempts by how they ended", ["kind", "result"],
-                                registry=self.registry)
+        self.taken = Counter(
+            "brassweir_messages_taken",
+            "Hand-ins by class and by what they were",
+            ["class_name", "how"],
+            registry=self.registry,
+        )
+        self.answers = Counter(
+            "brassweir_final_answers", "Final answers", ["class_name", "answer"], registry=self.registry
+        )
+        self.age = Histogram(
+            "brassweir_answer_seconds",
+            "From hand-in to final answer",
+            ["class_name", "answer"],
+            buckets=SECONDS,
+            registry=self.registry,
+        )
+        self.attempts = Counter(
+            "brassweir_attempts", "Attempts by how they ended", ["kind", "result"], registry=self.registry
+        )
         self.open = Gauge("brassweir_messages_open", "Messages without an answer", registry=self.registry)
         self.out = Gauge("brassweir_attempts_out", "Attempts without an outcome", registry=self.registry)
         self.late = Counter("brassweir_late_outcomes", "Outcomes after the answer", registry=self.registry)
-        self.turns = Counter("brassweir_decision_turns", "Calls of the decision module",
-                             registry=self.registry)
+        self.turns = Counter(
+            "brassweir_decision_turns", "Calls of the decision module", registry=self.registry
+        )
         self.events = Counter("brassweir_decision_events", "Events given to it", registry=self.registry)
-        self.decisions = Counter("brassweir_decision_cpu_seconds", "CPU time spent in it",
-                                 registry=self.registry)
-        self.notes = Counter("brassweir_notes", "What was turned away, stray or late, by kind", ["event"],
-                             registry=self.registry)
-        self.chunks = Counter("brassweir_forward_chunks", "Chunks read, by mode", ["mode"],
-                              registry=self.registry)
+        self.decisions = Counter(
+            "brassweir_decision_cpu_seconds", "CPU time spent in it", registry=self.registry
+        )
+        self.notes = Counter(
+            "brassweir_notes",
+            "What was turned away, stray or late, by kind",
+            ["event"],
+            registry=self.registry,
+        )
+        self.chunks = Counter(
+            "brassweir_forward_chunks", "Chunks read, by mode", ["mode"], registry=self.registry
+        )
         self.chunk_events = Counter("brassweir_forward_events", "Entries in them", registry=self.registry)
-        self.chunk_bytes = Counter("brassweir_forward_bytes", "Their bytes as they came",
-                                   registry=self.registry)
-        self.forward_told = Counter("brassweir_forward_told", "What sources were told", ["what"],
-                                    registry=self.registry)
-        self.forward_held = Gauge("brassweir_forward_held_bytes", "Held of chunks begun or unanswered",
-                                  registry=self.registry)
-        self.forward_waiting = Gauge("brassweir_forward_waiting", "Connections waiting for their turn",
-                                     registry=self.registry)
-        self.forward_connections = Gauge("brassweir_forward_connections", "Sources' connections",
-                                         registry=self.registry)
-        self.not_here = Counter("brassweir_not_here", "Messages refused by ownership, by why", ["why"],
-                                registry=self.registry)
-        self.stall = Gauge("brassweir_loop_stall_seconds", "Longest delay of the loop since the last look",
-                           registry=self.registry)
+        self.chunk_bytes = Counter(
+            "brassweir_forward_bytes", "Their bytes as they came", registry=self.registry
+        )
+        self.forward_told = Counter(
+            "brassweir_forward_told", "What sources were told", ["what"], registry=self.registry
+        )
+        self.forward_held = Gauge(
+            "brassweir_forward_held_bytes", "Held of chunks begun or unanswered", registry=self.registry
+        )
+        self.forward_waiting = Gauge(
+            "brassweir_forward_waiting", "Connections waiting for their turn", registry=self.registry
+        )
+        self.forward_connections = Gauge(
+            "brassweir_forward_connections", "Sources' connections", registry=self.registry
+        )
+        self.not_here = Counter(
+            "brassweir_not_here", "Messages refused by ownership, by why", ["why"], registry=self.registry
+        )
+        self.stall = Gauge(
+            "brassweir_loop_stall_seconds",
+            "Longest delay of the loop since the last look",
+            registry=self.registry,
+        )
 
     def read_from(self, name: str, words: str, read: Callable[[], Mapping[str, float]]) -> None:
         """A family of gauges by ``what``, read where they are counted at each scrape."""
--- a/brassweir/peers/copies.py
+++ b/brassweir/peers/copies.py
@@ -86,14 +86,19 @@
     def changed(self, older: Fleet) -> Change:
         """What is different from ``older``."""
         new, old = self.by_name, older.by_name
-        return Change(frozenset(new.keys() - old.keys()), frozenset(old.keys() - new.keys()),
-                      frozenset(name for name in new.keys() & old.keys() if new[name] != old[name]))
+        return Change(
+            frozenset(new.keys() - old.keys()),
+            frozenset(old.keys() - new.keys()),
+            frozenset(name for name in new.keys() & old.keys() if new[name] != old[name]),
+        )
 
     @staticmethod
     def _check(copy: Copy) -> None:
         for field in ("name", "site", "region"):
             value = getattr(copy, field)
             if not value or not value.isprintable() or len(value.encode()) > LONGEST_NAME:
-                raise CopiesError(f"copies: {copy.name!r}: {field}: {value!r} is not 1 to {LONGEST_NAME} "
-                                  "bytes of printable text")
+                raise CopiesError(
+                    f"copies: {copy.name!r}: {field}: {value!r} is not 1 to {LONGEST_NAME} "
+                    "bytes of printable text"
+                )
         copy.host_port()
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -45,8 +45,9 @@
 class Core:
     """One copy's liveness. ``counts`` is for metrics: what happened, by word."""
 
-    def __init__(self, fleet: Fleet, life: int, now: float, rng: random.Random,
-                 tuning: Tuning = DEFAULT) -> None:
+    def __init__(
+        self, fleet: Fleet, life: int, now: float, rng: random.Random, tuning: Tuning = DEFAULT
+    ) -> None:
         self.fleet, self.rng, self.tuning = fleet, rng, tuning
         self.counts: Counter[str] = Counter()
         self.health, self.pace = Health(tuning), Pace(tuning)
@@ -190,8 +191,14 @@
             self.next_push = now + tuning.push
             for name in self.sharing.some(tuning.push_to):
                 self._send(name, PUSH, 0, self.sharing.push(name))
-        self.due = min(now + tuning.tick, max(now, self.next_probe), self.prober.due(), self.errands.due(),
-                       self.next_push if len(table.news) else math.inf, table.due(now))
+        self.due = min(
+            now + tuning.tick,
+            max(now, self.next_probe),
+            self.prober.due(),
+            self.errands.due(),
+            self.next_push if len(table.news) else math.inf,
+            table.due(now),
+        )
 
     def _probe(self, now: float) -> None:
         table, score = self.table, self.health.score
@@ -236,6 +243,7 @@
         """Ask it, or only tell it, at once, with what is said of it."""
         self._send(name, what, 0, self.sharing.said(name))
 
-    def _send(self, to: str, what: int, number: int, claims: Iterable[Claim], about: str = "",
-              sync: bool = False) -> None:
+    def _send(
+        self, to: str, what: int, number: int, claims: Iterable[Claim], about: str = "", sync: bool = False
+    ) -> None:
         self.steps.append(Send(to, pack(Talk(what, number, self.table.inc, tuple(claims), about, sync))))
--- a/brassweir/peers/pace.py
+++ b/brassweir/peers/pace.py
@@ -41,6 +41,6 @@
         tuning = self.tuning
         helped = 1 - (1 - self.missing) ** 2
         for rounds in range(tuning.rounds_least, tuning.rounds_most):
-            if self.missing ** rounds * helped ** (tuning.helpers + rounds - 2) <= tuning.miss_aim:
+            if self.missing**rounds * helped ** (tuning.helpers + rounds - 2) <= tuning.miss_aim:
                 return rounds
         return tuning.rounds_most
--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -40,8 +40,17 @@
 class PeerPort(asyncio.DatagramProtocol):
     """``counts``: what was sent, taken and dropped, by word, for metrics. ``listen``: "host:port" to bind."""
 
-    def __init__(self, own: str, copies: Iterable[Copy], keys: Sequence[bytes], listen: str | None = None, *,
-                 tuning: Tuning = DEFAULT, seed: int | None = None, life: int | None = None) -> None:
+    def __init__(
+        self,
+        own: str,
+        copies: Iterable[Copy],
+        keys: Sequence[bytes],
+        listen: str | None = None,
+        *,
+        tuning: Tuning = DEFAULT,
+        seed: int | None = None,
+        life: int | None = None,
+    ) -> None:
         self.fleet = Fleet(own, copies)
         self.listen = host_port(listen, "peers: listen") if listen else self.fleet.own.host_port()
         self.tuning = tuning
--- a/brassweir/peers/probing.py
+++ b/brassweir/peers/probing.py
@@ -99,11 +99,13 @@
         if probe.rounds < self.pace.rounds:
             return probe.next_round
         factor = 1 + self.score
-        return max(probe.last + 2 * self.pace.answer * factor,
-                   probe.began + self.tuning.window_least * factor)
+        return max(
+            probe.last + 2 * self.pace.answer * factor, probe.began + self.tuning.window_least * factor
+        )
 
-    def run(self, now: float, score: int,
-            helpers: Callable[[str], list[str]]) -> tuple[list[Ask], list[Probe]]:
+    def run(
+        self, now: float, score: int, helpers: Callable[[str], list[str]]
+    ) -> tuple[list[Ask], list[Probe]]:
         """What to send now, and the probes that failed. ``helpers``: whom to ask about one, best first."""
         asks: list[Ask] = []
         failed: list[Probe] = []
--- a/brassweir/peers/sharing.py
+++ b/brassweir/peers/sharing.py
@@ -94,7 +94,10 @@
         table, fleet = self.table, self.fleet
         there, here = fleet.by_name[about].site, fleet.own.site
         many = 4 * self.tuning.helpers
-        names = [name for name in (self.some(many) if len(self.names) > many else self.names)
-                 if name != about and table.standings[name].status == ALIVE]
+        names = [
+            name
+            for name in (self.some(many) if len(self.names) > many else self.names)
+            if name != about and table.standings[name].status == ALIVE
+        ]
         self.rng.shuffle(names)
-        return sorted(names, key=lambda name: (fleet.by_name[name].site in (there, here)))
+        return sorted(names, key=lambda name: fleet.by_name[name].site in (there, here))
--- a/brassweir/peers/suspicion.py
+++ b/brassweir/peers/suspicion.py
@@ -29,9 +29,12 @@
     least = tuning.suspect_least * max(1.0, math.log10(max(fleet, 1)))
     trips = tuning.suspect_trips * (pace.answer - tuning.answer_least)
     factor = 1 + score
-    return Span((least + trips) * factor, (least * tuning.suspect_spread + trips) * factor,
-                max(0, min(tuning.confirmations, fleet - 3)),
-                MORE_CALLS if pace.missing > LOSSY else LAST_CALLS)
+    return Span(
+        (least + trips) * factor,
+        (least * tuning.suspect_spread + trips) * factor,
+        max(0, min(tuning.confirmations, fleet - 3)),
+        MORE_CALLS if pace.missing > LOSSY else LAST_CALLS,
+    )
 
 
 class Suspicion:
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -21,8 +21,9 @@
 class Table:
     """The shared part of a copy's state; ``changed`` collects the names whose standing changed."""
 
-    def __init__(self, fleet: Fleet, life: int, now: float, tuning: Tuning, health: Health,
-                 pace: Pace) -> None:
+    def __init__(
+        self, fleet: Fleet, life: int, now: float, tuning: Tuning, health: Health, pace: Pace
+    ) -> None:
         self.tuning, self.health, self.pace = tuning, health, pace
         self.own, self.life, self.inc = fleet.own.name, life, 0
         self.relived = float("-inf")
@@ -151,8 +152,9 @@
         if len(self.suspicions) > MANY:
             return now + AGAIN / 2
         lasting = self.span()
-        return min((max(one.due(lasting), now + AGAIN / 2) for one in self.suspicions.values()),
-                   default=float("inf"))
+        return min(
+            (max(one.due(lasting), now + AGAIN / 2) for one in self.suspicions.values()), default=float("inf")
+        )
 
     def shift(self, gap: float) -> None:
         """This copy stood still for ``gap`` ms: suspicions last that much longer."""
--- a/brassweir/peers/wire.py
+++ b/brassweir/peers/wire.py
@@ -106,8 +106,9 @@
         version = bytes([VERSION])
         return version + self.keys.seal(version + data) + data
 
-    def open(self, datagram: bytes, known: Collection[str], kinds: Collection[str],
-             once: Collection[str]) -> Envelope:
+    def open(
+        self, datagram: bytes, known: Collection[str], kinds: Collection[str], once: Collection[str]
+    ) -> Envelope:
         """The envelope of a datagram from one of ``known``; those of kinds in ``once`` only once.
 
         Raises Dropped: large, short, version, seal, form, stranger, misdirected, old_life, kind, doubled,
@@ -119,8 +120,8 @@
             raise Dropped("short")
         if datagram[0] != VERSION:
             raise Dropped("version")
-        data = datagram[1 + DIGEST:]
-        if not self.keys.fits(datagram[1:1 + DIGEST], datagram[:1] + data):
+        data = datagram[1 + DIGEST :]
+        if not self.keys.fits(datagram[1 : 1 + DIGEST], datagram[:1] + data):
             raise Dropped("seal")
         try:
             envelope = self._decoder.decode(data)
--- a/brassweir/regions/epochs.py
+++ b/brassweir/regions/epochs.py
@@ -103,8 +103,10 @@
         here = sorted((one for one in grants if one.low <= low < one.high), key=lambda one: one.begins)
         for earlier, later in zip(here, here[1:], strict=False):
             if later.begins < earlier.ends:
-                raise EpochError(f"place {low}: {earlier.region} holds it until {earlier.ends:.0f} and "
-                                 f"{later.region} from {later.begins:.0f}")
+                raise EpochError(
+                    f"place {low}: {earlier.region} holds it until {earlier.ends:.0f} and "
+                    f"{later.region} from {later.begins:.0f}"
+                )
 
 
 def follows(newer: Epoch, older: Epoch) -> None:
@@ -127,14 +129,18 @@
                 continue
             for one in here:
                 if one.region != grant.region and one.begins < grant.ends:
-                    raise EpochError(f"epoch {newer.number} gives places from {low} to {one.region} while "
-                                     f"epoch {older.number} leaves them to {grant.region}")
+                    raise EpochError(
+                        f"epoch {newer.number} gives places from {low} to {one.region} while "
+                        f"epoch {older.number} leaves them to {grant.region}"
+                    )
 
 
 def _pieces(grant: Grant, others: Sequence[Grant]) -> list[tuple[int, int]]:
     """A grant's places, cut where others begin or end."""
-    cuts = sorted({grant.low, grant.high} | {edge for one in others for edge in (one.low, one.high)
-                                              if grant.low < edge < grant.high})
+    cuts = sorted(
+        {grant.low, grant.high}
+        | {edge for one in others for edge in (one.low, one.high) if grant.low < edge < grant.high}
+    )
     return list(zip(cuts, cuts[1:], strict=False))
 
 
@@ -151,11 +157,21 @@
         for low, high in _pieces(grant, told):
             here = [one for one in told if one.low <= low and high <= one.high]
             if not any(one.region == grant.region and one.ends >= grant.ends for one in here):
-                raise EpochError(f"places from {low}: epoch {newer.number} cuts short what {grant.region} "
-                                 f"holds until {grant.ends:.0f}")
+                raise EpochError(
+                    f"places from {low}: epoch {newer.number} cuts short what {grant.region} "
+                    f"holds until {grant.ends:.0f}"
+                )
     for grant in older.past:
-        gone = [one for one in newer.past if one.region == grant.region and one.low <= grant.low
-                and grant.high <= one.high and one.ends >= grant.ends]
+        gone = [
+            one
+            for one in newer.past
+            if one.region == grant.region
+            and one.low <= grant.low
+            and grant.high <= one.high
+            and one.ends >= grant.ends
+        ]
         if not gone and newer.issued < grant.ends + KEEP_LONGER:
-            raise EpochError(f"past: epoch {newer.number} forgets too early that {grant.region} held places "
-                             f"from {grant.low}")
+            raise EpochError(
+                f"past: epoch {newer.number} forgets too early that {grant.region} held places "
+                f"from {grant.low}"
+            )
--- a/brassweir/regions/ownership.py
+++ b/brassweir/regions/ownership.py
@@ -86,8 +86,9 @@
         ahead = self.epoch is not None and self.epoch.issued > wall + 2.0 * self.assumed.clock_error
         return not self.stepped and not ahead
 
-    def may(self, effect: Effect, owner: str, identity: str, wall: float,
-            born: float | None = None) -> NotHere | None:
+    def may(
+        self, effect: Effect, owner: str, identity: str, wall: float, born: float | None = None
+    ) -> NotHere | None:
         """None if a message may be taken here now; else why not. ``born`` is when its client made it (ms,
         wall).
 
@@ -120,8 +121,11 @@
     def _before(self, spot: int, grant: Grant) -> Grant | None:
         """Who owned a place last before us, if another did."""
         assert self.epoch is not None
-        others = [one for one in self.epoch.past if one.low <= spot < one.high and one.ends <= grant.begins
-                  and one.region != self.region]
+        others = [
+            one
+            for one in self.epoch.past
+            if one.low <= spot < one.high and one.ends <= grant.begins and one.region != self.region
+        ]
         return max(others, key=lambda one: one.ends, default=None)
 
     def url(self, region: str) -> str:
--- a/brassweir/regions/planning.py
+++ b/brassweir/regions/planning.py
@@ -24,8 +24,9 @@
 
 def renewed(epoch: Epoch, now: float, lease: float, assumed: Assumed) -> Epoch:
     """The same owners for another lease. One that lapsed goes on too: nobody else was given its places."""
-    grants = tuple(msgspec.structs.replace(one, ends=max(one.ends, max(now, one.begins) + lease))
-                   for one in epoch.grants)
+    grants = tuple(
+        msgspec.structs.replace(one, ends=max(one.ends, max(now, one.begins) + lease)) for one in epoch.grants
+    )
     made = Epoch(epoch.number, now, grants, epoch.regions, _still(epoch.past, now, assumed), epoch.turn)
     check(made)
     return made
@@ -95,8 +96,17 @@
         for other, low, high in zip(others, edges, edges[1:], strict=False):
             if low < high:
                 step = moved(move, low, high, other, now, lease, assumed)
-                move, pause = Epoch(epoch.number + 1, now, step.epoch.grants, step.epoch.regions,
-                                    step.epoch.past, epoch.turn), max(pause, step.pause)
+                move, pause = (
+                    Epoch(
+                        epoch.number + 1,
+                        now,
+                        step.epoch.grants,
+                        step.epoch.regions,
+                        step.epoch.past,
+                        epoch.turn,
+                    ),
+                    max(pause, step.pause),
+                )
     check(move)
     return Move(move, pause)
 
@@ -120,8 +130,12 @@
         raise EpochError(f"{region} may still send: stop its senders, or plan a move")
     if not lost.journals_kept:
         raise EpochError(f"keep the journals of {region}: only they tell which payments it has carried out")
-    grants = tuple(Grant(one.region, one.low, one.high, one.begins, min(one.ends, max(now, one.begins + 1.0)))
-                   if one.region == region else one for one in epoch.grants)
+    grants = tuple(
+        Grant(one.region, one.low, one.high, one.begins, min(one.ends, max(now, one.begins + 1.0)))
+        if one.region == region
+        else one
+        for one in epoch.grants
+    )
     ended = msgspec.structs.replace(epoch, issued=now, grants=grants)
     made = drained(ended, region, now, lease, Assumed(assumed.clock_error, 0.0, assumed.asks_on))
     check(made.epoch)
--- a/brassweir/regions/shares.py
+++ b/brassweir/regions/shares.py
@@ -31,8 +31,11 @@
     if epoch is None:
         return 0.0
     error = assumed.clock_error
-    held = sum(one.high - one.low for one in epoch.grants
-               if one.region == region and one.begins + error <= wall < one.ends - error)
+    held = sum(
+        one.high - one.low
+        for one in epoch.grants
+        if one.region == region and one.begins + error <= wall < one.ends - error
+    )
     return held / PLACES
 
 
--- a/brassweir/regions/sources.py
+++ b/brassweir/regions/sources.py
@@ -29,12 +29,16 @@
 def takes(source: Source, newer: Epoch, known: Epoch | None) -> None:
     """Raise EpochError unless ``newer`` may come from this source, after what is known."""
     if known is not None and newer.turn < known.turn:
-        raise EpochError(f"epoch {newer.number} is of turn {newer.turn}, and {known.turn} was reached: its "
-                         "source has handed over")
+        raise EpochError(
+            f"epoch {newer.number} is of turn {newer.turn}, and {known.turn} was reached: its "
+            "source has handed over"
+        )
     if publisher(newer) is source:
         return
     if known is None or publisher(known) is not source or newer.turn != known.turn + 1:
-        raise EpochError(f"epoch {newer.number} is the {publisher(newer).value}'s to publish (turn "
-                         f"{newer.turn}), and came by the {source.value}")
+        raise EpochError(
+            f"epoch {newer.number} is the {publisher(newer).value}'s to publish (turn "
+            f"{newer.turn}), and came by the {source.value}"
+        )
     if newer.grants != known.grants or newer.past != known.past:
         raise EpochError(f"epoch {newer.number} hands over and changes grants: it may do one only")
--- a/brassweir/relay/discovery.py
+++ b/brassweir/relay/discovery.py
@@ -32,8 +32,9 @@
 class Discovery:
     """Watches the list at ``address``. ``take`` gets each change, ``rev`` tells the version to go on from."""
 
-    def __init__(self, address: str, rev: Callable[[], int], take: Callable[[Change], None],
-                 note: Note) -> None:
+    def __init__(
+        self, address: str, rev: Callable[[], int], take: Callable[[Change], None], note: Note
+    ) -> None:
         self.address, self.rev, self.take, self.note = address, rev, take, note
         self.watch: _Watch | None = None
         self.wait = FIRST
@@ -117,8 +118,11 @@
             self.end(f"no connection: {error}")
             return
         if self.transport is not None and not self.dropped:
-            self.transport.write(f"GET /discovery/hosts?follow=1&since={rev} HTTP/1.1\r\n"
-                                 f"Host: {host}:{port}\r\n\r\n".encode("ascii"))
+            self.transport.write(
+                f"GET /discovery/hosts?follow=1&since={rev} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode(
+                    "ascii"
+                )
+            )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """It stands."""
--- a/brassweir/relay/listing.py
+++ b/brassweir/relay/listing.py
@@ -143,8 +143,11 @@
         for one in change.targets:
             self.places[one.uid] = f"http://{one.endpoint}/receive"
             self.destinations.add(one.pod_group)
-        told = [info for name, info in fresh.items()
-                if self.known.get(name) != info and (info.state is not State.GONE or name in self.known)]
+        told = [
+            info
+            for name, info in fresh.items()
+            if self.known.get(name) != info and (info.state is not State.GONE or name in self.known)
+        ]
         for info in told:
             if info.state is State.GONE:
                 self.known.pop(info.name)
@@ -158,5 +161,11 @@
 
 
 def _info(one: Target) -> EndpointInfo:
-    return EndpointInfo(one.uid, one.pod_group, sys.intern(one.model), sys.intern(one.az), _STATES[one.state],
-                        one.capacity_hint)
+    return EndpointInfo(
+        one.uid,
+        one.pod_group,
+        sys.intern(one.model),
+        sys.intern(one.az),
+        _STATES[one.state],
+        one.capacity_hint,
+    )
--- a/brassweir/resp/codec.py
+++ b/brassweir/resp/codec.py
@@ -85,9 +85,9 @@
                 self.position = start
                 self._trim()
                 return None
-            if self.buffer[end:end + 2] != b"\r\n":
+            if self.buffer[end : end + 2] != b"\r\n":
                 raise Malformed("a bulk string does not end where it should")
-            self.args.append(bytes(self.buffer[self.position:end]))
+            self.args.append(bytes(self.buffer[self.position : end]))
             self.position = end + 2
             self.size += length
             self.left -= 1
@@ -107,7 +107,7 @@
             if len(self.buffer) - at >= LINE:
                 raise Malformed("a length line does not end")
             return None
-        digits = self.buffer[at + 1:end]
+        digits = self.buffer[at + 1 : end]
         if not digits.isdigit():
             raise Malformed("a length is a number that is not negative")
         self.position = end + 2
@@ -116,7 +116,7 @@
     def _trim(self) -> None:
         """Let go of what is read."""
         if self.position:
-            del self.buffer[:self.position]
+            del self.buffer[: self.position]
             self.position = 0
 
 
--- a/brassweir/resp/crowd.py
+++ b/brassweir/resp/crowd.py
@@ -83,14 +83,20 @@
         return min(idle, key=lambda one: one.heard).id if idle else None
 
     def _idle(self, now: float) -> list[Standing]:
-        return [one for one in self.standing.values()
-                if one.proven and not one.working and now - one.heard >= IDLE]
+        return [
+            one
+            for one in self.standing.values()
+            if one.proven and not one.working and now - one.heard >= IDLE
+        ]
 
     def tired(self, now: float) -> list[int]:
         """Those to be closed now: the silent, those that stopped within a command, and, while there is little
         room, the longest idle."""
-        gone = [one.id for one in self.silent.values()
-                if now - (one.heard if one.greeted and not one.half else one.since) >= IDLE]
+        gone = [
+            one.id
+            for one in self.silent.values()
+            if now - (one.heard if one.greeted and not one.half else one.since) >= IDLE
+        ]
         idle = self._idle(now)
         gone += [one.id for one in idle if one.half]
         over = len(self.standing) - len(gone) - int(self.most * PRESSED)
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -23,8 +23,14 @@
 class Front:
     """Listens for clients. ``listed`` says which destinations there are; ``crowd`` decides who must go."""
 
-    def __init__(self, engine: Engine, crowd: Crowd, listed: Callable[[int], bool],
-                 owing: Callable[[Record], Waiter], told: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        crowd: Crowd,
+        listed: Callable[[int], bool],
+        owing: Callable[[Record], Waiter],
+        told: Callable[[int], None],
+    ) -> None:
         self.engine, self.crowd, self.listed = engine, crowd, listed
         self.owing, self.told = owing, told
         self.connections: dict[int, Connection] = {}
--- a/brassweir/resp/handin.py
+++ b/brassweir/resp/handin.py
@@ -55,9 +55,17 @@
     if left <= 0.0:
         raise Unreadable("d leaves no time")
     line = order.decode("ascii") if cls.in_order and order.strip(b"0") else ""
-    return Submission(OWNER, ident.decode("ascii"), name, int(number), left, line,
-                      b"1" in (fields.get(b"r"), fields.get(b"again")),
-                      Payload(CONTENT, body, key.decode("ascii")), OWED)  # k travels with the body
+    return Submission(
+        OWNER,
+        ident.decode("ascii"),
+        name,
+        int(number),
+        left,
+        line,
+        b"1" in (fields.get(b"r"), fields.get(b"again")),
+        Payload(CONTENT, body, key.decode("ascii")),
+        OWED,
+    )  # k travels with the body
 
 
 def _fields(names: bytes) -> dict[bytes, bytes]:
--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -25,14 +25,29 @@
 class AgreedSide:
     """One copy's part in the log; the group that its dealings speak to."""
 
-    def __init__(self, config: Config, base: Path, me: CopyModel, copies: tuple[CopyModel, ...],
-                 port: PeerPort, region: Region | None, note: Note) -> None:
+    def __init__(
+        self,
+        config: Config,
+        base: Path,
+        me: CopyModel,
+        copies: tuple[CopyModel, ...],
+        port: PeerPort,
+        region: Region | None,
+        note: Note,
+    ) -> None:
         assert config.agreed is not None
         given, names = config.agreed, tuple(one.name for one in copies)
         self.machine = Machine()
         self.member = Member(me.name, agreed_folder(config, base), self.machine, port, given.voters, names)
-        self.deals = Agreeing(me, self.machine, self, region if isinstance(region, RegionLog) else None,
-                              given.lease_ms, base / given.first_epoch if given.first_epoch else None, note)
+        self.deals = Agreeing(
+            me,
+            self.machine,
+            self,
+            region if isinstance(region, RegionLog) else None,
+            given.lease_ms,
+            base / given.first_epoch if given.first_epoch else None,
+            note,
+        )
         self.member.on_apply.append(lambda *_: self.deals.hear())
         self.member.on_restore.append(lambda _: self.deals.hear())
         self.note, self.port = note, port
@@ -93,9 +108,15 @@
         status = self.member.status()
         shown = {name: float(getattr(status, name)) for name in SHOWN}
         dropped = {f"dropped_{name.replace(' ', '_')}": count for name, count in status.dropped.items()}
-        return {**shown, **dropped, "leading": status.role == LEADER, "in_trouble": bool(status.trouble),
-                "granted": self.machine.state.granted, "members": len(self.machine.state.copies),
-                "pins": self.machine.pins}
+        return {
+            **shown,
+            **dropped,
+            "leading": status.role == LEADER,
+            "in_trouble": bool(status.trouble),
+            "granted": self.machine.state.granted,
+            "members": len(self.machine.state.copies),
+            "pins": self.machine.pins,
+        }
 
     def abort(self) -> None:
         """End what this copy does of its own."""
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -67,8 +67,16 @@
 class Agreeing:
     """One copy's dealings with the log. ``region`` is there where epochs come from it."""
 
-    def __init__(self, me: CopyModel, machine: Machine, group: Group, region: RegionLog | None, lease: float,
-                 first: Path | None, note: Note) -> None:
+    def __init__(
+        self,
+        me: CopyModel,
+        machine: Machine,
+        group: Group,
+        region: RegionLog | None,
+        lease: float,
+        first: Path | None,
+        note: Note,
+    ) -> None:
         self.me, self.machine, self.group, self.region = me, machine, group, region
         self.lease, self.first, self.note = lease, first, note
         self.renewing = Renewing()
@@ -175,8 +183,10 @@
         told = await self.group.change(name, votes, CHANGING)
         if told.how != "agreed":
             self.vote_after = time.monotonic() + JOIN_AGAIN
-        self.note("voter_changed" if told.how == "agreed" else "voter_not_changed",
-                  {"copy": name, "votes": votes, "error": told.why})
+        self.note(
+            "voter_changed" if told.how == "agreed" else "voter_not_changed",
+            {"copy": name, "votes": votes, "error": told.why},
+        )
 
     async def _wish(self, leading: bool) -> None:
         wish, there = self.wish, self.machine.state.epoch
@@ -220,9 +230,20 @@
         if self.region is None:
             return
         state, wall, own = self.machine.state, self.region.wall(), self.region.own
-        step = self.renewing.step(time.monotonic() * 1000.0, Facts(
-            leading, wall, own.trusted(wall), state.epoch, state.granted, self.lease, own.assumed,
-            self.wish is not None, lost_regions(state) if leading else frozenset()))
+        step = self.renewing.step(
+            time.monotonic() * 1000.0,
+            Facts(
+                leading,
+                wall,
+                own.trusted(wall),
+                state.epoch,
+                state.granted,
+                self.lease,
+                own.assumed,
+                self.wish is not None,
+                lost_regions(state) if leading else frozenset(),
+            ),
+        )
         if isinstance(step, GiveAway):
             self.note("lead_given_away", {"why": step.why})
             self.group.hand_over()
@@ -238,12 +259,24 @@
         """What operators are shown."""
         state = self.machine.state
         epoch = state.epoch
-        return {**self.group.status(), "level": state.level, "index": state.index,
-                "digest": self.machine.digest(), "beyond": self.machine.beyond, "granted": state.granted,
-                "epoch": None if epoch is None else {"number": epoch.number, "issued": epoch.issued,
-                                                     "turn": epoch.turn},
-                "members": {name: {"site": one.site, "region": one.region, "reads": one.reads}
-                            for name, one in sorted(state.copies.items())},
-                "sites": {name: {"standing": one.standing, "since": one.since, "by": one.by,
-                                 "version": one.version} for name, one in sorted(state.sites.items())},
-                "pins": self.machine.pins, "wish_waiting": self.wish is not None}
+        return {
+            **self.group.status(),
+            "level": state.level,
+            "index": state.index,
+            "digest": self.machine.digest(),
+            "beyond": self.machine.beyond,
+            "granted": state.granted,
+            "epoch": None
+            if epoch is None
+            else {"number": epoch.number, "issued": epoch.issued, "turn": epoch.turn},
+            "members": {
+                name: {"site": one.site, "region": one.region, "reads": one.reads}
+                for name, one in sorted(state.copies.items())
+            },
+            "sites": {
+                name: {"standing": one.standing, "since": one.since, "by": one.by, "version": one.version}
+                for name, one in sorted(state.sites.items())
+            },
+            "pins": self.machine.pins,
+            "wish_waiting": self.wish is not None,
+        }
--- a/brassweir/service/as2_side.py
+++ b/brassweir/service/as2_side.py
@@ -24,12 +24,21 @@
     def __init__(self, parts: Parts) -> None:
         sender = parts.config.sender
         self.parts = parts
-        self.book: Partnerships = replace(partnerships(parts.config, parts.base),
-                                          listed=parts.list.numbers.listed)
+        self.book: Partnerships = replace(
+            partnerships(parts.config, parts.base), listed=parts.list.numbers.listed
+        )
         self.receipts = Receipts()
         self.owed = Owed(parts.pools, parts.note)
-        self.carrier = As2Carrier(self.book, parts.list, parts.pools, self.receipts, parts.offload,
-                                  parts.note, sender.name, sender.linger_ms)
+        self.carrier = As2Carrier(
+            self.book,
+            parts.list,
+            parts.pools,
+            self.receipts,
+            parts.offload,
+            parts.note,
+            sender.name,
+            sender.linger_ms,
+        )
         kinds = ["", *(kind.name for kind in parts.config.kinds if kind.carrier == "as2")]
         self.carriers: Mapping[str, Carrier] = {name: self.carrier for name in kinds}
         self.front: As2Front | None = None
@@ -39,9 +48,17 @@
     def open(self, engine: Engine) -> None:
         """Make the front."""
         parts = self.parts
-        self.front = As2Front(self.book, engine, self.receipts, self.owed, parts.offload, parts.note,
-                              margin=parts.config.sender.answer_margin_ms, most=parts.bounds.body,
-                              told=parts.told)
+        self.front = As2Front(
+            self.book,
+            engine,
+            self.receipts,
+            self.owed,
+            parts.offload,
+            parts.note,
+            margin=parts.config.sender.answer_margin_ms,
+            most=parts.bounds.body,
+            told=parts.told,
+        )
         self.server = Server(self.front, parts.bounds, parts.complain)
 
     async def start(self) -> dict[str, object]:
@@ -50,8 +67,12 @@
         if listen is not None and self.server is not None:
             host, _, port = listen.rpartition(":")
             self.port = await self.server.listen(host, int(port))
-        return {"listen": listen, "port": self.port, "partners": len(self.book.partners),
-                "clients": len(self.book.clients)}
+        return {
+            "listen": listen,
+            "port": self.port,
+            "partners": len(self.book.partners),
+            "clients": len(self.book.clients),
+        }
 
     def owing(self, message: int, submission: Submission) -> Waiter | None:
         """The client's receipt URL, if it has one still."""
--- a/brassweir/service/descriptors.py
+++ b/brassweir/service/descriptors.py
@@ -22,10 +22,13 @@
         return soft
     if need <= hard:
         return need
-    raise ConfigError([
-        f"limits.connections, sender.connections and forward.connections need {need} open files and "
-        f"this process may have {hard}: set the limit to {need} (ulimit -n {need}) or lower them by "
-        f"{need - hard}"])
+    raise ConfigError(
+        [
+            f"limits.connections, sender.connections and forward.connections need {need} open files and "
+            f"this process may have {hard}: set the limit to {need} (ulimit -n {need}) or lower them by "
+            f"{need - hard}"
+        ]
+    )
 
 
 def secure(config: Config) -> None:
--- a/brassweir/service/forward_side.py
+++ b/brassweir/service/forward_side.py
@@ -130,10 +130,20 @@
         sender = config.sender
         self.parts = parts
         self.carriers: Mapping[str, Carrier] = {
-            kind.name: ForwardCarrier(parts.list, parts.pools, credentials(kind, sender.name, parts.base),
-                                      parts.offload, parts.note, batch=kind.batch, tag=kind.tag,
-                                      compress=kind.compress, linger=sender.linger_ms)
-            for kind in config.kinds if kind.carrier == "forward"}
+            kind.name: ForwardCarrier(
+                parts.list,
+                parts.pools,
+                credentials(kind, sender.name, parts.base),
+                parts.offload,
+                parts.note,
+                batch=kind.batch,
+                tag=kind.tag,
+                compress=kind.compress,
+                linger=sender.linger_ms,
+            )
+            for kind in config.kinds
+            if kind.carrier == "forward"
+        }
         self.front: ForwardFront | None = None
         self.keeps: ThreadKeeps | None = None
         self.port = 0
@@ -150,13 +160,24 @@
         config = self.parts.config.forward
         if config is None or self.keeps is None:
             return
-        sources = {source.name: Source(source.name, tag_rules(source), source.acks == "required")
-                   for source in config.sources}
+        sources = {
+            source.name: Source(source.name, tag_rules(source), source.acks == "required")
+            for source in config.sources
+        }
         self.front = ForwardFront(
-            sources, self.files, config.hostname or self.parts.config.sender.name, self.parts.classes,
-            self.parts.list.numbers.number, engine, self.parts.offload, self.keeps, self.parts.note,
-            bounds(config), margin=self.parts.config.sender.answer_margin_ms,
-            counts=_Counts(self.parts.metrics))
+            sources,
+            self.files,
+            config.hostname or self.parts.config.sender.name,
+            self.parts.classes,
+            self.parts.list.numbers.number,
+            engine,
+            self.parts.offload,
+            self.keeps,
+            self.parts.note,
+            bounds(config),
+            margin=self.parts.config.sender.answer_margin_ms,
+            counts=_Counts(self.parts.metrics),
+        )
 
     async def start(self) -> dict[str, object]:
         """Listen."""
@@ -165,8 +186,11 @@
             return {}
         host, _, port = config.listen.rpartition(":")
         self.port = await self.front.listen(host, int(port), beats=config.heartbeat_udp)
-        return {"forward_listen": config.listen, "forward_port": self.port,
-                "forward_sources": len(config.sources)}
+        return {
+            "forward_listen": config.listen,
+            "forward_port": self.port,
+            "forward_sources": len(config.sources),
+        }
 
     def owing(self, message: int, submission: Submission) -> Waiter | None:
         """Nobody: a source that heard nothing sends its chunk again, and is told then."""
--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -35,8 +35,9 @@
         self.loop = loop
         self.pool = ThreadPoolExecutor(1, thread_name_prefix="journal")
 
-    def run(self, work: Callable[[], Any], done: Callable[[Any], None],
-            failed: Callable[[BaseException], None]) -> None:
+    def run(
+        self, work: Callable[[], Any], done: Callable[[Any], None], failed: Callable[[BaseException], None]
+    ) -> None:
         """Run ``work`` there; its end is told on the loop."""
 
         def on_thread() -> None:
@@ -72,8 +73,9 @@
         self.waiting: deque[Callable[[], None]] = deque()
         self.closed = False
 
-    def run(self, work: Callable[[], Any], done: Callable[[Any], None],
-            failed: Callable[[BaseException], None]) -> None:
+    def run(
+        self, work: Callable[[], Any], done: Callable[[Any], None], failed: Callable[[BaseException], None]
+    ) -> None:
         """Run ``work`` in the next turn; after the end, never: nothing that waits for it goes on."""
         if self.closed:
             return
@@ -120,8 +122,13 @@
 class Journaling:
     """One process's journal."""
 
-    def __init__(self, keeping: Keeping, name_of: Callable[[int], str],
-                 broken: Callable[[BaseException], None], note: Note) -> None:
+    def __init__(
+        self,
+        keeping: Keeping,
+        name_of: Callable[[int], str],
+        broken: Callable[[BaseException], None],
+        note: Note,
+    ) -> None:
         """Open and read it. Raises Unusable."""
         self.keeping, self.classes = keeping, keeping.classes
         folder = keeping.folder
@@ -142,17 +149,28 @@
             note("journal_damage", {"where": problem})
         loop = asyncio.get_running_loop()
         self.disk: ThreadDisk | LoopDisk = ThreadDisk(loop) if keeping.synced else LoopDisk(loop)
-        self.store = JournalStore(self.writer, self.disk, keeping.classes, wall, name_of, broken,
-                                  keeping.remember)
+        self.store = JournalStore(
+            self.writer, self.disk, keeping.classes, wall, name_of, broken, keeping.remember
+        )
         self.store.begin(keeping.sender)
 
     def plan(self, known: Callable[[str], int | None]) -> Plan:
         """What to do with what was found; ``known`` tells which destinations there still are."""
         lives = self.found.lives
-        gone = {life.taken.destination for life in lives.by_id.values()
-                if life.taken is not None and known(life.taken.destination) is None}
-        return plan(lives, self.found.holes, self.classes, wall(), self.keeping.remember,
-                    self.keeping.order_pause, sorted(gone))
+        gone = {
+            life.taken.destination
+            for life in lives.by_id.values()
+            if life.taken is not None and known(life.taken.destination) is None
+        }
+        return plan(
+            lives,
+            self.found.holes,
+            self.classes,
+            wall(),
+            self.keeping.remember,
+            self.keeping.order_pause,
+            sorted(gone),
+        )
 
     def close(self) -> None:
         """Write what is left and let go of the directory."""
--- a/brassweir/service/listed.py
+++ b/brassweir/service/listed.py
@@ -86,15 +86,24 @@
         if one.url.startswith("https:"):
             problems.append(f"{name}: endpoint {one.name}: https is not served by this version")
         elif carrier and one.url.startswith("forward:") != (carrier == "forward"):
-            problems.append(f"{name}: endpoint {one.name}: kind {one.kind!r} carries by {carrier}, and its "
-                            f"URL is {one.url.partition(':')[0]}")
+            problems.append(
+                f"{name}: endpoint {one.name}: kind {one.kind!r} carries by {carrier}, and its "
+                f"URL is {one.url.partition(':')[0]}"
+            )
         if len(problems) >= 20:
             break
     if problems:
         raise ConfigError(problems)
     states = {state.value: state for state in api.State}
-    infos = [api.EndpointInfo(
-        one.name, numbers.partners[one.partner] if one.partner is not None
-        else numbers.give(one.destination or ""),
-        sys.intern(one.kind), sys.intern(one.zone), states[one.state], one.rate) for one in entries]
+    infos = [
+        api.EndpointInfo(
+            one.name,
+            numbers.partners[one.partner] if one.partner is not None else numbers.give(one.destination or ""),
+            sys.intern(one.kind),
+            sys.intern(one.zone),
+            states[one.state],
+            one.rate,
+        )
+        for one in entries
+    ]
     return Listed(infos, {info.name: one.url for info, one in zip(infos, entries, strict=True)})
--- a/brassweir/service/listfile.py
+++ b/brassweir/service/listfile.py
@@ -31,8 +31,13 @@
 class ListFile:
     """Keeps the last good list; a bad version is complained of and changes nothing."""
 
-    def __init__(self, path: Path, config: Config, tell: Callable[[api.ListNews], None],
-                 note: Callable[[str, dict[str, object]], None]) -> None:
+    def __init__(
+        self,
+        path: Path,
+        config: Config,
+        tell: Callable[[api.ListNews], None],
+        note: Callable[[str, dict[str, object]], None],
+    ) -> None:
         self.path, self.config, self.tell, self.note = path, config, tell, note
         self.numbers = Numbers(config)
         self.urls: dict[str, str] = {}
@@ -61,8 +66,7 @@
             self.seen = now
             try:
                 # Read and compared on a thread: only the telling needs the loop.
-                await asyncio.to_thread(
-                    lambda: self._take(read_list(self.path, self.config, self.numbers)))
+                await asyncio.to_thread(lambda: self._take(read_list(self.path, self.config, self.numbers)))
             except ConfigError as error:
                 self.note("list_refused", {"path": str(self.path), "problems": error.problems[:20]})
                 continue
@@ -75,11 +79,21 @@
         infos = [replace(info, rate=info.rate * scale) if info.rate else info for info in found.infos]
         count = self.intake.take(infos)
         # Removed endpoints keep their address while an attempt that is out may need it: until the next list.
-        gone = {name: self.urls[name] for name in self.urls.keys() & self.intake.told.keys()
-                if name not in found.urls}
+        gone = {
+            name: self.urls[name]
+            for name in self.urls.keys() & self.intake.told.keys()
+            if name not in found.urls
+        }
         self.urls = found.urls | gone
-        self.note("list_taken", {"path": str(self.path), "endpoints": len(found.infos), "to_tell": count,
-                                 "first_off": len(self.intake.off)})
+        self.note(
+            "list_taken",
+            {
+                "path": str(self.path),
+                "endpoints": len(found.infos),
+                "to_tell": count,
+                "first_off": len(self.intake.off),
+            },
+        )
 
     def again(self) -> None:
         """Read the list again at the next look: what is made of it has changed."""
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -83,8 +83,15 @@
         self.clock, self.counts, self.listing = LoopClock(loop), Counting(), Listing()
         sockets = config.limits.sockets
         calls = max(8, int(sockets * (1.0 - CLIENTS)) - KEPT_BACK)
-        self.pools = Pools(ANSWERS, calls, IDLE * given.idle_close or 4000.0, given.connect_timeout,
-                           Budget(calls), Setups(SETUPS), SETTLING)
+        self.pools = Pools(
+            ANSWERS,
+            calls,
+            IDLE * given.idle_close or 4000.0,
+            given.connect_timeout,
+            Budget(calls),
+            Setups(SETUPS),
+            SETTLING,
+        )
         self.carrier = RelayCarrier(self.listing, self.pools, self.clock, self.note)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
         try:
@@ -93,14 +100,27 @@
             raise NodeError(f"limits: disk_mb: {error}") from None
         keeping = Keeping(state, config.name, classes, REMEMBER, given.order_pause, parts, synced=False)
         self.journal = Journaling(keeping, str, self._broken, self.note)
-        self.engine = Engine(given, config.seed, self.clock, lambda _: self.carrier, store=self.journal.store,
-                             watcher=self.counts, remember=REMEMBER, most=REMEMBER_MOST)
+        self.engine = Engine(
+            given,
+            config.seed,
+            self.clock,
+            lambda _: self.carrier,
+            store=self.journal.store,
+            watcher=self.counts,
+            remember=REMEMBER,
+            most=REMEMBER_MOST,
+        )
         apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
         self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
         crowd = Crowd(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
-        self.front = Front(self.engine, crowd, self.listing.listed,
-                           lambda record: self._waiter(record.id, record.submission), self.journal.store.told)
+        self.front = Front(
+            self.engine,
+            crowd,
+            self.listing.listed,
+            lambda record: self._waiter(record.id, record.submission),
+            self.journal.store.told,
+        )
         self.telling: asyncio.TimerHandle | None = None
 
     def note(self, event: str, details: Mapping[str, object]) -> None:
@@ -138,9 +158,17 @@
         plan.again = [replace(one, taken=_as_now(one.taken, self.classes)) for one in plan.again]
         keyless(plan, self.classes, wall())
         found = self.journal.found
-        self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
-                      owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
-                      torn_bytes=found.torn, holes=len(found.holes))
+        self.log.info(
+            "recovered",
+            again=len(plan.again),
+            answered=len(plan.answered),
+            dropped=plan.dropped,
+            owed=sum(one.owed for one in plan.answered),
+            records=found.records,
+            bytes=found.size,
+            torn_bytes=found.torn,
+            holes=len(found.holes),
+        )
         carry_out(plan, self.engine, self.journal.store, _number, self._waiter)
 
     async def start(self) -> None:
@@ -155,20 +183,42 @@
         host, _, port = self.config.listen.rpartition(":")
         await self.front.listen(host, int(port))
         self._belief(self.loop.time())
-        self.log.info("started", listen=self.config.listen, endpoints=len(self.listing.known),
-                      slots=self.config.settings.slots, max_open=self.config.settings.max_open,
-                      cores=self.config.limits.cores, memory_mb=self.config.limits.memory_mb,
-                      sockets=self.config.limits.sockets, **usage())
+        self.log.info(
+            "started",
+            listen=self.config.listen,
+            endpoints=len(self.listing.known),
+            slots=self.config.settings.slots,
+            max_open=self.config.settings.max_open,
+            cores=self.config.limits.cores,
+            memory_mb=self.config.limits.memory_mb,
+            sockets=self.config.limits.sockets,
+            **usage(),
+        )
 
     def _belief(self, due: float) -> None:
         late = max(0.0, self.loop.time() - due)
         front = self.front
-        self.log.info("belief", late_ms=round(late * 1000.0), **belief(self.engine.sender, self.clock.now()),
-                      **self.counts.take(), taken=front.taken, busy=front.busy, errors=front.errors,
-                      opened=front.opened, dropped=front.dropped, silenced=front.silenced, idled=front.idled,
-                      withdrawn=front.withdrawn, clients=len(front.connections),
-                      calls=self.pools.budget.open, owed=len(self.notices.owed), rev=self.listing.rev,
-                      journal=self.journal.writer.total, ledger=len(self.engine.ledger.by_id), **usage())
+        self.log.info(
+            "belief",
+            late_ms=round(late * 1000.0),
+            **belief(self.engine.sender, self.clock.now()),
+            **self.counts.take(),
+            taken=front.taken,
+            busy=front.busy,
+            errors=front.errors,
+            opened=front.opened,
+            dropped=front.dropped,
+            silenced=front.silenced,
+            idled=front.idled,
+            withdrawn=front.withdrawn,
+            clients=len(front.connections),
+            calls=self.pools.budget.open,
+            owed=len(self.notices.owed),
+            rev=self.listing.rev,
+            journal=self.journal.writer.total,
+            ledger=len(self.engine.ledger.by_id),
+            **usage(),
+        )
         due = self.loop.time() + BELIEF
         self.telling = self.loop.call_at(due, self._belief, due)
 
--- a/brassweir/service/node_watch.py
+++ b/brassweir/service/node_watch.py
@@ -44,9 +44,13 @@
 
     def take(self) -> dict[str, Any]:
         """The counts, which begin anew."""
-        told = {"results": dict(self.results), "answers": dict(self.answers),
-                "reasons": dict(self.reasons.most_common(MOST_SICK)), "turns": self.turns,
-                "decisions_ms": round(self.spent * 1000.0, 1)}
+        told = {
+            "results": dict(self.results),
+            "answers": dict(self.answers),
+            "reasons": dict(self.reasons.most_common(MOST_SICK)),
+            "turns": self.turns,
+            "decisions_ms": round(self.spent * 1000.0, 1),
+        }
         self.results.clear()
         self.answers.clear()
         self.reasons.clear()
@@ -56,30 +60,52 @@
 
 def belief(sender: Sender, now: float) -> dict[str, Any]:
     """What the decisions rest on now. Reads the module's state; pure."""
-    sick = [dest for dest in sender.dests.values()
-            if dest.ill or any(gate.shut or gate.wait > now or gate.pace < math.inf for gate in dest.gates())]
+    sick = [
+        dest
+        for dest in sender.dests.values()
+        if dest.ill or any(gate.shut or gate.wait > now or gate.pace < math.inf for gate in dest.gates())
+    ]
     sick.sort(key=lambda dest: -dest.load.open)
     told = []
     for dest in sick[:MOST_SICK]:
         gate = dest.gates()[0]
         calls = [one.conns for one in dest.endpoints.values() if one.usable and one.conns < math.inf]
-        told.append({
-            "destination": dest.id, "ill": dest.ill, "shut": gate.shut,
-            "wait_ms": max(0, round(gate.wait - now)) if gate.wait > now else 0,
-            "pace": None if gate.pace == math.inf else round(gate.pace, 2),
-            "open": dest.load.open, "out": dest.load.out, "mean_ms": round(dest.mean.value),
-            "calls_at_once": [round(one, 1) for one in calls], "fails": [gate.fails, round(gate.bad, 2)]})
-    return {"bound": sender.bound.value, "cost": round(sender.load.cost, 1), "open": sender.load.open,
-            "out": sender.load.out, "apart_cost": round(sender.apart.cost, 1), "apart_out": sender.apart.out,
-            "mean_ms": round(sender.mean.value), "lost": round(sender.lost, 3), "sick": told,
-            "awake": len(sender.dests)}
+        told.append(
+            {
+                "destination": dest.id,
+                "ill": dest.ill,
+                "shut": gate.shut,
+                "wait_ms": max(0, round(gate.wait - now)) if gate.wait > now else 0,
+                "pace": None if gate.pace == math.inf else round(gate.pace, 2),
+                "open": dest.load.open,
+                "out": dest.load.out,
+                "mean_ms": round(dest.mean.value),
+                "calls_at_once": [round(one, 1) for one in calls],
+                "fails": [gate.fails, round(gate.bad, 2)],
+            }
+        )
+    return {
+        "bound": sender.bound.value,
+        "cost": round(sender.load.cost, 1),
+        "open": sender.load.open,
+        "out": sender.load.out,
+        "apart_cost": round(sender.apart.cost, 1),
+        "apart_out": sender.apart.out,
+        "mean_ms": round(sender.mean.value),
+        "lost": round(sender.lost, 3),
+        "sick": told,
+        "awake": len(sender.dests),
+    }
 
 
 def usage() -> dict[str, Any]:
     """Memory and CPU of this process."""
     used = resource.getrusage(resource.RUSAGE_SELF)
-    return {"rss_mb": round(resident() / 1e6, 1), "cpu_s": round(used.ru_utime + used.ru_stime, 2),
-            "collections": gc.get_stats()[2]["collections"]}
+    return {
+        "rss_mb": round(resident() / 1e6, 1),
+        "cpu_s": round(used.ru_utime + used.ru_stime, 2),
+        "collections": gc.get_stats()[2]["collections"],
+    }
 
 
 def resident() -> int:
--- a/brassweir/service/plain.py
+++ b/brassweir/service/plain.py
@@ -21,16 +21,20 @@
 class Plain:
     """Answers each request from what is there now. ``states`` holds what only some senders have."""
 
-    def __init__(self, engine: Engine, numbers: Numbers, metrics: Metrics, clock: LoopClock,
-                 states: States) -> None:
+    def __init__(
+        self, engine: Engine, numbers: Numbers, metrics: Metrics, clock: LoopClock, states: States
+    ) -> None:
         self.engine, self.numbers, self.metrics, self.clock = engine, numbers, metrics, clock
         self.states = states
 
     async def answer(self, request: Request) -> Response:
         """One request."""
         if request.path == "/metrics":
-            return Response(200, Headers([("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]),
-                            self.metrics.text())
+            return Response(
+                200,
+                Headers([("Content-Type", "text/plain; version=0.0.4; charset=utf-8")]),
+                self.metrics.text(),
+            )
         if request.path == "/healthz":
             state = b"draining\n" if self.engine.stopping else b"ready\n"
             return Response(503 if self.engine.stopping else 200, body=state)
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -62,13 +62,30 @@
         self.metrics = Metrics()
         self.observer = Observer(self.log, self.metrics, self.clock, self._kind)
         bounds = limits(config)
-        self.pools = Pools(bounds, sender.connections_per_endpoint, sender.idle_close_ms,
-                           sender.connect_timeout_ms, Budget(sender.connections), Setups(sender.setups))
+        self.pools = Pools(
+            bounds,
+            sender.connections_per_endpoint,
+            sender.idle_close_ms,
+            sender.connect_timeout_ms,
+            Budget(sender.connections),
+            Setups(sender.setups),
+        )
         self.offload = Offload(sender.crypto_threads)
         note = self.observer.note
         self.list = ListFile(base / config.endpoints, config, self._news, note)
-        parts = Parts(config, base, classes, self.list, self.pools, self.offload, bounds, self.metrics, note,
-                      self._complain, self._told)
+        parts = Parts(
+            config,
+            base,
+            classes,
+            self.list,
+            self.pools,
+            self.offload,
+            bounds,
+            self.metrics,
+            note,
+            self._complain,
+            self._told,
+        )
         self.as2 = As2Side(parts) if config.identity is not None else None
         self.forward = ForwardSide(parts)
         self.sides: list[Side] = [WebhookSide(parts), self.forward, *([self.as2] if self.as2 else [])]
@@ -78,9 +95,16 @@
         self.broken: asyncio.Future[BaseException] = loop.create_future()
         self.journal = self._journal(base, classes) if sender.journaled else None
         seed = sender.seed if sender.seed is not None else random.SystemRandom().getrandbits(48)
-        self.engine = Engine(given, seed, self.clock, lambda info: self.carriers[info.kind],
-                             store=self.journal.store if self.journal is not None else None,
-                             watcher=self.observer, remember=sender.remember_ms, most=sender.remember_most)
+        self.engine = Engine(
+            given,
+            seed,
+            self.clock,
+            lambda info: self.carriers[info.kind],
+            store=self.journal.store if self.journal is not None else None,
+            watcher=self.observer,
+            remember=sender.remember_ms,
+            most=sender.remember_most,
+        )
         self.region = region_of(config, base, classes, self.metrics, note)
         if self.region is not None:
             self.engine.admits = self.region.admits
@@ -95,8 +119,13 @@
 
     def _journal(self, base: Path, classes: dict[str, api.MessageClass]) -> Journaling:
         sender = self.config.sender
-        keeping = Keeping(base / (sender.journal or Path(f"{sender.name}.journal")), sender.name, classes,
-                          sender.remember_ms, sender.order_pause_ms)
+        keeping = Keeping(
+            base / (sender.journal or Path(f"{sender.name}.journal")),
+            sender.name,
+            classes,
+            sender.remember_ms,
+            sender.order_pause_ms,
+        )
         try:
             return Journaling(keeping, self.list.numbers.name, self._broken, self.observer.note)
         except Unusable as error:
@@ -140,9 +169,18 @@
             return
         plan = self.journal.plan(self.list.numbers.number)
         found = self.journal.found
-        self.log.info("recovered", again=len(plan.again), answered=len(plan.answered), dropped=plan.dropped,
-                      owed=sum(one.owed for one in plan.answered), records=found.records, bytes=found.size,
-                      torn_bytes=found.torn, holes=len(found.holes), pause_ms=plan.pause)
+        self.log.info(
+            "recovered",
+            again=len(plan.again),
+            answered=len(plan.answered),
+            dropped=plan.dropped,
+            owed=sum(one.owed for one in plan.answered),
+            records=found.records,
+            bytes=found.size,
+            torn_bytes=found.torn,
+            holes=len(found.holes),
+            pause_ms=plan.pause,
+        )
         if plan.pause:
             await asyncio.sleep(plan.pause / 1000.0)
         carry_out(plan, self.engine, self.journal.store, self.list.numbers.number, self._owing)
--- a/brassweir/service/region.py
+++ b/brassweir/service/region.py
@@ -39,17 +39,26 @@
 
     source: Source
 
-    def __init__(self, region: str, state: Path, assumed: Assumed, classes: dict[str, MessageClass],
-                 note: Callable[[str, dict[str, object]], None],
-                 counted: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        region: str,
+        state: Path,
+        assumed: Assumed,
+        classes: dict[str, MessageClass],
+        note: Callable[[str, dict[str, object]], None],
+        counted: Callable[[str], None] = lambda _: None,
+    ) -> None:
         """Raises ConfigError where what was known cannot be read."""
         self.state, self.classes, self.note, self.counted = state, classes, note, counted
         try:
             known = parse(state.read_bytes()) if state.exists() else None
         except (OSError, EpochError) as error:
-            raise ConfigError([f"region: {state}: {error}; without it an older epoch could be taken for the "
-                               "newest: put it back, or remove it once the source is known to be new"]
-                              ) from None
+            raise ConfigError(
+                [
+                    f"region: {state}: {error}; without it an older epoch could be taken for the "
+                    "newest: put it back, or remove it once the source is known to be new"
+                ]
+            ) from None
         self.own = Ownership(region, assumed, known)
         self.complained = ""
         self.shares = Shares(region, assumed)
--- a/brassweir/service/regionfile.py
+++ b/brassweir/service/regionfile.py
@@ -17,9 +17,16 @@
 
     source = Source.FILE
 
-    def __init__(self, region: str, path: Path, state: Path, assumed: Assumed,
-                 classes: dict[str, MessageClass], note: Callable[[str, dict[str, object]], None],
-                 counted: Callable[[str], None] = lambda _: None) -> None:
+    def __init__(
+        self,
+        region: str,
+        path: Path,
+        state: Path,
+        assumed: Assumed,
+        classes: dict[str, MessageClass],
+        note: Callable[[str, dict[str, object]], None],
+        counted: Callable[[str], None] = lambda _: None,
+    ) -> None:
         """Raises ConfigError where what was known cannot be read."""
         super().__init__(region, state, assumed, classes, note, counted)
         self.path = path
--- a/brassweir/service/regionlog.py
+++ b/brassweir/service/regionlog.py
@@ -25,8 +25,11 @@
 
     def _behind(self, epoch: Epoch) -> bool:
         known = self.own.epoch
-        return known is not None and (epoch.turn, epoch.number, epoch.issued) < (known.turn, known.number,
-                                                                                  known.issued)
+        return known is not None and (epoch.turn, epoch.number, epoch.issued) < (
+            known.turn,
+            known.number,
+            known.issued,
+        )
 
     def look(self) -> None:
         """Take the newest: again at each look, for a disk that was full may have room now."""
--- a/brassweir/service/regionof.py
+++ b/brassweir/service/regionof.py
@@ -14,8 +14,13 @@
 from brassweir.service.regionlog import RegionLog
 
 
-def region_of(config: Config, base: Path, classes: dict[str, MessageClass], metrics: Metrics,
-              note: Callable[[str, dict[str, object]], None]) -> Region | None:
+def region_of(
+    config: Config,
+    base: Path,
+    classes: dict[str, MessageClass],
+    metrics: Metrics,
+    note: Callable[[str, dict[str, object]], None],
+) -> Region | None:
     """Raises ConfigError where what was known cannot be read."""
     given = config.region
     if given is None:
--- a/brassweir/service/together.py
+++ b/brassweir/service/together.py
@@ -27,8 +27,14 @@
 class Together:
     """One copy among others."""
 
-    def __init__(self, config: Config, base: Path, region: Region | None, metrics: Metrics,
-                 note: Callable[[str, dict[str, object]], None]) -> None:
+    def __init__(
+        self,
+        config: Config,
+        base: Path,
+        region: Region | None,
+        metrics: Metrics,
+        note: Callable[[str, dict[str, object]], None],
+    ) -> None:
         """Raises ConfigError with all that is wrong with the files that copies share."""
         assert config.peers is not None
         self.config, self.base, self.note = config, base, note
@@ -36,8 +42,9 @@
         self.me = own_entry(self.copies, config)
         self.port = PeerPort(self.me.name, _told(self.copies), keys, config.peers.listen or self.me.address)
         self.states: dict[str, Callable[[], dict[str, Any]]] = {"/peers": self.state}
-        metrics.read_from("brassweir_peers", "Messages between copies, and copies by what is known of them",
-                          self.counts)
+        metrics.read_from(
+            "brassweir_peers", "Messages between copies, and copies by what is known of them", self.counts
+        )
         self.agreed: AgreedSide | None = None
         if config.agreed is not None:
             from brassweir.service.agreedside import AgreedSide
@@ -94,17 +101,29 @@
     def state(self) -> dict[str, Any]:
         """Who is thought to be there, for operators."""
         view = self.port.view()
-        return {"name": self.me.name, "site": self.me.site, "region": self.me.region,
-                "self_suspected": view.self_suspected, "alone": view.alone, "cut_off": view.cut_off,
-                "copies": dict(sorted(view.states.items())), "counts": dict(sorted(self.port.counts.items()))}
+        return {
+            "name": self.me.name,
+            "site": self.me.site,
+            "region": self.me.region,
+            "self_suspected": view.self_suspected,
+            "alone": view.alone,
+            "cut_off": view.cut_off,
+            "copies": dict(sorted(view.states.items())),
+            "counts": dict(sorted(self.port.counts.items())),
+        }
 
     def counts(self) -> dict[str, float]:
         """What passed, and how many copies are in which state, for metrics."""
         view = self.port.view()
         states = Counter(view.states.values())
         copies = {f"copies_{name}": states[name] for name in ("alive", "suspected", "dead")}
-        return {**self.port.counts, **copies, "bytes_sent": self.port.bytes_sent,
-                "bytes_taken": self.port.bytes_taken, "self_suspected": view.self_suspected}
+        return {
+            **self.port.counts,
+            **copies,
+            "bytes_sent": self.port.bytes_sent,
+            "bytes_taken": self.port.bytes_taken,
+            "self_suspected": view.self_suspected,
+        }
 
     def hand_over(self) -> None:
         """This process is about to stop: let another lead. It goes on following."""
--- a/brassweir/service/watch.py
+++ b/brassweir/service/watch.py
@@ -23,30 +23,56 @@
         self.metrics.taken.labels(given.class_name, how.name.lower()).inc()
         if how is Taken.NEW:
             self.metrics.open.inc()
-        self.log.info("taken", message=record.id, how=how.name.lower(), owner=given.owner,
-                      identity=given.identity.partition("\n")[2] or given.identity,
-                      class_name=given.class_name, destination=given.destination, left_ms=round(given.left))
+        self.log.info(
+            "taken",
+            message=record.id,
+            how=how.name.lower(),
+            owner=given.owner,
+            identity=given.identity.partition("\n")[2] or given.identity,
+            class_name=given.class_name,
+            destination=given.destination,
+            left_ms=round(given.left),
+        )
 
     def sent(self, attempt: Attempt) -> None:
         """An attempt goes out."""
         self.metrics.out.inc()
-        self.log.info("sent", message=attempt.id, attempt=attempt.number, endpoint=attempt.endpoint.name,
-                      for_ms=round(attempt.abandon_at - self.clock.now()))
+        self.log.info(
+            "sent",
+            message=attempt.id,
+            attempt=attempt.number,
+            endpoint=attempt.endpoint.name,
+            for_ms=round(attempt.abandon_at - self.clock.now()),
+        )
 
     def outcome(self, record: Record, number: int, outcome: Outcome, late: bool) -> None:
         """An attempt ended."""
         self.metrics.out.dec()
         endpoint = record.attempts[number].endpoint
         self.metrics.attempts.labels(self.endpoint_kind(endpoint), outcome.result.value).inc()
-        self.log.info("ended", message=record.id, attempt=number, endpoint=endpoint,
-                      result=outcome.result.value, reason=outcome.reason, wait_ms=round(outcome.wait),
-                      rejected=outcome.rejected, late=late)
+        self.log.info(
+            "ended",
+            message=record.id,
+            attempt=number,
+            endpoint=endpoint,
+            result=outcome.result.value,
+            reason=outcome.reason,
+            wait_ms=round(outcome.wait),
+            rejected=outcome.rejected,
+            late=late,
+        )
 
     def late(self, record: Record, number: int, outcome: Outcome) -> None:
         """Something came for an attempt that had its outcome."""
         self.metrics.late.inc()
-        self.log.warning("late_outcome", message=record.id, attempt=number, result=outcome.result.value,
-                         reason=outcome.reason, answered=record.answer is not None)
+        self.log.warning(
+            "late_outcome",
+            message=record.id,
+            attempt=number,
+            result=outcome.result.value,
+            reason=outcome.reason,
+            answered=record.answer is not None,
+        )
 
     def final(self, record: Record) -> None:
         """A message has its answer."""
@@ -57,9 +83,15 @@
         self.metrics.open.dec()
         self.metrics.answers.labels(*labels).inc()
         self.metrics.age.labels(*labels).observe(age / 1000.0)
-        self.log.info("final", message=record.id, answer=answer.answer.value, reason=answer.reason,
-                      retry_after_ms=round(answer.retry_after), age_ms=round(age),
-                      attempts=len(record.attempts))
+        self.log.info(
+            "final",
+            message=record.id,
+            answer=answer.answer.value,
+            reason=answer.reason,
+            retry_after_ms=round(answer.retry_after),
+            age_ms=round(age),
+            attempts=len(record.attempts),
+        )
 
     def turn(self, events: int, actions: int, spent: float) -> None:
         """One call of the module."""
--- a/brassweir/service/webhook_side.py
+++ b/brassweir/service/webhook_side.py
@@ -20,9 +20,12 @@
     def __init__(self, parts: Parts) -> None:
         sender = parts.config.sender
         self.carriers: Mapping[str, Carrier] = {
-            kind.name: WebhookCarrier(parts.list, parts.pools, secrets(kind, parts.base), parts.note,
-                                      sender.name, sender.linger_ms)
-            for kind in parts.config.kinds if kind.carrier == "webhook"}
+            kind.name: WebhookCarrier(
+                parts.list, parts.pools, secrets(kind, parts.base), parts.note, sender.name, sender.linger_ms
+            )
+            for kind in parts.config.kinds
+            if kind.carrier == "webhook"
+        }
 
     def open(self, engine: Engine) -> None:
         """Nothing to make."""
--- a/brassweir/service/wiring.py
+++ b/brassweir/service/wiring.py
@@ -25,15 +25,32 @@
     try:
         return api.Settings(
             classes=tuple(
-                api.MessageClass(cls.name, cls.aim_ms, cls.deadline_ms, api.Effect(cls.effect),
-                                 cls.late_worth, cls.group, cls.window_ms, cls.in_order)
-                for cls in config.classes),
-            slots=sender.slots, max_open=sender.max_open, senders=sender.senders,
+                api.MessageClass(
+                    cls.name,
+                    cls.aim_ms,
+                    cls.deadline_ms,
+                    api.Effect(cls.effect),
+                    cls.late_worth,
+                    cls.group,
+                    cls.window_ms,
+                    cls.in_order,
+                )
+                for cls in config.classes
+            ),
+            slots=sender.slots,
+            max_open=sender.max_open,
+            senders=sender.senders,
             kinds=tuple(api.Kind(kind.name, kind.routes == "apart") for kind in config.kinds),
-            max_attempts=sender.max_attempts, connect_timeout=sender.connect_timeout_ms,
-            idle_close=sender.idle_close_ms, max_retry_after=sender.max_retry_after_ms,
-            weights=sender.weights, cold=sender.cold_ms, start_capacity=sender.start_capacity,
-            tip_multiple=sender.tip_multiple, order_pause=sender.order_pause_ms)
+            max_attempts=sender.max_attempts,
+            connect_timeout=sender.connect_timeout_ms,
+            idle_close=sender.idle_close_ms,
+            max_retry_after=sender.max_retry_after_ms,
+            weights=sender.weights,
+            cold=sender.cold_ms,
+            start_capacity=sender.start_capacity,
+            tip_multiple=sender.tip_multiple,
+            order_pause=sender.order_pause_ms,
+        )
     except api.SettingsError as error:
         raise ConfigError([f"sender: {error}"]) from None
 
@@ -41,9 +58,17 @@
 def limits(config: Config) -> Limits:
     """Bounds of sizes and times at the sockets."""
     given = config.limits
-    return Limits(head=given.head_bytes, headers=given.headers, body=given.body_bytes,
-                  buffered=given.buffered_bytes, connections=given.connections, head_time=given.head_ms,
-                  body_time=given.body_ms, idle_time=given.idle_ms, write_time=given.write_ms)
+    return Limits(
+        head=given.head_bytes,
+        headers=given.headers,
+        body=given.body_bytes,
+        buffered=given.buffered_bytes,
+        connections=given.connections,
+        head_time=given.head_ms,
+        body_time=given.body_ms,
+        idle_time=given.idle_ms,
+        write_time=given.write_ms,
+    )
 
 
 def partnerships(config: Config, base: Path) -> Partnerships:
@@ -58,9 +83,16 @@
         field = f"client {one.as2_id}: certificates"
         found = [certificate(base / path, field, problems) for path in one.certificates]
         clients[one.as2_id] = Client(
-            one.as2_id, tuple(cert for cert in found if cert is not None), frozenset(one.may_send_to),
+            one.as2_id,
+            tuple(cert for cert in found if cert is not None),
+            frozenset(one.may_send_to),
             tuple(Rule(re.compile(rule.subject), rule.class_name) for rule in one.rules),
-            one.receipt_url or "", one.signed, one.encrypted, one.legacy, one.dated)
+            one.receipt_url or "",
+            one.signed,
+            one.encrypted,
+            one.legacy,
+            one.dated,
+        )
     partners: dict[str, Partner] = {}
     for number, other in enumerate(config.partners, 1):
         field = f"partner {other.as2_id}: certificates"
@@ -74,8 +106,13 @@
     if problems or key is None or own is None:
         raise ConfigError(problems)
     classes = {cls.name: cls for cls in settings(config).classes}
-    return Partnerships(Identity(config.identity.as2_id, key, own), clients, partners, classes,
-                        config.identity.receipt_url or "")
+    return Partnerships(
+        Identity(config.identity.as2_id, key, own),
+        clients,
+        partners,
+        classes,
+        config.identity.receipt_url or "",
+    )
 
 
 def _partner(one: PartnerModel, number: int, certs: tuple[x509.Certificate, ...]) -> Partner:
@@ -83,18 +120,35 @@
         return "" if value == "none" else value
 
     return Partner(
-        one.as2_id, number, certs,
+        one.as2_id,
+        number,
+        certs,
         Security(named(one.sign), named(one.encrypt), named(one.compress), one.pss, one.oaep),
-        one.receipt == "async", one.signed_receipt, one.legacy, frozenset(one.busy_statuses))
+        one.receipt == "async",
+        one.signed_receipt,
+        one.legacy,
+        frozenset(one.busy_statuses),
+    )
 
 
 def tag_rules(source: ForwardSourceModel) -> tuple[TagRule, ...]:
     """The rules of a source; the model has checked them."""
-    return tuple(TagRule(rule.tag, rule.class_name, rule.destination, Body(rule.body), rule.key)
-                 for rule in source.rules)
+    return tuple(
+        TagRule(rule.tag, rule.class_name, rule.destination, Body(rule.body), rule.key)
+        for rule in source.rules
+    )
 
 
 def bounds(config: ForwardModel) -> Bounds:
     """What forward sources can make us hold."""
-    return Bounds(config.chunk_bytes, config.unpacked_bytes, config.entries, config.buffered_bytes,
-                  config.connections, config.handshake_ms, config.chunk_ms, config.idle_ms, config.write_ms)
+    return Bounds(
+        config.chunk_bytes,
+        config.unpacked_bytes,
+        config.entries,
+        config.buffered_bytes,
+        config.connections,
+        config.handshake_ms,
+        config.chunk_ms,
+        config.idle_ms,
+        config.write_ms,
+    )
--- a/brassweir/sites/evidence.py
+++ b/brassweir/sites/evidence.py
@@ -72,8 +72,11 @@
         share = self.share(site)
         if share is None or share < OUT:
             return False
-        seen = [self.listed[name] for name in self.at_site[site]
-                if name in self.dead or sum(self.by_endpoint[name]) > 0.0]
+        seen = [
+            self.listed[name]
+            for name in self.at_site[site]
+            if name in self.dead or sum(self.by_endpoint[name]) > 0.0
+        ]
         dead = sum(one.rate for one in seen if one.name in self.dead)
         return dead * 2 > sum(one.rate for one in seen)
 
--- a/brassweir/sites/plan.py
+++ b/brassweir/sites/plan.py
@@ -64,8 +64,11 @@
     second."""
     names = sorted(sites)
     found = [case_of({one: part}) for one in names for part in (0.0, HALF)]
-    found += [case_of({first: 0.0, second: part}) for first, second in permutations(names, 2)
-              for part in (0.0, HALF)]
+    found += [
+        case_of({first: 0.0, second: part})
+        for first, second in permutations(names, 2)
+        for part in (0.0, HALF)
+    ]
     return list(dict.fromkeys(found))
 
 
@@ -95,7 +98,8 @@
             for site in tier:
                 if site in take and (one.site, site) not in edges:
                     edges[one.site, site] = flow.edge(
-                        ("give", one.site), ("take", site), min(give[one.site], take[site]), TIER * number)
+                        ("give", one.site), ("take", site), min(give[one.site], take[site]), TIER * number
+                    )
     for site, room in take.items():
         for slice_ in range(TENTHS):
             flow.edge(("take", site), "to", room / TENTHS, float(slice_))
@@ -109,8 +113,10 @@
     flows = placed(rooms, case)
     _, take = demands(rooms, dict(case))
     got = {site: sum(rate for (_, taker), rate in flows.items() if taker == site) for site in take}
-    return {(home, taker): rate * max(1.0, min(SLACK, take[taker] / got[taker]))
-            for (home, taker), rate in flows.items()}
+    return {
+        (home, taker): rate * max(1.0, min(SLACK, take[taker] / got[taker]))
+        for (home, taker), rate in flows.items()
+    }
 
 
 def plan(version: int, rooms: tuple[Room, ...]) -> Plan:
@@ -123,4 +129,6 @@
     known = {one.site: one for one in before}
     return known.keys() != {one.site for one in now} or any(
         max(abs(one.load - known[one.site].load), abs(one.capacity - known[one.site].capacity))
-        > CHANGED * max(one.capacity, 1.0) for one in now)
+        > CHANGED * max(one.capacity, 1.0)
+        for one in now
+    )
--- a/brassweir/sites/returning.py
+++ b/brassweir/sites/returning.py
@@ -40,9 +40,17 @@
     stretch: float = 1.0
     at: float | None = None
 
-    def step(self, now: float, word: Word, last_pass: float, bad: float, told_well: bool,
-             distrust: float, cut_off: bool = False,
-             led_since: float = math.inf) -> None:
+    def step(
+        self,
+        now: float,
+        word: Word,
+        last_pass: float,
+        bad: float,
+        told_well: bool,
+        distrust: float,
+        cut_off: bool = False,
+        led_since: float = math.inf,
+    ) -> None:
         """``bad``: share of bad endings of the window; ``told_well``: the agreed log says well, within a
         lease."""
         span = 0.0 if self.at is None else now - self.at
--- a/brassweir/sites/verdict.py
+++ b/brassweir/sites/verdict.py
@@ -104,12 +104,16 @@
         gone = sum(word is not Peer.ALIVE and self.site_of.get(name) == site for name, word in peers.items())
         return gone * 2 > self.copies_at[site]
 
-    def _look_at_self(self, now: float, shares: Mapping[str, float | None],
-                      silent: Mapping[str, bool], asked: float) -> None:
+    def _look_at_self(
+        self, now: float, shares: Mapping[str, float | None], silent: Mapping[str, bool], asked: float
+    ) -> None:
         """All other sites that were there gone at once, and the agreed log with them: it is this copy that
         is cut off. Two sites in all cannot tell which of them went, so the log is to say it."""
-        others = [one for site, one in self.sites.items()
-                  if site != self.setup.own.site and one.own not in (Word.LOST, Word.RETURNING)]
+        others = [
+            one
+            for site, one in self.sites.items()
+            if site != self.setup.own.site and one.own not in (Word.LOST, Word.RETURNING)
+        ]
         for site, one in self.sites.items():
             gone = self.evidence.failing(site) or (shares[site] is None and silent[site])
             one.gone_at = (one.gone_at if one.gone_at is not None else now) if gone else None
@@ -124,8 +128,15 @@
         self.unanswered = now < self.doubt_until
         self.cut_off = unheard or self.unanswered
 
-    def _own(self, now: float, site: str, facts: Facts, shares: Mapping[str, float | None], silent: bool,
-             full: bool) -> None:
+    def _own(
+        self,
+        now: float,
+        site: str,
+        facts: Facts,
+        shares: Mapping[str, float | None],
+        silent: bool,
+        full: bool,
+    ) -> None:
         """Move the word that rests on own endings."""
         one, share = self.sites[site], shares[site]
         bad = share or 0.0
@@ -158,8 +169,11 @@
 
     def _general(self, site: str, bad: float, shares: Mapping[str, float | None]) -> bool:
         """Do all other sites of which calls say anything fail alike? Then no site is to blame."""
-        seen = [share for other, share in shares.items()
-                if other != site and share is not None and self.sites[other].own is not Word.LOST]
+        seen = [
+            share
+            for other, share in shares.items()
+            if other != site and share is not None and self.sites[other].own is not Word.LOST
+        ]
         if not seen and any(other != site and one.own is not Word.WELL for other, one in self.sites.items()):
             return bad < DOWN  # nothing is left to compare with: only a site that is down is lost
         return bool(seen) and min(seen) >= max(GENERAL * bad, CLEAR)
@@ -167,9 +181,12 @@
     def _confirm(self, now: float, site: str, facts: Facts, silent: bool) -> float:
         """Ms of failing that are asked: less where others see it as well, and less at each further loss."""
         backed = silent or any(
-            one.about == site and one.age <= FRESH and one.word in (Word.SUSPECTED, Word.LOST)
+            one.about == site
+            and one.age <= FRESH
+            and one.word in (Word.SUSPECTED, Word.LOST)
             and self.site_of.get(one.copy, site) not in (site, self.setup.own.site)
-            for one in facts.witnesses)
+            for one in facts.witnesses
+        )
         span = (BACKED if backed else CONFIRM) * (1.0 if self.reached else UNREACHED)
         return span / (1.0 + self.distrust(now, site) / 2.0)
 
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -70,8 +70,10 @@
         self.verdicts = Verdicts(setup)
         self.listed = len(setup.copies)
         self.capacity = {site: setup.capacity(site) for site in setup.sites}
-        self.ramps = {site: Ramp(rate / self.listed, setup.cold, setup.start_capacity)
-                      for site, rate in self.capacity.items()}
+        self.ramps = {
+            site: Ramp(rate / self.listed, setup.cold, setup.start_capacity)
+            for site, rate in self.capacity.items()
+        }
         self.parts = {site: Part() for site in setup.sites}
         self.shares = Part()  # of what is left of a site that lost endpoints
         self.home = {site: math.inf for site in setup.sites}
@@ -147,17 +149,31 @@
         verdicts, ramp = self.verdicts, self.ramps[site]
         one, evidence = verdicts.sites[site], verdicts.evidence
         passes, bad = evidence.counts(site)
-        told_well = (verdicts.reached and self.agreed is not None
-                     and self.agreed.words.get(site, Word.WELL) is Word.WELL
-                     # A log that was led for less would not know of a site that came back with it.
-                     and now - self.agreed.led_since >= self.setup.cold
-                     # Nor does it say all that witnesses do: a copy that has just started hears both.
-                     and (ramp.warm or all(
-                         said.about != site or said.age > FRESH or said.word in (None, Word.WELL)
-                         for said in facts.witnesses)))
-        ramp.step(now, one.word, evidence.last_pass[site], bad / (passes + bad) if bad else 0.0, told_well,
-                  verdicts.distrust(now, site), verdicts.unanswered,
-                  self.agreed.led_since if self.agreed is not None else math.inf)
+        told_well = (
+            verdicts.reached
+            and self.agreed is not None
+            and self.agreed.words.get(site, Word.WELL) is Word.WELL
+            # A log that was led for less would not know of a site that came back with it.
+            and now - self.agreed.led_since >= self.setup.cold
+            # Nor does it say all that witnesses do: a copy that has just started hears both.
+            and (
+                ramp.warm
+                or all(
+                    said.about != site or said.age > FRESH or said.word in (None, Word.WELL)
+                    for said in facts.witnesses
+                )
+            )
+        )
+        ramp.step(
+            now,
+            one.word,
+            evidence.last_pass[site],
+            bad / (passes + bad) if bad else 0.0,
+            told_well,
+            verdicts.distrust(now, site),
+            verdicts.unanswered,
+            self.agreed.led_since if self.agreed is not None else math.inf,
+        )
         allowed = ramp.allowed(one.word, verdicts.reached, evidence.failing(site), passes * 1000.0 / WINDOW)
         left = evidence.left(site)
         if one.word in (Word.WELL, Word.SUSPECTED) and 0.0 < left < 1.0:
@@ -175,8 +191,10 @@
         demand."""
         verdicts, found = self.verdicts, dict[tuple[str, str], float]()
         agreed = self.agreed if verdicts.reached else None
-        own = self._flows({site: one.word for site, one in verdicts.sites.items()},
-                          {site: verdicts.evidence.left(site) for site in verdicts.sites})
+        own = self._flows(
+            {site: one.word for site, one in verdicts.sites.items()},
+            {site: verdicts.evidence.left(site) for site in verdicts.sites},
+        )
         ruled = self._flows(agreed.words, {}) if agreed is not None else {}
         for taker in self.setup.sites:
             whole_there = verdicts.evidence.left(taker) == 1.0 and self.ramps[taker].warm
--- a/brassweir/undelivered/item.py
+++ b/brassweir/undelivered/item.py
@@ -53,8 +53,8 @@
     """Read a file's content. Raises ValueError with the reason."""
     if not data.startswith(MAGIC):
         raise ValueError("no kept message of a known version")
-    body = data[len(MAGIC) + 4:]
-    if int(google_crc32c.value(body)).to_bytes(4, "big") != data[len(MAGIC):len(MAGIC) + 4]:
+    body = data[len(MAGIC) + 4 :]
+    if int(google_crc32c.value(body)).to_bytes(4, "big") != data[len(MAGIC) : len(MAGIC) + 4]:
         raise ValueError("damaged: its checksum does not hold")
     try:
         return _decoder.decode(body)
--- a/brassweir/webhook/carrier.py
+++ b/brassweir/webhook/carrier.py
@@ -22,8 +22,15 @@
     ``linger`` (ms) is how long a call whose time is over is still listened to, as for AS2.
     """
 
-    def __init__(self, urls: Urls, pools: Pools, keys: tuple[bytes, ...], note: Note, name: str = "",
-                 linger: float = 2000.0) -> None:
+    def __init__(
+        self,
+        urls: Urls,
+        pools: Pools,
+        keys: tuple[bytes, ...],
+        note: Note,
+        name: str = "",
+        linger: float = 2000.0,
+    ) -> None:
         super().__init__(urls, pools, note, name)
         self.pools, self.keys, self.linger = pools, keys, linger
 
@@ -34,8 +41,9 @@
             done(Outcome(Result.NO_CONNECTION, "no address for this endpoint"))
             return
         ident = onward(attempt.submission.owner, attempt.submission.identity)
-        fields = Headers([("User-Agent", self.agent),
-                          *codec.headers(ident, int(time.time()), payload, self.keys)])
+        fields = Headers(
+            [("User-Agent", self.agent), *codec.headers(ident, int(time.time()), payload, self.keys)]
+        )
         begin, until = attempt.abandon_at / 1000.0, (attempt.abandon_at + self.linger) / 1000.0
         try:
             reply = await self.pools.of(url).post(fields, payload.content, until, begin, attempt.going.go)
