--- a/brassweir/webhook/codec.py
+++ b/brassweir/webhook/codec.py
@@ -36,16 +36,21 @@
 
 def headers(ident: str, timestamp: int, payload: Payload, keys: tuple[bytes, ...]) -> list[tuple[str, str]]:
     """All fields of a post; several keys while one is being changed make several signatures."""
-    fields = [("Content-Type", payload.content_type), ("webhook-id", ident),
-              ("webhook-timestamp", str(timestamp)), ("Idempotency-Key", f'"{ident}"')]
+    fields = [
+        ("Content-Type", payload.content_type),
+        ("webhook-id", ident),
+        ("webhook-timestamp", str(timestamp)),
+        ("Idempotency-Key", f'"{ident}"'),
+    ]
     if keys:
         signed = " ".join(signature(key, ident, timestamp, payload.content) for key in keys)
         fields.append(("webhook-signature", signed))
     return fields
 
 
-def verify(keys: tuple[bytes, ...], ident: str, timestamp: str, signatures: str, content: bytes,
-           now: float) -> None:
+def verify(
+    keys: tuple[bytes, ...], ident: str, timestamp: str, signatures: str, content: bytes, now: float
+) -> None:
     """Check a received webhook, as a receiver does. Raises WebhookError with the reason."""
     if not timestamp.isascii() or not timestamp.isdigit() or len(timestamp) > 12:
         raise WebhookError("webhook-timestamp is no number of seconds")
--- a/deploy/sites/make.py
+++ b/deploy/sites/make.py
@@ -96,8 +96,11 @@
 
 def written(tree: Tree, at: str = "") -> str:
     """A tree as TOML, laid out as the bench's site files: a table's fields, then the tables in it. Pure."""
-    lines = [f"{_name(name)} = {_value(value)}\n" for name, value in tree.items()
-             if not isinstance(value, dict) and not _tables(value)]
+    lines = [
+        f"{_name(name)} = {_value(value)}\n"
+        for name, value in tree.items()
+        if not isinstance(value, dict) and not _tables(value)
+    ]
     parts = ["".join(lines)] if lines else []
     for name, value in tree.items():
         path = at + _name(name)
--- a/tests/agreed/test_review_durable.py
+++ b/tests/agreed/test_review_durable.py
@@ -91,7 +91,7 @@
     turn = Turn(core)
     theirs = tuple(Entry(i, 2, 0) for i in range(12, 17))
     for first in (12, 14, 15):  # the entries here differ, or the one before does
-        entries = theirs[first - 12:]
+        entries = theirs[first - 12 :]
         turn(heard("b", Append(2, first - 1, 1 if first == 12 else 2, entries, 11, 1)))
         turn.durable()
         assert core.log.last == 14, "entries of term 2 behind those of term 3"
--- a/tests/agreed/test_store.py
+++ b/tests/agreed/test_store.py
@@ -61,7 +61,7 @@
     for at in range(8, len(whole)):
         disk.synced[name] = whole[:at]
         assert recover(disk)[0].last <= 8
-        disk.synced[name] = whole[:at] + bytes([whole[at] ^ 4]) + whole[at + 1:]
+        disk.synced[name] = whole[:at] + bytes([whole[at] ^ 4]) + whole[at + 1 :]
         try:
             assert recover(disk)[0].last == 7  # the last write only, or its very end
             assert at >= len(whole) - len(store_frame(8))
--- a/tests/net/test_nodelay.py
+++ b/tests/net/test_nodelay.py
@@ -41,6 +41,7 @@
             (await at.serve()).write(OK)
             await at.ended()
             assert found == [True]
+
     on(loop, work())
 
 
@@ -61,6 +62,7 @@
         writer.close()
         server.abort()
         assert found == [True]
+
     on(loop, work())
 
 
@@ -75,4 +77,5 @@
         writer.close()
         front.close()
         assert found == [True]
+
     on(loop, work())
