--- a/tests/net/test_schedules.py
+++ b/tests/net/test_schedules.py
@@ -17,24 +17,58 @@
 from tests.net.peers import LOOPS, OK, End, Scene, after, on, scene
 
 ENDPOINTS, HURRY = 3, 0.008  # HURRY: seconds that a hurried call has
-SAID = {"whole": OK, "twice": OK + OK, "a line": b"HTTP/1.1 200 OK\r\n", "half a line": b"HTTP/1.1 2", "noise": b"\0\r\n",
-        "interim": b"HTTP/1.1 100 Go on\r\n\r\n", "last": b"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"}
+SAID = {
+    "whole": OK,
+    "twice": OK + OK,
+    "a line": b"HTTP/1.1 200 OK\r\n",
+    "half a line": b"HTTP/1.1 2",
+    "noise": b"\0\r\n",
+    "interim": b"HTTP/1.1 100 Go on\r\n\r\n",
+    "last": b"HTTP/1.1 503 No\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+}
 SEAMS = ("_offer", "_offer", "_room", "_turn", "_closed")
 SPOILT = ("short", "refused", "lost as it comes up", "left as it comes up")
 
 number, which = st.sampled_from([0, 0, 0, 1, 2]), st.integers(0, 4)  # crowded, so that calls wait
-call = st.tuples(st.just("call"), number, st.sampled_from([False, False, True]), st.sampled_from([0.0, 0.002]))
+call = st.tuples(
+    st.just("call"), number, st.sampled_from([False, False, True]), st.sampled_from([0.0, 0.002])
+)
 answer = st.tuples(st.just("answer"), which, st.sampled_from(["whole", "whole", *sorted(SAID)]))
-steps = st.lists(st.one_of(
-    call, call, call, answer, answer, answer, *[st.tuples(st.just("turns"), st.integers(1, 12))] * 2,
-    st.tuples(st.just("cancel"), which), st.tuples(st.just("cross"), st.sampled_from(SEAMS), number, which),
-    st.tuples(st.just("leave"), which, st.booleans()), st.tuples(st.just("spoil"), number, st.sampled_from(SPOILT)),
-    st.tuples(st.just("crowd"), number), st.tuples(st.just("crossed"), st.sampled_from(SEAMS), number, which),
-    st.tuples(st.just("stand still")), st.tuples(st.just("look"))), min_size=15, max_size=40)
+steps = st.lists(
+    st.one_of(
+        call,
+        call,
+        call,
+        answer,
+        answer,
+        answer,
+        *[st.tuples(st.just("turns"), st.integers(1, 12))] * 2,
+        st.tuples(st.just("cancel"), which),
+        st.tuples(st.just("cross"), st.sampled_from(SEAMS), number, which),
+        st.tuples(st.just("leave"), which, st.booleans()),
+        st.tuples(st.just("spoil"), number, st.sampled_from(SPOILT)),
+        st.tuples(st.just("crowd"), number),
+        st.tuples(st.just("crossed"), st.sampled_from(SEAMS), number, which),
+        st.tuples(st.just("stand still")),
+        st.tuples(st.just("look")),
+    ),
+    min_size=15,
+    max_size=40,
+)
 
 BESIDE: list[Any] = [  # the wish of a pool with a free connection that another call of it then took
-    ("call", 1, False, 0.002), ("crowd", 0), ("cross", "_room", 1, 0), ("crossed", "_offer", 0, 1), ("crowd", 0), ("answer", 2, "whole"),
-    ("crowd", 0), ("answer", 2, "twice"), ("cross", "_room", 1, 0), ("answer", 0, "whole"), ("look",)]
+    ("call", 1, False, 0.002),
+    ("crowd", 0),
+    ("cross", "_room", 1, 0),
+    ("crossed", "_offer", 0, 1),
+    ("crowd", 0),
+    ("answer", 2, "whole"),
+    ("crowd", 0),
+    ("answer", 2, "twice"),
+    ("cross", "_room", 1, 0),
+    ("answer", 0, "whole"),
+    ("look",),
+]
 
 
 class Run:
@@ -77,7 +111,11 @@
                 raise ConnectionRefusedError(111, "refused")
             task = asyncio.current_task()
             assert task is not None
-            after(connection, "connection_made", connection.drop if how == "lost as it comes up" else task.cancel)
+            after(
+                connection,
+                "connection_made",
+                connection.drop if how == "lost as it comes up" else task.cancel,
+            )
             await dial(loop, connection)
 
         pool._dial = spoilt  # type: ignore[method-assign]
@@ -90,18 +128,26 @@
             fresh = any(one.fresh(now) for one in pool.idle)
             waits = any(not one.done() for one in pool.waiting)
             assert not (waits and (fresh or pool.open < pool.cap)), "a call beside its own pool's connection"
-            assert not (fresh and any(not one.done() for one in pool.entering)), "a set-up beside a free connection"
+            assert not (fresh and any(not one.done() for one in pool.entering)), (
+                "a set-up beside a free connection"
+            )
         budget = pools.budget
         for turn, url in pools.rooms.items():
             most = budget.most if pools.pools[url].open == 1 else max(1, int(budget.most * 0.9))
             assert turn.done() or budget.open >= most, "a wish beside room in the budget"
-        assert pools.setups.out or all(one.done() for one in pools.turns.values()), "a set-up beside a free place"
+        assert pools.setups.out or all(one.done() for one in pools.turns.values()), (
+            "a set-up beside a free place"
+        )
         assert all(one.busy >= 0 for one in budget.holders.values())
 
     async def step(self, kind: str, *given: object) -> None:
         """One step of a schedule."""
         self.ends = [end for end in self.ends if not end.writer.transport.is_closing()]
-        one = self.ends[int(str(given[0])) % len(self.ends)] if kind in ("answer", "leave") and self.ends else None
+        one = (
+            self.ends[int(str(given[0])) % len(self.ends)]
+            if kind in ("answer", "leave") and self.ends
+            else None
+        )
         match kind, given:
             case "call", (int(number), bool(hurried), float(hold)):
                 self.at.call(number, HURRY if hurried else 1.0, hold)
@@ -145,11 +191,19 @@
 
 
 @pytest.mark.parametrize("loop", LOOPS)
-@settings(max_examples=80, deadline=None, phases=[Phase.explicit, Phase.generate])  # real sockets: a schedule is told as it was drawn
-@given(cap=st.sampled_from([1, 1, 2, 3]), budget=st.sampled_from([1, 2, 2, 3, 6]), places=st.integers(1, 2), steps=steps)
+@settings(
+    max_examples=80, deadline=None, phases=[Phase.explicit, Phase.generate]
+)  # real sockets: a schedule is told as it was drawn
+@given(
+    cap=st.sampled_from([1, 1, 2, 3]),
+    budget=st.sampled_from([1, 2, 2, 3, 6]),
+    places=st.integers(1, 2),
+    steps=steps,
+)
 @example(cap=2, budget=3, places=2, steps=BESIDE)
-def test_any_schedule(loop: Callable[[], asyncio.AbstractEventLoop], cap: int, budget: int, places: int,
-                      steps: list[Any]) -> None:
+def test_any_schedule(
+    loop: Callable[[], asyncio.AbstractEventLoop], cap: int, budget: int, places: int, steps: list[Any]
+) -> None:
     async def work() -> None:
         wrong: list[object] = []
         asyncio.get_running_loop().set_exception_handler(lambda _, context: wrong.append(context))
@@ -159,4 +213,5 @@
                 await run.step(*one)
             await run.finish()
         assert not wrong
+
     on(loop, work())
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -12,8 +12,17 @@
 from brassweir.net.server import Abort, Request, Response, Server
 from tests.conftest import run
 
-SMALL = Limits(head=2000, headers=20, body=5000, buffered=20_000, connections=50, head_time=300.0, body_time=300.0,
-               idle_time=600.0, write_time=300.0)
+SMALL = Limits(
+    head=2000,
+    headers=20,
+    body=5000,
+    buffered=20_000,
+    connections=50,
+    head_time=300.0,
+    body_time=300.0,
+    idle_time=600.0,
+    write_time=300.0,
+)
 
 
 class Seen:
@@ -38,15 +47,16 @@
         self.complaints.append((status, reason))
 
 
-async def talk(raw: bytes, seen: Seen, limits: Limits = SMALL, *, pieces: int = 1, eof: bool = False,
-               wait: float = 3.0) -> bytes:
+async def talk(
+    raw: bytes, seen: Seen, limits: Limits = SMALL, *, pieces: int = 1, eof: bool = False, wait: float = 3.0
+) -> bytes:
     server = Server(seen, limits, seen.complain)
     port = await server.listen("127.0.0.1", 0)
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         step = max(1, len(raw) // pieces)
         for at in range(0, len(raw), step):
-            writer.write(raw[at: at + step])
+            writer.write(raw[at : at + step])
             await writer.drain()
             if pieces > 1:
                 await asyncio.sleep(0.001)
@@ -63,14 +73,18 @@
 
 def post(body: bytes = b"abc", extra: str = "", path: str = "/", close: bool = True) -> bytes:
     shut = "Connection: close\r\n" if close else ""
-    return f"POST {path} HTTP/1.1\r\nHost: a\r\n{shut}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: a\r\n{shut}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    )
 
 
 @pytest.mark.parametrize("pieces", [1, 7, 60])
 def test_requests_however_they_are_cut(pieces: int) -> None:
     seen = Seen()
-    chunked = (b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
-               b"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: ignored\r\n\r\n")
+    chunked = (
+        b"POST / HTTP/1.1\r\nHost: a\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"3;x=y\r\nabc\r\n2\r\nde\r\n0\r\nTrailer: ignored\r\n\r\n"
+    )
     for raw, body in ((post(b"x" * 300), b"x" * 300), (chunked, b"abcde")):
         answer = run(talk(raw, seen, pieces=pieces))
         assert answer.startswith(b"HTTP/1.1 200 OK\r\n") and answer.endswith(b"\r\n\r\n" + body)
@@ -84,28 +98,39 @@
     assert answer.count(b"HTTP/1.1 200") == 3 and answer.index(b"one") < answer.index(b"two")
 
 
-@pytest.mark.parametrize(("raw", "status"), [
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", b"400"),
-    (b"POST / HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nX: b\r\n folded\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", b"501"),
-    (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"501"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", b"400"),
-    (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", b"400"),
-    (b"GARBAGE\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", b"400"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nExpect: miracles\r\nContent-Length: 1\r\n\r\n", b"417"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5001\r\n\r\n", b"413"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n" + b"x" * 5000 + b"\r\n5\r\nabcde\r\n0\r\n\r\n", b"413"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 1_000_000 + b"\r\n\r\n", b"431"),
-    (b"POST / HTTP/1.1\r\nHost: a\r\n" + b"X: y\r\n" * 30 + b"\r\n", b"431"),
-    (b"POST /" + b"y" * 100_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n", b"4"),
-])
+@pytest.mark.parametrize(
+    ("raw", "status"),
+    [
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"400",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabc", b"400"),
+        (b"POST / HTTP/1.1\nHost: a\nContent-Length: 3\n\nabc", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nX: b\r\n folded\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nX : b\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n", b"501"),
+        (b"POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", b"501"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: -3\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nHost: b\r\nContent-Length: 0\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n", b"400"),
+        (b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", b"400"),
+        (b"GARBAGE\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n", b"400"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nExpect: miracles\r\nContent-Length: 1\r\n\r\n", b"417"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5001\r\n\r\n", b"413"),
+        (
+            b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1388\r\n"
+            + b"x" * 5000
+            + b"\r\n5\r\nabcde\r\n0\r\n\r\n",
+            b"413",
+        ),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nX: " + b"y" * 1_000_000 + b"\r\n\r\n", b"431"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\n" + b"X: y\r\n" * 30 + b"\r\n", b"431"),
+        (b"POST /" + b"y" * 100_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n", b"4"),
+    ],
+)
 def test_bad_requests_get_a_plain_no_and_nothing_behind_them_is_read(raw: bytes, status: bytes) -> None:
     seen = Seen()
     answer = run(talk(raw + post(b"smuggled"), seen))
@@ -195,7 +220,9 @@
 
     most, served = run(work())
     assert served == 12
-    assert 12_000 <= most <= 12_000 + 12 * 2500, "each connection adds at most what had come when it was stopped"
+    assert 12_000 <= most <= 12_000 + 12 * 2500, (
+        "each connection adds at most what had come when it was stopped"
+    )
 
 
 def test_a_drain_ends_idle_connections_and_lets_answers_go_out() -> None:
@@ -241,9 +268,26 @@
 
 
 @settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
-@given(st.lists(st.one_of(st.binary(max_size=60), st.sampled_from(
-    [b"POST / HTTP/1.1\r\n", b"Host: a\r\n", b"\r\n", b"Content-Length: 3\r\n", b"0\r\n\r\n",
-     b"Transfer-Encoding: chunked\r\n", b"Expect: 100-continue\r\n", post()])), max_size=8))
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=60),
+            st.sampled_from(
+                [
+                    b"POST / HTTP/1.1\r\n",
+                    b"Host: a\r\n",
+                    b"\r\n",
+                    b"Content-Length: 3\r\n",
+                    b"0\r\n\r\n",
+                    b"Transfer-Encoding: chunked\r\n",
+                    b"Expect: 100-continue\r\n",
+                    post(),
+                ]
+            ),
+        ),
+        max_size=8,
+    )
+)
 def test_no_bytes_end_the_server(parts: list[bytes]) -> None:
     async def work() -> bytes:
         seen = Seen()
--- a/tests/peers/play.py
+++ b/tests/peers/play.py
@@ -17,8 +17,15 @@
 class World:
     """A network and what was so: since when each copy is up, and when it was stopped or cut off last."""
 
-    def __init__(self, copies: int, seed: int, sites: int = 3, within: float = 1_000.0,
-                 settle: float = 5_000.0, **how: Any) -> None:
+    def __init__(
+        self,
+        copies: int,
+        seed: int,
+        sites: int = 3,
+        within: float = 1_000.0,
+        settle: float = 5_000.0,
+        **how: Any,
+    ) -> None:
         self.net = Net(fleet(copies, sites), seed, **how)
         self.rng = random.Random(f"{seed} faults")
         self.names = [copy.name for copy in self.net.copies]
@@ -48,21 +55,31 @@
 
     def false_deaths(self) -> list[str]:
         """A live one that could be reached was shown dead by one that could reach it."""
-        return [f"{who} shows {of} dead at {at:.0f}" for at, who, of, _ in self.said("dead")
-                if at > self.excused.get(of, 0.0) and at > self.excused.get(who, 0.0)]
+        return [
+            f"{who} shows {of} dead at {at:.0f}"
+            for at, who, of, _ in self.said("dead")
+            if at > self.excused.get(of, 0.0) and at > self.excused.get(who, 0.0)
+        ]
 
     def suspicions(self) -> list[str]:
         return [f"{who} suspects {of} at {at:.0f}" for at, who, of, _ in self.said("suspected")]
 
     def unknown_dead(self, name: str) -> list[str]:
         """Who does not show it dead now."""
-        return [f"{who} shows {name} {view.states[name]}" for who, view in sorted(self.net.views().items())
-                if who != name and view.states[name] != "dead"]
+        return [
+            f"{who} shows {name} {view.states[name]}"
+            for who, view in sorted(self.net.views().items())
+            if who != name and view.states[name] != "dead"
+        ]
 
     def unsettled(self) -> list[str]:
         """Any view now in which not all are alive."""
-        return [f"{who} shows {of} {state}" for who, view in sorted(self.net.views().items())
-                for of, state in sorted(view.states.items()) if state != "alive"]
+        return [
+            f"{who} shows {of} {state}"
+            for who, view in sorted(self.net.views().items())
+            for of, state in sorted(view.states.items())
+            if state != "alive"
+        ]
 
 
 def deaths(seed: int, copies: int, bad: bool, **how: Any) -> list[str]:
@@ -74,7 +91,9 @@
         world.run(8_000.0)
     for _ in range(2):
         pair = rng.sample(world.names, 2)
-        net.cuts = {(pair[0], pair[1])} if copies > (6 if bad else 3) else set()  # with so few, loss and a cut are as good as no way
+        net.cuts = (
+            {(pair[0], pair[1])} if copies > (6 if bad else 3) else set()
+        )  # with so few, loss and a cut are as good as no way
         victim = rng.choice(world.names)
         other = rng.choice([name for name in world.names if name != victim])
         world.run(rng.random() * 1_000.0)
@@ -85,7 +104,9 @@
         broken += world.unknown_dead(victim)
         world.restart(victim)
         world.run(SETTLED)
-        broken += [one for one in world.unsettled() if not bad or one.endswith("dead")]  # loss makes suspicions
+        broken += [
+            one for one in world.unsettled() if not bad or one.endswith("dead")
+        ]  # loss makes suspicions
     return broken + world.false_deaths()
 
 
--- a/tests/peers/test_guards.py
+++ b/tests/peers/test_guards.py
@@ -57,7 +57,8 @@
     world.fresh()
     world.run(7_000.0)
     return [f"c004 shows {of} dead at {at}" for at, who, of, _ in world.said("dead") if who == "c004"] + (
-        [] if world.said("doubts", "c004") else ["c004 was sure of itself"])
+        [] if world.said("doubts", "c004") else ["c004 was sure of itself"]
+    )
 
 
 def one_way() -> list[str]:
@@ -100,7 +101,9 @@
     world.net.cuts.clear()
     world.fresh()
     world.run(6_000.0)
-    return world.unsettled() + [f"{who} suspects {of}" for _, who, of, _ in world.said("suspected") if "c000" not in (who, of)]
+    return world.unsettled() + [
+        f"{who} suspects {of}" for _, who, of, _ in world.said("suspected") if "c000" not in (who, of)
+    ]
 
 
 def blind(held: Standing, claim: Claim, joins: bool = False) -> Weight:
--- a/tests/peers/test_liveness.py
+++ b/tests/peers/test_liveness.py
@@ -74,7 +74,8 @@
     for name, view in world.net.views().items():
         assert (view.cut_off, view.alone) == (name in inside, False)
         assert {of for of, state in view.states.items() if state == "dead"} == (
-            set(world.names) - set(inside) if name in inside else set(inside))
+            set(world.names) - set(inside) if name in inside else set(inside)
+        )
     world.run(20_000.0)
     world.net.cuts.clear()
     world.fresh()
@@ -144,10 +145,21 @@
 def test_bodies_of_later_versions_and_nonsense_do_no_harm() -> None:
     world = World(3, 10)
     core = world.net.nodes["c000"].core
-    later = [["c001", LIFE, 0, 0, "", "more"], ["c002", LIFE, 9, 7, ""], ["c009", 1, 1, 1, ""], ["c000", 1 << 62, 1, 0, ""]]
-    bodies = [msgspec.msgpack.encode([PUSH, 0, 0, later, "", False, "a field of tomorrow"]),
-              msgspec.msgpack.encode([99, 1, 0]), msgspec.msgpack.encode([ASK, 1, 0, [], "c009"]),
-              msgspec.msgpack.encode([ACK, 1, 0]), b"", b"\xc1", msgspec.msgpack.encode({"what": 1})]
+    later = [
+        ["c001", LIFE, 0, 0, "", "more"],
+        ["c002", LIFE, 9, 7, ""],
+        ["c009", 1, 1, 1, ""],
+        ["c000", 1 << 62, 1, 0, ""],
+    ]
+    bodies = [
+        msgspec.msgpack.encode([PUSH, 0, 0, later, "", False, "a field of tomorrow"]),
+        msgspec.msgpack.encode([99, 1, 0]),
+        msgspec.msgpack.encode([ASK, 1, 0, [], "c009"]),
+        msgspec.msgpack.encode([ACK, 1, 0]),
+        b"",
+        b"\xc1",
+        msgspec.msgpack.encode({"what": 1}),
+    ]
     for body in bodies:
         core.step(world.net.clock.now(), [Heard("c001", LIFE, body), Heard("nobody", LIFE, body)])
     assert core.counts["bad_body"] == 3 and core.counts["unknown_talk"] == 1
--- a/tests/peers/test_port.py
+++ b/tests/peers/test_port.py
@@ -63,6 +63,7 @@
         for port in (a, b):
             await port.stop()
         assert a.send("c1", "log", b"") is False and a.counts["unsent_closed"] == 1
+
     run(play)
 
 
@@ -85,7 +86,9 @@
         await b.start()
         assert a.send("c1", "log", b"x" * MOST_BODY) and a.send("c1", "log", b"trip")
         assert not a.send("c1", "log", b"x" * (MOST_BODY + 1)) and not a.send("c9", "log", b"")
-        assert not a.send("c0", "log", b"") and a.counts["unsent_unknown"] == 2 and a.counts["unsent_large"] == 1
+        assert (
+            not a.send("c0", "log", b"") and a.counts["unsent_unknown"] == 2 and a.counts["unsent_large"] == 1
+        )
         assert a.transport is not None
         for noise in (b"", b"\x01", b"\xff" * 2_000, b"x" * 20_000):
             a.transport.sendto(noise, b.listen)
@@ -94,6 +97,7 @@
         assert b.counts["dropped_version"] >= 1 and b.view().states["c0"] == "alive"
         await a.stop()
         await b.stop()
+
     run(play, 2)
 
 
@@ -117,6 +121,7 @@
             assert set(port.view().states.values()) == {"alive"} and port.counts["dropped_seal"] == 0
         for port in (a, b, c):
             await port.stop()
+
     run(play)
 
 
@@ -132,6 +137,7 @@
         await until(lambda: not a.view().self_suspected)
         await a.stop()
         await b.stop()
+
     run(play, 2)
 
 
--- a/tests/peers/test_wire.py
+++ b/tests/peers/test_wire.py
@@ -54,7 +54,10 @@
     assert reason(own, wire("d").seal("b", "live", b"")) == "stranger"
     assert reason(own, wire("b").seal("b", "live", b"")) == "stranger"
     assert reason(own, wire("a").seal("c", "live", b"")) == "misdirected"
-    assert reason(own, sealed(msgspec.msgpack.encode(["log", "a", "b", 7, 3, b"x" * (MOST_BODY + 1)]))) == "large"
+    assert (
+        reason(own, sealed(msgspec.msgpack.encode(["log", "a", "b", 7, 3, b"x" * (MOST_BODY + 1)])))
+        == "large"
+    )
     assert reason(own, wire("c").seal("b", "news", b"")) == "kind"
     assert reason(own, wire("a", 7, NEW_KEY).seal("b", "live", b"")) == "seal"
 
@@ -71,7 +74,12 @@
 def test_doubled_late_and_older_lives() -> None:
     own, sender = wire("b"), wire("a", 7)
     first, second = sender.seal("b", "live", b""), sender.seal("b", "live", b"")
-    assert [reason(own, one) for one in (second, first, first, second)] == ["taken", "taken", "doubled", "doubled"]
+    assert [reason(own, one) for one in (second, first, first, second)] == [
+        "taken",
+        "taken",
+        "doubled",
+        "doubled",
+    ]
     assert reason(own, second, once=()) == "taken"  # a kind that does not ask for it
     newer = wire("a", 8)
     assert reason(own, newer.seal("b", "live", b"")) == "taken"
@@ -89,7 +97,9 @@
 def test_a_window_agrees_with_a_set() -> None:
     rng, window, seen, top = random.Random(3), Window(1), set[int](), 0
     for _ in range(5_000):
-        number = max(1, top + rng.randint(-WIDTH - 50, 60) if rng.random() < 0.98 else top + rng.randint(1, 3_000))
+        number = max(
+            1, top + rng.randint(-WIDTH - 50, 60) if rng.random() < 0.98 else top + rng.randint(1, 3_000)
+        )
         want = SEEN if number in seen else NEW
         if top - number >= WIDTH:
             want = OLD
@@ -127,15 +137,18 @@
     assert new.by_name["d"].host_port() == ("::1", 4)
 
 
-@pytest.mark.parametrize(("copies", "words"), [
-    ([copy("b", 1)], "no entry of the own name 'a'"),
-    ([copy("a", 1), copy("a", 2)], "a: name stands twice"),
-    ([copy("a", 1), copy("b", 1)], "b: address is that of a too"),
-    ([copy("a", 1, site="")], "'a': site"),
-    ([copy("a", 1), copy("b\n", 2)], "name"),
-    ([copy("a", 1), copy("b", 70_000)], "b: address: .* is no host:port"),
-    ([copy("a", 1), copy("b", 2, host="")], "b: address"),
-])
+@pytest.mark.parametrize(
+    ("copies", "words"),
+    [
+        ([copy("b", 1)], "no entry of the own name 'a'"),
+        ([copy("a", 1), copy("a", 2)], "a: name stands twice"),
+        ([copy("a", 1), copy("b", 1)], "b: address is that of a too"),
+        ([copy("a", 1, site="")], "'a': site"),
+        ([copy("a", 1), copy("b\n", 2)], "name"),
+        ([copy("a", 1), copy("b", 70_000)], "b: address: .* is no host:port"),
+        ([copy("a", 1), copy("b", 2, host="")], "b: address"),
+    ],
+)
 def test_a_file_that_makes_no_sense_is_refused_by_field(copies: list[Copy], words: str) -> None:
     with pytest.raises(CopiesError, match=words):
         Fleet("a", copies)
--- a/tests/regions/test_regions.py
+++ b/tests/regions/test_regions.py
@@ -32,7 +32,9 @@
 EAST, WEST = identity_in(0, PLACES // 2), identity_in(PLACES // 2, PLACES)
 
 
-def told(own: Ownership, name: str, wall: float, born: float | None = None, effect: Effect = Effect.UNSAFE) -> Why | None:
+def told(
+    own: Ownership, name: str, wall: float, born: float | None = None, effect: Effect = Effect.UNSAFE
+) -> Why | None:
     found = own.may(effect, "c", name, wall, born)
     return None if found is None else found.why
 
@@ -41,7 +43,11 @@
     east, west = Ownership("east", ASSUMED, start()), Ownership("west", ASSUMED, start())
     assert told(east, EAST, 1000.0) is None and told(west, WEST, 1000.0) is None
     away = west.may(Effect.KEYED, "c", EAST, 1000.0)
-    assert away is not None and (away.why, away.region) == (Why.ELSEWHERE, "east") and west.url("east") == "http://east/as2"
+    assert (
+        away is not None
+        and (away.why, away.region) == (Why.ELSEWHERE, "east")
+        and west.url("east") == "http://east/as2"
+    )
     assert told(west, EAST, 1000.0, effect=Effect.SAFE) is None, "safe messages need no owner"
 
 
@@ -67,7 +73,9 @@
     assert told(west, EAST, begins + 500.0) is Why.BORN_ELSEWHERE
     assert told(west, EAST, begins + 500.0, born=20_000.0) is Why.BORN_ELSEWHERE
     assert told(west, EAST, begins + 500.0, born=LEASE + 2 * ASSUMED.clock_error) is None
-    assert told(west, EAST, begins + 500.0, born=begins + 5_000.0) is Why.BORN_ELSEWHERE, "it cannot be from the future"
+    assert told(west, EAST, begins + 500.0, born=begins + 5_000.0) is Why.BORN_ELSEWHERE, (
+        "it cannot be from the future"
+    )
     later = planning.renewed(move.epoch, begins, 1e6, ASSUMED)
     assert west.learn(later) and told(west, EAST, LEASE + ASSUMED.longest + ASSUMED.asks_on + 500.0) is None
 
@@ -93,19 +101,31 @@
     assert own.epoch == new and not own.learn(new)
     with pytest.raises(EpochError, match="was issued before"):
         own.learn(msgspec.structs.replace(new, issued=500.0))
-    thief = msgspec.structs.replace(old, number=2, issued=1_000.0, grants=(Grant("west", 0, PLACES, 1_000.0, 90_000.0),))
+    thief = msgspec.structs.replace(
+        old, number=2, issued=1_000.0, grants=(Grant("west", 0, PLACES, 1_000.0, 90_000.0),)
+    )
     with pytest.raises(EpochError, match="gives places from 0 to west while epoch 1 leaves them to east"):
         follows(thief, old)
 
 
-@pytest.mark.parametrize(("change", "words"), [
-    ({"grants": ()}, "from 0 on have no owner"), ({"regions": ()}, "regions: none"),
-    ({"grants": (Grant("east", 0, PLACES, 5.0, 5.0),)}, "ends before it begins"),
-    ({"grants": (Grant("north", 0, PLACES, 0.0, 5.0),)}, "no region here"),
-    ({"grants": (Grant("east", 0, 10, 0.0, 5.0), Grant("west", 11, PLACES, 0.0, 5.0))}, "places 10 to 11 have no owner or two"),
-    ({"grants": (Grant("east", 0, 10, 0.0, 5.0), Grant("west", 9, PLACES, 0.0, 5.0))}, "places 9 to 10 have no owner or two"),
-    ({"past": (Grant("west", 5, 10, 0.0, 500.0),)}, "place 5: "),
-])
+@pytest.mark.parametrize(
+    ("change", "words"),
+    [
+        ({"grants": ()}, "from 0 on have no owner"),
+        ({"regions": ()}, "regions: none"),
+        ({"grants": (Grant("east", 0, PLACES, 5.0, 5.0),)}, "ends before it begins"),
+        ({"grants": (Grant("north", 0, PLACES, 0.0, 5.0),)}, "no region here"),
+        (
+            {"grants": (Grant("east", 0, 10, 0.0, 5.0), Grant("west", 11, PLACES, 0.0, 5.0))},
+            "places 10 to 11 have no owner or two",
+        ),
+        (
+            {"grants": (Grant("east", 0, 10, 0.0, 5.0), Grant("west", 9, PLACES, 0.0, 5.0))},
+            "places 9 to 10 have no owner or two",
+        ),
+        ({"past": (Grant("west", 5, 10, 0.0, 500.0),)}, "place 5: "),
+    ],
+)
 def test_publications_that_make_no_sense(change: dict[str, object], words: str) -> None:
     with pytest.raises(EpochError, match=words):
         check(msgspec.structs.replace(start(), **change))
@@ -113,7 +133,9 @@
         parse(msgspec.json.encode(msgspec.structs.replace(start(), **change)))
 
 
-@pytest.mark.parametrize("data", [b"", b"{}", b"[]", b"\xff", b'{"number":1,"issued":0,"grants":[],"regions":[],"colour":1}'])
+@pytest.mark.parametrize(
+    "data", [b"", b"{}", b"[]", b"\xff", b'{"number":1,"issued":0,"grants":[],"regions":[],"colour":1}']
+)
 def test_what_is_no_publication(data: bytes) -> None:
     with pytest.raises(EpochError):
         parse(data)
@@ -132,7 +154,9 @@
     west = Ownership("west", ASSUMED, taken.epoch)
     mine = next(one for one in taken.epoch.grants if one.region == "west" and one.begins > 0.0)
     name = identity_in(mine.low, mine.high)
-    assert told(west, name, mine.begins + 300.0) is Why.BORN_ELSEWHERE, "what the lost one may have carried out is not repeated"
+    assert told(west, name, mine.begins + 300.0) is Why.BORN_ELSEWHERE, (
+        "what the lost one may have carried out is not repeated"
+    )
     assert told(west, name, mine.begins + 300.0, born=mine.begins) is None
     with pytest.raises(EpochError, match="no other region"):
         planning.drained(planning.first({"east": "u"}, 0.0, LEASE), "east", 0.0, LEASE, ASSUMED)
@@ -150,8 +174,28 @@
 
 
 REGIONS = {"east": "e", "west": "w", "south": "s"}
-steps = st.lists(st.tuples(st.sampled_from(["renew", "move", "drain", "deliver", "deliver", "hand", "hand", "hand", "again", "restart", "wait"]),
-                           st.integers(0, 1 << 20), st.integers(0, 1 << 20)), max_size=80)
+steps = st.lists(
+    st.tuples(
+        st.sampled_from(
+            [
+                "renew",
+                "move",
+                "drain",
+                "deliver",
+                "deliver",
+                "hand",
+                "hand",
+                "hand",
+                "again",
+                "restart",
+                "wait",
+            ]
+        ),
+        st.integers(0, 1 << 20),
+        st.integers(0, 1 << 20),
+    ),
+    max_size=80,
+)
 
 
 def play(script: list[tuple[str, int, int]], skews: tuple[float, float, float], dated: bool) -> World:
@@ -168,7 +212,9 @@
             world.epochs.append(planning.renewed(last, now, LEASE, ASSUMED))
         elif what == "move":
             low = a % PLACES
-            world.epochs.append(planning.moved(last, low, min(PLACES, low + 1 + (b << 11)), region, now, LEASE, ASSUMED).epoch)
+            world.epochs.append(
+                planning.moved(last, low, min(PLACES, low + 1 + (b << 11)), region, now, LEASE, ASSUMED).epoch
+            )
         elif what == "drain":
             world.epochs.append(planning.drained(last, region, now, LEASE, ASSUMED).epoch)
         elif what == "deliver":  # any publication, old or new, to one region
@@ -197,9 +243,13 @@
 
 @given(steps, st.tuples(skew, skew, skew), st.booleans())
 @settings(max_examples=500, deadline=None)
-def test_no_message_is_taken_in_two_regions(script: list[tuple[str, int, int]], skews: tuple[float, float, float], dated: bool) -> None:
+def test_no_message_is_taken_in_two_regions(
+    script: list[tuple[str, int, int]], skews: tuple[float, float, float], dated: bool
+) -> None:
     world = play(script, skews, dated)
-    assert all(len(regions) == 1 for regions in world.took.values()), {one: found for one, found in world.took.items() if len(found) > 1}
+    assert all(len(regions) == 1 for regions in world.took.values()), {
+        one: found for one, found in world.took.items() if len(found) > 1
+    }
 
 
 def taken_twice(move: planning.Move) -> bool:
@@ -207,7 +257,9 @@
     east, west = Ownership("east", ASSUMED, start()), Ownership("west", ASSUMED, move.epoch)
     for born in (10_000.0, 28_000.0, move.epoch.grants[0].begins + 500.0):
         times = [born + step * 500.0 for step in range(int(ASSUMED.asks_on / 500.0))]
-        if any(told(east, EAST, at, born) is None for at in times) and any(told(west, EAST, at, born) is None for at in times):
+        if any(told(east, EAST, at, born) is None for at in times) and any(
+            told(west, EAST, at, born) is None for at in times
+        ):
             return True
     return False
 
@@ -235,9 +287,14 @@
 
 def at_once(right: Mover) -> Mover:
     """A move that does not wait for the old owner."""
-    def moved(epoch: Epoch, low: int, high: int, to: str, now: float, lease: float, assumed: Assumed) -> planning.Move:
+
+    def moved(
+        epoch: Epoch, low: int, high: int, to: str, now: float, lease: float, assumed: Assumed
+    ) -> planning.Move:
         move = right(epoch, low, high, to, now, lease, assumed)
-        grants = tuple(msgspec.structs.replace(one, begins=now) if one.begins > now else one for one in move.epoch.grants)
+        grants = tuple(
+            msgspec.structs.replace(one, begins=now) if one.begins > now else one for one in move.epoch.grants
+        )
         past = tuple(msgspec.structs.replace(one, ends=min(one.ends, now)) for one in move.epoch.past)
         return planning.Move(msgspec.structs.replace(move.epoch, grants=grants, past=past), 0.0)
 
--- a/tests/regions/test_shares.py
+++ b/tests/regions/test_shares.py
@@ -18,7 +18,9 @@
 def test_parts_follow_ownership_and_leave_some_for_safe_messages() -> None:
     epoch = planning.first({"east": "e", "west": "w"}, 0.0, LEASE)
     assert part(epoch, "east", 1_000.0, ASSUMED) == 0.5 == part(epoch, "west", 1_000.0, ASSUMED)
-    assert abs(part(epoch, "east", LEASE, ASSUMED) - (1.0 - OWNED) / 2) < 1e-9, "without a lease only what safe ones need"
+    assert abs(part(epoch, "east", LEASE, ASSUMED) - (1.0 - OWNED) / 2) < 1e-9, (
+        "without a lease only what safe ones need"
+    )
     assert part(None, "east", 0.0, ASSUMED) == 0.0 == part(epoch, "north", 1_000.0, ASSUMED)
     moved = planning.drained(epoch, "east", 1_000.0, LEASE, ASSUMED).epoch
     late = max(one.begins for one in moved.grants) + 1_000.0
@@ -29,10 +31,21 @@
 skew = st.floats(-200.0, 200.0)
 
 
-@given(st.lists(st.tuples(st.sampled_from(["renew", "move", "drain", "deliver", "deliver", "wait"]), st.integers(0, 1 << 20), st.integers(0, 1 << 20)),
-                max_size=60), st.tuples(skew, skew, skew))
+@given(
+    st.lists(
+        st.tuples(
+            st.sampled_from(["renew", "move", "drain", "deliver", "deliver", "wait"]),
+            st.integers(0, 1 << 20),
+            st.integers(0, 1 << 20),
+        ),
+        max_size=60,
+    ),
+    st.tuples(skew, skew, skew),
+)
 @settings(max_examples=400, deadline=None)
-def test_the_sum_never_goes_over_the_whole(script: list[tuple[str, int, int]], skews: tuple[float, float, float]) -> None:
+def test_the_sum_never_goes_over_the_whole(
+    script: list[tuple[str, int, int]], skews: tuple[float, float, float]
+) -> None:
     now, names = 0.0, list(REGIONS)
     epochs: list[Epoch] = [planning.first(REGIONS, 0.0, LEASE)]
     views = {name: Ownership(name, ASSUMED, epochs[0]) for name in names}
@@ -43,7 +56,11 @@
             epochs.append(planning.renewed(last, now, LEASE, ASSUMED))
         elif what == "move":
             low = a % (1 << 32)
-            epochs.append(planning.moved(last, low, min(1 << 32, low + 1 + (b << 11)), region, now, LEASE, ASSUMED).epoch)
+            epochs.append(
+                planning.moved(
+                    last, low, min(1 << 32, low + 1 + (b << 11)), region, now, LEASE, ASSUMED
+                ).epoch
+            )
         elif what == "drain":
             epochs.append(planning.drained(last, region, now, LEASE, ASSUMED).epoch)
         elif what == "deliver":
@@ -51,7 +68,9 @@
                 views[region].learn(epochs[max(0, len(epochs) - 1 - a % 4)])
             except EpochError:
                 pass
-        total = sum(part(views[name].epoch, name, now + off, ASSUMED) for name, off in zip(names, skews, strict=True))
+        total = sum(
+            part(views[name].epoch, name, now + off, ASSUMED) for name, off in zip(names, skews, strict=True)
+        )
         assert total <= 1.0 + 1e-9
 
 
@@ -59,7 +78,9 @@
     """The sum is put to the test: with errors left out of the grants' ends, two hold a place at once."""
     epoch = planning.first({"east": "e", "west": "w"}, 0.0, LEASE)
     loose = Assumed(0.0, 0.0, 0.0)
-    move = planning.renewed(planning.moved(epoch, 0, 1 << 31, "west", 1_000.0, LEASE, loose).epoch, 2_000.0, 2 * LEASE, loose)
+    move = planning.renewed(
+        planning.moved(epoch, 0, 1 << 31, "west", 1_000.0, LEASE, loose).epoch, 2_000.0, 2 * LEASE, loose
+    )
     at = LEASE  # east's clock is 150 ms behind, west's 150 ms ahead
     assert owned(epoch, "east", at - 150.0, loose) + owned(move, "west", at + 150.0, loose) > 1.0
     assert owned(epoch, "east", at - 150.0, ASSUMED) + owned(move, "west", at + 150.0, ASSUMED) <= 1.0
--- a/tests/regions/test_sources.py
+++ b/tests/regions/test_sources.py
@@ -34,8 +34,12 @@
 
 def test_planning_keeps_the_turn() -> None:
     epoch = msgspec.structs.replace(planning.first({"e": "e", "w": "w"}, 0.0, LEASE), turn=3)
-    made = [planning.renewed(epoch, 1.0, LEASE, ASSUMED), planning.moved(epoch, 0, 9, "w", 1.0, LEASE, ASSUMED).epoch,
-            planning.drained(epoch, "e", 1.0, LEASE, ASSUMED).epoch, planning.taken_over(epoch, "e", 1.0, LEASE, ASSUMED, Lost(True, True)).epoch]
+    made = [
+        planning.renewed(epoch, 1.0, LEASE, ASSUMED),
+        planning.moved(epoch, 0, 9, "w", 1.0, LEASE, ASSUMED).epoch,
+        planning.drained(epoch, "e", 1.0, LEASE, ASSUMED).epoch,
+        planning.taken_over(epoch, "e", 1.0, LEASE, ASSUMED, Lost(True, True)).epoch,
+    ]
     assert [one.turn for one in made] == [3] * 4 and planning.handed_over(epoch, 1.0).turn == 4
 
 
@@ -50,7 +54,9 @@
     assert not learn(FILE, own, planning.renewed(last, 2_000.0, LEASE, ASSUMED))
     assert learn(AGREED, own, planning.renewed(last, 2_000.0, LEASE, ASSUMED))
     back = planning.handed_over(own.epoch or start(), 3_000.0)
-    assert learn(AGREED, own, back) and not learn(AGREED, own, planning.renewed(back, 4_000.0, LEASE, ASSUMED))
+    assert learn(AGREED, own, back) and not learn(
+        AGREED, own, planning.renewed(back, 4_000.0, LEASE, ASSUMED)
+    )
     assert learn(FILE, own, planning.renewed(back, 4_000.0, LEASE, ASSUMED))
 
 
@@ -63,7 +69,14 @@
 
 Event = tuple[str, int, int]
 Line = tuple[int, Source, Epoch, Epoch]  # copy, source, what it knew, what it took
-events = st.lists(st.tuples(st.sampled_from(["renew", "renew", "hand", "deliver", "deliver", "deliver", "switch", "fork"]), st.integers(0, 99), st.integers(0, 99)), max_size=60)
+events = st.lists(
+    st.tuples(
+        st.sampled_from(["renew", "renew", "hand", "deliver", "deliver", "deliver", "switch", "fork"]),
+        st.integers(0, 99),
+        st.integers(0, 99),
+    ),
+    max_size=60,
+)
 
 
 def play(script: list[Event]) -> list[Line]:
@@ -80,14 +93,27 @@
             history.append((publisher(last), planning.handed_over(last, now)))
         elif what == "fork":
             older = next(one for _, one in reversed(history) if publisher(one) is FILE)
-            history.insert(0, (FILE, msgspec.structs.replace(planning.renewed(older, now, LEASE, ASSUMED), number=last.number + 1)))
+            history.insert(
+                0,
+                (
+                    FILE,
+                    msgspec.structs.replace(
+                        planning.renewed(older, now, LEASE, ASSUMED), number=last.number + 1
+                    ),
+                ),
+            )
         elif what == "switch":
             setting[b % 3] = AGREED if setting[b % 3] is FILE else FILE
         elif what == "deliver":
             own, source = copies[b % 3], setting[b % 3]
             mine = [one for of, one in history if of is source]
             before = own.epoch
-            if mine and before is not None and learn(source, own, mine[a % len(mine)]) and own.epoch is not None:
+            if (
+                mine
+                and before is not None
+                and learn(source, own, mine[a % len(mine)])
+                and own.epoch is not None
+            ):
                 tape.append((b % 3, source, before, own.epoch))
     return tape
 
@@ -98,7 +124,9 @@
     for copy, source, before, after in tape:
         if after.turn < before.turn:
             found.append(f"copy {copy} went back from turn {before.turn} to {after.turn}")
-        if publisher(after) is not source and (after.turn != before.turn + 1 or after.grants != before.grants):
+        if publisher(after) is not source and (
+            after.turn != before.turn + 1 or after.grants != before.grants
+        ):
             found.append(f"copy {copy} took by the {source.value} what is not its to publish: {after.number}")
     return found
 
@@ -110,7 +138,16 @@
 
 
 def test_without_the_rule_of_turns_both_are_followed(monkeypatch: pytest.MonkeyPatch) -> None:
-    script: list[Event] = [("hand", 0, 0), ("renew", 0, 0), ("switch", 0, 0), ("deliver", 0, 0), ("switch", 0, 0), ("fork", 0, 0), ("renew", 0, 0), ("deliver", 0, 0)]
+    script: list[Event] = [
+        ("hand", 0, 0),
+        ("renew", 0, 0),
+        ("switch", 0, 0),
+        ("deliver", 0, 0),
+        ("switch", 0, 0),
+        ("fork", 0, 0),
+        ("renew", 0, 0),
+        ("deliver", 0, 0),
+    ]
     assert play(script) and not broken(play(script))
     monkeypatch.setattr(f"{__name__}.takes", lambda *_: None)
     monkeypatch.setattr("brassweir.regions.ownership.follows", lambda *_: None)
@@ -126,8 +163,11 @@
     follows(stale, renewed)  # head office alone publishes, so for it this cannot be
     east, west = Ownership("east", ASSUMED, renewed), Ownership("west", ASSUMED, stale)
     begins = stale.grants[0].begins
-    overlap = [at for at in range(int(begins), int(begins) + 20_000, 250)
-               if told(east, EAST, at) is None and told(west, EAST, at, born=begins + 500.0) is None]
+    overlap = [
+        at
+        for at in range(int(begins), int(begins) + 20_000, 250)
+        if told(east, EAST, at) is None and told(west, EAST, at, born=begins + 500.0) is None
+    ]
     assert overlap, "two owners at once: follows is not enough"
     with pytest.raises(EpochError, match="cuts short what east holds"):
         succeeds(stale, renewed)
--- a/tests/relay/dying.py
+++ b/tests/relay/dying.py
@@ -35,7 +35,7 @@
         done.append(name)
         if len(done) == at:
             if name == "append":
-                real(self, args[0], args[1][:len(args[1]) // 2])
+                real(self, args[0], args[1][: len(args[1]) // 2])
             os.kill(os.getpid(), signal.SIGKILL)
         real(self, *args)
 
--- a/tests/relay/moved.py
+++ b/tests/relay/moved.py
@@ -194,8 +194,12 @@
         self.told: list[tuple[float, int]] = []
         self.notes: list[object] = []
         self.more = asyncio.Event()
-        self.watch = Discovery(address, lambda: self.told[-1][1] if self.told else 1, self._take,
-                               lambda _, details: self.notes.append(details["why"]))
+        self.watch = Discovery(
+            address,
+            lambda: self.told[-1][1] if self.told else 1,
+            self._take,
+            lambda _, details: self.notes.append(details["why"]),
+        )
 
     def _take(self, change: Change) -> None:
         self.told.append((now(), change.rev))
--- a/tests/relay/plays.py
+++ b/tests/relay/plays.py
@@ -23,6 +23,7 @@
 
 def play(folder: Path, what: Play, *endpoints: Endpoint, judged: bool = True) -> None:
     """Play one day by itself."""
+
     async def run() -> None:
         await played(World(folder), what, *endpoints, judged=judged)
 
@@ -31,6 +32,7 @@
 
 def together(days: list[Callable[[], Awaitable[None]]]) -> list[BaseException | None]:
     """Play many days, four at a time since each mostly waits; what was wrong with each."""
+
     async def run() -> list[BaseException | None]:
         room = asyncio.Semaphore(4)
 
--- a/tests/relay/signalled.py
+++ b/tests/relay/signalled.py
@@ -28,6 +28,7 @@
 
 def signalled(real: Any) -> Any:
     """The end of a runner, with the signal behind it."""
+
     def leave(self: asyncio.Runner, *args: Any) -> None:
         real(self, *args)
         signal.signal(SIGNAL, signal.SIG_DFL)  # as the interpreter does in its last steps
--- a/tests/relay/test_list_crossings.py
+++ b/tests/relay/test_list_crossings.py
@@ -34,22 +34,55 @@
     return made
 
 
-@pytest.mark.parametrize(("change", "more", "states", "rev"), [
-    (Change(4, True, [target("a"), target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(4, False, [target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(4, True, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, True, [target("a"), target("b", "leaving")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, False, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
-    (Change(5, False, [target("c")]), [], {"a": State.READY, "b": State.DRAINING, "c": State.READY}, 5),
-    (Change(6, True, [target("b", "leaving")]), [], {"b": State.DRAINING}, 6),
-    (Change(6, True, [target("a", "leaving"), target("b")]), [], {"a": State.DRAINING, "b": State.READY}, 6),
-    (Change(9, False, [target("a", "left")]), [], {"b": State.DRAINING}, 9),
-    (Change(6, True, []), [Change(7, False, [target("a")])], {"a": State.READY}, 7),
-    (Change(6, True, []), [Change(5, True, [target("a")]), Change(6, True, [target("b")])], {"b": State.READY}, 6),
-], ids=["a whole list that is behind", "a change that is behind", "an empty list that is behind", "the same version", "nothing new",
-        "the same version with more", "a whole list that lacks one", "a whole list that turns all round", "versions passed over", "one that was lacked is back", "behind, then caught up"])
-def test_what_a_version_may_change(tmp_path: Path, change: Change, more: list[Change], states: dict[str, State], rev: int) -> None:
+@pytest.mark.parametrize(
+    ("change", "more", "states", "rev"),
+    [
+        (Change(4, True, [target("a"), target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
+        (Change(4, False, [target("b")]), [], {"a": State.READY, "b": State.DRAINING}, 5),
+        (Change(4, True, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
+        (
+            Change(5, True, [target("a"), target("b", "leaving")]),
+            [],
+            {"a": State.READY, "b": State.DRAINING},
+            5,
+        ),
+        (Change(5, False, []), [], {"a": State.READY, "b": State.DRAINING}, 5),
+        (Change(5, False, [target("c")]), [], {"a": State.READY, "b": State.DRAINING, "c": State.READY}, 5),
+        (Change(6, True, [target("b", "leaving")]), [], {"b": State.DRAINING}, 6),
+        (
+            Change(6, True, [target("a", "leaving"), target("b")]),
+            [],
+            {"a": State.DRAINING, "b": State.READY},
+            6,
+        ),
+        (Change(9, False, [target("a", "left")]), [], {"b": State.DRAINING}, 9),
+        (Change(6, True, []), [Change(7, False, [target("a")])], {"a": State.READY}, 7),
+        (
+            Change(6, True, []),
+            [Change(5, True, [target("a")]), Change(6, True, [target("b")])],
+            {"b": State.READY},
+            6,
+        ),
+    ],
+    ids=[
+        "a whole list that is behind",
+        "a change that is behind",
+        "an empty list that is behind",
+        "the same version",
+        "nothing new",
+        "the same version with more",
+        "a whole list that lacks one",
+        "a whole list that turns all round",
+        "versions passed over",
+        "one that was lacked is back",
+        "behind, then caught up",
+    ],
+)
+def test_what_a_version_may_change(
+    tmp_path: Path, change: Change, more: list[Change], states: dict[str, State], rev: int
+) -> None:
     """As after a move to an agent that knows less, as much or more."""
+
     async def play() -> None:
         sender = process(tmp_path, target("a"), target("b", "leaving"))
         await asyncio.sleep(0.0)
@@ -57,9 +90,18 @@
             sender._change(told)
             await asyncio.sleep(0.01)
         known = sender.listing.known
-        assert {name: info.state for name, info in known.items()} == states == {name: info.state for name, info in sender.engine.endpoints.items()}
+        assert (
+            {name: info.state for name, info in known.items()}
+            == states
+            == {name: info.state for name, info in sender.engine.endpoints.items()}
+        )
         assert sender.listing.rev == rev and set(sender.listing.places) == set(states)
-        usable = {name for dest in sender.engine.sender.dests.values() for name, one in dest.endpoints.items() if one.usable}
+        usable = {
+            name
+            for dest in sender.engine.sender.dests.values()
+            for name, one in dest.endpoints.items()
+            if one.usable
+        }
         assert not usable - {name for name, state in states.items() if state is State.READY}
         sender.journal.close()
 
@@ -71,15 +113,20 @@
 def test_news_at_each_turn_from_a_hand_in_to_its_call(tmp_path: Path, turns: int, state: str) -> None:
     """The one endpoint is told off while the message is journaled, decided on, its intent written, its connection
     made: it goes to the other at once, and does not wait for the first, whose connection never comes up."""
+
     async def play() -> None:
         async with Peer(says_200) as other:
             with Full() as full:
                 sender = process(tmp_path, target("a", "active", full))
                 answers: list[FinalAnswer] = []
-                sender.engine.submit(Submission("c", "m1", "pay", 1, 4000.0, payload=Payload("", b"x")), answers.append)
+                sender.engine.submit(
+                    Submission("c", "m1", "pay", 1, 4000.0, payload=Payload("", b"x")), answers.append
+                )
                 for _ in range(turns):
                     await asyncio.sleep(0.0)
-                sender._change(Change(6, False, [target("a", state, full), target("b", "active", other.address)]))
+                sender._change(
+                    Change(6, False, [target("a", state, full), target("b", "active", other.address)])
+                )
                 await asyncio.sleep(0.1)
                 assert [one.answer for one in answers] == [Answer.DELIVERED] and len(other.seen) == 1
                 assert not sender.engine.waiting
--- a/tests/relay/test_node.py
+++ b/tests/relay/test_node.py
@@ -23,7 +23,12 @@
         client = await world.client()
         for i in range(30):
             cls = ("note", "order", "pay")[i % 3]
-            assert await client.put(f"m{i}", cls, 1 + i % 2, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * i) == b"+OK\r\n"
+            assert (
+                await client.put(
+                    f"m{i}", cls, 1 + i % 2, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * i
+                )
+                == b"+OK\r\n"
+            )
         await world.settled(30)
         assert world.discovery.notices == []
         assert all(call.time_left.endswith("m") for endpoint in world.endpoints for call in endpoint.calls)
@@ -96,11 +101,12 @@
 
 async def ending(folder: Path, manner: Manner, cls: str, calls: int, end: str) -> None:
     """The manners here answer by themselves, so deliveries are read off the calls: as many as the row says."""
+
     async def day(world: World) -> None:
         client = await world.client()
         assert await client.put("m1", cls, 1, 2500.0, key="k") == b"+OK\r\n"
         for _ in range(300):
-            if world.discovery.notices or (not end and "\"delivered\": 1" in world.log()):
+            if world.discovery.notices or (not end and '"delivered": 1' in world.log()):
                 break
             await asyncio.sleep(0.02)
         told = [one["result"] for _, one in world.discovery.notices]
@@ -120,7 +126,9 @@
 
 
 @pytest.mark.parametrize(("manner", "cls", "calls", "end"), ENDINGS)
-def test_each_ending(endings: list[BaseException | None], manner: Manner, cls: str, calls: int, end: str) -> None:
+def test_each_ending(
+    endings: list[BaseException | None], manner: Manner, cls: str, calls: int, end: str
+) -> None:
     wrong = endings[ENDINGS.index((manner, cls, calls, end))]
     if wrong is not None:
         raise wrong
@@ -141,7 +149,9 @@
     async def day(world: World) -> None:
         endpoint = world.endpoints[0]
         client = await world.client()
-        await asyncio.gather(*(one.put(f"w{i}", "note", 1) for i, one in enumerate([client, await world.client()])))
+        await asyncio.gather(
+            *(one.put(f"w{i}", "note", 1) for i, one in enumerate([client, await world.client()]))
+        )
         await world.settled(2)
         endpoint.manner = first(hang, good)
         assert await client.put("m1", "note", 1) == b"+OK\r\n"
@@ -158,7 +168,9 @@
 
 
 @pytest.mark.parametrize("share", [0.0001, 0.9])
-def test_a_kept_connection_reset_as_the_next_request_comes_has_run_nothing(tmp_path: Path, share: float) -> None:
+def test_a_kept_connection_reset_as_the_next_request_comes_has_run_nothing(
+    tmp_path: Path, share: float
+) -> None:
     async def day(world: World) -> None:
         client = await world.client()
         world.endpoints[0].resets_kept = share
@@ -185,22 +197,50 @@
 
 
 def test_a_node_imports_nothing_heavy() -> None:
-    heavy = ["cryptography", "pydantic", "numpy", "rich", "pyarrow", "ruamel", "structlog", "prometheus_client", "asn1crypto", "matplotlib",
-             "brassweir.as2", "brassweir.forward", "brassweir.webhook", "brassweir.lab", "brassweir.regions", "brassweir.config"]
+    heavy = [
+        "cryptography",
+        "pydantic",
+        "numpy",
+        "rich",
+        "pyarrow",
+        "ruamel",
+        "structlog",
+        "prometheus_client",
+        "asn1crypto",
+        "matplotlib",
+        "brassweir.as2",
+        "brassweir.forward",
+        "brassweir.webhook",
+        "brassweir.lab",
+        "brassweir.regions",
+        "brassweir.config",
+    ]
     code = "import sys; import brassweir.cli.main, brassweir.cli.node; print('\\n'.join(sys.modules))"
-    found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout.split()
+    found = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=True
+    ).stdout.split()
     assert "brassweir.service.node" in found and not set(heavy) & set(found)
 
 
-@pytest.mark.parametrize(("text", "field"), [
-    ('{"name": "n1"}', "listen"),
-    (json.dumps({**configuration(), "limits": {"disk_mb": 0.1}}), "disk_mb"),
-])
-def test_a_configuration_that_cannot_be_used_is_one_line_and_an_exit(tmp_path: Path, text: str, field: str) -> None:
+@pytest.mark.parametrize(
+    ("text", "field"),
+    [
+        ('{"name": "n1"}', "listen"),
+        (json.dumps({**configuration(), "limits": {"disk_mb": 0.1}}), "disk_mb"),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_one_line_and_an_exit(
+    tmp_path: Path, text: str, field: str
+) -> None:
     path = tmp_path / "config.json"
     path.write_text(text)
-    found = subprocess.run([sys.executable, "-m", "brassweir", "node"], capture_output=True, text=True,
-                           env={"RELAY_CONFIG": str(path), "RELAY_STATE": str(tmp_path)}, cwd=Path(__file__).parents[2])
+    found = subprocess.run(
+        [sys.executable, "-m", "brassweir", "node"],
+        capture_output=True,
+        text=True,
+        env={"RELAY_CONFIG": str(path), "RELAY_STATE": str(tmp_path)},
+        cwd=Path(__file__).parents[2],
+    )
     assert found.returncode == 1 and field in found.stderr and found.stderr.count("\n") == 1
 
 
@@ -211,7 +251,9 @@
     call = Call(5.0, "a", "m", "", "1m", b"x", 1)
     assert broken(Seen([one], [(1, call)], ["m"]), UNSAFE, 9999.0) == []
     assert broken(Seen([one]), UNSAFE, 9999.0) == ["m was taken on and lost"]
-    assert broken(Seen([one], notices=[(2000.0, {"ref": "m"})]), UNSAFE, 9999.0) == ["m was taken on and lost"]
+    assert broken(Seen([one], notices=[(2000.0, {"ref": "m"})]), UNSAFE, 9999.0) == [
+        "m was taken on and lost"
+    ]
     assert len(broken(Seen([one], [(1, call)], ["m", "m"]), UNSAFE, 9999.0)) == 1
     assert len(broken(Seen([one], [(2, call)], ["m"]), UNSAFE, 9999.0)) == 1
     assert broken(Seen([], [(1, call)]), UNSAFE, 9999.0) == ["m was never handed in"]
--- a/tests/relay/test_node_clients.py
+++ b/tests/relay/test_node_clients.py
@@ -14,15 +14,25 @@
 from tests.relay.world import World
 
 BAD = [
-    b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$60000000\r\n" + b"x" * 100_000, b"*" + b"9" * 500, b"*1\r\n$-9\r\n", b"\x00" * 500,
-    Client.command(b"MSG.PUT", b"0", b"x1", b"c=none,d=5,dest=1", b""), Client.command(b"MSG.PUT", b"0", b"x1", b"c=note,d=5,dest=99", b""),
-    Client.command(b"MSG.PUT", b"0", b"", b"c=note,d=5,dest=1", b""), Client.command(b"MSG.PUT", b"0", b"x1", b"c=note,d=soon,dest=1", b""),
-    Client.command(b"FLUSHALL"), b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0", b"",
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"*1\r\n$60000000\r\n" + b"x" * 100_000,
+    b"*" + b"9" * 500,
+    b"*1\r\n$-9\r\n",
+    b"\x00" * 500,
+    Client.command(b"MSG.PUT", b"0", b"x1", b"c=none,d=5,dest=1", b""),
+    Client.command(b"MSG.PUT", b"0", b"x1", b"c=note,d=5,dest=99", b""),
+    Client.command(b"MSG.PUT", b"0", b"", b"c=note,d=5,dest=1", b""),
+    Client.command(b"MSG.PUT", b"0", b"x1", b"c=note,d=soon,dest=1", b""),
+    Client.command(b"FLUSHALL"),
+    b"*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0",
+    b"",
 ]
 
 
 @pytest.mark.parametrize("data", BAD)
-def test_what_cannot_be_used_gets_an_error_or_a_close_and_nothing_is_taken_on(tmp_path: Path, data: bytes) -> None:
+def test_what_cannot_be_used_gets_an_error_or_a_close_and_nothing_is_taken_on(
+    tmp_path: Path, data: bytes
+) -> None:
     async def day(world: World) -> None:
         client = await world.client()
         started = asyncio.get_running_loop().time()
@@ -75,7 +85,9 @@
     async def day(world: World) -> None:
         client, other = await world.client(), await world.client()
         assert await client.put("m1", "note", 1) == b"+OK\r\n"
-        assert (await other.ask(Client.command(b"MSG.PUT", b"0", b"m1", b"c=note,d=900,dest=1", b"x"))).startswith(b"-ERR")
+        assert (
+            await other.ask(Client.command(b"MSG.PUT", b"0", b"m1", b"c=note,d=900,dest=1", b"x"))
+        ).startswith(b"-ERR")
         put = Client.command(b"MSG.PUT", b"0", b"m2", b"c=note,d=5000,dest=1", b"text")
         client.writer.write(put + Client.command(b"PING") + put)
         lines = [await asyncio.wait_for(client.reader.readline(), 5.0) for _ in range(3)]
--- a/tests/relay/test_node_deaths.py
+++ b/tests/relay/test_node_deaths.py
@@ -28,7 +28,10 @@
         super().write()
         path = self.folder / "config.json"
         found = json.loads(path.read_text())
-        found["settings"]["Classes"] = [dict(one, Window=WINDOW if one["Name"] == "order" else 0.0) for one in found["settings"]["Classes"]]
+        found["settings"]["Classes"] = [
+            dict(one, Window=WINDOW if one["Name"] == "order" else 0.0)
+            for one in found["settings"]["Classes"]
+        ]
         path.write_text(json.dumps(found))
 
 
@@ -80,12 +83,20 @@
 def ends(tmp_path_factory: pytest.TempPathFactory) -> dict[tuple[str, str], BaseException | None]:
     """What was wrong after each death."""
     days = [(cls, step) for cls in CLASSES for step in STEPS]
-    return dict(zip(days, together([partial(death, tmp_path_factory.mktemp("day"), *day) for day in days]), strict=True))
+    return dict(
+        zip(
+            days,
+            together([partial(death, tmp_path_factory.mktemp("day"), *day) for day in days]),
+            strict=True,
+        )
+    )
 
 
 @pytest.mark.parametrize("step", STEPS)
 @pytest.mark.parametrize("cls", CLASSES)
-def test_killed_under_a_call_it_repeats_what_its_class_allows(ends: dict[tuple[str, str], BaseException | None], cls: str, step: str) -> None:
+def test_killed_under_a_call_it_repeats_what_its_class_allows(
+    ends: dict[tuple[str, str], BaseException | None], cls: str, step: str
+) -> None:
     wrong = ends[cls, step]
     if wrong is not None:
         raise wrong
@@ -117,7 +128,9 @@
     play(tmp_path, day, Endpoint("a", 1, hang), judged=False)
 
 
-def test_killed_between_its_record_and_its_promise_a_message_ends_once_and_its_client_may_hand_it_in_anew(tmp_path: Path) -> None:
+def test_killed_between_its_record_and_its_promise_a_message_ends_once_and_its_client_may_hand_it_in_anew(
+    tmp_path: Path,
+) -> None:
     async def day(world: World) -> None:
         await world.kill()
         await world.start(dies_at=-4)  # the reserve, the header, that a process begins, the message
--- a/tests/relay/test_node_list.py
+++ b/tests/relay/test_node_list.py
@@ -153,6 +153,7 @@
 
 def test_idle_clients_leave_descriptors_for_the_list_notices_calls_and_the_journal(tmp_path: Path) -> None:
     """The system gives no more than the configuration says; idle clients by hundreds come meanwhile."""
+
     async def day(world: World) -> None:
         assert world.process is not None
         client = await world.client()
--- a/tests/relay/test_node_restarts.py
+++ b/tests/relay/test_node_restarts.py
@@ -53,7 +53,9 @@
                 except ConnectionError:
                     break
             cls = ("note", "order", "pay")[i % 3]
-            await client.put(f"m{i}", cls, 1, 5000.0, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * 3500)
+            await client.put(
+                f"m{i}", cls, 1, 5000.0, key=f"k{i}" if cls == "order" else "", body=bytes([i]) * 3500
+            )
         if world.process.returncode is None:
             await world.kill()
         await world.process.wait()
@@ -78,7 +80,9 @@
 
 
 @pytest.mark.parametrize("step", STEPS)
-def test_killed_at_any_step_of_its_storage_it_loses_and_doubles_nothing(ends: dict[int, BaseException | None], step: int) -> None:
+def test_killed_at_any_step_of_its_storage_it_loses_and_doubles_nothing(
+    ends: dict[int, BaseException | None], step: int
+) -> None:
     wrong = ends[step]
     if wrong is not None:
         raise wrong
@@ -158,17 +162,27 @@
         assert "journal_of_another" in world.log()
         assert await (await world.client()).put("n1", "note", 1) == b"+OK\r\n"
         await world.settled(2)
-        assert [one["ref"] for _, one in world.discovery.notices] == ["theirs"], "its end is owed all the same"
-
-    left_behind(tmp_path, "office", Taken(1, "o", "theirs", "report", "bank", "", wall() + 9000.0, "a/b", "", b"x", b"n"))
+        assert [one["ref"] for _, one in world.discovery.notices] == ["theirs"], (
+            "its end is owed all the same"
+        )
+
+    left_behind(
+        tmp_path,
+        "office",
+        Taken(1, "o", "theirs", "report", "bank", "", wall() + 9000.0, "a/b", "", b"x", b"n"),
+    )
     play(tmp_path, day, Endpoint("a", 1))
 
 
-def test_a_message_of_an_older_format_keeps_its_idempotency_key(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_message_of_an_older_format_keeps_its_idempotency_key(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def day(world: World) -> None:
         await world.settled(1)
         assert [(call.id, call.key) for call in world.endpoints[0].calls] == [("m1", "k9")]
 
     monkeypatch.setattr("brassweir.journal.frame.VERSION", 1)
-    left_behind(tmp_path, "n1", Taken(1, "relay", "m1", "order", "1", "k9", wall() + 9000.0, "a/b", "", b"x", b"n"))
+    left_behind(
+        tmp_path, "n1", Taken(1, "relay", "m1", "order", "1", "k9", wall() + 9000.0, "a/b", "", b"x", b"n")
+    )
     play(tmp_path, day, Endpoint("a", 1), judged=False)
--- a/tests/relay/test_node_signals.py
+++ b/tests/relay/test_node_signals.py
@@ -69,7 +69,9 @@
         world.process.send_signal(signal.SIGHUP)
         assert await ended(world) == 0
         log = world.log()
-        assert log.count('"leaving"') == 1 and log.count('"stopped"') == 1 and log.count('"reload_refused"') == 1
+        assert (
+            log.count('"leaving"') == 1 and log.count('"stopped"') == 1 and log.count('"reload_refused"') == 1
+        )
         assert b"" == await client.reader.read()
 
     world = World(tmp_path)
@@ -97,6 +99,7 @@
 
 def test_what_is_handed_in_up_to_the_end_is_taken_on_and_answered_or_neither(tmp_path: Path) -> None:
     """Clients that go on to the last: whatever was answered is delivered or told, and nothing else was called."""
+
     async def day(world: World) -> None:
         clients = [await world.client() for _ in range(6)]
         told: dict[str, bytes] = {}
@@ -124,8 +127,6 @@
     asyncio.run(played(world, day, Endpoint("a", 1)))
 
 
-
-
 def test_it_has_one_thread_so_that_no_other_can_take_a_signal(tmp_path: Path) -> None:
     async def day(world: World) -> None:
         client = await world.client()
--- a/tests/relay/test_notice_handovers.py
+++ b/tests/relay/test_notice_handovers.py
@@ -32,7 +32,9 @@
         try:
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
-                body = await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+                body = await reader.readexactly(
+                    int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+                )
                 self.got.append([json.loads(line)["ref"] for line in body.splitlines()])
                 step, self.step = self.step, None
                 if step is not None:
@@ -67,11 +69,21 @@
 
 @pytest.mark.parametrize("moves", [False, True])
 @pytest.mark.parametrize(("step", "again"), [(cut, True), (answered, False), (silent, True), (late, True)])
-def test_a_notice_is_told_once_whatever_becomes_of_its_post(monkeypatch: pytest.MonkeyPatch, step: Step, again: bool, moves: bool) -> None:
+def test_a_notice_is_told_once_whatever_becomes_of_its_post(
+    monkeypatch: pytest.MonkeyPatch, step: Step, again: bool, moves: bool
+) -> None:
     monkeypatch.setattr(notices, "WITHIN", 0.05)
 
     async def work() -> None:
-        told, line = list[int](), Notices(pools := Pools(Limits(), 8, 500.0, 300.0), "127.0.0.1:1", lambda one: told.append(one), lambda *_: None)
+        told, line = (
+            list[int](),
+            Notices(
+                pools := Pools(Limits(), 8, 500.0, 300.0),
+                "127.0.0.1:1",
+                lambda one: told.append(one),
+                lambda *_: None,
+            ),
+        )
         new = Place()
         to = await new.start()
 
--- a/tests/relay/test_notices.py
+++ b/tests/relay/test_notices.py
@@ -49,7 +49,11 @@
             await self.more.wait()
         at = now()
         await asyncio.sleep(2.0)
-        assert self.told == list(numbers) and not self.line.owed and not any(one.busy for one in self.pools.budget.holders.values())
+        assert (
+            self.told == list(numbers)
+            and not self.line.owed
+            and not any(one.busy for one in self.pools.budget.holders.values())
+        )
         return at
 
 
@@ -66,7 +70,9 @@
 
 
 @pytest.mark.parametrize("setups", [False, True], ids=["calls that hang", "set-ups that hang"])
-def test_calls_and_set_ups_that_hang_leave_room_for_notices(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, setups: bool) -> None:
+def test_calls_and_set_ups_that_hang_leave_room_for_notices(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, setups: bool
+) -> None:
     async def play() -> None:
         async with Peer(silent) as ill, Peer(silent) as worse, Peer(answers_204) as platform:
             given = configuration(discovery=platform.address)
@@ -76,7 +82,12 @@
             process.notices.told = told.append
             with Full() as full:
                 wheres = [full] * 2 if setups else [*[ill.address] * 7, worse.address]
-                calls = [asyncio.ensure_future(process.pools.of(f"http://{where}/receive").post(Headers(), b"", now() + 4.0)) for where in wheres]
+                calls = [
+                    asyncio.ensure_future(
+                        process.pools.of(f"http://{where}/receive").post(Headers(), b"", now() + 4.0)
+                    )
+                    for where in wheres
+                ]
                 await asyncio.sleep(0.02)
                 process.notices.owe(1, Notice("m1", "dead"))
                 await asyncio.sleep(DUE - 0.05)
@@ -118,13 +129,18 @@
             await asyncio.sleep(notices.WITHIN / 2)
             told.owe(3)
             await told.until(1, 2, 3)
-            assert refs(platform)[0] == ["m1", "m2"] and {ref for post in refs(platform) for ref in post} == {"m1", "m2", "m3"}
+            assert refs(platform)[0] == ["m1", "m2"] and {ref for post in refs(platform) for ref in post} == {
+                "m1",
+                "m2",
+                "m3",
+            }
 
     moved(play())
 
 
 def test_a_platform_slow_to_answer_is_told_in_the_end() -> None:
     """A little more time with each post: one that stands still for a while is not asked again for ever."""
+
     async def play() -> None:
         async with Peer(later(0.9)) as platform:
             told = Told(platform.address)
@@ -135,7 +151,9 @@
     moved(play())
 
 
-@pytest.mark.parametrize("after", [0.01, 0.1, 2.0], ids=["while it is posted", "a little later", "between tries"])
+@pytest.mark.parametrize(
+    "after", [0.01, 0.1, 2.0], ids=["while it is posted", "a little later", "between tries"]
+)
 @pytest.mark.parametrize("there", ["silent", "refused", "not reached"])
 def test_a_platform_that_moves_is_told_at_its_new_address_at_once(there: str, after: float) -> None:
     async def play() -> None:
--- a/tests/relay/test_pure.py
+++ b/tests/relay/test_pure.py
@@ -15,44 +15,77 @@
 from tests.relay.world import configuration
 
 
-@pytest.mark.parametrize(("code", "fields", "result", "wait", "may_have_run", "over"), [
-    (200, {}, Result.OK, 0.0, True, False),
-    (500, {}, Result.ERROR, 0.0, True, False),
-    (429, {}, Result.FULL, 0.0, False, False),
-    (429, {"X-Backoff-Ms": "480"}, Result.FULL, 480.0, False, False),
-    (429, {"X-Backoff-Ms": "soon"}, Result.FULL, 0.0, False, False),
-    (503, {}, Result.FULL, 0.0, False, False),
-    (503, {"X-Egress-Full": "1"}, Result.MOOT, 0.0, False, False),
-    (503, {"Connection": "close"}, Result.CROWDED, 0.0, False, False),
-    (503, {"Connection": "close", "X-Egress-Full": "1"}, Result.MOOT, 0.0, False, False),
-    (503, {"Connection": "close", "X-Backend-Load": "x0=0,x1=9"}, Result.FULL, 0.0, False, False),
-    (504, {}, Result.MOOT, 0.0, False, False),
-    (410, {}, Result.MOOT, 0.0, False, True),
-    (302, {}, Result.ERROR, 0.0, True, False),
-])
-def test_each_row(code: int, fields: dict[str, str], result: Result, wait: float, may_have_run: bool, over: bool) -> None:
+@pytest.mark.parametrize(
+    ("code", "fields", "result", "wait", "may_have_run", "over"),
+    [
+        (200, {}, Result.OK, 0.0, True, False),
+        (500, {}, Result.ERROR, 0.0, True, False),
+        (429, {}, Result.FULL, 0.0, False, False),
+        (429, {"X-Backoff-Ms": "480"}, Result.FULL, 480.0, False, False),
+        (429, {"X-Backoff-Ms": "soon"}, Result.FULL, 0.0, False, False),
+        (503, {}, Result.FULL, 0.0, False, False),
+        (503, {"X-Egress-Full": "1"}, Result.MOOT, 0.0, False, False),
+        (503, {"Connection": "close"}, Result.CROWDED, 0.0, False, False),
+        (503, {"Connection": "close", "X-Egress-Full": "1"}, Result.MOOT, 0.0, False, False),
+        (503, {"Connection": "close", "X-Backend-Load": "x0=0,x1=9"}, Result.FULL, 0.0, False, False),
+        (504, {}, Result.MOOT, 0.0, False, False),
+        (410, {}, Result.MOOT, 0.0, False, True),
+        (302, {}, Result.ERROR, 0.0, True, False),
+    ],
+)
+def test_each_row(
+    code: int, fields: dict[str, str], result: Result, wait: float, may_have_run: bool, over: bool
+) -> None:
     found = endings.status(code, lambda name: fields.get(name, ""), False)
-    assert (found.result, found.wait, found.may_have_run, found.rejected) == (result, wait, may_have_run, over)
+    assert (found.result, found.wait, found.may_have_run, found.rejected) == (
+        result,
+        wait,
+        may_have_run,
+        over,
+    )
     kept = endings.status(code, lambda name: fields.get(name, ""), True).result
     assert kept is (Result.FULL if result is Result.CROWDED else result), "a kept connection is none too many"
 
 
-@pytest.mark.parametrize(("text", "told"), [
-    ("x0=0.4,x1=25", (0.4, 25.0)), ("x1=25, x0=0", (0.0, 25.0)), ("x0=0.4", (0.4, None)), ("", (None, None)),
-    ("x0=0.4,x1=", (None, None)), ("x0=nan,x1=2", (None, None)), ("x0=7,x1=2", (None, None)), ("x0=0.1,x0=0.2", (None, None)),
-    ("{]", (None, None)), ("x0=0.4,x1=-2", (None, None)), ("x0=1" + "0" * 400, (None, None)),
-])
-def test_reports_that_cannot_be_read_are_passed_over(text: str, told: tuple[float | None, float | None]) -> None:
+@pytest.mark.parametrize(
+    ("text", "told"),
+    [
+        ("x0=0.4,x1=25", (0.4, 25.0)),
+        ("x1=25, x0=0", (0.0, 25.0)),
+        ("x0=0.4", (0.4, None)),
+        ("", (None, None)),
+        ("x0=0.4,x1=", (None, None)),
+        ("x0=nan,x1=2", (None, None)),
+        ("x0=7,x1=2", (None, None)),
+        ("x0=0.1,x0=0.2", (None, None)),
+        ("{]", (None, None)),
+        ("x0=0.4,x1=-2", (None, None)),
+        ("x0=1" + "0" * 400, (None, None)),
+    ],
+)
+def test_reports_that_cannot_be_read_are_passed_over(
+    text: str, told: tuple[float | None, float | None]
+) -> None:
     assert endings.report(text) == told
 
 
 def test_notices() -> None:
     assert notice("a", FinalAnswer(Answer.REFUSED, "", 480.7)).wait_ms == 480
-    assert (notice("a", FinalAnswer(Answer.FAILED)).result, notice("a", FinalAnswer(Answer.REFUSED)).result) == ("dead", "bounced")
+    assert (
+        notice("a", FinalAnswer(Answer.FAILED)).result,
+        notice("a", FinalAnswer(Answer.REFUSED)).result,
+    ) == ("dead", "bounced")
 
 
 def configured(uid: str) -> dict[str, Any]:
-    return {"uid": uid, "endpoint": "10.0.0.1:80", "pod_group": 1, "state": "active", "az": "nowhere", "model": "unheard of"}
+    return {
+        "uid": uid,
+        "endpoint": "10.0.0.1:80",
+        "pod_group": 1,
+        "state": "active",
+        "az": "nowhere",
+        "model": "unheard of",
+    }
 
 
 def target(uid: str, state: str = "active", port: int = 80, home: int = 1) -> Target:
@@ -65,10 +98,18 @@
     news = listing.take(Change(2, False, [target("d"), target("b", "leaving")]))
     assert [(one.name, one.state) for one in news.entries] == [("b", State.DRAINING), ("d", State.READY)]
     news = listing.take(Change(3, True, [target("a"), target("d"), target("e", "leaving", 81)]))
-    assert {(one.name, one.state) for one in news.entries} == {("b", State.GONE), ("c", State.GONE), ("e", State.DRAINING)}
+    assert {(one.name, one.state) for one in news.entries} == {
+        ("b", State.GONE),
+        ("c", State.GONE),
+        ("e", State.DRAINING),
+    }
     assert listing.url("b") is None and listing.url("e") == "http://10.0.0.1:81/receive" and listing.rev == 3
     assert listing.take(Change(4, False, [target("z", "left")])).entries == (), "never known, nothing to tell"
-    assert listing.listed(1) and not listing.listed(2) and set(listing.known) == {"a", "d", "e"} == set(listing.places)
+    assert (
+        listing.listed(1)
+        and not listing.listed(2)
+        and set(listing.known) == {"a", "d", "e"} == set(listing.places)
+    )
 
 
 def test_an_address_that_moves() -> None:
@@ -78,10 +119,19 @@
     assert listing.url("a") == "http://10.0.0.1:81/receive"
 
 
-@pytest.mark.parametrize("change", [
-    {"state": "odd"}, {"uid": ""}, {"endpoint": "host:80"}, {"endpoint": "10.0.0.1"}, {"pod_group": "x"}, {"capacity_hint": -1},
-    {"endpoint": "10.0.0.1:99999"}, {"pod_group": -1},
-])
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"uid": ""},
+        {"endpoint": "host:80"},
+        {"endpoint": "10.0.0.1"},
+        {"pod_group": "x"},
+        {"capacity_hint": -1},
+        {"endpoint": "10.0.0.1:99999"},
+        {"pod_group": -1},
+    ],
+)
 def test_a_list_that_cannot_be_read_is_refused_whole(change: dict[str, Any]) -> None:
     entry = {"uid": "a", "endpoint": "10.0.0.1:80", "pod_group": 1, "state": "active", **change}
     with pytest.raises(ListError):
@@ -95,32 +145,56 @@
     given["settings"]["Specifics"]["KindBatch"] = [20]  # a call on sockets carries one all the same
     config = settings.read(json.dumps(given).encode())
     sets = config.settings
-    assert [cls.name for cls in sets.classes] == ["note", "order", "pay"] and sets.slots == 30 and sets.second_copies
-    assert (sets.kinds[0].name, sets.kinds[0].batch) == ("office", 1) and sets.few_connections and sets.weights == "rough" and config.seed == 0x1F and config.known is not None
-
-
-@pytest.mark.parametrize(("change", "field"), [
-    ({"listen": "somewhere"}, "listen"), ({"seed": "xyz"}, "seed"), ({"name": 3}, "name"), ({"limits": {"sockets": 3}}, "limits"),
-    ({"settings": {}}, "Classes.count"),
-    ({"settings": {**configuration()["settings"], "Balancers": 0}}, "senders"),
-    ({"settings": {**configuration()["settings"], "Specifics": {"CallSlots": 0}}}, "slots"),
-    ({"limits": {"disk_mb": 0}}, "limits"), ({"known": {"rev": 1, "all": True, "targets": [configured("a"), configured("a")]}}, "stands twice"), ({"known": {"rev": 1, "all": True, "targets": [{"uid": "a"}]}}, "endpoint"),
-])
+    assert (
+        [cls.name for cls in sets.classes] == ["note", "order", "pay"]
+        and sets.slots == 30
+        and sets.second_copies
+    )
+    assert (
+        (sets.kinds[0].name, sets.kinds[0].batch) == ("office", 1)
+        and sets.few_connections
+        and sets.weights == "rough"
+        and config.seed == 0x1F
+        and config.known is not None
+    )
+
+
+@pytest.mark.parametrize(
+    ("change", "field"),
+    [
+        ({"listen": "somewhere"}, "listen"),
+        ({"seed": "xyz"}, "seed"),
+        ({"name": 3}, "name"),
+        ({"limits": {"sockets": 3}}, "limits"),
+        ({"settings": {}}, "Classes.count"),
+        ({"settings": {**configuration()["settings"], "Balancers": 0}}, "senders"),
+        ({"settings": {**configuration()["settings"], "Specifics": {"CallSlots": 0}}}, "slots"),
+        ({"limits": {"disk_mb": 0}}, "limits"),
+        ({"known": {"rev": 1, "all": True, "targets": [configured("a"), configured("a")]}}, "stands twice"),
+        ({"known": {"rev": 1, "all": True, "targets": [{"uid": "a"}]}}, "endpoint"),
+    ],
+)
 def test_a_configuration_that_cannot_be_used_names_its_field(change: dict[str, Any], field: str) -> None:
     with pytest.raises(settings.NodeError, match=field):
         settings.read(json.dumps({**configuration(), **change}).encode())
 
 
-@pytest.mark.parametrize("text", [
-    '{"a": 1}\n\n{"b": 2}\n', '{\n "a": "}{",\n\n "b": {\n }\n}\n\r\n{"c": "\\"}"}\n', '{"a": "\\\\", "b": {"}": ["{"]\n}}\n\n', "]\n{}\n",
-])
+@pytest.mark.parametrize(
+    "text",
+    [
+        '{"a": 1}\n\n{"b": 2}\n',
+        '{\n "a": "}{",\n\n "b": {\n }\n}\n\r\n{"c": "\\"}"}\n',
+        '{"a": "\\\\", "b": {"}": ["{"]\n}}\n\n',
+        "]\n{}\n",
+    ],
+)
 def test_objects_are_cut_by_their_braces_however_they_come(text: str) -> None:
     whole = text.encode()
     wanted = [b"".join(one.split()) for one in Objects(1000).feed(whole)]
     assert b"".join(wanted) == b"".join(whole.split()) and len(wanted) > 1
     for size in (1, 2, 3, 7):
         objects = Objects(1000)
-        pieces = [whole[i:i + size] for i in range(0, len(whole), size)]
+        pieces = [whole[i : i + size] for i in range(0, len(whole), size)]
         assert [b"".join(one.split()) for piece in pieces for one in objects.feed(piece)] == wanted
 
 
--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -52,31 +52,73 @@
     return [{**world.CLASSES[0], **change} for change in changes]
 
 
-@pytest.mark.parametrize("name", ["Allowed__IdleClose", "Allowed__MaxRetryAfter", "Allowed__RetryAfter", "Allowed__SecondCopies",
-                                  "Balancers", "RegistryMode", "Report", "Resolution", "Rules", "Skus", "Weights", "Specifics__KindApart",
-                                  "Specifics__KindBatch", "Specifics__Decay", "Classes__0__Objective", "Classes__0__Window",
-                                  "Classes__0__LateWorth", "Classes__0__Group"])
+@pytest.mark.parametrize(
+    "name",
+    [
+        "Allowed__IdleClose",
+        "Allowed__MaxRetryAfter",
+        "Allowed__RetryAfter",
+        "Allowed__SecondCopies",
+        "Balancers",
+        "RegistryMode",
+        "Report",
+        "Resolution",
+        "Rules",
+        "Skus",
+        "Weights",
+        "Specifics__KindApart",
+        "Specifics__KindBatch",
+        "Specifics__Decay",
+        "Classes__0__Objective",
+        "Classes__0__Window",
+        "Classes__0__LateWorth",
+        "Classes__0__Group",
+    ],
+)
 @pytest.mark.parametrize("value", [GONE, None])
 def test_what_may_be_absent_is_not_missed(name: str, value: object) -> None:
     assert len(settings.read(told(**{name: value})).settings.classes) == 3
 
 
-@pytest.mark.parametrize(("changes", "field"), [
-    ({"Allowed__ConnectTimeout": GONE}, "Allowed.ConnectTimeout"), ({"Allowed": 7}, "Allowed.MaxOpen"), ({"Classes": []}, "Classes.count"),
-    ({"Classes": {}}, "Classes.count"), ({"Classes": [7, {"Name": "a"}]}, "Classes.0.Idempotency"), ({"Classes__1__Name": GONE}, "Classes.1.Name"),
-    ({"Classes__0__Idempotency": "odd"}, "Classes.0.Idempotency"), ({"Classes__0__HardLimit": 0}, "note.deadline"),
-    ({"Classes__0__HardLimit": "soon"}, "Classes.0.HardLimit"), ({"Classes__0__Window": -1}, "note.window"), ({"Classes__1__Name": "note"}, "classes"),
-    ({"Specifics__CallSlots": 2.5}, "Specifics.CallSlots"), ({"Specifics__KindBatch": ["x"]}, "Specifics.KindBatch"), ({"Skus": ["a", "a"]}, "kinds"),
-    ({"Resolution": 0}, "tick"), ({"Rules__StartCapacity": 0}, "start_capacity"),
-])
+@pytest.mark.parametrize(
+    ("changes", "field"),
+    [
+        ({"Allowed__ConnectTimeout": GONE}, "Allowed.ConnectTimeout"),
+        ({"Allowed": 7}, "Allowed.MaxOpen"),
+        ({"Classes": []}, "Classes.count"),
+        ({"Classes": {}}, "Classes.count"),
+        ({"Classes": [7, {"Name": "a"}]}, "Classes.0.Idempotency"),
+        ({"Classes__1__Name": GONE}, "Classes.1.Name"),
+        ({"Classes__0__Idempotency": "odd"}, "Classes.0.Idempotency"),
+        ({"Classes__0__HardLimit": 0}, "note.deadline"),
+        ({"Classes__0__HardLimit": "soon"}, "Classes.0.HardLimit"),
+        ({"Classes__0__Window": -1}, "note.window"),
+        ({"Classes__1__Name": "note"}, "classes"),
+        ({"Specifics__CallSlots": 2.5}, "Specifics.CallSlots"),
+        ({"Specifics__KindBatch": ["x"]}, "Specifics.KindBatch"),
+        ({"Skus": ["a", "a"]}, "kinds"),
+        ({"Resolution": 0}, "tick"),
+        ({"Rules__StartCapacity": 0}, "start_capacity"),
+    ],
+)
 def test_what_cannot_be_served_is_one_line_that_names_the_field(changes: dict[str, Any], field: str) -> None:
     with pytest.raises(settings.NodeError, match=field) as caught:
         settings.read(told(**changes))
     assert "\n" not in str(caught.value) and len(str(caught.value)) < 300
 
 
-@pytest.mark.parametrize("data", [b"", b"[]", b"null", b"\xff\xfe", told()[:-1], told(Note="deep").replace(b'"deep"', b'{"a":' * 5000 + b"1" + b"}" * 5000),
-                                  told(Note="deep").replace(b'"deep"', b'{"a":' * 985 + b"1" + b"}" * 985)])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"",
+        b"[]",
+        b"null",
+        b"\xff\xfe",
+        told()[:-1],
+        told(Note="deep").replace(b'"deep"', b'{"a":' * 5000 + b"1" + b"}" * 5000),
+        told(Note="deep").replace(b'"deep"', b'{"a":' * 985 + b"1" + b"}" * 985),
+    ],
+)
 def test_a_file_that_is_no_configuration_is_no_other_error(data: bytes) -> None:
     try:
         settings.read(data)
@@ -89,20 +131,29 @@
     found = {cls.name: cls for cls in settings.read(told(Classes=classes({"Name": name}))).settings.classes}
     args = [b"MSG.PUT", b"0", b"id", f"c={name},d=100,dest=7".encode(), b""]
     assert handin.read(args, found, {7}.__contains__).class_name == name
-    assert settings.read(told(Skus=[name, "x"], Specifics__KindApart=[True])).settings.kinds == (Kind(name, True), Kind("x"))
+    assert settings.read(told(Skus=[name, "x"], Specifics__KindApart=[True])).settings.kinds == (
+        Kind(name, True),
+        Kind("x"),
+    )
 
 
 def test_one_class_and_sixty() -> None:
     for count in (1, 60):
-        found = settings.read(told(Classes=classes(*({"Name": f"c{i}", "HardLimit": 300 + i} for i in range(count))))).settings
-        assert [(cls.name, cls.deadline) for cls in found.classes] == [(f"c{i}", 300.0 + i) for i in range(count)]
+        found = settings.read(
+            told(Classes=classes(*({"Name": f"c{i}", "HardLimit": 300 + i} for i in range(count))))
+        ).settings
+        assert [(cls.name, cls.deadline) for cls in found.classes] == [
+            (f"c{i}", 300.0 + i) for i in range(count)
+        ]
     with pytest.raises(settings.NodeError, match="classes") as caught:
         settings.read(told(Classes=classes(*({"Name": f"c{i % 59}"} for i in range(60)))))
     assert len(str(caught.value)) < 500, "the names, and not all that is known of sixty classes"
 
 
 def test_a_whole_number_may_come_as_a_fraction() -> None:
-    found = settings.read(told(Specifics__CallSlots=30.0, Allowed__MaxOpen=6e1, Specifics__KindBatch=[1.0], Balancers=2.0)).settings
+    found = settings.read(
+        told(Specifics__CallSlots=30.0, Allowed__MaxOpen=6e1, Specifics__KindBatch=[1.0], Balancers=2.0)
+    ).settings
     assert (found.slots, found.max_open, found.senders) == (30, 60, 2)
 
 
@@ -120,7 +171,9 @@
     assert endings.report(text) == (0.4 if "x0" in names else None, 25.0 if "x1" in names else None)
 
 
-@pytest.mark.parametrize("more", [{}, {"Projects": [{"Name": "hill", "QuotaRps": 3.5}, {"Name": "lake"}]}, {"Projects": []}])
+@pytest.mark.parametrize(
+    "more", [{}, {"Projects": [{"Name": "hill", "QuotaRps": 3.5}, {"Name": "lake"}]}, {"Projects": []}]
+)
 def test_tenants_are_no_matter_of_the_sender(more: dict[str, Any]) -> None:
     assert settings.read(told(**more)).settings == settings.read(told()).settings
 
@@ -131,10 +184,16 @@
     assert (given.classes[0].effect, given.classes[0].window) == (Effect.KEYED, 0.0)
     sender = Sender(given, 1, 0.0)
     list_news = ListNews(ListKind.FULL, tuple(EndpointInfo(name, 1, "office") for name in "ab"))
-    sent = [one for one in sender.handle(0.0, [list_news, NewMessage(1, "note", 1, 5000.0, "k")]) if isinstance(one, Send)]
+    sent = [
+        one
+        for one in sender.handle(0.0, [list_news, NewMessage(1, "note", 1, 5000.0, "k")])
+        if isinstance(one, Send)
+    ]
     assert len(sent) == 1
     then = sender.handle(900.0, [AttemptEnded(1, 0, sent[0].endpoint, Result.TIMEOUT, 900.0)])
-    assert not [one for one in then if isinstance(one, Send)], "it may have run, and no repeat of it is dropped"
+    assert not [one for one in then if isinstance(one, Send)], (
+        "it may have run, and no repeat of it is dropped"
+    )
 
 
 async def logged(seen: world.World, event: str, count: int) -> None:
@@ -146,19 +205,25 @@
     raise AssertionError(f"{event} was to be logged {count} times: {seen.log()[-2000:]}")
 
 
-@pytest.mark.parametrize(("deadlines", "seconds"), [((300.0,), 0.3), ((300.0, 2500.0), 2.5), ((1200.0, 28000.0), 28.0)])
+@pytest.mark.parametrize(
+    ("deadlines", "seconds"), [((300.0,), 0.3), ((300.0, 2500.0), 2.5), ((1200.0, 28000.0), 28.0)]
+)
 def test_the_longest_deadline(deadlines: tuple[float, ...], seconds: float) -> None:
     given = classes(*({"Name": f"c{i}", "HardLimit": one} for i, one in enumerate(deadlines)))
     assert settings.read(told(Classes=given)).longest == seconds
 
 
-def test_with_short_deadlines_a_planned_end_comes_before_the_kill(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_with_short_deadlines_a_planned_end_comes_before_the_kill(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     monkeypatch.setattr(world, "CLASSES", classes({"HardLimit": 300.0, "Objective": 200.0}))
 
     async def day(seen: world.World) -> None:
         assert await seen.kill(signal.SIGTERM) == 0
         lines = [json.loads(line) for line in seen.log().splitlines()]
-        left, stopped = (next(line["at"] for line in lines if line["event"] == event) for event in ("leaving", "stopped"))
+        left, stopped = (
+            next(line["at"] for line in lines if line["event"] == event) for event in ("leaving", "stopped")
+        )
         assert stopped - left < 3.0, "it was 3.3 s, whatever the deadlines"
 
     play(tmp_path, day, Endpoint("a", 1))
@@ -166,7 +231,11 @@
 
 def test_sixty_classes_of_300_ms_in_a_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
     """One is delivered, one hangs and ends by a notice in its time, and what names no class is told so."""
-    monkeypatch.setattr(world, "CLASSES", classes(*({"Name": f"heart beat {i}", "HardLimit": 300.0, "Objective": 200.0} for i in range(60))))
+    monkeypatch.setattr(
+        world,
+        "CLASSES",
+        classes(*({"Name": f"heart beat {i}", "HardLimit": 300.0, "Objective": 200.0} for i in range(60))),
+    )
 
     async def day(seen: world.World) -> None:
         client = await seen.client()
@@ -184,8 +253,14 @@
         assert seen.process is not None
         file = seen.folder / "config.json"
         good = file.read_text()
-        bad = [('{"a":' * 5000, "recursion"), (good.replace("pure", "odd"), "Classes.0.Idempotency"), (good.replace('"CallSlots": 30', '"CallSlots": 0'), "slots"),
-               (good.replace('"note"', '"pay"'), "classes"), (good.replace('"active"', '"odd"'), "'odd'"), ("", "truncated")]
+        bad = [
+            ('{"a":' * 5000, "recursion"),
+            (good.replace("pure", "odd"), "Classes.0.Idempotency"),
+            (good.replace('"CallSlots": 30', '"CallSlots": 0'), "slots"),
+            (good.replace('"note"', '"pay"'), "classes"),
+            (good.replace('"active"', '"odd"'), "'odd'"),
+            ("", "truncated"),
+        ]
         for count, (text, field) in enumerate(bad, 1):
             file.write_text(text)
             seen.process.send_signal(signal.SIGHUP)
@@ -202,8 +277,11 @@
 
 
 @pytest.mark.parametrize(("effect", "again"), [("pure", True), ("token", False), ("side_effect", False)])
-def test_a_class_that_has_another_effect_after_a_restart(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, effect: str, again: bool) -> None:
+def test_a_class_that_has_another_effect_after_a_restart(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, effect: str, again: bool
+) -> None:
     """It was safe and its call is out as the process dies. It has no idempotency key: only a safe one goes again."""
+
     async def day(seen: world.World) -> None:
         client = await seen.client()
         assert await client.put("m1", "note", 1, 6000.0) == b"+OK\r\n"
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -32,10 +32,27 @@
 HEADLESS = trickles(b"HTTP/1.1 200 ", b"x")
 
 
-@pytest.mark.parametrize(("first", "then"), [
-    (OPEN, []), (OPEN, [silent]), (OPEN, [silent, silent]), (OPEN, [only_head]), (OPEN, [HEADLESS, HEADLESS]),
-    (TRICKLE, []), (TRICKLE, [silent, silent]),
-], ids=["silence", "and one not answered", "and two", "and a head alone", "and heads that never end", "trickle", "trickle, then two not answered"])
+@pytest.mark.parametrize(
+    ("first", "then"),
+    [
+        (OPEN, []),
+        (OPEN, [silent]),
+        (OPEN, [silent, silent]),
+        (OPEN, [only_head]),
+        (OPEN, [HEADLESS, HEADLESS]),
+        (TRICKLE, []),
+        (TRICKLE, [silent, silent]),
+    ],
+    ids=[
+        "silence",
+        "and one not answered",
+        "and two",
+        "and a head alone",
+        "and heads that never end",
+        "trickle",
+        "trickle, then two not answered",
+    ],
+)
 def test_an_open_watch_that_falls_silent_is_made_up_for_in_time(first: Manner, then: list[Manner]) -> None:
     async def play() -> None:
         async with Peer(first, *then, says(change(3))) as peer:
@@ -43,16 +60,26 @@
             heard.watch.start()
             fell = await heard.until(2)
             assert await heard.until(3) - fell < TOLD, heard.notes
-            assert [line.partition("since=")[2].partition(" ")[0] for _, line in peer.seen] == ["1", *["2"] * (1 + len(then))]
+            assert [line.partition("since=")[2].partition(" ")[0] for _, line in peer.seen] == [
+                "1",
+                *["2"] * (1 + len(then)),
+            ]
             heard.watch.stop()
 
     moved(play())
 
 
-@pytest.mark.parametrize("then", [[], [silent], [silent, silent], [only_head]], ids=["", "one not answered", "two", "a head alone"])
-@pytest.mark.parametrize("out", [[], [silent], [silent, silent], [only_head]], ids=["a patient one", "the next", "the second", "a head"])
+@pytest.mark.parametrize(
+    "then", [[], [silent], [silent, silent], [only_head]], ids=["", "one not answered", "two", "a head alone"]
+)
+@pytest.mark.parametrize(
+    "out",
+    [[], [silent], [silent, silent], [only_head]],
+    ids=["a patient one", "the next", "the second", "a head"],
+)
 def test_a_change_is_told_in_time_after_calls_that_failed(out: list[Manner], then: list[Manner]) -> None:
     """The change and the way to it are there just after a call has gone out that is never answered."""
+
     async def play() -> None:
         # Many calls before, so that the wait between them is at its longest; the last of them is a patient one.
         before = [*[silent] * 12, *out]
@@ -70,6 +97,7 @@
 @pytest.mark.parametrize("then", [[silent, silent], [only_head]], ids=["two not answered", "a head alone"])
 def test_a_move_is_made_up_for_in_time(then: list[Manner]) -> None:
     """Just after the old address was found silent, so that a wait is on."""
+
     async def play() -> None:
         async with Peer(silent) as old, Peer(*then, says(change(3))) as new:
             heard = Heard(old.address)
@@ -101,6 +129,7 @@
 
 def test_a_quiet_list_keeps_its_watch() -> None:
     """Nothing has changed: the head comes at once, and the first empty line 2 s later."""
+
     async def play() -> None:
         async with Peer(trickles(HEAD, b"")) as idle, Peer(quiet) as peer:
             heard = Heard(peer.address)
@@ -128,7 +157,7 @@
 def test_lists_may_come_indented_and_in_any_pieces() -> None:
     """Objects over several lines, cut anywhere; what is no object ends the watch at once."""
     whole = change(2, indent=2) + b"\r\n" + change(3, indent="\t") + change(4)
-    bad = says(*(whole[i:i + 7] for i in range(0, len(whole), 7)), b"]\n")
+    bad = says(*(whole[i : i + 7] for i in range(0, len(whole), 7)), b"]\n")
 
     async def play() -> None:
         async with Peer(bad, says(change(5, indent=1))) as peer:
--- a/tests/relay/test_watch_descriptors.py
+++ b/tests/relay/test_watch_descriptors.py
@@ -17,6 +17,7 @@
 
 def test_connections_that_never_come_up_are_let_go() -> None:
     """At either address, given up after a while or left in the middle of an open."""
+
     async def play() -> None:
         with Full() as here, Full() as there:
             heard = Heard(here)
@@ -41,6 +42,7 @@
 
 def test_connections_that_are_left_are_let_go_in_service() -> None:
     """The same on the loop that serves: here only a move gives them up."""
+
     async def play() -> None:
         with Full() as here:
             heard = Heard(here)
@@ -63,7 +65,9 @@
             soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
             taken: list[int] = []
             try:
-                resource.setrlimit(resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 2, hard))
+                resource.setrlimit(
+                    resource.RLIMIT_NOFILE, (max(map(int, os.listdir("/proc/self/fd"))) + 2, hard)
+                )
                 with suppress(OSError):
                     while True:
                         taken.append(os.dup(0))
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -17,25 +17,68 @@
 from brassweir.lab.standins.relay_client import Client
 
 CLASSES = [
-    {"Name": "note", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "pure", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
-    {"Name": "order", "Objective": 1500.0, "HardLimit": 6000.0, "Idempotency": "token", "Group": "all", "Window": 5000.0, "LateWorth": 0.3,
-     "Sequential": True},
-    {"Name": "pay", "Objective": 1500.0, "HardLimit": 5000.0, "Idempotency": "side_effect", "Group": "all", "Window": 0.0, "LateWorth": 0.3},
+    {
+        "Name": "note",
+        "Objective": 1500.0,
+        "HardLimit": 6000.0,
+        "Idempotency": "pure",
+        "Group": "all",
+        "Window": 0.0,
+        "LateWorth": 0.3,
+    },
+    {
+        "Name": "order",
+        "Objective": 1500.0,
+        "HardLimit": 6000.0,
+        "Idempotency": "token",
+        "Group": "all",
+        "Window": 5000.0,
+        "LateWorth": 0.3,
+        "Sequential": True,
+    },
+    {
+        "Name": "pay",
+        "Objective": 1500.0,
+        "HardLimit": 5000.0,
+        "Idempotency": "side_effect",
+        "Group": "all",
+        "Window": 0.0,
+        "LateWorth": 0.3,
+    },
 ]
 UNSAFE = frozenset({"pay"})
 
 
-def configuration(listen: str = "127.0.0.1:1", discovery: str = "127.0.0.1:2", entries: list[dict[str, Any]] | None = None) -> dict[str, Any]:
+def configuration(
+    listen: str = "127.0.0.1:1", discovery: str = "127.0.0.1:2", entries: list[dict[str, Any]] | None = None
+) -> dict[str, Any]:
     return {
-        "name": "n1", "listen": listen, "discovery": discovery, "seed": "1f",
+        "name": "n1",
+        "listen": listen,
+        "discovery": discovery,
+        "seed": "1f",
         "limits": {"cores": 1.0, "memory_mb": 128, "sockets": 256, "disk_mb": 2},
         "known": {"rev": 1, "all": True, "targets": entries or []},
         "settings": {
-            "Allowed": {"ConnectTimeout": 300.0, "IdleClose": 4000.0, "MaxAttempts": 8, "MaxOpen": 60, "MaxRetryAfter": 2000.0,
-                        "RetryAfter": True, "SecondCopies": True},
-            "Balancers": 1, "Classes": CLASSES, "RegistryMode": "push", "Report": {"Names": ["x0", "x1"]}, "Resolution": 5.0,
-            "Rules": {"Cold": 3000.0, "StartCapacity": 0.3, "TipMultiple": 1.5}, "Skus": ["office"], "Weights": "rough",
-            "Specifics": {"CallSlots": 30, "KindApart": [False], "KindBatch": [1], "Decay": "even"}, "Note": None,
+            "Allowed": {
+                "ConnectTimeout": 300.0,
+                "IdleClose": 4000.0,
+                "MaxAttempts": 8,
+                "MaxOpen": 60,
+                "MaxRetryAfter": 2000.0,
+                "RetryAfter": True,
+                "SecondCopies": True,
+            },
+            "Balancers": 1,
+            "Classes": CLASSES,
+            "RegistryMode": "push",
+            "Report": {"Names": ["x0", "x1"]},
+            "Resolution": 5.0,
+            "Rules": {"Cold": 3000.0, "StartCapacity": 0.3, "TipMultiple": 1.5},
+            "Skus": ["office"],
+            "Weights": "rough",
+            "Specifics": {"CallSlots": 30, "KindApart": [False], "KindBatch": [1], "Decay": "even"},
+            "Note": None,
         },
     }
 
@@ -68,17 +111,28 @@
 
     def write(self, discovery: Discovery | None = None) -> None:
         """Write the configuration."""
-        found = configuration(f"127.0.0.1:{self.port}", f"127.0.0.1:{(discovery or self.discovery).port}",
-                              list(self.discovery.entries.values()))
+        found = configuration(
+            f"127.0.0.1:{self.port}",
+            f"127.0.0.1:{(discovery or self.discovery).port}",
+            list(self.discovery.entries.values()),
+        )
         found["limits"]["disk_mb"] = self.disk_mb
         found["settings"]["Balancers"] = self.senders
         (self.folder / "config.json").write_text(json.dumps(found))
 
     async def start(self, dies_at: int = 0) -> None:
         """Start the sender, and wait until it answers, or has died where it was to."""
-        env = {**os.environ, "RELAY_CONFIG": str(self.folder / "config.json"), "RELAY_STATE": str(self.folder / "state")}
+        env = {
+            **os.environ,
+            "RELAY_CONFIG": str(self.folder / "config.json"),
+            "RELAY_STATE": str(self.folder / "state"),
+        }
         self.process = await asyncio.create_subprocess_exec(
-            sys.executable, *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else self.program), env=env, stderr=(self.folder / "log").open("ab"))
+            sys.executable,
+            *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else self.program),
+            env=env,
+            stderr=(self.folder / "log").open("ab"),
+        )
         for _ in range(400):
             try:
                 client = await Client("127.0.0.1", self.port).open()
@@ -108,9 +162,12 @@
 
     def seen(self) -> Seen:
         """What passed."""
-        return Seen([one for client in self.clients for one in client.sent],
-                    [(endpoint.destination, call) for endpoint in self.endpoints for call in endpoint.calls],
-                    [ident for endpoint in self.endpoints for ident in endpoint.delivered], list(self.discovery.notices))
+        return Seen(
+            [one for client in self.clients for one in client.sent],
+            [(endpoint.destination, call) for endpoint in self.endpoints for call in endpoint.calls],
+            [ident for endpoint in self.endpoints for ident in endpoint.delivered],
+            list(self.discovery.notices),
+        )
 
     async def settled(self, count: int, within: float = 8.0) -> None:
         """Wait until so many messages have ended."""
--- a/tests/resp/desk.py
+++ b/tests/resp/desk.py
@@ -22,8 +22,14 @@
         self.holding = False
         self.facts: list[tuple[Fact, Callable[[], None]]] = []
 
-    def keep(self, fact: Fact, message: int, detail: object, then: Callable[[], None],
-             unable: Callable[[str], None]) -> None:
+    def keep(
+        self,
+        fact: Fact,
+        message: int,
+        detail: object,
+        then: Callable[[], None],
+        unable: Callable[[str], None],
+    ) -> None:
         if self.holding:
             self.facts.append((fact, then))
         else:
@@ -54,15 +60,18 @@
 
     def __init__(self, max_open: int = 60) -> None:
         self.loop = asyncio.get_running_loop()
-        classes = tuple(api.MessageClass(name, 1000.0, 5000.0, effect) for name, effect in
-                        (("pay", api.Effect.UNSAFE), ("note", api.Effect.SAFE)))
+        classes = tuple(
+            api.MessageClass(name, 1000.0, 5000.0, effect)
+            for name, effect in (("pay", api.Effect.UNSAFE), ("note", api.Effect.SAFE))
+        )
         self.store, self.carrier = Held(), Silent()
         sets = api.Settings(classes=classes, slots=6, max_open=max_open, max_retry_after=3000.0)
         self.engine = Engine(sets, 1, LoopClock(self.loop), lambda _: self.carrier, store=self.store)
         self.engine.news(api.ListNews(api.ListKind.FULL, (api.EndpointInfo("a", 1, ""),)))
         self.ends: list[FinalAnswer] = []
-        self.front = Front(self.engine, Crowd(100, 100), lambda one: one == 1, lambda _: self.ends.append,
-                           lambda _: None)
+        self.front = Front(
+            self.engine, Crowd(100, 100), lambda one: one == 1, lambda _: self.ends.append, lambda _: None
+        )
         self.port = 0
         self.clients: list[socket.socket] = []
 
--- a/tests/resp/test_closing.py
+++ b/tests/resp/test_closing.py
@@ -80,7 +80,9 @@
 
 
 @pytest.mark.parametrize("sends", [False, True])
-def test_one_that_never_closes_or_never_stops_is_reset_after_a_while(monkeypatch: pytest.MonkeyPatch, sends: bool) -> None:
+def test_one_that_never_closes_or_never_stops_is_reset_after_a_while(
+    monkeypatch: pytest.MonkeyPatch, sends: bool
+) -> None:
     monkeypatch.setattr(channel, "LINGER", 30.0 if sends else 0.05)
 
     async def day(desk: Desk) -> None:
@@ -97,7 +99,9 @@
     play(day)
 
 
-def test_a_client_that_reads_nothing_is_read_no_more_and_its_end_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_client_that_reads_nothing_is_read_no_more_and_its_end_is_bounded(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     monkeypatch.setattr(channel, "LINGER", 0.05)
 
     async def day(desk: Desk) -> None:
--- a/tests/resp/test_codec.py
+++ b/tests/resp/test_codec.py
@@ -39,17 +39,35 @@
 
 
 @settings(max_examples=300, derandomize=True, deadline=None)
-@given(st.binary(max_size=300) | st.text("*$0123456789-\r\n", max_size=60).map(str.encode), st.lists(st.integers(0, 300), max_size=6))
+@given(
+    st.binary(max_size=300) | st.text("*$0123456789-\r\n", max_size=60).map(str.encode),
+    st.lists(st.integers(0, 300), max_size=6),
+)
 def test_any_bytes_give_commands_an_error_or_a_wait(data: bytes, places: list[int]) -> None:
     whole = read([data])
     assert read(cut(data, places))[:2] == whole[:2]
 
 
-@pytest.mark.parametrize("data", [
-    b"GET / HTTP/1.1\r\n", b"*0\r\n", b"*-1\r\n", b"*99999\r\n", b"*1\r\n$-5\r\n", b"*1\r\n$60000000\r\n",
-    b"*1\r\n$99999999999999999999\r\n", b"*x\r\n", b"*1\r\n:5\r\n", b"*1\r\n$3\r\nabcd\r\n", b"*1\r\n$3\r\nabcde",
-    b"*" + b"1" * 100, b"*2\r\n$65000\r\n" + b"x" * 65000 + b"\r\n$5000\r\n", b"*1 \r\n", b"*1\n$4\nPING\n" + b" " * 70,
-])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n",
+        b"*0\r\n",
+        b"*-1\r\n",
+        b"*99999\r\n",
+        b"*1\r\n$-5\r\n",
+        b"*1\r\n$60000000\r\n",
+        b"*1\r\n$99999999999999999999\r\n",
+        b"*x\r\n",
+        b"*1\r\n:5\r\n",
+        b"*1\r\n$3\r\nabcd\r\n",
+        b"*1\r\n$3\r\nabcde",
+        b"*" + b"1" * 100,
+        b"*2\r\n$65000\r\n" + b"x" * 65000 + b"\r\n$5000\r\n",
+        b"*1 \r\n",
+        b"*1\n$4\nPING\n" + b" " * 70,
+    ],
+)
 def test_what_is_no_command_is_refused_before_it_is_kept(data: bytes) -> None:
     found, error, _ = read([data])
     assert found == [] and error
--- a/tests/resp/test_handin.py
+++ b/tests/resp/test_handin.py
@@ -8,9 +8,11 @@
 from brassweir.interface import Effect, MessageClass
 from brassweir.resp.handin import Unreadable, read
 
-CLASSES = {"note": MessageClass("note", 1000.0, 9000.0, Effect.SAFE),
-           "order": MessageClass("order", 1000.0, 9000.0, Effect.KEYED, window=4000.0),
-           "line": MessageClass("line", 1000.0, 9000.0, Effect.UNSAFE, in_order=True)}
+CLASSES = {
+    "note": MessageClass("note", 1000.0, 9000.0, Effect.SAFE),
+    "order": MessageClass("order", 1000.0, 9000.0, Effect.KEYED, window=4000.0),
+    "line": MessageClass("line", 1000.0, 9000.0, Effect.UNSAFE, in_order=True),
+}
 
 
 def args(names: bytes, ident: bytes = b"ab12", body: bytes = b"\r\n\0x", key: bytes = b"0000") -> list[bytes]:
@@ -25,26 +27,52 @@
     assert not read(args(b"c=note,d=1.5,dest=7"), CLASSES, {7}.__contains__).resent
 
 
-@pytest.mark.parametrize(("name", "key", "order"), [(b"line", b"0af1", "0af1"), (b"line", b"0000", ""), (b"note", b"0af1", "")])
+@pytest.mark.parametrize(
+    ("name", "key", "order"), [(b"line", b"0af1", "0af1"), (b"line", b"0000", ""), (b"note", b"0af1", "")]
+)
 def test_the_first_word_orders_where_the_class_asks_for_it(name: bytes, key: bytes, order: str) -> None:
     assert read(args(b"c=" + name + b",d=100,dest=7", key=key), CLASSES, {7}.__contains__).key == order
 
 
-@pytest.mark.parametrize("names", [
-    b"", b"c=note", b"c=note,d=100", b"c=none,d=100,dest=7", b"c=note,d=x,dest=7", b"c=note,d=-5,dest=7",
-    b"c=note,d=nan,dest=7", b"c=note,d=1e9,dest=7", b"c=note,d=,dest=7", b"c=note,d=0,dest=7", b"c=note,d=100,dest=8",
-    b"c=note,d=100,dest=-7", b"c=note,d=100,dest=7,d=200", b"c=note,d=100,dest=7,oops", b"c=order,d=100,dest=7",
-    b"c=order,d=100,dest=7,k=a b", b"c=note,d=100,dest=7,k=\r\nX: y", b"c=\xff,d=100,dest=7",
-])
+@pytest.mark.parametrize(
+    "names",
+    [
+        b"",
+        b"c=note",
+        b"c=note,d=100",
+        b"c=none,d=100,dest=7",
+        b"c=note,d=x,dest=7",
+        b"c=note,d=-5,dest=7",
+        b"c=note,d=nan,dest=7",
+        b"c=note,d=1e9,dest=7",
+        b"c=note,d=,dest=7",
+        b"c=note,d=0,dest=7",
+        b"c=note,d=100,dest=8",
+        b"c=note,d=100,dest=-7",
+        b"c=note,d=100,dest=7,d=200",
+        b"c=note,d=100,dest=7,oops",
+        b"c=order,d=100,dest=7",
+        b"c=order,d=100,dest=7,k=a b",
+        b"c=note,d=100,dest=7,k=\r\nX: y",
+        b"c=\xff,d=100,dest=7",
+    ],
+)
 def test_bad_names(names: bytes) -> None:
     with pytest.raises(Unreadable):
         read(args(names), CLASSES, {7}.__contains__)
 
 
-@pytest.mark.parametrize("given", [
-    args(b"c=note,d=100,dest=7", ident=b""), args(b"c=note,d=100,dest=7", ident=b"a" * 65), args(b"c=note,d=100,dest=7", ident=b"a\r\nb"),
-    args(b"c=note,d=100,dest=7", body=b"x" * 65_537), args(b"c=note,d=100,dest=7")[:4], [*args(b"c=note,d=100,dest=7"), b""],
-])
+@pytest.mark.parametrize(
+    "given",
+    [
+        args(b"c=note,d=100,dest=7", ident=b""),
+        args(b"c=note,d=100,dest=7", ident=b"a" * 65),
+        args(b"c=note,d=100,dest=7", ident=b"a\r\nb"),
+        args(b"c=note,d=100,dest=7", body=b"x" * 65_537),
+        args(b"c=note,d=100,dest=7")[:4],
+        [*args(b"c=note,d=100,dest=7"), b""],
+    ],
+)
 def test_bad_parts(given: list[bytes]) -> None:
     with pytest.raises(Unreadable):
         read(given, CLASSES, {7}.__contains__)
--- a/tests/service/group.py
+++ b/tests/service/group.py
@@ -22,7 +22,10 @@
 from brassweir.service.regionlog import RegionLog
 
 ASSUMED = Assumed(100.0, 1_000.0, 3_600_000.0)
-CLASSES = {"order": MessageClass("order", 500.0, 1_000.0, Effect.UNSAFE), "status": MessageClass("status", 500.0, 1_000.0, Effect.SAFE)}
+CLASSES = {
+    "order": MessageClass("order", 500.0, 1_000.0, Effect.UNSAFE),
+    "status": MessageClass("status", 500.0, 1_000.0, Effect.SAFE),
+}
 URLS = {"east": "http://east", "west": "http://west"}
 
 
@@ -58,7 +61,11 @@
         for one in self.log.members:
             one.follow()
         probe = Machine()
-        return Outcome("agreed", len(self.log.entries), [probe.apply(at, entry) for at, entry in enumerate(self.log.entries, 1)][-1])
+        return Outcome(
+            "agreed",
+            len(self.log.entries),
+            [probe.apply(at, entry) for at, entry in enumerate(self.log.entries, 1)][-1],
+        )
 
     def follow(self) -> None:
         while not self.cut and self.read < len(self.log.entries):
@@ -80,7 +87,11 @@
         self.cut = True
 
     def status(self) -> Mapping[str, Any]:
-        return {"leader": "" if self.cut else self.log.leader, "role": "follower", "voters": sorted(self.log.voters)}
+        return {
+            "leader": "" if self.cut else self.log.leader,
+            "role": "follower",
+            "voters": sorted(self.log.voters),
+        }
 
 
 class Copy:
@@ -88,10 +99,23 @@
 
     def __init__(self, name: str, region: str, log: Log, folder: Path, lease: float = 1_000.0) -> None:
         self.notes: list[tuple[str, dict[str, object]]] = []
-        self.region = RegionLog(region, folder / f"{name}.epoch", ASSUMED, CLASSES, lambda event, more: self.notes.append((event, more)))
+        self.region = RegionLog(
+            region,
+            folder / f"{name}.epoch",
+            ASSUMED,
+            CLASSES,
+            lambda event, more: self.notes.append((event, more)),
+        )
         self.member, self.first = Member(name, log), folder / "first.json"
-        self.deals = Agreeing(CopyModel(name=name, site=f"{region}1", region=region, address="127.0.0.1:1"), self.member.machine, self.member,
-                              self.region, lease, self.first, lambda event, more: self.notes.append((event, more)))
+        self.deals = Agreeing(
+            CopyModel(name=name, site=f"{region}1", region=region, address="127.0.0.1:1"),
+            self.member.machine,
+            self.member,
+            self.region,
+            lease,
+            self.first,
+            lambda event, more: self.notes.append((event, more)),
+        )
         self.tasks = [asyncio.create_task(self.deals.run())]
         self.deals.read_wish(False)
 
@@ -118,8 +142,14 @@
 async def group(tmp_path: Path) -> tuple[Log, list[Copy]]:
     (tmp_path / "first.json").write_bytes(msgspec.json.encode(first()))
     log = Log(leader="a")
-    copies = [Copy(name, region, log, tmp_path) for name, region in (("a", "east"), ("b", "west"), ("c", "west"))]
-    await until(lambda: all(one.region.own.epoch is not None and len(one.member.machine.state.copies) == 3 for one in copies))
+    copies = [
+        Copy(name, region, log, tmp_path) for name, region in (("a", "east"), ("b", "west"), ("c", "west"))
+    ]
+    await until(
+        lambda: all(
+            one.region.own.epoch is not None and len(one.member.machine.state.copies) == 3 for one in copies
+        )
+    )
     return log, copies
 
 
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -29,9 +29,20 @@
     async def work() -> None:
         log, copies = await group(tmp_path)
         issued = copies[1].member.machine.state.epoch
-        assert issued is not None and [one.said("wish_agreed") != [] for one in copies] == [True, False, False]
-        await until(lambda: all(one.region.own.epoch is not None and one.region.own.epoch.issued >= issued.issued + 400.0 for one in copies))
-        assert (copies[0].region.state.read_bytes() == copies[1].region.state.read_bytes()) and copies[2].said("renewal_refused") == []
+        assert issued is not None and [one.said("wish_agreed") != [] for one in copies] == [
+            True,
+            False,
+            False,
+        ]
+        await until(
+            lambda: all(
+                one.region.own.epoch is not None and one.region.own.epoch.issued >= issued.issued + 400.0
+                for one in copies
+            )
+        )
+        assert (copies[0].region.state.read_bytes() == copies[1].region.state.read_bytes()) and copies[
+            2
+        ].said("renewal_refused") == []
         assert all([one.takes(f"m{n}") for one in (copies[0], copies[1])].count(True) == 1 for n in range(20))
         before = len(log.entries)
         log.leader = "b"
@@ -41,7 +52,9 @@
     run(work())
 
 
-def test_a_copy_cut_off_takes_what_its_lease_allows_and_refuses_the_rest_before_any_effect(tmp_path: Path) -> None:
+def test_a_copy_cut_off_takes_what_its_lease_allows_and_refuses_the_rest_before_any_effect(
+    tmp_path: Path,
+) -> None:
     async def work() -> None:
         _, copies = await group(tmp_path)
         east, west = copies[0], copies[1]
@@ -51,8 +64,12 @@
         west.member.cut = True
         assert west.takes(mine[0]), "its lease still stands"
         await until(lambda: not west.takes(mine[0]))
-        assert not any(west.takes(name) for name in names) and all(west.takes(name, "status") for name in names)
-        assert [east.takes(name) for name in names] == [name not in mine for name in names], "nobody else has its places"
+        assert not any(west.takes(name) for name in names) and all(
+            west.takes(name, "status") for name in names
+        )
+        assert [east.takes(name) for name in names] == [name not in mine for name in names], (
+            "nobody else has its places"
+        )
         west.member.cut = False
         west.member.follow()
         await until(lambda: west.takes(mine[0]))
@@ -68,9 +85,15 @@
         assert stale is not None
         issued = stale.issued
         await until(lambda: (copies[2].region.own.epoch or stale).issued > issued)
-        for wish, event, words in ((planning.moved(stale, 0, 1 << 20, "west", time.time() * 1000.0, 2_000.0, ASSUMED).epoch, "wish_agreed", ""),
-                                   (msgspec.structs.replace(stale, number=2), "wish_known", ""),
-                                   (msgspec.structs.replace(stale, number=9), "wish_refused", "epoch 9 does not follow 2")):
+        for wish, event, words in (
+            (
+                planning.moved(stale, 0, 1 << 20, "west", time.time() * 1000.0, 2_000.0, ASSUMED).epoch,
+                "wish_agreed",
+                "",
+            ),
+            (msgspec.structs.replace(stale, number=2), "wish_known", ""),
+            (msgspec.structs.replace(stale, number=9), "wish_refused", "epoch 9 does not follow 2"),
+        ):
             copies[2].first.write_bytes(msgspec.json.encode(wish))
             copies[2].deals.read_wish(True)
             await until(lambda event=event: bool(copies[2].said(event)))  # type: ignore[misc]
@@ -94,7 +117,10 @@
         (tmp_path / "a.epoch").write_bytes(msgspec.json.encode(moved))
         again = Copy("a", "east", Log(leader="a"), tmp_path)
         await until(lambda: bool(again.said("wish_refused")))
-        assert "comes after 2" in str(again.said("wish_refused")[0]["error"]) and again.member.machine.state.epoch is None
+        assert (
+            "comes after 2" in str(again.said("wish_refused")[0]["error"])
+            and again.member.machine.state.epoch is None
+        )
         end([again])
 
     run(work())
@@ -108,16 +134,24 @@
         assert log.voters == {"a", "b"}, "the leader changes it, when it is told"
         copies[0].deals.want_voters(frozenset({"b", "c"}))
         await until(lambda: log.voters == {"b", "c"})
-        assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], "who comes first, then who goes"
+        assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], (
+            "who comes first, then who goes"
+        )
         copies[2].member.cut = True
         copies[0].deals.want_voters(frozenset({"a", "b"}))
         await until(lambda: log.voters == {"a", "b"})
-        assert [one["copy"] for one in copies[0].said("voter_changed")][2:] == ["c", "a"], "who is gone goes first"
+        assert [one["copy"] for one in copies[0].said("voter_changed")][2:] == ["c", "a"], (
+            "who is gone goes first"
+        )
         copies[2].member.cut = False
         copies[2].member.follow()
         await until(lambda: not copies[0].deals.voters and not copies[1].deals.voters)
         copies[1].deals.left |= {"c", "gone"}
-        await until(lambda: all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left)
+        await until(
+            lambda: (
+                all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left
+            )
+        )
         await asyncio.sleep(0.1)
         assert "c" not in copies[0].member.machine.state.copies, "it does not join again by itself"
         end(copies)
@@ -130,21 +164,30 @@
         log, copies = await group(tmp_path)
         for one in copies[:2]:
             one.member.machine.level = 2
-        await until(lambda: [copies[0].member.machine.state.copies[name].reads for name in ("a", "b")] == [2, 2])
+        await until(
+            lambda: [copies[0].member.machine.state.copies[name].reads for name in ("a", "b")] == [2, 2]
+        )
         for command in (Leave("c"), Format(2)):
             await copies[0].member.propose(encode(command), 100.0)
         await until(lambda: copies[2].member.cut and not any(copies[2].takes(f"m{n}") for n in range(20)))
-        assert "this version knows 1" in str(copies[2].said("agreed_beyond")) and copies[0].member.machine.state.level == 2
+        assert (
+            "this version knows 1" in str(copies[2].said("agreed_beyond"))
+            and copies[0].member.machine.state.level == 2
+        )
         assert any(copies[1].takes(f"m{n}") for n in range(20))
         end(copies)
 
     run(work())
 
 
-def test_a_leader_whose_clock_steps_gives_the_lead_away(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_leader_whose_clock_steps_gives_the_lead_away(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def work() -> None:
         log, copies = await group(tmp_path)
-        copies[0].region.own.offset = (copies[0].region.own.offset or 0.0) - 60_000.0  # as if the wall clock had gone on by a minute
+        copies[0].region.own.offset = (
+            copies[0].region.own.offset or 0.0
+        ) - 60_000.0  # as if the wall clock had gone on by a minute
         await until(lambda: log.leader != "a")
         assert "clock" in str(copies[0].said("lead_given_away")[0]["why"])
         assert not any(copies[0].takes(f"m{n}") for n in range(20))
@@ -155,7 +198,9 @@
     run(work())
 
 
-def test_an_epoch_that_cannot_be_kept_does_not_count_and_is_tried_again(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_an_epoch_that_cannot_be_kept_does_not_count_and_is_tried_again(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     notes: list[str] = []
     one = RegionLog("east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event))
 
@@ -169,11 +214,19 @@
     monkeypatch.undo()
     one.look()
     assert one.own.epoch is not None and notes[-1] == "epoch"
-    again = regionlog.RegionLog("east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event))
+    again = regionlog.RegionLog(
+        "east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event)
+    )
     assert again.own.epoch == one.own.epoch
     again.applied(first(turn=0))
-    assert notes[-1] == "epoch" and again.own.epoch == one.own.epoch, "an older state of the log is passed over, and not gone back to"
-    again.applied(msgspec.structs.replace(first(), grants=tuple(msgspec.structs.replace(each, region="west") for each in first().grants)))
+    assert notes[-1] == "epoch" and again.own.epoch == one.own.epoch, (
+        "an older state of the log is passed over, and not gone back to"
+    )
+    again.applied(
+        msgspec.structs.replace(
+            first(), grants=tuple(msgspec.structs.replace(each, region="west") for each in first().grants)
+        )
+    )
     assert notes[-1] == "epoch_refused" and again.own.epoch == one.own.epoch, "nor to one that contradicts"
 
 
@@ -186,10 +239,18 @@
 
     by_file = RegionFile("east", path, state, ASSUMED, CLASSES, note)
     told = first(turn=0)
-    for epoch in (told, planning.handed_over(told, told.issued + 1.0), planning.renewed(told, told.issued + 9.0, 9_000.0, ASSUMED)):
+    for epoch in (
+        told,
+        planning.handed_over(told, told.issued + 1.0),
+        planning.renewed(told, told.issued + 9.0, 9_000.0, ASSUMED),
+    ):
         path.write_bytes(msgspec.json.encode(epoch))
         by_file.look()
-    assert [one.split()[0] for one in notes] == ["epoch", "epoch", "epoch_refused"] and "handed over" in notes[2]
+    assert [one.split()[0] for one in notes] == [
+        "epoch",
+        "epoch",
+        "epoch_refused",
+    ] and "handed over" in notes[2]
     by_log = RegionLog("east", state, ASSUMED, CLASSES, note)
     assert by_log.own.epoch is not None and by_log.own.epoch.turn == 1, "across a restart"
     by_log.applied(planning.renewed(by_log.own.epoch, told.issued + 10.0, 9_000.0, ASSUMED))
--- a/tests/service/test_asked.py
+++ b/tests/service/test_asked.py
@@ -35,7 +35,9 @@
     receivers = hooks.Receivers(count, KEY, 0.01, [], 1)
     port = await receivers.server.listen("127.0.0.1", 0)
     path = write(folder, Plan(Mix(1.0, 1.0, 0, count)), port)
-    path.write_text(path.read_text().replace("listen: 127.0.0.1:0", "listen: 127.0.0.1:0\n  metrics: 127.0.0.1:0"))
+    path.write_text(
+        path.read_text().replace("listen: 127.0.0.1:0", "listen: 127.0.0.1:0\n  metrics: 127.0.0.1:0")
+    )
     sender = SenderProcess(load(path, Config), folder, Quiet())
     await sender.start()
     return sender, receivers
@@ -45,7 +47,9 @@
     got: asyncio.Future[FinalAnswer] = asyncio.get_running_loop().create_future()
     number = sender.list.numbers.number(name)
     assert number is not None
-    sender.engine.submit(Submission("o", identity, "order", number, 5000.0, payload=Payload("a/b", b"x")), got.set_result)
+    sender.engine.submit(
+        Submission("o", identity, "order", number, 5000.0, payload=Payload("a/b", b"x")), got.set_result
+    )
     return await got
 
 
@@ -59,8 +63,12 @@
 
         found = [await ask("show", "hook-3", "--json")]
         assert (await deliver(sender, "hook-3", "m1")).answer is Answer.DELIVERED
-        found += [await ask("show", "hook-3", "--json"), await ask("top", "--by", "slow", "--count", "1", "--json"),
-                  await ask("show", "nobody"), await ask("top")]
+        found += [
+            await ask("show", "hook-3", "--json"),
+            await ask("top", "--by", "slow", "--count", "1", "--json"),
+            await ask("show", "nobody"),
+            await ask("top"),
+        ]
         await sender.drain()
         receivers.server.abort()
         return found
@@ -69,12 +77,16 @@
     assert json.loads(asleep.output)["asleep"] and json.loads(asleep.output)["endpoints"] == ["hook-3-a"]
     shown = json.loads(awake.output)
     assert not shown["asleep"] and shown["mean_call_ms"] > 0 and shown["endpoints"][0]["state"] == "ready"
-    assert json.loads(top.output)["top"][0]["destination"] == "hook-3" and json.loads(top.output)["asleep"] == 29
+    assert (
+        json.loads(top.output)["top"][0]["destination"] == "hook-3" and json.loads(top.output)["asleep"] == 29
+    )
     assert nobody.exit_code == 1 and "no destination 'nobody'" in nobody.output
     assert "1 awake, 29 asleep" in plain.output
 
 
-def test_a_want_of_descriptors_sheds_connections_and_loses_nothing(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+def test_a_want_of_descriptors_sheds_connections_and_loses_nothing(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
     async def work() -> tuple[list[FinalAnswer], SenderProcess]:
         sender, receivers = await running(tmp_path)
         dials = refused = 0
@@ -113,9 +125,15 @@
         port = await receivers.server.listen("127.0.0.1", 0)
         pools = Pools(Limits(), 4, 1000.0, 1000.0, Budget(100), Setups(4))
         loop = asyncio.get_running_loop()
-        dead = [loop.create_task(post(pools, f"http://127.0.0.1:{blackhole.getsockname()[1]}/{i}")) for i in range(10)]
+        dead = [
+            loop.create_task(post(pools, f"http://127.0.0.1:{blackhole.getsockname()[1]}/{i}"))
+            for i in range(10)
+        ]
         await asyncio.gather(*dead, return_exceptions=True)
-        dead = [loop.create_task(post(pools, f"http://127.0.0.1:{blackhole.getsockname()[1]}/{i}")) for i in range(10)]
+        dead = [
+            loop.create_task(post(pools, f"http://127.0.0.1:{blackhole.getsockname()[1]}/{i}"))
+            for i in range(10)
+        ]
         await asyncio.sleep(0.05)
         begun = loop.time()
         living = await asyncio.gather(*(post(pools, f"http://127.0.0.1:{port}/d/{i}/a") for i in range(10)))
--- a/tests/service/test_bad_input.py
+++ b/tests/service/test_bad_input.py
@@ -37,13 +37,22 @@
     async def knock(self, fields: dict[str, str], body: bytes = b"x", url: str = "") -> Reply:
         pool = Pool(Address.of(url or self.url), Limits(), 1, 100.0, 1000.0)
         try:
-            return await pool.post(Headers(list(fields.items())), body, asyncio.get_running_loop().time() + 5.0)
+            return await pool.post(
+                Headers(list(fields.items())), body, asyncio.get_running_loop().time() + 5.0
+            )
         finally:
             pool.close_idle()
 
     async def good(self, ident: str, wait: int = 5) -> str:
         """A good message still goes through."""
-        sent = letter(identity(OFFICE), "bank", self.hub, Payload("application/json", b'{"payment":"p-1","effect":"safe"}', "status p-1"), ident, wait=wait)
+        sent = letter(
+            identity(OFFICE),
+            "bank",
+            self.hub,
+            Payload("application/json", b'{"payment":"p-1","effect":"safe"}', "status p-1"),
+            ident,
+            wait=wait,
+        )
         pool = Pool(Address.of(self.url), Limits(), 1, 100.0, 1000.0)
         try:
             told = await post(pool, sent, self.hub, asyncio.get_running_loop().time() + 5.0, self.offload)
@@ -60,8 +69,12 @@
 
 
 async def opened(folder: Path) -> Door:
-    fleet = Fleet(folder, FleetPlan(clients=1, async_clients=0, partners={"bank": Manner()}, drain_grace=1.0), 1,
-                  lambda name, path, port: LocalSender(name, path, port))
+    fleet = Fleet(
+        folder,
+        FleetPlan(clients=1, async_clients=0, partners={"bank": Manner()}, drain_grace=1.0),
+        1,
+        lambda name, path, port: LocalSender(name, path, port),
+    )
     await fleet.set_up()
     sender = fleet.senders[0]
     assert isinstance(sender, LocalSender)
@@ -69,14 +82,23 @@
 
 
 def fields(**more: str) -> dict[str, str]:
-    base = {"AS2-Version": "1.2", "AS2-From": f'"{OFFICE}"', "AS2-To": "bank", "Message-ID": "<m@o>", "Subject": "status p-1",
-            "Content-Type": "text/plain", "Disposition-Notification-To": "me",
-            "Disposition-Notification-Options": "signed-receipt-protocol=required, pkcs7-signature; signed-receipt-micalg=required, sha-256"}
+    base = {
+        "AS2-Version": "1.2",
+        "AS2-From": f'"{OFFICE}"',
+        "AS2-To": "bank",
+        "Message-ID": "<m@o>",
+        "Subject": "status p-1",
+        "Content-Type": "text/plain",
+        "Disposition-Notification-To": "me",
+        "Disposition-Notification-Options": "signed-receipt-protocol=required, pkcs7-signature; signed-receipt-micalg=required, sha-256",
+    }
     return {**base, **{name.replace("_", "-"): value for name, value in more.items()}}
 
 
 def built(payload: bytes = b"{}", *, who: str = OFFICE, security: Security | None = None) -> message.Built:
-    return message.build(Payload("application/json", payload), security or Security(), identity(who), identity(HUB).certificate)
+    return message.build(
+        Payload("application/json", payload), security or Security(), identity(who), identity(HUB).certificate
+    )
 
 
 def test_each_bad_message_gets_its_own_no_and_the_sender_serves_on(tmp_path: Path) -> None:
@@ -86,8 +108,13 @@
         sound = built()
         wrap = {"Content_Type": sound.content_type}
         # Statuses: there is no partnership to sign a receipt under, or no name for the message.
-        for bad, status in ((fields(AS2_From="nobody"), 403), (fields(AS2_To="nobody"), 403), (fields(AS2_From=""), 400),
-                            (fields(Message_ID=""), 400), (fields(AS2_From="caf\xe9"), 400)):
+        for bad, status in (
+            (fields(AS2_From="nobody"), 403),
+            (fields(AS2_To="nobody"), 403),
+            (fields(AS2_From=""), 400),
+            (fields(Message_ID=""), 400),
+            (fields(AS2_From="caf\xe9"), 400),
+        ):
             assert (await knock(bad)).status == status
         twice = Headers([*fields().items(), ("AS2-From", "other")])
         pool = Pool(Address.of(door.url), Limits(), 1, 100.0, 1000.0)
@@ -96,22 +123,51 @@
         assert (await knock(fields(), url=door.url + "/elsewhere")).status == 404
         # Receipts: known client, bad message.
         assert await said(await knock(fields())) == "insufficient-message-security"
-        assert await said(await knock(fields(Subject="no such class", **wrap), sound.body)) == "unsupported format"
+        assert (
+            await said(await knock(fields(Subject="no such class", **wrap), sound.body))
+            == "unsupported format"
+        )
         assert await said(await knock(fields(**wrap), sound.body[:-40])) == "unsupported format"
-        assert await said(await knock(fields(**wrap), sound.body[: len(sound.body) // 2])) == "unsupported format"
-        other = message.build(Payload("a/b", b"x"), Security(), identity(OFFICE), identity("bank").certificate)
-        assert await said(await knock(fields(Content_Type=other.content_type), other.body)) == "decryption-failed"
-        assert await said(await knock(fields(Prefer="wait=0", **wrap), sound.body)) == "unexpected-processing-error"
+        assert (
+            await said(await knock(fields(**wrap), sound.body[: len(sound.body) // 2]))
+            == "unsupported format"
+        )
+        other = message.build(
+            Payload("a/b", b"x"), Security(), identity(OFFICE), identity("bank").certificate
+        )
+        assert (
+            await said(await knock(fields(Content_Type=other.content_type), other.body))
+            == "decryption-failed"
+        )
+        assert (
+            await said(await knock(fields(Prefer="wait=0", **wrap), sound.body))
+            == "unexpected-processing-error"
+        )
         unsigned = built(security=Security("", "aes256-cbc"))
-        assert await said(await knock(fields(Content_Type=unsigned.content_type), unsigned.body)) == "insufficient-message-security"
+        assert (
+            await said(await knock(fields(Content_Type=unsigned.content_type), unsigned.body))
+            == "insufficient-message-security"
+        )
         stranger = built(who="a stranger")
-        assert await said(await knock(fields(Content_Type=stranger.content_type), stranger.body)) == "authentication-failed"
+        assert (
+            await said(await knock(fields(Content_Type=stranger.content_type), stranger.body))
+            == "authentication-failed"
+        )
         bomb = cms.compress(b"\0" * 80_000_000)
-        assert await said(await knock(fields(Content_Type="application/pkcs7-mime"), bomb)) == "decompression-failed"
+        assert (
+            await said(await knock(fields(Content_Type="application/pkcs7-mime"), bomb))
+            == "decompression-failed"
+        )
         deep = b"\x30\x80" * 10_000
-        assert await said(await knock(fields(Content_Type="application/pkcs7-mime"), deep)) == "unsupported format"
+        assert (
+            await said(await knock(fields(Content_Type="application/pkcs7-mime"), deep))
+            == "unsupported format"
+        )
         cut = b"--b\r\nContent-Type: text/plain\r\n\r\nx"
-        assert await said(await knock(fields(Content_Type="multipart/signed; boundary=b"), cut)) == "unsupported format"
+        assert (
+            await said(await knock(fields(Content_Type="multipart/signed; boundary=b"), cut))
+            == "unsupported format"
+        )
         no_digest = fields(Disposition_Notification_Options="signed-receipt-micalg=required, md5")
         assert await said(await knock(no_digest), signed=False) == "unsupported MIC-algorithms"
         # Without a receipt asked for, the status says it.
@@ -122,10 +178,14 @@
         assert (await knock(fields(AS2_From="nobody"), url=receipts)).status == 403
         assert (await knock(fields(AS2_From="bank"), b"garbage", url=receipts)).status == 400
         unknown = mdn.build(mdn.Mdn("<never@sent>", mdn.Disposition()), identity("bank"), "sha256")
-        assert (await knock(fields(AS2_From="bank", Content_Type=unknown[0]), unknown[1], url=receipts)).status == 200
+        assert (
+            await knock(fields(AS2_From="bank", Content_Type=unknown[0]), unknown[1], url=receipts)
+        ).status == 200
         assert [line["verdict"] for line in door.sender.log.of("stray_receipt")] == ["unknown"]
         plain = mdn.build(mdn.Mdn("<never@sent>", mdn.Disposition()), identity("bank"), "")
-        assert (await knock(fields(AS2_From="bank", Content_Type=plain[0]), plain[1], url=receipts)).status == 403
+        assert (
+            await knock(fields(AS2_From="bank", Content_Type=plain[0]), plain[1], url=receipts)
+        ).status == 403
         try:
             assert (await knock(fields(X="y" * 1_000_000))).status == 431
         except CallFailed:
@@ -146,7 +206,9 @@
         assert answers == ["delivered"] * 5 and await door.good("<one@o>") == "delivered"
         partner = door.fleet.partners["bank"]
         assert partner.effects == {"p-1": 1}, "six hand-ins, one effect"
-        assert sorted(line["how"] for line in door.sender.log.of("taken")) == ["ended"] + ["joined"] * 4 + ["new"]
+        assert sorted(line["how"] for line in door.sender.log.of("taken")) == ["ended"] + ["joined"] * 4 + [
+            "new"
+        ]
         await door.fleet.stop()
 
     run(work())
@@ -162,12 +224,17 @@
         client = book.clients[OFFICE]
         object.__setattr__(client, "certificates", (old.certificate,))
         sent = message.build(Payload("application/json", b"{}"), Security(), old, identity(HUB).certificate)
-        assert await door.said(await door.knock(fields(Content_Type=sent.content_type), sent.body)) == "authentication-failed"
+        assert (
+            await door.said(await door.knock(fields(Content_Type=sent.content_type), sent.body))
+            == "authentication-failed"
+        )
         object.__setattr__(client, "certificates", (identity(OFFICE).certificate,))
         object.__setattr__(door.sender.process.as2.carrier.partners[1], "certificates", (old.certificate,))
         assert await door.good("<x@o>") in ("refused", "failed")
         attempts = [line["result"] for line in door.sender.log.of("ended")]
-        assert set(attempts) == {Result.NO_CONNECTION.value}, "nothing was written to a partner we cannot seal for"
+        assert set(attempts) == {Result.NO_CONNECTION.value}, (
+            "nothing was written to a partner we cannot seal for"
+        )
         await door.fleet.stop()
 
     run(work())
@@ -178,7 +245,12 @@
         door = await opened(tmp_path)
         path = tmp_path / "endpoints.yaml"
         right = path.read_text()
-        for wrong in ("endpoints: [", "endpoints:\n  - name: x\n", right.replace("partner: bank", "partner: nobody"), ""):
+        for wrong in (
+            "endpoints: [",
+            "endpoints:\n  - name: x\n",
+            right.replace("partner: bank", "partner: nobody"),
+            "",
+        ):
             path.write_text(wrong)
             await asyncio.sleep(0.25)
         assert len(door.sender.log.of("list_refused")) == 4
--- a/tests/service/test_hard_cases.py
+++ b/tests/service/test_hard_cases.py
@@ -33,8 +33,12 @@
 
 def too_late() -> Day:
     """The client's time runs out while the receipt is in flight."""
-    return short_day(5.0, [order(0.4, "p-1", "payment", left=1.0)],
-                     {"bank": [Trouble("slow", 0.0, 3.0, factor=30.0)]}, {"bank": Manner(service=0.05)})
+    return short_day(
+        5.0,
+        [order(0.4, "p-1", "payment", left=1.0)],
+        {"bank": [Trouble("slow", 0.0, 3.0, factor=30.0)]},
+        {"bank": Manner(service=0.05)},
+    )
 
 
 def check_too_late(got: Ran) -> None:
@@ -45,18 +49,23 @@
 
 def early() -> Day:
     """An asynchronous receipt comes before the response to the post."""
-    return short_day(3.0, [order(0.4, "p-1", "payment")], {"bank": [Trouble("early_receipt", 0.0, 3.0)]}, ASYNC)
+    return short_day(
+        3.0, [order(0.4, "p-1", "payment")], {"bank": [Trouble("early_receipt", 0.0, 3.0)]}, ASYNC
+    )
 
 
 def second() -> Day:
     """It comes twice."""
-    return short_day(3.0, [order(0.4, "p-1", "payment")], {"bank": [Trouble("second_receipt", 0.0, 3.0)]}, ASYNC)
+    return short_day(
+        3.0, [order(0.4, "p-1", "payment")], {"bank": [Trouble("second_receipt", 0.0, 3.0)]}, ASYNC
+    )
 
 
 def after() -> Day:
     """It comes after the time-out."""
-    return short_day(6.0, [order(0.4, "p-1", "payment", left=2.0)],
-                     {"bank": [Trouble("late_receipt", 0.0, 3.0)]}, ASYNC)
+    return short_day(
+        6.0, [order(0.4, "p-1", "payment", left=2.0)], {"bank": [Trouble("late_receipt", 0.0, 3.0)]}, ASYNC
+    )
 
 
 def check_early(got: Ran) -> None:
@@ -75,8 +84,11 @@
 
 def drained_endpoint() -> Day:
     """A drain notice while receipts are lost: the next attempt goes elsewhere."""
-    day = short_day(6.0, [order(0.4, "p-key", "order"), order(2.5, "p-new", "status")],
-                    {"bank": [Trouble("lost", 0.0, 1.0)]})
+    day = short_day(
+        6.0,
+        [order(0.4, "p-key", "order"), order(2.5, "p-new", "status")],
+        {"bank": [Trouble("lost", 0.0, 1.0)]},
+    )
     day.lists = [(0.7, {"bank-a": "draining"})]
     return day
 
@@ -102,7 +114,9 @@
 
 def waiting() -> Day:
     """A partner told us to wait while twenty messages for it are held."""
-    orders = [order(0.3, "p-first", "status")] + [order(0.6 + 0.02 * i, f"p-{i}", "payment") for i in range(20)]
+    orders = [order(0.3, "p-first", "status")] + [
+        order(0.6 + 0.02 * i, f"p-{i}", "payment") for i in range(20)
+    ]
     return short_day(6.0, orders, {"bank": [Trouble("shut", 0.0, 2.5, factor=1.0)]})
 
 
@@ -114,8 +128,10 @@
 
 def burst() -> Day:
     """The sender is drained in the middle of a burst."""
-    orders = [order(0.5 + 0.01 * i, f"p-{i}", ("payment", "order", "status")[i % 3], key=str(i), left=4.0)
-              for i in range(60)]
+    orders = [
+        order(0.5 + 0.01 * i, f"p-{i}", ("payment", "order", "status")[i % 3], key=str(i), left=4.0)
+        for i in range(60)
+    ]
     day = short_day(6.0, orders, {}, {"bank": Manner(service=0.1, workers=3)})
     day.drains = [(0.8, 0)]
     return day
@@ -129,8 +145,12 @@
 
 def async_client() -> Day:
     """An asynchronous client: one receipt to its registered URL, again when it asks again."""
-    return short_day(4.0, [order(0.4, "p-1", "payment"), order(0.5, "p-2", "order", drops=True)],
-                     partners={"bank": Manner(service=0.3)}, asynchronous=1)
+    return short_day(
+        4.0,
+        [order(0.4, "p-1", "payment"), order(0.5, "p-2", "order", drops=True)],
+        partners={"bank": Manner(service=0.3)},
+        asynchronous=1,
+    )
 
 
 def check_async_client(got: Ran) -> None:
@@ -143,8 +163,12 @@
 
 def bad_receipts() -> Day:
     """Each kind of bad receipt, from a partner of its own: none counts, none leads to a second payment."""
-    return short_day(5.0, [order(0.4 + 0.1 * i, f"p-{kind}", "payment", kind) for i, kind in enumerate(BAD)],
-                     {kind: [Trouble(kind, 0.0, 4.0)] for kind in BAD}, {kind: Manner() for kind in BAD})
+    return short_day(
+        5.0,
+        [order(0.4 + 0.1 * i, f"p-{kind}", "payment", kind) for i, kind in enumerate(BAD)],
+        {kind: [Trouble(kind, 0.0, 4.0)] for kind in BAD},
+        {kind: Manner() for kind in BAD},
+    )
 
 
 def check_bad_receipts(got: Ran) -> None:
@@ -153,11 +177,17 @@
 
 
 CASES: dict[str, Any] = {
-    "lost": (lost, check_lost), "too_late": (too_late, check_too_late),
-    "early": (early, check_early), "second": (second, check_second), "after": (after, check_after),
-    "drained_endpoint": (drained_endpoint, check_drained_endpoint), "dropped": (dropped, check_dropped),
-    "waiting": (waiting, check_waiting), "burst": (burst, check_burst),
-    "async_client": (async_client, check_async_client), "bad_receipts": (bad_receipts, check_bad_receipts),
+    "lost": (lost, check_lost),
+    "too_late": (too_late, check_too_late),
+    "early": (early, check_early),
+    "second": (second, check_second),
+    "after": (after, check_after),
+    "drained_endpoint": (drained_endpoint, check_drained_endpoint),
+    "dropped": (dropped, check_dropped),
+    "waiting": (waiting, check_waiting),
+    "burst": (burst, check_burst),
+    "async_client": (async_client, check_async_client),
+    "bad_receipts": (bad_receipts, check_bad_receipts),
 }
 
 
@@ -169,7 +199,10 @@
     try:
         CASES[name][1](got)
     except AssertionError as error:
-        told = {payment: got.answers(payment) for payment in sorted({one.payment for _, one in CASES[name][0]().orders})}
+        told = {
+            payment: got.answers(payment)
+            for payment in sorted({one.payment for _, one in CASES[name][0]().orders})
+        }
         return f"{error} {told} {got.notes('late_outcome')} {got.notes('stray_receipt')}"
     return ""
 
@@ -177,8 +210,13 @@
 @pytest.fixture(scope="module")
 def problems(tmp_path_factory: pytest.TempPathFactory) -> dict[str, str]:
     """All cases."""
-    longest = sorted(CASES, key=lambda name: (name not in ("waiting", "bad_receipts"), -CASES[name][0]().seconds))
-    return {name: found for (name,), found in side_by_side(play_case, [(one,) for one in longest], tmp_path_factory).items()}
+    longest = sorted(
+        CASES, key=lambda name: (name not in ("waiting", "bad_receipts"), -CASES[name][0]().seconds)
+    )
+    return {
+        name: found
+        for (name,), found in side_by_side(play_case, [(one,) for one in longest], tmp_path_factory).items()
+    }
 
 
 @pytest.mark.parametrize("name", list(CASES))
--- a/tests/service/test_lean.py
+++ b/tests/service/test_lean.py
@@ -34,8 +34,14 @@
 
 
 def imported(code: str, *given: str) -> list[str]:
-    done = subprocess.run([sys.executable, "-c", "import sys\n" + code + SHOW, *given], capture_output=True, text=True, timeout=60, check=True,
-                          env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])})
+    done = subprocess.run(
+        [sys.executable, "-c", "import sys\n" + code + SHOW, *given],
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=True,
+        env={**os.environ, "PYTHONPATH": str(Path(__file__).parents[2])},
+    )
     return done.stdout.split()
 
 
@@ -49,6 +55,11 @@
 
 @pytest.mark.parametrize("agreed", [True, False])
 def test_what_the_settings_have_is_imported_and_no_more(tmp_path: Path, agreed: bool) -> None:
-    text = SETTINGS if agreed else SETTINGS[:SETTINGS.index("region:")] + "peers: {copies: copies.yaml, keys: [peers.key], listen: '127.0.0.1:7201'}\n"
+    text = (
+        SETTINGS
+        if agreed
+        else SETTINGS[: SETTINGS.index("region:")]
+        + "peers: {copies: copies.yaml, keys: [peers.key], listen: '127.0.0.1:7201'}\n"
+    )
     found = imported(START, str(put(tmp_path, text)))
     assert "brassweir.peers.port" in found and ("brassweir.agreed.member" in found) is agreed
--- a/tests/service/test_regions.py
+++ b/tests/service/test_regions.py
@@ -28,7 +28,11 @@
 
 
 def first(now: float | None = None) -> Epoch:
-    return planning.first({"east": "http://east/as2", "west": "http://west/as2"}, now or time.time() * 1000.0 - 5_000.0, 60_000.0)
+    return planning.first(
+        {"east": "http://east/as2", "west": "http://west/as2"},
+        now or time.time() * 1000.0 - 5_000.0,
+        60_000.0,
+    )
 
 
 def sender(tmp_path: Path, region: str, epoch: Epoch | None) -> SenderProcess:
@@ -45,7 +49,9 @@
     got: list[FinalAnswer] = []
     number = process.list.numbers.number("c")
     assert number is not None
-    process.engine.submit(Submission("client", identity, cls, number, 5000.0, payload=Payload("a/b", b"x")), got.append)
+    process.engine.submit(
+        Submission("client", identity, cls, number, 5000.0, payload=Payload("a/b", b"x")), got.append
+    )
     await asyncio.sleep(0.05)
     return got[0] if got and got[0].reason.startswith(("not here", "not yet")) else None
 
@@ -60,8 +66,12 @@
             found = [await answered(one, "order", f"m{number}") for one in both]
             assert [answer is None for answer in found].count(True) == 1, "one takes it, one does not"
             away = next(answer for answer in found if answer is not None)
-            assert away.answer is Answer.REFUSED and ("http://west/as2" in away.reason or "http://east/as2" in away.reason)
-            assert [await answered(one, "status", f"s{number}") for one in both] == [None, None], "safe ones go anywhere"
+            assert away.answer is Answer.REFUSED and (
+                "http://west/as2" in away.reason or "http://east/as2" in away.reason
+            )
+            assert [await answered(one, "status", f"s{number}") for one in both] == [None, None], (
+                "safe ones go anywhere"
+            )
         text = both[0].metrics.text().decode()
         assert 'brassweir_not_here_total{why="elsewhere"}' in text
         for one in both:
@@ -127,16 +137,65 @@
 
 def test_head_office_s_commands(tmp_path: Path) -> None:
     invoke, a, b, c = CliRunner().invoke, tmp_path / "1.json", tmp_path / "2.json", tmp_path / "3.json"
-    made = invoke(main, ["regions", "first", str(a), "--region", "east", "http://e", "--region", "west", "http://w", "--json"])
+    made = invoke(
+        main,
+        [
+            "regions",
+            "first",
+            str(a),
+            "--region",
+            "east",
+            "http://e",
+            "--region",
+            "west",
+            "http://w",
+            "--json",
+        ],
+    )
     assert json.loads(made.output)["share_owned_now"] == {"east": 0.5, "west": 0.5}
     assert "exists" in invoke(main, ["regions", "first", str(a), "--region", "east", "u"]).output
-    moved = json.loads(invoke(main, ["regions", "plan-move", str(a), str(b), "--low", "0", "--high", "0.25", "--to", "west", "--json"]).output)
+    moved = json.loads(
+        invoke(
+            main,
+            [
+                "regions",
+                "plan-move",
+                str(a),
+                str(b),
+                "--low",
+                "0",
+                "--high",
+                "0.25",
+                "--to",
+                "west",
+                "--json",
+            ],
+        ).output
+    )
     assert moved["number"] == 2 and 60.0 < moved["pause_s"] < 125.0 and moved["nobody_s_now"] == 0.25
     assert parse(b.read_bytes()).past[0].region == "east"
-    assert json.loads(invoke(main, ["regions", "renew", str(b), str(c), "--lease-s", "90", "--json"]).output)["number"] == 2
+    assert (
+        json.loads(invoke(main, ["regions", "renew", str(b), str(c), "--lease-s", "90", "--json"]).output)[
+            "number"
+        ]
+        == 2
+    )
     lost = invoke(main, ["regions", "drain-region", str(c), str(c), "east", "--lost"])
     assert lost.exit_code == 1 and "may still send" in lost.output
-    done = invoke(main, ["regions", "drain-region", str(c), str(c), "east", "--lost", "--its-senders-are-stopped", "--its-journals-are-kept", "--json"])
+    done = invoke(
+        main,
+        [
+            "regions",
+            "drain-region",
+            str(c),
+            str(c),
+            "east",
+            "--lost",
+            "--its-senders-are-stopped",
+            "--its-journals-are-kept",
+            "--json",
+        ],
+    )
     assert done.exit_code == 0 and json.loads(done.output)["share_owned_now"]["east"] == 0.0
     shown = json.loads(invoke(main, ["regions", "show", str(c), "--json"]).output)
     assert {one["region"] for one in shown["grants"]} == {"west"}
@@ -144,7 +203,14 @@
     assert over["next_by"] == "agreed" and over["number"] == shown["number"] + 1
     assert "the agreed log publishes" in invoke(main, ["regions", "renew", str(c), str(c)]).output
     logged = tmp_path / "4.json"
-    assert json.loads(invoke(main, ["regions", "first", str(logged), "--region", "east", "u", "--for-log", "--json"]).output)["next_by"] == "agreed"
+    assert (
+        json.loads(
+            invoke(
+                main, ["regions", "first", str(logged), "--region", "east", "u", "--for-log", "--json"]
+            ).output
+        )["next_by"]
+        == "agreed"
+    )
     c.write_text("{}")
     assert "no epoch" in invoke(main, ["regions", "show", str(c)]).output
 
--- a/tests/service/test_review_founding.py
+++ b/tests/service/test_review_founding.py
@@ -17,14 +17,18 @@
 
 
 @pytest.mark.parametrize("guarded", [True, False])
-def test_two_regions_hold_no_place_when_the_voters_machines_are_lost(tmp_path: Path, monkeypatch: pytest.MonkeyPatch, guarded: bool) -> None:
+def test_two_regions_hold_no_place_when_the_voters_machines_are_lost(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, guarded: bool
+) -> None:
     monkeypatch.setattr(agreeing, "LOOK", 0.005)
     if not guarded:
         monkeypatch.setattr(wanted, "FIRST_FOR", float("inf"))
 
     async def work() -> None:
         now = time.time() * 1000.0
-        old = msgspec.structs.replace(planning.first({"east": "http://east", "west": "http://west"}, now - 7_200_000.0, 1_000.0), turn=1)
+        old = msgspec.structs.replace(
+            planning.first({"east": "http://east", "west": "http://west"}, now - 7_200_000.0, 1_000.0), turn=1
+        )
         moved = planning.moved(old, 0, PLACES, "west", now - 7_190_000.0, 1_000.0, ASSUMED).epoch
         (tmp_path / "first.json").write_bytes(msgspec.json.encode(old))
         west = Copy("w", "west", Log(), tmp_path)  # of the lost group: its lease runs on for a while
--- a/tests/service/test_three.py
+++ b/tests/service/test_three.py
@@ -35,24 +35,41 @@
         self.metrics = {name: free_port(socket.SOCK_STREAM) for name in NAMES}
         ports = {name: free_port(socket.SOCK_DGRAM) for name in NAMES}
         self.running: dict[str, subprocess.Popen[bytes]] = {}
-        first = msgspec.structs.replace(planning.first({"r1": "http://r1", "r2": "http://r2", "r3": "http://r3"}, time.time() * 1000.0, 6_000.0), turn=1)
-        listed = "copies:\n" + "".join(f"  - {{name: {name}, site: x{name[1]}, region: r{name[1]}, address: '127.0.0.1:{ports[name]}'}}\n" for name in NAMES)
+        first = msgspec.structs.replace(
+            planning.first(
+                {"r1": "http://r1", "r2": "http://r2", "r3": "http://r3"}, time.time() * 1000.0, 6_000.0
+            ),
+            turn=1,
+        )
+        listed = "copies:\n" + "".join(
+            f"  - {{name: {name}, site: x{name[1]}, region: r{name[1]}, address: '127.0.0.1:{ports[name]}'}}\n"
+            for name in NAMES
+        )
         for name in NAMES:
             (home / name).mkdir()
-            folder(home / name, GOOD.replace("name: s1,", f"name: {name}, metrics: '127.0.0.1:{self.metrics[name]}',") + (
-                f"region: {{name: r{name[1]}, source: agreed}}\npeers: {{copies: copies.yaml, keys: [peers.key]}}\n"
-                "agreed: {voters: [s1, s2, s3], lease_ms: 6000, first_epoch: first.json}\n"))
+            folder(
+                home / name,
+                GOOD.replace("name: s1,", f"name: {name}, metrics: '127.0.0.1:{self.metrics[name]}',")
+                + (
+                    f"region: {{name: r{name[1]}, source: agreed}}\npeers: {{copies: copies.yaml, keys: [peers.key]}}\n"
+                    "agreed: {voters: [s1, s2, s3], lease_ms: 6000, first_epoch: first.json}\n"
+                ),
+            )
             (home / name / "copies.yaml").write_text(listed)
             (home / name / "peers.key").write_text("a key of this fleet\n")
             (home / name / "first.json").write_bytes(msgspec.json.encode(first))
 
     def start(self, name: str) -> None:
         with (self.home / name / "log").open("ab") as log:
-            self.running[name] = subprocess.Popen([sys.executable, "-m", "brassweir", "serve", str(self.home / name / "s.yaml")], stderr=log)
+            self.running[name] = subprocess.Popen(
+                [sys.executable, "-m", "brassweir", "serve", str(self.home / name / "s.yaml")], stderr=log
+            )
 
     def shown(self, name: str, path: str) -> Any:
         try:
-            with urllib.request.urlopen(f"http://127.0.0.1:{self.metrics[name]}{path}", timeout=2.0) as answer:
+            with urllib.request.urlopen(
+                f"http://127.0.0.1:{self.metrics[name]}{path}", timeout=2.0
+            ) as answer:
                 return answer.read() if path == "/metrics" else json.load(answer)
         except (OSError, urllib.error.URLError):
             return {}
@@ -63,7 +80,10 @@
     def until(self, what: Callable[[], bool], words: str) -> None:
         end = time.monotonic() + WAIT
         while not what():
-            assert time.monotonic() < end, (words, {name: (self.shown(name, "/agreed"), self.log(name)[-2000:]) for name in self.running})
+            assert time.monotonic() < end, (
+                words,
+                {name: (self.shown(name, "/agreed"), self.log(name)[-2000:]) for name in self.running},
+            )
             time.sleep(0.05)
 
     def agreed(self, what: Callable[[dict[str, Any]], Any], names: tuple[str, ...] = NAMES) -> bool:
@@ -100,11 +120,21 @@
     fleet.until(lambda: parse(kept.read_bytes()).issued > issued, "a renewal is kept")
 
     # A planned move, by the copy that is told of it, whoever leads.
-    move = planning.moved(parse(kept.read_bytes()), 0, 1 << 30, "r3", time.time() * 1000.0, 6_000.0, Assumed(500.0, 8_000.0, 3_600_000.0))
+    move = planning.moved(
+        parse(kept.read_bytes()),
+        0,
+        1 << 30,
+        "r3",
+        time.time() * 1000.0,
+        6_000.0,
+        Assumed(500.0, 8_000.0, 3_600_000.0),
+    )
     (fleet.home / "s2" / "first.json").write_bytes(msgspec.json.encode(move.epoch))
     fleet.running["s2"].send_signal(signal.SIGHUP)
     fleet.until(lambda: fleet.agreed(lambda state: number(state) == 2), "the move at all")
-    assert '"wish_agreed"' in fleet.log("s2") and all(parse((fleet.home / name / f"{name}.epoch").read_bytes()).number == 2 for name in NAMES)
+    assert '"wish_agreed"' in fleet.log("s2") and all(
+        parse((fleet.home / name / f"{name}.epoch").read_bytes()).number == 2 for name in NAMES
+    )
 
     # A bad copies' file changes nothing.
     (fleet.home / "s3" / "copies.yaml").write_text("copies: []\n")
@@ -116,9 +146,17 @@
     rest = tuple(name for name in NAMES if name != leader)
     fleet.running[leader].terminate()
     assert fleet.running[leader].wait(WAIT) == 0
-    fleet.until(lambda: fleet.agreed(lambda state: state.get("leader") not in ("", leader, None) and state.get("leader"), rest), "another leader")
+    fleet.until(
+        lambda: fleet.agreed(
+            lambda state: state.get("leader") not in ("", leader, None) and state.get("leader"), rest
+        ),
+        "another leader",
+    )
     issued = parse((fleet.home / rest[0] / f"{rest[0]}.epoch").read_bytes()).issued
-    fleet.until(lambda: parse((fleet.home / rest[0] / f"{rest[0]}.epoch").read_bytes()).issued > issued, "the new leader renews")
+    fleet.until(
+        lambda: parse((fleet.home / rest[0] / f"{rest[0]}.epoch").read_bytes()).issued > issued,
+        "the new leader renews",
+    )
 
     # One is killed outright, both come back: all hold the same.
     fleet.running[rest[1]].kill()
@@ -126,7 +164,10 @@
     (fleet.home / "s3" / "copies.yaml").write_bytes((fleet.home / "s1" / "copies.yaml").read_bytes())
     for name in (leader, rest[1]):
         fleet.start(name)
-    fleet.until(lambda: fleet.agreed(lambda state: (state.get("index"), state.get("digest")) if state else None), "the same state at all")
+    fleet.until(
+        lambda: fleet.agreed(lambda state: (state.get("index"), state.get("digest")) if state else None),
+        "the same state at all",
+    )
     text = fleet.shown("s1", "/metrics").decode()
     assert 'brassweir_agreed{what="applied"}' in text and "brassweir_peers{" in text
     assert set(fleet.shown("s1", "/peers")) and fleet.log("s1").count("renewal_refused") == 0
--- a/tests/sites/test_plan.py
+++ b/tests/sites/test_plan.py
@@ -21,20 +21,36 @@
         cut = rng.randint(0, len(others))
         tiers = rng.choice([(), (tuple(others[:cut]), tuple(others[cut:]))])
         listed = rng.uniform(50, 2000)
-        rooms.append(Room(name, listed * rng.uniform(0.1, 1.0), listed, spill=rng.uniform(0.2, 1.0), tiers=tiers,
-                          connections=rng.choice([0, 30]), full_at=rng.choice([0.0, listed * 0.8])))
+        rooms.append(
+            Room(
+                name,
+                listed * rng.uniform(0.1, 1.0),
+                listed,
+                spill=rng.uniform(0.2, 1.0),
+                tiers=tiers,
+                connections=rng.choice([0, 30]),
+                full_at=rng.choice([0.0, listed * 0.8]),
+            )
+        )
     return tuple(rooms)
 
 
 def tiers_of(room: Room, take: dict[str, float]) -> dict[str, int]:
     tiers = room.tiers or (tuple(take),)
-    return {site: number for number, tier in reversed(list(enumerate(tiers))) for site in tier if site in take}
+    return {
+        site: number for number, tier in reversed(list(enumerate(tiers))) for site in tier if site in take
+    }
 
 
 def by_programme(rooms: tuple[Room, ...], case: planning.Case) -> tuple[float, float]:
     """The most that can be placed, and the least price of placing so much."""
     give, take = planning.demands(rooms, dict(case))
-    pairs = [(room.site, site, tier * TIER) for room in rooms if room.site in give for site, tier in tiers_of(room, take).items()]
+    pairs = [
+        (room.site, site, tier * TIER)
+        for room in rooms
+        if room.site in give
+        for site, tier in tiers_of(room, take).items()
+    ]
     slices = [(site, float(number)) for site in take for number in range(TENTHS)]
     answers: list[float] = []
     for least in (None, 0.0):
@@ -52,7 +68,9 @@
             cut = [len(pairs) + i for i, one in enumerate(slices) if one[0] == site]
             solver.addRow(0.0, 0.0, len(row) + len(cut), row + cut, [1.0] * len(row) + [-1.0] * len(cut))
         if least is not None:
-            solver.addRow(answers[0] - 1e-6, highspy.kHighsInf, len(pairs), list(range(len(pairs))), [1.0] * len(pairs))
+            solver.addRow(
+                answers[0] - 1e-6, highspy.kHighsInf, len(pairs), list(range(len(pairs))), [1.0] * len(pairs)
+            )
         solver.run()
         value = float(solver.getInfo().objective_function_value)
         answers.append(-value if least is None else value)
@@ -61,7 +79,12 @@
 
 def price(rooms: tuple[Room, ...], case: planning.Case, flows: dict[tuple[str, str], float]) -> float:
     _, take = planning.demands(rooms, dict(case))
-    total = sum(rate * TIER * tiers_of(room, take)[to] for room in rooms for (home, to), rate in flows.items() if home == room.site)
+    total = sum(
+        rate * TIER * tiers_of(room, take)[to]
+        for room in rooms
+        for (home, to), rate in flows.items()
+        if home == room.site
+    )
     for site, room_there in take.items():
         got = sum(rate for (_, to), rate in flows.items() if to == site)
         for number in range(TENTHS):
@@ -82,7 +105,10 @@
         for site, room in take.items():
             assert sum(rate for (_, to), rate in flows.items() if to == site) <= room + 1e-6
         for room_ in rooms:
-            assert sum(rate for (home, _), rate in flows.items() if home == room_.site) <= room_.spill * room_.load + 1e-6
+            assert (
+                sum(rate for (home, _), rate in flows.items() if home == room_.site)
+                <= room_.spill * room_.load + 1e-6
+            )
 
 
 def test_a_greedy_flow_is_seen_by_the_same_comparison(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -102,6 +128,7 @@
         number = edge(self, start, end, most, cost)
         self.out[self.node(end)].remove(number + 1)
         return number
+
     return made
 
 
@@ -112,7 +139,9 @@
     fills = [flows["a", site] / room[site] for site in room]
     assert sum(flows.values()) == pytest.approx(300.0) and abs(fills[0] - fills[1]) <= 1.0 / TENTHS + 1e-9
     first = (Room("a", 600.0, 1000.0, spill=1.0, tiers=(("c",), ("b",))), *rooms[1:])
-    assert planning.placed(first, planning.case_of({"a": 0.0})) == pytest.approx({("a", "c"): 270.0, ("a", "b"): 330.0})
+    assert planning.placed(first, planning.case_of({"a": 0.0})) == pytest.approx(
+        {("a", "c"): 270.0, ("a", "b"): 330.0}
+    )
 
 
 def test_a_new_plan_is_asked_for_only_by_a_change_that_matters() -> None:
--- a/tests/sites/test_view.py
+++ b/tests/sites/test_view.py
@@ -12,15 +12,24 @@
 from tests.sites.test_verdict import COPIES, SETUP, WELL
 
 PLAN = planning.plan(1, tuple(planning.Room(site, 120.0, 200.0) for site in "abc"))
-LINES = (Line("pay", "x", "b", 6.0, 3.0), Line("news", "y", "b", 7.0), Line("kept", "x", "b", 1.0, 5.0, window=500.0, pinned=True),
-         Line("pay", "x", "a", 13.0))
+LINES = (
+    Line("pay", "x", "b", 6.0, 3.0),
+    Line("news", "y", "b", 7.0),
+    Line("kept", "x", "b", 1.0, 5.0, window=500.0, pinned=True),
+    Line("pay", "x", "a", 13.0),
+)
 
 
-def run(view: View, start: float, seconds: float, bad: float, log: dict[str, Word] | None, version: int = 1) -> list[Step]:
+def run(
+    view: View, start: float, seconds: float, bad: float, log: dict[str, Word] | None, version: int = 1
+) -> list[Step]:
     steps: list[Step] = []
     for number in range(int(seconds * 4)):
         now = start + 250.0 * number
-        endings = tuple(Ending(one.name, 2.0 * (1.0 - bad * (one.zone == "b")), 2.0 * bad * (one.zone == "b")) for one in SETUP.endpoints)
+        endings = tuple(
+            Ending(one.name, 2.0 * (1.0 - bad * (one.zone == "b")), 2.0 * bad * (one.zone == "b"))
+            for one in SETUP.endpoints
+        )
         agreed = Agreed(version, now - 20.0, log, plan=PLAN, led_since=-1e9) if log is not None else None
         steps += view.step(now, Facts(endings, agreed=agreed, demand=LINES))
     return steps
@@ -33,15 +42,21 @@
     steps = run(view, 6_000.0, 6, 1.0, WELL)
     assert Said("b", Word.LOST, False) in steps and Propose("b", Word.LOST) in steps
     entries = {one.info.name: one.info for one in steps if isinstance(one, Entry)}
-    assert sorted(info.state is State.READY for info in entries.values()) == [False, True], "one endpoint is tried by this copy"
+    assert sorted(info.state is State.READY for info in entries.values()) == [False, True], (
+        "one endpoint is tried by this copy"
+    )
     assert all(info.zone == "b" and info.rate <= 200.0 for info in entries.values())
     alone = dict(view.spill)
     whole = PLAN.cases[planning.case_of({"b": 0.0})]
-    assert all(rate <= ALONE * whole[pair] / len(COPIES) + 1e-9 for pair, rate in alone.items()) and set(alone) == {("b", "a"), ("b", "c")}
+    assert all(rate <= ALONE * whole[pair] / len(COPIES) + 1e-9 for pair, rate in alone.items()) and set(
+        alone
+    ) == {("b", "a"), ("b", "c")}
     steps = run(view, 12_000.0, 5, 1.0, {**WELL, "b": Word.LOST}, version=2)
     assert all(view.spill[pair] > 2 * alone[pair] for pair in alone), "agreed: the whole part"
     let_in = {one.line.class_name: one for one in steps if isinstance(one, Admit)}
-    assert let_in["kept"].rate == 0.0 and let_in["pay"].rate == float("inf") and 0.0 < let_in["news"].rate < 7.0
+    assert (
+        let_in["kept"].rate == 0.0 and let_in["pay"].rate == float("inf") and 0.0 < let_in["news"].rate < 7.0
+    )
     assert all(1_000.0 < one.retry_after < 60_000.0 for one in let_in.values() if one.rate < float("inf"))
     steps = run(view, 17_000.0, 6, 0.0, {**WELL, "b": Word.LOST}, version=2)
     assert Propose("b", Word.RETURNING) in steps and view.word("b") is Word.LOST, "the worse word is acted on"
@@ -50,7 +65,9 @@
     steps = run(view, 25_000.0, 14, 0.0, {**WELL, "b": Word.RETURNING}, version=3)
     steps += run(view, 39_000.0, 6, 0.0, WELL, version=4)
     assert Said("b", Word.WELL, False) in steps and not view.spill and view.home["b"] == float("inf")
-    assert {one.name for one in SETUP.endpoints if view.told[one.name] == one} == {one.name for one in SETUP.endpoints}
+    assert {one.name for one in SETUP.endpoints if view.told[one.name] == one} == {
+        one.name for one in SETUP.endpoints
+    }
     assert [one.rate for one in steps if isinstance(one, Admit)][-1] == float("inf")
 
 
--- a/tests/sites/test_world.py
+++ b/tests/sites/test_world.py
@@ -23,25 +23,53 @@
 PEAK = World(THREE, {"a": 0.9, "b": 0.9, "c": 0.9}, copies=2)
 LOST = Fault("lost", 5_000.0, 15_000.0, "a")
 MANY = World(THREE, {"a": 0.6, "b": 0.7, "c": 0.6}, copies=34, endpoints=2)
-BLIP = World({"a": 500.0, "b": 1000.0, "c": 500.0}, {"a": 0.73, "b": 0.8, "c": 0.5}, copies=2, cold=20_000.0, start_capacity=0.2, spill=0.5)
-DOUBT = 4_000.0  # ms until a site that fails is called less: what rises again within them met what was on its way
+BLIP = World(
+    {"a": 500.0, "b": 1000.0, "c": 500.0},
+    {"a": 0.73, "b": 0.8, "c": 0.5},
+    copies=2,
+    cold=20_000.0,
+    start_capacity=0.2,
+    spill=0.5,
+)
+DOUBT = (
+    4_000.0  # ms until a site that fails is called less: what rises again within them met what was on its way
+)
 
 DAYS: dict[str, tuple[World, tuple[Fault, ...], float]] = {
-    "lost": (EVERYDAY, (LOST,), 30), "lost at the peak": (PEAK, (LOST,), 34), "one copy a site": (World(THREE, EVERYDAY.load, copies=1), (LOST,), 30),
-    "a hundred copies": (MANY, (Fault("lost", 2e3, 5e3, "a"),), 11), "endpoints only": (EVERYDAY, (Fault("endpoints", 5e3, 15e3, "a"),), 30),
-    "half of the next 5 s later": (EVERYDAY, (Fault("lost", 5e3, 25e3, "a"), Fault("half", 10e3, 40e3, "b")), 45),
+    "lost": (EVERYDAY, (LOST,), 30),
+    "lost at the peak": (PEAK, (LOST,), 34),
+    "one copy a site": (World(THREE, EVERYDAY.load, copies=1), (LOST,), 30),
+    "a hundred copies": (MANY, (Fault("lost", 2e3, 5e3, "a"),), 11),
+    "endpoints only": (EVERYDAY, (Fault("endpoints", 5e3, 15e3, "a"),), 30),
+    "half of the next 5 s later": (
+        EVERYDAY,
+        (Fault("lost", 5e3, 25e3, "a"), Fault("half", 10e3, 40e3, "b")),
+        45,
+    ),
     "the same at the peak": (PEAK, (Fault("lost", 5e3, 25e3, "a"), Fault("half", 10e3, 40e3, "b")), 45),
     "two lost": (EVERYDAY, (Fault("lost", 5e3, 25e3, "a"), Fault("lost", 10e3, 20e3, "b")), 45),
     "relapse": (EVERYDAY, (Fault("lost", 5e3, 12e3, "a"), Fault("lost", 17e3, 26e3, "a")), 50),
-    "cut off some": (EVERYDAY, (Fault("cut", 3e3, 25e3, "b", 0.6), LOST), 34), "cut off": (EVERYDAY, (Fault("cut", 5e3, 20e3, "b", 1.0),), 30),
-    "late verdicts": (EVERYDAY, (Fault("late", 0.0, 60e3, "", 0.5), LOST), 30), "log away": (EVERYDAY, (Fault("log", 2e3, 60e3), LOST), 30),
+    "cut off some": (EVERYDAY, (Fault("cut", 3e3, 25e3, "b", 0.6), LOST), 34),
+    "cut off": (EVERYDAY, (Fault("cut", 5e3, 20e3, "b", 1.0),), 30),
+    "late verdicts": (EVERYDAY, (Fault("late", 0.0, 60e3, "", 0.5), LOST), 30),
+    "log away": (EVERYDAY, (Fault("log", 2e3, 60e3), LOST), 30),
     "restarts in the return": (EVERYDAY, (LOST, Fault("restart", 17e3, 18e3, "", 0.5)), 30),
-    "restarts, log away": (EVERYDAY, (Fault("log", 2e3, 60e3), LOST, Fault("restart", 17e3, 18e3, "", 1.0)), 30),
-    "answers lost": (EVERYDAY, (Fault("answers", 5e3, 15e3, "a", 0.8),), 30), "copies only": (EVERYDAY, (Fault("copies", 5e3, 15e3, "a"),), 25),
+    "restarts, log away": (
+        EVERYDAY,
+        (Fault("log", 2e3, 60e3), LOST, Fault("restart", 17e3, 18e3, "", 1.0)),
+        30,
+    ),
+    "answers lost": (EVERYDAY, (Fault("answers", 5e3, 15e3, "a", 0.8),), 30),
+    "copies only": (EVERYDAY, (Fault("copies", 5e3, 15e3, "a"),), 25),
     "very slow": (EVERYDAY, (Fault("slow", 5e3, 15e3, "", 0.1),), 30),
     "a small share": (World(THREE, {"a": 0.5, "b": 0.3, "c": 0.3}, copies=2, spill=0.3), (LOST,), 30),
-    "a blip of the taker": (BLIP, (Fault("endpoints", 6.8e3, 21.9e3, "b"), Fault("lost", 15.2e3, 16.8e3, "c")), 25),
-    "slow": (EVERYDAY, (Fault("slow", 5e3, 15e3, "", 0.3),), 30), "burst": (PEAK, (Fault("burst", 5e3, 15e3, "", 1.0),), 30),
+    "a blip of the taker": (
+        BLIP,
+        (Fault("endpoints", 6.8e3, 21.9e3, "b"), Fault("lost", 15.2e3, 16.8e3, "c")),
+        25,
+    ),
+    "slow": (EVERYDAY, (Fault("slow", 5e3, 15e3, "", 0.3),), 30),
+    "burst": (PEAK, (Fault("burst", 5e3, 15e3, "", 1.0),), 30),
 }
 
 
@@ -58,7 +86,9 @@
         found.append(f"refused in a wrong order: {wrong[0]}")
     if false := judges.false_losses(tape, faults):
         found.append(f"false loss: {false[0]}")
-    found += [f"called while down: {site}" for site in world.capacity if judges.called_while_down(tape, site) > 0.05]
+    found += [
+        f"called while down: {site}" for site in world.capacity if judges.called_while_down(tape, site) > 0.05
+    ]
     return found
 
 
@@ -72,7 +102,12 @@
     world, faults, seconds = DAYS["lost"]
     tape = SiteWorld(world, faults, 1).run(seconds)
     verdict_after, whole_after = judges.verdict_after(tape, LOST), judges.whole_after(tape, LOST)
-    assert verdict_after is not None and verdict_after <= 3_000.0 and whole_after is not None and whole_after <= 15_000.0
+    assert (
+        verdict_after is not None
+        and verdict_after <= 3_000.0
+        and whole_after is not None
+        and whole_after <= 15_000.0
+    )
     again = SiteWorld(world, faults, 1).run(seconds)
     assert [one.offered for one in again] == [one.offered for one in tape], "the same seed, the same day"
 
@@ -80,8 +115,12 @@
 def test_silence_of_copies_moves_no_load() -> None:
     world, faults, seconds = DAYS["copies only"]
     tape = SiteWorld(world, faults, 1).run(seconds)
-    assert not any(one.spilled for one in tape), "its copies' clients go to others, its endpoints are called as before"
-    assert judges.worth(tape) > 0.98, "copies that come back with a log just led anew ramp, though nothing was cold"
+    assert not any(one.spilled for one in tape), (
+        "its copies' clients go to others, its endpoints are called as before"
+    )
+    assert judges.worth(tape) > 0.98, (
+        "copies that come back with a log just led anew ramp, though nothing was cold"
+    )
 
 
 FLAPS = tuple(Fault("endpoints", 5e3 + 14e3 * k, 11e3 + 14e3 * k, "a") for k in range(6))
@@ -108,39 +147,68 @@
         for site, ramp in view.ramps.items():
             ramp.part = view.capacity[site]
         return view
+
     return make
 
 
 def takers_without_end(monkeypatch: pytest.MonkeyPatch) -> None:
     demands = planning.demands
-    monkeypatch.setattr(planning, "demands", lambda *args: (demands(*args)[0], dict.fromkeys(demands(*args)[1], 1e9)))
+    monkeypatch.setattr(
+        planning, "demands", lambda *args: (demands(*args)[0], dict.fromkeys(demands(*args)[1], 1e9))
+    )
 
 
 def no_step_back(monkeypatch: pytest.MonkeyPatch) -> None:
     step = Ramp.step
     monkeypatch.setattr(verdict, "RELAPSE", math.inf)
     monkeypatch.setattr(returning, "LAPSE", math.inf)
-    monkeypatch.setattr(Ramp, "step", lambda self, now, word, last, bad, *rest: step(self, now, word, last, 0.0, *rest))
+    monkeypatch.setattr(
+        Ramp, "step", lambda self, now, word, last, bad, *rest: step(self, now, word, last, 0.0, *rest)
+    )
 
 
 def no_stated_share(monkeypatch: pytest.MonkeyPatch) -> Callable[[Setup, Random], View]:
     demands = planning.demands
-    monkeypatch.setattr(planning, "demands", lambda rooms, left: (
-        {one.site: one.load for one in rooms if one.site in left}, demands(rooms, left)[1]))
+    monkeypatch.setattr(
+        planning,
+        "demands",
+        lambda rooms, left: (
+            {one.site: one.load for one in rooms if one.site in left},
+            demands(rooms, left)[1],
+        ),
+    )
 
     def make(setup: Setup, rng: Random) -> View:
         object.__setattr__(setup, "spill", 1.0)
         return View(setup, rng)
+
     return make
 
 
-@pytest.mark.parametrize("guard, day, seen", [
-    (by_copy, DAYS["lost"], "cold site"), (one(Verdicts, "_look_at_self", lambda *_: None), DAYS["cut off"], "false loss"), (one(Verdicts, "_general", lambda *_: False), DAYS["very slow"], "false loss"),
-    (takers_without_end, DAYS["lost at the peak"], "taker"), (no_step_back, DAYS["relapse"], "cold site"),
-    (one(refusing, "standings", lambda lines: [[line] for line in lines]), DAYS["lost at the peak"], "wrong order"), (one(returning, "SAFE", 2.0), DAYS["lost at the peak"], "cold site"),
-    (one(verdict, "UNANSWERED", 0.0), DAYS["a blip of the taker"], "cold site"), (no_stated_share, DAYS["a small share"], "spilled")])
-def test_a_guard_that_is_broken_is_seen(monkeypatch: pytest.MonkeyPatch, guard: Callable[[pytest.MonkeyPatch], object],
-                                        day: tuple[World, tuple[Fault, ...], float], seen: str) -> None:
+@pytest.mark.parametrize(
+    "guard, day, seen",
+    [
+        (by_copy, DAYS["lost"], "cold site"),
+        (one(Verdicts, "_look_at_self", lambda *_: None), DAYS["cut off"], "false loss"),
+        (one(Verdicts, "_general", lambda *_: False), DAYS["very slow"], "false loss"),
+        (takers_without_end, DAYS["lost at the peak"], "taker"),
+        (no_step_back, DAYS["relapse"], "cold site"),
+        (
+            one(refusing, "standings", lambda lines: [[line] for line in lines]),
+            DAYS["lost at the peak"],
+            "wrong order",
+        ),
+        (one(returning, "SAFE", 2.0), DAYS["lost at the peak"], "cold site"),
+        (one(verdict, "UNANSWERED", 0.0), DAYS["a blip of the taker"], "cold site"),
+        (no_stated_share, DAYS["a small share"], "spilled"),
+    ],
+)
+def test_a_guard_that_is_broken_is_seen(
+    monkeypatch: pytest.MonkeyPatch,
+    guard: Callable[[pytest.MonkeyPatch], object],
+    day: tuple[World, tuple[Fault, ...], float],
+    seen: str,
+) -> None:
     """The same days are clean in ``test_limits_hold``."""
     world, faults, seconds = day
     make = guard(monkeypatch)
--- a/tests/test_idle.py
+++ b/tests/test_idle.py
@@ -31,12 +31,24 @@
     """The same random day to each: busy and quiet spells, lists, every ending; all must act alike."""
     rng = Random(seed)
     kinds = (api.Kind("a", apart=True), api.Kind("b", batch=2), api.Kind("c"))
-    sets = api.Settings(classes=CLASSES, slots=rng.choice([3, 8]), max_open=40, senders=rng.choice([1, 4]), kinds=kinds,
-                        idle_close=rng.choice([0.0, 2000.0]), max_retry_after=2000.0, weights=rng.choice(["none", "rate"]),
-                        cold=rng.choice([0.0, 3000.0, 10000.0]), order_pause=100.0)
+    sets = api.Settings(
+        classes=CLASSES,
+        slots=rng.choice([3, 8]),
+        max_open=40,
+        senders=rng.choice([1, 4]),
+        kinds=kinds,
+        idle_close=rng.choice([0.0, 2000.0]),
+        max_retry_after=2000.0,
+        weights=rng.choice(["none", "rate"]),
+        cold=rng.choice([0.0, 3000.0, 10000.0]),
+        order_pause=100.0,
+    )
     made = [kind(sets, seed, 0.0) for kind in senders]
-    infos = [api.EndpointInfo(f"e{d}-{i}", d, "abc"[d % 3], rate=rng.choice([0.0, 4.0, 20.0]))
-             for d in range(8) for i in range(rng.randint(1, 3))]
+    infos = [
+        api.EndpointInfo(f"e{d}-{i}", d, "abc"[d % 3], rate=rng.choice([0.0, 4.0, 20.0]))
+        for d in range(8)
+        for i in range(rng.randint(1, 3))
+    ]
     told = rng.random() < 0.5
     events: list[api.Event] = [api.ListNews(api.ListKind.FULL, tuple(infos))]
     pending: list[tuple[float, int, api.Event]] = []
@@ -51,13 +63,24 @@
                 number = tries[action.id] = tries.get(action.id, -1) + 1
                 at, result = now + rng.expovariate(1 / 100.0), api.Result.OK
                 if rng.random() < 0.25:
-                    result = rng.choice([api.Result.ERROR, api.Result.FULL, api.Result.RESET, api.Result.NO_CONNECTION])
+                    result = rng.choice(
+                        [api.Result.ERROR, api.Result.FULL, api.Result.RESET, api.Result.NO_CONNECTION]
+                    )
                 if at >= action.abandon_at:
                     at, result = action.abandon_at, api.Result.TIMEOUT
                 wait = rng.choice([0.0, 300.0, 4000.0]) if result is api.Result.FULL else 0.0
                 limit = rng.choice([5.0, 10.0]) if told else None
-                ended = api.AttemptEnded(action.id, number, action.endpoint, result, at - now, result is api.Result.OK, wait,
-                                         rng.random() if told else None, limit)
+                ended = api.AttemptEnded(
+                    action.id,
+                    number,
+                    action.endpoint,
+                    result,
+                    at - now,
+                    result is api.Result.OK,
+                    wait,
+                    rng.random() if told else None,
+                    limit,
+                )
                 pending.append((at, len(pending), ended))
         quiet = int(now // 25_000) % 2 == 1
         at = now + rng.expovariate(1 / (3000.0 if quiet else 60.0))
@@ -65,22 +88,42 @@
         if pending and pending[0][0] <= at:
             now = max(now, pending[0][0])
             due = [entry for entry in pending if entry[0] <= now]
-            pending = pending[len(due):]
+            pending = pending[len(due) :]
             events = [entry[2] for entry in due]
         elif rng.random() < 0.04:
             now = at
             states = [api.State.READY] * 4 + [api.State.DRAINING, api.State.GONE]
             kind = rng.choice([api.ListKind.DELTA, api.ListKind.FULL])
             share = 0.95 if kind is api.ListKind.FULL else 0.2
-            events = [api.ListNews(kind, tuple(
-                api.EndpointInfo(one.name, one.destination if rng.random() < 0.95 else rng.randrange(8), one.kind,
-                                 state=rng.choice(states), rate=one.rate) for one in infos if rng.random() < share))]
+            events = [
+                api.ListNews(
+                    kind,
+                    tuple(
+                        api.EndpointInfo(
+                            one.name,
+                            one.destination if rng.random() < 0.95 else rng.randrange(8),
+                            one.kind,
+                            state=rng.choice(states),
+                            rate=one.rate,
+                        )
+                        for one in infos
+                        if rng.random() < share
+                    ),
+                )
+            ]
         else:
             now = at
             messages += 1
             name = rng.choice([cls.name for cls in CLASSES])
-            events = [api.NewMessage(messages, name, rng.randrange(9), rng.choice([1000.0, 3000.0]),
-                                     key=str(rng.randrange(3)) if name == "keyed" else "")]
+            events = [
+                api.NewMessage(
+                    messages,
+                    name,
+                    rng.randrange(9),
+                    rng.choice([1000.0, 3000.0]),
+                    key=str(rng.randrange(3)) if name == "keyed" else "",
+                )
+            ]
     return made
 
 
@@ -126,12 +169,18 @@
 
 
 def test_an_outage_outlives_the_sleep() -> None:
-    sets = api.Settings(classes=CLASSES, slots=4, max_open=40, max_retry_after=2000.0, cold=10_000.0, senders=50)
+    sets = api.Settings(
+        classes=CLASSES, slots=4, max_open=40, max_retry_after=2000.0, cold=10_000.0, senders=50
+    )
     sender = Sender(sets, 1, 0.0)
     sender.handle(0.0, [api.ListNews(api.ListKind.FULL, (api.EndpointInfo("e", 1, "k"),))])
     for i in range(6):
         now = i * 700.0
-        sent = [one for one in sender.handle(now, [api.NewMessage(i, "unsafe", 1, 4000.0)]) if isinstance(one, api.Send)]
+        sent = [
+            one
+            for one in sender.handle(now, [api.NewMessage(i, "unsafe", 1, 4000.0)])
+            if isinstance(one, api.Send)
+        ]
         for one in sent:
             sender.handle(now + 10.0, [api.AttemptEnded(one.id, 0, "e", api.Result.RESET, 10.0, True)])
     assert sender._dest(1).gate.shut
@@ -140,8 +189,12 @@
         now += PERIOD
         assert now < 900_000.0
         sender.handle(now, [api.TimerDue()])
-    actions = sender.handle(now + 86_400_000.0, [api.NewMessage(100 + i, "safe", 1, 3000.0) for i in range(5)])
-    assert len([one for one in actions if isinstance(one, api.Send)]) == 1, "still shut: a single trial, a day later"
+    actions = sender.handle(
+        now + 86_400_000.0, [api.NewMessage(100 + i, "safe", 1, 3000.0) for i in range(5)]
+    )
+    assert len([one for one in actions if isinstance(one, api.Send)]) == 1, (
+        "still shut: a single trial, a day later"
+    )
 
 
 def test_the_sweep_and_the_sleepers_cost_next_to_nothing() -> None:
--- a/tests/test_parts.py
+++ b/tests/test_parts.py
@@ -189,7 +189,9 @@
     now = warm(sender, 2)
     assert not sender.handle(now, [api.Leaving(now + 200.0)])
     assert sends(sender.handle(now, [new(1, name="unsafe")])) == [1], "50 ms a call: there is time"
-    assert sends(sender.handle(now + 100.0, [new(2, name="unsafe"), new(3)])) == [3], "what may be repeated goes"
+    assert sends(sender.handle(now + 100.0, [new(2, name="unsafe"), new(3)])) == [3], (
+        "what may be repeated goes"
+    )
     assert 2 in sender.messages and not sender.messages[2].over, "and it is kept for after the restart"
 
 
@@ -198,4 +200,6 @@
     back = [replace(new(ident, 1 + ident % 2), admitted=True, resent=True) for ident in range(1, 31)]
     actions = sender.handle(0.0, [listed(1, 2), *back])
     assert not [one for one in actions if isinstance(one, api.Refuse)] and sender.load.open == 30
-    assert [one.id for one in sender.handle(1.0, [new(99)]) if isinstance(one, api.Refuse)] == [99], "others are: the backlog is over the bound"
+    assert [one.id for one in sender.handle(1.0, [new(99)]) if isinstance(one, api.Refuse)] == [99], (
+        "others are: the backlog is over the bound"
+    )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -34,13 +34,16 @@
     kinds = tuple(api.Kind(f"k{i}", rng.random() < 0.4, rng.choice([1, 1, 3, 20])) for i in range(2))
     return api.Settings(
         classes=classes,
-        slots=rng.choice([1, 2, 6]), max_open=rng.choice([1, 10, 60]), senders=rng.choice([1, 3, 340]),
+        slots=rng.choice([1, 2, 6]),
+        max_open=rng.choice([1, 10, 60]),
+        senders=rng.choice([1, 3, 340]),
         idle_close=rng.choice([0.0, 5000.0]),
         kinds=kinds,
         max_attempts=rng.choice([1, 3, 8]),
         max_retry_after=rng.choice([0.0, 2000.0]),
         tick=5.0,
-        second_copies=rng.random() < 0.5, ask_list=rng.random() < 0.3,
+        second_copies=rng.random() < 0.5,
+        ask_list=rng.random() < 0.3,
         weights=rng.choice(["none", "nominal", "rough"]),
         connect_timeout=rng.choice([250.0, 1000.0]),
         cold=3000.0,
--- a/tests/undelivered/test_kept.py
+++ b/tests/undelivered/test_kept.py
@@ -16,7 +16,9 @@
 
 
 def item(identity: str = "c1", size: int = 100, at: float = 1000.0, destination: str = "bank") -> Item:
-    return Item("edge", identity, destination, "order", "pay.x", "it said no", at, "application/x-ndjson", b"x" * size)
+    return Item(
+        "edge", identity, destination, "order", "pay.x", "it said no", at, "application/x-ndjson", b"x" * size
+    )
 
 
 def test_an_item_is_kept_once_and_read_again(tmp_path: Path) -> None:
@@ -81,18 +83,29 @@
     kept.keep(item("late", at=2000.0))
     kept.keep(item("early", at=1000.0, destination="shop"))
     invoke = CliRunner().invoke
-    listed = [json.loads(line) for line in invoke(main, ["kept", "list", str(tmp_path), "--json"]).output.splitlines()]
-    assert [(one["identity"], one["destination"], one["bytes"]) for one in listed] == [("early", "shop", 100), ("late", "bank", 100)]
+    listed = [
+        json.loads(line)
+        for line in invoke(main, ["kept", "list", str(tmp_path), "--json"]).output.splitlines()
+    ]
+    assert [(one["identity"], one["destination"], one["bytes"]) for one in listed] == [
+        ("early", "shop", 100),
+        ("late", "bank", 100),
+    ]
     assert "early" not in invoke(main, ["kept", "list", str(tmp_path), "--destination", "bank"]).output
     shown = invoke(main, ["kept", "show", str(tmp_path), "late", "--content"])
     assert shown.output == "x" * 100
     told = json.loads(invoke(main, ["kept", "show", str(tmp_path), listed[0]["name"][:10], "--json"]).output)
     assert told["reason"] == "it said no" and told["kept_at"] == "1970-01-01T00:00:01Z"
     assert invoke(main, ["kept", "show", str(tmp_path), "none"]).exit_code == 1
-    assert json.loads(invoke(main, ["kept", "drop", str(tmp_path), "late", "--json"]).output)["identity"] == "late"
+    assert (
+        json.loads(invoke(main, ["kept", "drop", str(tmp_path), "late", "--json"]).output)["identity"]
+        == "late"
+    )
     assert not kept.has("edge", "late")
     path = tmp_path / name_of("edge", "early")
     path.write_bytes(path.read_bytes()[:-1] + b"?")
     damaged = invoke(main, ["kept", "list", str(tmp_path)])
     assert damaged.exit_code == 1 and "checksum" in damaged.output
-    assert invoke(main, ["kept", "drop", str(tmp_path), path.stem]).exit_code == 1, "what is damaged is not dropped unread"
+    assert invoke(main, ["kept", "drop", str(tmp_path), path.stem]).exit_code == 1, (
+        "what is damaged is not dropped unread"
+    )
--- a/tests/webhook/test_webhook.py
+++ b/tests/webhook/test_webhook.py
@@ -29,27 +29,43 @@
     codec.verify((other,), *check, b"{}", 1100.0)
     assert fields["Idempotency-Key"] == '"id1"'
     for ident, stamp, signature, content, now in (
-            ("id2", check[1], check[2], b"{}", 1000.0), (check[0], "1001", check[2], b"{}", 1000.0),
-            (*check, b"{ }", 1000.0), (*check, b"{}", 1301.0), (*check, b"{}", 600.0),
-            (check[0], "soon", check[2], b"{}", 1000.0), (check[0], check[1], "v1,xx v2 ü", b"{}", 1000.0)):
+        ("id2", check[1], check[2], b"{}", 1000.0),
+        (check[0], "1001", check[2], b"{}", 1000.0),
+        (*check, b"{ }", 1000.0),
+        (*check, b"{}", 1301.0),
+        (*check, b"{}", 600.0),
+        (check[0], "soon", check[2], b"{}", 1000.0),
+        (check[0], check[1], "v1,xx v2 ü", b"{}", 1000.0),
+    ):
         with pytest.raises(WebhookError):
             codec.verify((KEY,), ident, stamp, signature, content, now)
     assert "webhook-signature" not in dict(codec.headers("id1", 1000, Payload("a/b", b""), ()))
 
 
-@pytest.mark.parametrize("text", ["", "whsec_", "whsec_c2hvcnQ=", "not base64!", base64.b64encode(b"x" * 65).decode()])
+@pytest.mark.parametrize(
+    "text", ["", "whsec_", "whsec_c2hvcnQ=", "not base64!", base64.b64encode(b"x" * 65).decode()]
+)
 def test_secrets_that_are_none(text: str) -> None:
     with pytest.raises(WebhookError):
         codec.secret(text)
 
 
-@pytest.mark.parametrize(("code", "wait", "result", "ran", "rejected"), [
-    (200, 0.0, Result.OK, True, False), (204, 0.0, Result.OK, True, False),
-    (429, 0.0, Result.FULL, False, False), (503, 2000.0, Result.FULL, False, False),
-    (503, 0.0, Result.ERROR, True, False), (500, 0.0, Result.ERROR, True, False),
-    (302, 0.0, Result.ERROR, True, False), (408, 0.0, Result.ERROR, True, False),
-    (400, 0.0, Result.OK, True, True), (404, 0.0, Result.OK, True, True), (410, 0.0, Result.OK, True, True),
-])
+@pytest.mark.parametrize(
+    ("code", "wait", "result", "ran", "rejected"),
+    [
+        (200, 0.0, Result.OK, True, False),
+        (204, 0.0, Result.OK, True, False),
+        (429, 0.0, Result.FULL, False, False),
+        (503, 2000.0, Result.FULL, False, False),
+        (503, 0.0, Result.ERROR, True, False),
+        (500, 0.0, Result.ERROR, True, False),
+        (302, 0.0, Result.ERROR, True, False),
+        (408, 0.0, Result.ERROR, True, False),
+        (400, 0.0, Result.OK, True, True),
+        (404, 0.0, Result.OK, True, True),
+        (410, 0.0, Result.OK, True, True),
+    ],
+)
 def test_endings(code: int, wait: float, result: Result, ran: bool, rejected: bool) -> None:
     got = endings.status(code, Told(wait))
     assert (got.result, got.may_have_run, got.rejected) == (result, ran, rejected)
