Control machines: serve with peers and log only; settings of agreed.configuration

Need: machines that vote and lead without delivering had no valid settings, and a sender's list had to be a file. Change: settings with agreed and nothing to deliver by are a control machine's (ControlConfig, service/controlmachine.py); region.longest_deadline_ms tells it what classes tell a sender. agreed.configuration (list, confirm_removed, confirm_destinations) and endpoints: agreed with one clear error each; check reads the edited list. Operations endpoint split from the destinations' one; real processes of tests in tests/service/processes.py.

--- a/brassweir/cli/serving.py
+++ b/brassweir/cli/serving.py
@@ -11,6 +11,7 @@
 import uvloop
 
 from brassweir.config.load import ConfigError
+from brassweir.config.model import Config, CopyConfig
 from brassweir.journal.writer import Broken
 from brassweir.observe.logs import set_up
 from brassweir.service.checking import check
@@ -33,10 +34,7 @@
         click.echo(f"journal: {error}; nothing was answered or sent that is not written down", err=True)
         sys.exit(4)
     except OSError as error:
-        forward = config.forward.listen if config.forward is not None else None
-        peers = config.peers.listen or "the own address in peers.copies" if config.peers is not None else None
-        places = " or ".join(filter(None, (config.sender.listen, forward, config.sender.metrics, peers)))
-        raise click.ClickException(f"cannot listen on {places}: {error.strerror or error}") from None
+        raise click.ClickException(f"cannot listen on {_places(config)}: {error.strerror or error}") from None
 
 
 @click.command("check")
@@ -56,6 +54,16 @@
     sys.exit(1 if problems else 0)
 
 
+def _places(config: CopyConfig) -> str:
+    """Where a process listens, for the words of an error."""
+    peers = config.peers.listen or "the own address in peers.copies" if config.peers is not None else None
+    places = [config.sender.metrics, peers]
+    if isinstance(config, Config):
+        forward = config.forward.listen if config.forward is not None else None
+        places = [config.sender.listen, forward, *places]
+    return " or ".join(filter(None, places))
+
+
 def _complain(error: ConfigError) -> None:
     for problem in error.problems:
         click.echo(problem, err=True)
--- a/brassweir/config/copies.py
+++ b/brassweir/config/copies.py
@@ -12,10 +12,10 @@
 from ruamel.yaml.error import YAMLError
 
 from brassweir.config.load import ConfigError, load
-from brassweir.config.model import Config, CopiesFile, CopyModel
+from brassweir.config.model import CopiesFile, CopyConfig, CopyModel
 
 
-def read_copies(path: Path, config: Config, founding: bool = True) -> tuple[CopyModel, ...]:
+def read_copies(path: Path, config: CopyConfig, founding: bool = True) -> tuple[CopyModel, ...]:
     """All copies, in the order of the file. Raises ConfigError.
 
     ``founding``: the group may be founded by these settings, so its founders must be among them; later they
@@ -47,13 +47,13 @@
     return found
 
 
-def agreed_folder(config: Config, base: Path) -> Path:
+def agreed_folder(config: CopyConfig, base: Path) -> Path:
     """Where the agreed log is kept."""
     given = config.agreed.folder if config.agreed is not None else None
     return base / (given or f"{config.sender.name}.agreed")
 
 
-def _missing(path: Path, config: Config, named: set[str], founding: bool) -> list[str]:
+def _missing(path: Path, config: CopyConfig, named: set[str], founding: bool) -> list[str]:
     """Who must stand in the file and does not."""
     problems = []
     if config.sender.name not in named:
@@ -78,12 +78,12 @@
             yield listed.lc.item(number)[0] + 1, entry
 
 
-def own_entry(copies: tuple[CopyModel, ...], config: Config) -> CopyModel:
+def own_entry(copies: tuple[CopyModel, ...], config: CopyConfig) -> CopyModel:
     """This process's own entry; the file has been checked to hold it."""
     return next(one for one in copies if one.name == config.sender.name)
 
 
-def region_fits(copies: tuple[CopyModel, ...], config: Config) -> list[str]:
+def region_fits(copies: tuple[CopyModel, ...], config: CopyConfig) -> list[str]:
     """The own entry and the settings must name one region."""
     mine = own_entry(copies, config)
     if config.region is not None and config.region.name != mine.region:
--- a/brassweir/config/load.py
+++ b/brassweir/config/load.py
@@ -24,19 +24,28 @@
 
 def load(path: Path, model: type[_M]) -> _M:
     """Read and check a file. Raises ConfigError."""
+    return parse(read_text(path), model, str(path))
+
+
+def read_text(path: Path) -> str:
+    """The text of a file that is not too large. Raises ConfigError."""
     try:
         if path.stat().st_size > LARGEST:
             raise ConfigError([f"{path}: larger than {LARGEST} bytes"])
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except OSError as error:
         raise ConfigError([f"{path}: {error.strerror or error}"]) from None
     except UnicodeDecodeError as error:
         raise ConfigError([f"{path}: no UTF-8 at byte {error.start}"]) from None
-    return parse(text, model, str(path))
 
 
 def parse(text: str, model: type[_M], name: str) -> _M:
     """Check a text; ``name`` is what errors call it. Raises ConfigError."""
+    return validate(parse_tree(text, name), model, name)
+
+
+def parse_tree(text: str, name: str) -> CommentedMap:
+    """The mapping that a text holds, with its lines. Raises ConfigError."""
     try:
         tree = YAML(typ="rt").load(text)
     except MarkedYAMLError as error:
@@ -48,6 +57,11 @@
         raise ConfigError([f"{name}: no YAML: {words[0]}"]) from None
     if not isinstance(tree, CommentedMap):
         raise ConfigError([f"{name}:1: a mapping is expected"])
+    return tree
+
+
+def validate(tree: CommentedMap, model: type[_M], name: str) -> _M:
+    """Check a mapping. Raises ConfigError."""
     try:
         return model.model_validate(tree)
     except ValidationError as error:
--- a/brassweir/config/model/__init__.py
+++ b/brassweir/config/model/__init__.py
@@ -2,12 +2,13 @@
 
 from brassweir.config.model.as2 import ClientModel, IdentityModel, PartnerModel, RuleModel
 from brassweir.config.model.base import Address, As2Name, CipherName, Digest, Ms, MsOrNone, Strict, Url
+from brassweir.config.model.copy import ControlConfig, CopyConfig
 from brassweir.config.model.forward import ForwardModel, ForwardSourceModel, TagRuleModel, UserModel
 from brassweir.config.model.listing import EndpointList, EndpointModel
 from brassweir.config.model.messages import ClassModel, KindModel
-from brassweir.config.model.peers import AgreedModel, CopiesFile, CopyModel, PeersModel
+from brassweir.config.model.peers import AgreedModel, ConfigurationModel, CopiesFile, CopyModel, PeersModel
 from brassweir.config.model.region import RegionModel
-from brassweir.config.model.sender import LimitsModel, SenderModel
+from brassweir.config.model.sender import LimitsModel, ProcessModel, SenderModel
 from brassweir.config.model.whole import Config
 
 __all__ = [
@@ -18,7 +19,10 @@
     "ClassModel",
     "ClientModel",
     "Config",
+    "ConfigurationModel",
+    "ControlConfig",
     "CopiesFile",
+    "CopyConfig",
     "CopyModel",
     "Digest",
     "EndpointList",
@@ -32,6 +36,7 @@
     "MsOrNone",
     "PartnerModel",
     "PeersModel",
+    "ProcessModel",
     "RegionModel",
     "RuleModel",
     "SenderModel",
--- a/brassweir/config/model/peers.py
+++ b/brassweir/config/model/peers.py
@@ -49,6 +49,23 @@
     listen: Reachable | None = Field(None, description="the own entry's address if not given")
 
 
+class ConfigurationModel(Strict):
+    """The endpoint list as versions in the log. Without ``list`` this copy only follows."""
+
+    list: Path | None = Field(None, description="where the operator edits; read on SIGHUP")
+    confirm_removed: int = Field(0, ge=0, description="so many entries are to go at once: exactly")
+    confirm_destinations: int = Field(
+        0, ge=0, description="so many destinations are to lose their last endpoint"
+    )
+
+    @model_validator(mode="after")
+    def _sound(self) -> Self:
+        given = sorted(self.model_fields_set & {"confirm_removed", "confirm_destinations"})
+        if given and self.list is None:
+            raise ValueError(f"{', '.join(given)}: for the copy whose list is edited, and list is not given")
+        return self
+
+
 class AgreedModel(Strict):
     """The log that the copies agree on."""
 
@@ -56,6 +73,7 @@
     voters: tuple[CopyName, ...] = Field(min_length=1, max_length=7, description="who founds the group")
     lease_ms: Ms = Field(30_000.0, ge=2000.0, description="of the grants that the leader renews")
     first_epoch: Path | None = Field(None, description="a file: proposed once, and again on SIGHUP")
+    configuration: ConfigurationModel | None = Field(None, description="follow the endpoint list of the log")
 
     @model_validator(mode="after")
     def _sound(self) -> Self:
--- a/brassweir/config/model/region.py
+++ b/brassweir/config/model/region.py
@@ -17,6 +17,9 @@
     source: Literal["file", "agreed"] = Field("file", description="who publishes epochs: never both")
     epochs: Path | None = Field(None, description="the file that head office publishes")
     clock_error_ms: Ms = 500.0
+    longest_deadline_ms: Ms | None = Field(
+        None, description="of the whole fleet's messages: for a control machine, which has no classes"
+    )
     asks_on_ms: MsOrNone = Field(3_600_000.0, description="for how long clients ask for an answer")
 
     @model_validator(mode="after")
--- a/brassweir/config/model/sender.py
+++ b/brassweir/config/model/sender.py
@@ -10,12 +10,19 @@
 from brassweir.config.model.base import Address, Ms, MsOrNone, Strict
 
 
-class SenderModel(Strict):
-    """This process and what it may use."""
+class ProcessModel(Strict):
+    """What every process has, whether it delivers or not."""
 
     name: str = Field(pattern=r"^[A-Za-z0-9._-]{1,60}$")
-    listen: Address | None = Field(None, description="where AS2 clients and partners come")
     metrics: Address | None = None
+    drain_grace_ms: Ms = 10_000.0
+    log_level: Literal["debug", "info", "warning", "error"] = "info"
+
+
+class SenderModel(ProcessModel):
+    """A process that delivers, and what it may use."""
+
+    listen: Address | None = Field(None, description="where AS2 clients and partners come")
     seed: int | None = None
     slots: int = Field(ge=1, le=100_000)
     max_open: int = Field(ge=1, le=10_000_000)
@@ -37,10 +44,8 @@
     linger_ms: MsOrNone = 2000.0
     journal: Path | None = Field(None, description="its directory; NAME.journal if not given")
     journaled: bool = Field(True, description="false: nothing outlives the process")
-    drain_grace_ms: Ms = 10_000.0
     remember_ms: Ms = 3_600_000.0
     remember_most: int = Field(200_000, ge=1)
-    log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
 class LimitsModel(Strict):
--- a/brassweir/config/model/whole.py
+++ b/brassweir/config/model/whole.py
@@ -9,29 +9,30 @@
 from pydantic import Field, model_validator
 
 from brassweir.config.model.as2 import ClientModel, IdentityModel, PartnerModel
-from brassweir.config.model.base import Strict
+from brassweir.config.model.copy import DELIVERY, CopyConfig
 from brassweir.config.model.forward import ForwardModel
 from brassweir.config.model.messages import ClassModel, KindModel
-from brassweir.config.model.peers import AgreedModel, PeersModel
-from brassweir.config.model.region import RegionModel
-from brassweir.config.model.sender import LimitsModel, SenderModel
+from brassweir.config.model.sender import SenderModel
 
+IN_LOG = Path("agreed")  # as ``endpoints``, where the settings have ``agreed.configuration``
 
-class Config(Strict):
-    """A whole settings file."""
+
+class Config(CopyConfig):
+    """A whole settings file of a process that delivers."""
 
     sender: SenderModel
     classes: tuple[ClassModel, ...] = Field(min_length=1)
     kinds: tuple[KindModel, ...] = ()
-    limits: LimitsModel = LimitsModel()
     identity: IdentityModel | None = None
     clients: tuple[ClientModel, ...] = ()
     forward: ForwardModel | None = None
-    region: RegionModel | None = None
-    peers: PeersModel | None = None
-    agreed: AgreedModel | None = None
     partners: tuple[PartnerModel, ...] = ()
-    endpoints: Path
+    endpoints: Path = Field(description="the list's file; or agreed: the list comes from the log")
+
+    @property
+    def endpoints_in_log(self) -> bool:
+        """Does the endpoint list come from the agreed log?"""
+        return self.endpoints == IN_LOG and self.configuration is not None
 
     @model_validator(mode="after")
     def _fits(self) -> Self:
@@ -49,7 +50,9 @@
             if twice:
                 problems.append(f"{what}: {', '.join(twice)} stands more than once")
         webhooks = any(kind.carrier != "as2" for kind in self.kinds)
-        problems += self._fronts() + self._together()
+        problems += self._fronts() + self.shared_problems()
+        if self.region is not None and self.region.longest_deadline_ms is not None:
+            problems.append("region.longest_deadline_ms is for a control machine: here the classes say it")
         for client in self.clients:
             named = {name for name in client.may_send_to if not webhooks or not re.search(r"[*?[]", name)}
             lost = sorted(named - set(partners))
@@ -76,17 +79,6 @@
             raise ValueError("; ".join(problems))
         return self
 
-    def _together(self) -> list[str]:
-        problems = []
-        if self.agreed is not None and self.peers is None:
-            problems.append("peers is needed: agreed rests on talk between copies")
-        by_log = self.region is not None and self.region.source == "agreed"
-        if by_log and self.agreed is None:
-            problems.append("agreed is needed: region.source says that epochs come from it")
-        if self.agreed is not None and self.agreed.first_epoch is not None and not by_log:
-            problems.append("agreed.first_epoch needs region.source: agreed: epochs come from one source")
-        return problems
-
     def _fronts(self) -> list[str]:
         problems = []
         if self.identity is None and (self.clients or self.partners):
@@ -94,7 +86,7 @@
         if self.clients and self.sender.listen is None:
             problems.append("sender.listen is needed: there are AS2 clients")
         if not self.clients and self.forward is None:
-            problems.append("clients or forward is needed: nobody could hand anything in")
+            problems.append("clients or forward is needed: nobody could hand anything in" + self._hint())
         effects = {cls.name: cls.effect for cls in self.classes}
         for source in self.forward.sources if self.forward is not None else ():
             for rule in source.rules:
@@ -107,3 +99,8 @@
                         "sends again, and forward has no word to stop it; use a safe or keyed class"
                     )
         return problems
+
+    def _hint(self) -> str:
+        if self.agreed is None:
+            return ""
+        return f"; a control machine has none of {', '.join(sorted(DELIVERY & self.model_fields_set))}"
--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -13,7 +13,7 @@
 from brassweir.agreed.member import Member
 from brassweir.agreed.state import LEADER
 from brassweir.config.copies import agreed_folder
-from brassweir.config.model import Config, CopyModel
+from brassweir.config.model import CopyConfig, CopyModel
 from brassweir.peers.port import PeerPort
 from brassweir.service.agreeing import Agreeing, Note
 from brassweir.service.region import Region
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: CopyConfig,
         base: Path,
         me: CopyModel,
         copies: tuple[CopyModel, ...],
@@ -65,7 +65,7 @@
             self.note("agreed_ended", {"error": repr(error)})
             self.give_up()  # one that leads and renews nothing would let all leases lapse
 
-    def reload(self, config: Config, copies: tuple[CopyModel, ...], gone: set[str]) -> None:
+    def reload(self, config: CopyConfig, copies: tuple[CopyModel, ...], gone: set[str]) -> None:
         """An operator asks: other copies, other voters, the next epoch."""
         self.member.reload(tuple(one.name for one in copies))
         self.deals.left |= gone
--- a/brassweir/service/checking.py
+++ b/brassweir/service/checking.py
@@ -6,20 +6,31 @@
 from pathlib import Path
 
 from brassweir.config.copies import agreed_folder, read_copies, region_fits
-from brassweir.config.load import ConfigError, load
-from brassweir.config.model import Config
+from brassweir.config.load import ConfigError
+from brassweir.config.model import Config, ControlConfig, CopyConfig
+from brassweir.config.model.whole import IN_LOG
+from brassweir.config.settings import load_settings
 from brassweir.regions.epochs import EpochError, parse
 from brassweir.service.descriptors import needed, plan
 from brassweir.service.forward_side import KeyFiles
 from brassweir.service.keyfiles import credentials, peer_keys, secrets
-from brassweir.service.listed import Numbers
-from brassweir.service.listfile import read_list
+from brassweir.service.listed import Numbers, listed
+from brassweir.service.listfile import read_entries, read_list
 from brassweir.service.wiring import partnerships, settings
 
 
-def check(path: Path) -> Config:
-    """Read all that a sender would read at start. Raises ConfigError with every problem found."""
-    config = load(path, Config)
+def check(path: Path) -> Config | ControlConfig:
+    """Read all that a process would read at start. Raises ConfigError with every problem found."""
+    config = load_settings(path)
+    problems = _delivery(path, config) if isinstance(config, Config) else []
+    problems += _together(path, config) + _edited(path, config)
+    if problems:
+        raise ConfigError(problems)
+    return config
+
+
+def _delivery(path: Path, config: Config) -> list[str]:
+    """What is wrong with all that only a process that delivers has."""
     problems: list[str] = []
     try:
         hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
@@ -35,16 +46,40 @@
             credentials(kind, config.sender.name, path.parent)
         if config.forward is not None:
             KeyFiles(config.forward, path.parent, lambda *_: None)
-        read_list(path.parent / config.endpoints, config, Numbers(config))
     except ConfigError as error:
         problems += error.problems
-    problems += _together(path, config)
-    if problems:
-        raise ConfigError(problems)
-    return config
+    return problems + _endpoints(path, config)
+
+
+def _endpoints(path: Path, config: Config) -> list[str]:
+    """What is wrong with the file of the endpoint list, unless the list comes from the log."""
+    if config.endpoints_in_log:
+        return []
+    found = path.parent / config.endpoints
+    if config.endpoints == IN_LOG and not found.exists():
+        return [f"{path}: endpoints: agreed needs agreed.configuration; and there is no file of that name"]
+    try:
+        read_list(found, config, Numbers(config))
+    except ConfigError as error:
+        return error.problems
+    return []
+
+
+def _edited(path: Path, config: CopyConfig) -> list[str]:
+    """What is wrong with the list that an operator edits here."""
+    if config.configuration is None or config.configuration.list is None:
+        return []
+    found = path.parent / config.configuration.list
+    try:
+        entries = read_entries(found)
+        if isinstance(config, Config) and config.endpoints_in_log:
+            listed(entries, config, Numbers(config), str(found))
+    except ConfigError as error:
+        return error.problems
+    return []
 
 
-def _together(path: Path, config: Config) -> list[str]:
+def _together(path: Path, config: CopyConfig) -> list[str]:
     """What is wrong with the files that copies share, and with keys between them."""
     if config.peers is None:
         return []
--- /dev/null
+++ b/brassweir/service/controlmachine.py
@@ -0,0 +1,67 @@
+"""A control machine: a process that takes part in the agreed log, and delivers nothing."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+from brassweir.config.model import ControlConfig
+from brassweir.core.clock import LoopClock
+from brassweir.net.server import Server
+from brassweir.observe.metrics import Metrics
+from brassweir.service.operations import Operations
+from brassweir.service.regionof import region_of
+from brassweir.service.together import Together
+from brassweir.service.watch import Observer
+from brassweir.service.wiring import limits
+
+
+class ControlMachine:
+    """A running control machine. Made inside the loop that it will run on."""
+
+    def __init__(self, config: ControlConfig, base: Path, log: Any) -> None:
+        """Wire everything together; paths count from ``base``. Raises ConfigError."""
+        loop = asyncio.get_running_loop()
+        self.config, self.log = config, log.bind(sender=config.sender.name)
+        self.metrics = Metrics()
+        self.observer = Observer(self.log, self.metrics, LoopClock(loop), lambda _: "")
+        self.region = region_of(config, base, {}, self.metrics, self.observer.note)
+        self.together = Together(config, base, self.region, self.metrics, self.observer.note)
+        self.stopping = False
+        operations = Operations(
+            self.metrics, self.together.states, lambda: "draining" if self.stopping else ""
+        )
+        self.server = Server(operations.answer, limits(config), self._complain)
+        self.broken: asyncio.Future[BaseException] = loop.create_future()  # there is no journal to break
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def _complain(self, peer: str, status: int, reason: str) -> None:
+        self.observer.note("bad_request", {"peer": peer, "status": status, "reason": reason})
+
+    async def start(self) -> None:
+        """Listen and take part. Raises ConfigError and OSError."""
+        said: dict[str, object] = {"metrics_port": 0}
+        if self.config.sender.metrics:
+            host, _, port = self.config.sender.metrics.rpartition(":")
+            said["metrics_port"] = await self.server.listen(host, int(port))
+        said.update(await self.together.start())
+        if self.region is not None:
+            self.region.look()
+            self.tasks.append(asyncio.create_task(self.region.watch()))
+        self.log.info("started", **said)
+
+    async def drain(self) -> None:
+        """Let another lead, and end."""
+        self.stopping = True
+        self.together.hand_over()
+        await self.together.stop()
+        self.log.info("stopped")
+        self.stop()
+
+    def stop(self) -> None:
+        """End everything at once."""
+        for task in self.tasks:
+            task.cancel()
+        self.server.abort()
+        self.together.abort()
--- a/brassweir/service/listfile.py
+++ b/brassweir/service/listfile.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -17,15 +17,19 @@
 from brassweir.config.load import ConfigError, load
 from brassweir.config.model import Config, EndpointList
 from brassweir.destinations.intake import Intake
-from brassweir.service.listed import Listed, Numbers, listed
+from brassweir.service.listed import Home, Listed, Numbers, listed
 
 LOOK = 0.1  # seconds between two looks: drains are to be known well within any grace
 
 
+def read_entries(path: Path) -> Sequence[Home]:
+    """Read a list as it stands, YAML or JSON lines by its name. Raises ConfigError."""
+    return lines.read(path) if path.suffix == ".jsonl" else load(path, EndpointList).endpoints
+
+
 def read_list(path: Path, config: Config, numbers: Numbers) -> Listed:
-    """Read a list, YAML or JSON lines by its name. Raises ConfigError."""
-    entries = lines.read(path) if path.suffix == ".jsonl" else load(path, EndpointList).endpoints
-    return listed(entries, config, numbers, str(path))
+    """Read a list and check it against the settings. Raises ConfigError."""
+    return listed(read_entries(path), config, numbers, str(path))
 
 
 class ListFile:
--- a/brassweir/service/regionof.py
+++ b/brassweir/service/regionof.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
-from brassweir.config.model import Config
+from brassweir.config.model import CopyConfig
 from brassweir.interface import MessageClass
 from brassweir.observe.metrics import Metrics
 from brassweir.regions.ownership import Assumed
@@ -15,7 +15,7 @@
 
 
 def region_of(
-    config: Config,
+    config: CopyConfig,
     base: Path,
     classes: dict[str, MessageClass],
     metrics: Metrics,
@@ -25,7 +25,7 @@
     given = config.region
     if given is None:
         return None
-    longest = max(cls.deadline for cls in classes.values())
+    longest = max((cls.deadline for cls in classes.values()), default=given.longest_deadline_ms or 0.0)
     assumed = Assumed(given.clock_error_ms, longest, given.asks_on_ms)
     state = base / f"{config.sender.name}.epoch"
 
--- a/brassweir/service/serving.py
+++ b/brassweir/service/serving.py
@@ -1,31 +1,44 @@
-"""``brassweir serve``: one sender from its settings, from its start to the end of its drain."""
+"""``brassweir serve``: one process from its settings, from its start to the end of its drain."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from brassweir.config.load import ConfigError, load
+from brassweir.config.load import ConfigError
 from brassweir.config.model import Config
+from brassweir.config.settings import load_settings
 from brassweir.journal.writer import Broken
 from brassweir.service.process import SenderProcess
 
+if TYPE_CHECKING:
+    from brassweir.service.controlmachine import ControlMachine
+
+
+def process_of(path: Path, log: Any) -> SenderProcess | ControlMachine:
+    """What the settings are of: a sender or a control machine. Raises ConfigError."""
+    config = load_settings(path)
+    if isinstance(config, Config):
+        return SenderProcess(config, path.parent, log)
+    from brassweir.service.controlmachine import ControlMachine
+
+    return ControlMachine(config, path.parent, log)
+
 
 async def serve(path: Path, log: Any) -> None:
-    """Run a sender until SIGTERM or SIGINT, then drain it. Raises ConfigError and OSError, and Broken once
+    """Run a process until SIGTERM or SIGINT, then drain it. Raises ConfigError and OSError, and Broken once
     the journal's disk can no longer be trusted."""
-    config = load(path, Config)
-    process = SenderProcess(config, path.parent, log)
+    process = process_of(path, log)
     loop = asyncio.get_running_loop()
     told = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, told.set)
     if process.together is not None:
         loop.add_signal_handler(signal.SIGHUP, reload, process, path)
-    await process.start()
     stop = loop.create_task(told.wait())
+    await _started(process, stop)
     either: set[asyncio.Future[Any]] = {stop, process.broken}
     await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
     if process.broken.done():
@@ -33,11 +46,22 @@
     await process.drain()
 
 
-def reload(process: SenderProcess, path: Path) -> None:
+async def _started(process: SenderProcess | ControlMachine, stop: asyncio.Task[Any]) -> None:
+    """Start, which may wait for the first endpoint list; an operator's stop ends the waiting."""
+    start = asyncio.ensure_future(process.start())
+    await asyncio.wait({start, stop, process.broken}, return_when=asyncio.FIRST_COMPLETED)
+    if not start.done():
+        start.cancel()
+        await asyncio.wait({start})
+    if not start.cancelled():
+        start.result()
+
+
+def reload(process: SenderProcess | ControlMachine, path: Path) -> None:
     """SIGHUP: what copies share is read again, by the settings as they are now; all else needs a restart."""
     assert process.together is not None
     try:
-        config = load(path, Config)
+        config = load_settings(path)
     except ConfigError as error:
         process.observer.note("peers_refused", {"problems": error.problems[:20]})
         return
--- a/brassweir/service/together.py
+++ b/brassweir/service/together.py
@@ -13,7 +13,7 @@
 
 from brassweir.config.copies import agreed_folder, own_entry, read_copies
 from brassweir.config.load import ConfigError
-from brassweir.config.model import Config, CopyModel
+from brassweir.config.model import CopyConfig, CopyModel
 from brassweir.observe.metrics import Metrics
 from brassweir.peers.copies import Copy
 from brassweir.peers.port import PeerPort
@@ -29,7 +29,7 @@
 
     def __init__(
         self,
-        config: Config,
+        config: CopyConfig,
         base: Path,
         region: Region | None,
         metrics: Metrics,
@@ -53,7 +53,7 @@
             self.states["/agreed"] = self.agreed.state
             metrics.read_from("brassweir_agreed", "The agreed log as this copy sees it", self.agreed.counts)
 
-    def _read(self, config: Config) -> tuple[tuple[CopyModel, ...], list[bytes]]:
+    def _read(self, config: CopyConfig) -> tuple[tuple[CopyModel, ...], list[bytes]]:
         """The copies' file and the keys. Raises ConfigError, all problems at once."""
         assert config.peers is not None
         problems: list[str] = []
@@ -80,7 +80,7 @@
             await self.agreed.start()
         return said
 
-    def reload(self, config: Config) -> None:
+    def reload(self, config: CopyConfig) -> None:
         """An operator asks: copies, keys, voters and the next epoch are read again. What is bad changes
         nothing."""
         if config.sender.name != self.me.name or config.peers is None:
--- a/brassweir/service/wiring.py
+++ b/brassweir/service/wiring.py
@@ -12,7 +12,7 @@
 from brassweir.as2.message import Identity, Security
 from brassweir.as2.partnership import Client, Partner, Partnerships, Rule
 from brassweir.config.load import ConfigError
-from brassweir.config.model import Config, ForwardModel, ForwardSourceModel, PartnerModel
+from brassweir.config.model import Config, CopyConfig, ForwardModel, ForwardSourceModel, PartnerModel
 from brassweir.forward.decide.rules import Body, TagRule
 from brassweir.forward.ports import Bounds
 from brassweir.net.limits import Limits
@@ -55,7 +55,7 @@
         raise ConfigError([f"sender: {error}"]) from None
 
 
-def limits(config: Config) -> Limits:
+def limits(config: CopyConfig) -> Limits:
     """Bounds of sizes and times at the sockets."""
     given = config.limits
     return Limits(
--- a/tests/config/test_forward.py
+++ b/tests/config/test_forward.py
@@ -51,7 +51,12 @@
 
 def test_a_sender_needs_no_as2(tmp_path: Path) -> None:
     config = check(folder(tmp_path))
-    assert config.identity is None and config.forward is not None and config.forward.chunk_bytes == 16_000_000
+    assert (
+        isinstance(config, Config)
+        and config.identity is None
+        and config.forward is not None
+        and config.forward.chunk_bytes == 16_000_000
+    )
 
 
 @pytest.mark.parametrize(
@@ -140,8 +145,9 @@
 
 
 def test_key_files_are_read_again_and_keep_their_last_good_content(tmp_path: Path) -> None:
-    config = check(folder(tmp_path)).forward
-    assert config is not None
+    checked = check(folder(tmp_path))
+    assert isinstance(checked, Config) and checked.forward is not None
+    config = checked.forward
     notes: list[str] = []
     files = KeyFiles(config, tmp_path, lambda event, _: notes.append(event))
     assert files.keys("edge-1") == (b"a key",) and files.keys("nobody") == () and not files.needs_user()
--- a/tests/service/test_three.py
+++ b/tests/service/test_three.py
@@ -2,51 +2,37 @@
 
 from __future__ import annotations
 
-import json
 import signal
 import socket
-import subprocess
-import sys
 import time
-import urllib.error
-import urllib.request
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import pytest
 
-from brassweir.lab.rigs.handle import free_port
 from brassweir.regions import planning
 from brassweir.regions.epochs import parse
 from brassweir.regions.ownership import Assumed
 from tests.config.test_forward import GOOD, folder
+from tests.service.processes import WAIT, Processes
 
 NAMES = ("s1", "s2", "s3")
-WAIT = 30.0  # seconds that any condition may take, on a machine with other work
 
 
-class Fleet:
+class Fleet(Processes):
     """Three senders, each in a folder of its own."""
 
     def __init__(self, home: Path) -> None:
-        self.home = home
-        self.metrics = {name: free_port(socket.SOCK_STREAM) for name in NAMES}
-        ports = {name: free_port(socket.SOCK_DGRAM) for name in NAMES}
-        self.running: dict[str, subprocess.Popen[bytes]] = {}
+        super().__init__(home, {name: (f"x{name[1]}", f"r{name[1]}") for name in NAMES})
         first = msgspec.structs.replace(
             planning.first(
                 {"r1": "http://r1", "r2": "http://r2", "r3": "http://r3"}, time.time() * 1000.0, 6_000.0
             ),
             turn=1,
         )
-        listed = "copies:\n" + "".join(
-            f"  - {{name: {name}, site: x{name[1]}, region: r{name[1]}, address: '127.0.0.1:{ports[name]}'}}\n"
-            for name in NAMES
-        )
         for name in NAMES:
-            (home / name).mkdir()
             folder(
                 home / name,
                 GOOD.replace("name: s1,", f"name: {name}, metrics: '127.0.0.1:{self.metrics[name]}',")
@@ -55,48 +41,8 @@
                     "agreed: {voters: [s1, s2, s3], lease_ms: 6000, first_epoch: first.json}\n"
                 ),
             )
-            (home / name / "copies.yaml").write_text(listed)
-            (home / name / "peers.key").write_text("a key of this fleet\n")
             (home / name / "first.json").write_bytes(msgspec.json.encode(first))
 
-    def start(self, name: str) -> None:
-        with (self.home / name / "log").open("ab") as log:
-            self.running[name] = subprocess.Popen(
-                [sys.executable, "-m", "brassweir", "serve", str(self.home / name / "s.yaml")], stderr=log
-            )
-
-    def shown(self, name: str, path: str) -> Any:
-        try:
-            with urllib.request.urlopen(
-                f"http://127.0.0.1:{self.metrics[name]}{path}", timeout=2.0
-            ) as answer:
-                return answer.read() if path == "/metrics" else json.load(answer)
-        except (OSError, urllib.error.URLError):
-            return {}
-
-    def log(self, name: str) -> str:
-        return (self.home / name / "log").read_text()
-
-    def until(self, what: Callable[[], bool], words: str) -> None:
-        end = time.monotonic() + WAIT
-        while not what():
-            assert time.monotonic() < end, (
-                words,
-                {name: (self.shown(name, "/agreed"), self.log(name)[-2000:]) for name in self.running},
-            )
-            time.sleep(0.05)
-
-    def agreed(self, what: Callable[[dict[str, Any]], Any], names: tuple[str, ...] = NAMES) -> bool:
-        """Do all show the same, and something?"""
-        found = [what(self.shown(name, "/agreed")) for name in names]
-        return bool(found[0]) and all(one == found[0] for one in found)
-
-    def end(self) -> None:
-        for one in self.running.values():
-            if one.poll() is None:
-                one.kill()
-                one.wait()
-
 
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[Fleet]:
