Intake: takes a difference as well as a whole list, what forbids first

Need: versions of the endpoint list come as differences; comparing whole lists costs the whole list at each change.

--- a/brassweir/destinations/intake.py
+++ b/brassweir/destinations/intake.py
@@ -1,9 +1,9 @@
 """Takes a list of endpoints in by bounded steps, what forbids first.
 
 A whole list of ten thousand given to the decisions at once would hold up everything else for as long as that
-takes. Here a new list is compared with what is known and becomes a queue of small pieces of news: first the
-endpoints that are no longer to be used, then those that changed, then the new ones. What has not
-changed is not told again.
+takes. Here a new list, or a difference to the last one, is compared with what is known and becomes a queue of
+small pieces of news: first the endpoints that are no longer to be used, then those that changed, then the new
+ones. What has not changed is not told again.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 class Intake:
     """What is known of the list, and the news that is still to be told.
 
-    A later list that comes while an earlier one is being told takes its place: entries not told yet are
-    compared anew, so nothing older is told after something newer.
+    A later list or difference that comes while an earlier one is being told takes its place: entries not told
+    yet are compared anew, so nothing older is told after something newer.
     """
 
     def __init__(self, step: int = STEP) -> None:
@@ -37,25 +37,50 @@
         Raises ValueError if a name stands twice, and then changes nothing.
         """
         fresh: dict[str, EndpointInfo] = {}
+        named: set[str] = set()
         for info in entries:
-            if info.name in fresh:
-                raise ValueError(f"endpoint {info.name} stands more than once")
+            _once(info.name, named)
             fresh[info.name] = info
+        left = [name for name in self.told if name not in fresh]
+        return self._queue([*map(self._gone, left), *fresh.values()])
+
+    def apply(self, changed: Iterable[EndpointInfo], removed: Iterable[str]) -> int:
+        """A difference to what was taken last; returns how many entries there are to tell now.
+
+        What is not told yet of earlier ones stays to be told, but for what this one changes again. A name to
+        be removed that is not known is passed over. Raises ValueError if a name stands twice, and then
+        changes nothing.
+        """
+        targets = {info.name: info for queue in (self.off, self.changed, self.added) for info in queue}
+        named: set[str] = set()
+        for name in removed:
+            _once(name, named)
+            targets.pop(name, None)
+            if name in self.told:
+                targets[name] = self._gone(name)
+        for info in changed:
+            _once(info.name, named)
+            targets[info.name] = info
+        return self._queue(targets.values())
+
+    def _gone(self, name: str) -> EndpointInfo:
+        return replace(self.told[name], state=State.GONE)
+
+    def _queue(self, targets: Iterable[EndpointInfo]) -> int:
+        """Tell these from now on, and nothing else; what is known already is not told again."""
         off, changed, added = deque[EndpointInfo](), deque[EndpointInfo](), deque[EndpointInfo]()
-        for name, known in self.told.items():
-            if name not in fresh and known.state is not State.GONE:
-                off.append(replace(known, state=State.GONE))
-        for name, info in fresh.items():
-            before = self.told.get(name)
+        for info in targets:
+            before = self.told.get(info.name)
             if before == info:
                 continue
-            if info.state is not State.READY:
-                # One never told of cannot be in use: nothing is to be forbidden in haste.
-                (off if before is not None else added).append(info)
+            if before is None:
+                added.append(info)  # never told of, so not in use: nothing is to be forbidden in haste
+            elif info.state is not State.READY:
+                off.append(info)
             else:
-                (changed if before is not None else added).append(info)
+                changed.append(info)
         self.off, self.changed, self.added = off, changed, added
-        return len(off) + len(changed) + len(added)
+        return self.waiting
 
     @property
     def waiting(self) -> int:
@@ -76,3 +101,9 @@
             else:
                 self.told[info.name] = info
         return ListNews(ListKind.DELTA, tuple(piece))
+
+
+def _once(name: str, named: set[str]) -> None:
+    if name in named:
+        raise ValueError(f"endpoint {name} stands more than once")
+    named.add(name)
