--- /dev/null
+++ b/brassweir/configstream/entries.py
@@ -0,0 +1,122 @@
+"""One entry of the endpoint configuration, and what makes it acceptable. Pure.
+
+The rules are written out here and rest on no library's parser or wording: every copy must accept and refuse
+the same entries in the same words, whichever version of Python or of a library it runs.
+"""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+MOST_URL = 2_000  # characters
+MOST_PORT = 65_535
+MOST_RATE = 1e9  # calls a second
+GONE = "gone"
+STATES = frozenset({"ready", "draining", GONE})
+
+_NAME = re.compile(r"[!-~]{1,120}\Z")
+_OWNER = re.compile(r"[!-~](?:[ -~]{0,126}[!-~])?\Z")
+_LABEL = re.compile(r"[ -~]{0,120}\Z")
+_URL = re.compile(
+    r"(?:https?|forward)://"
+    r"(?:[A-Za-z0-9._~%!$&'()*+,;=-]+|\[[0-9A-Fa-f:.]+\])"  # a name or an address; no user
+    r"(?::(?P<port>[0-9]{0,5}))?"
+    r"(?P<rest>[/?][!-\"$-~]*)?\Z"  # no fragment
+)
+
+
+class EntryError(ValueError):
+    """An entry that cannot be accepted: which one, which field of it, and why."""
+
+    def __init__(self, name: str, field: str, why: str) -> None:
+        super().__init__(f"endpoint {name}: {field}: {why}")
+        self.name, self.field, self.why = name, field, why
+
+
+class Entry(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+    """One endpoint, known by its name."""
+
+    name: str
+    url: str
+    destination: str = ""
+    partner: str = ""
+    kind: str = ""
+    zone: str = ""
+    state: str = "ready"
+    rate: float = 0.0
+
+    @property
+    def owner(self) -> str:
+        """The partner or destination that it serves."""
+        return self.partner or self.destination
+
+    @property
+    def usable(self) -> bool:
+        """Whether it counts as an endpoint of its owner: one that is gone does not."""
+        return self.state != GONE
+
+
+def validate(entry: Entry) -> None:
+    """Raise EntryError for the first field that cannot be accepted."""
+    if not _NAME.match(entry.name):
+        raise EntryError(shown(entry.name), "name", "1 to 120 printable ASCII characters without spaces")
+    found = _problem(entry)
+    if found is not None:
+        raise EntryError(entry.name, *found)
+
+
+def _problem(entry: Entry) -> tuple[str, str] | None:
+    """Field and reason."""
+    if why := _url_problem(entry.url):
+        return "url", why
+    if bool(entry.partner) == bool(entry.destination):
+        return "destination", "an endpoint has either a partner or a destination"
+    if not _OWNER.match(entry.owner):
+        field = "partner" if entry.partner else "destination"
+        return field, "1 to 128 printable ASCII characters, no space first or last"
+    for field, label in (("kind", entry.kind), ("zone", entry.zone)):
+        if not _LABEL.match(label):
+            return field, "at most 120 printable ASCII characters"
+    if entry.state not in STATES:
+        return "state", "one of ready, draining, gone"
+    if not 0.0 <= entry.rate <= MOST_RATE:  # fails for what is not a number as well
+        return "rate", "a number from 0 to 1e9"
+    return None
+
+
+def _url_problem(url: str) -> str:
+    if len(url) > MOST_URL:
+        return f"{MOST_URL} characters are the most"
+    found = _URL.match(url)
+    if found is None or (url.startswith("forward:") and found["rest"]):
+        return "neither http(s)://host[:port][/path] nor forward://host[:port]"
+    if int(found["port"] or 0) > MOST_PORT:
+        return f"its port is above {MOST_PORT}"
+    return ""
+
+
+def locate(data: bytes) -> EntryError:
+    """The first field of packed bytes that is not of an entry's form; for bytes that do not decode to one."""
+    fields = Entry.__struct_fields__
+    try:
+        values = msgspec.msgpack.decode(data, type=list[msgspec.Raw])
+    except msgspec.DecodeError:
+        return EntryError("?", "name", "not an entry's list of fields")
+    name = "?"
+    for field, value in zip(fields, values, strict=False):
+        try:
+            decoded = msgspec.msgpack.decode(value, type=float if field == "rate" else str)
+        except msgspec.DecodeError:
+            return EntryError(name, field, "not of its type")
+        if field == "name":
+            name = shown(str(decoded))
+    if len(values) > len(fields):
+        return EntryError(name, fields[-1], "more fields than an entry has")
+    return EntryError(name, fields[min(len(values), len(fields) - 1)], "missing")
+
+
+def shown(name: str) -> str:
+    """A name as an error tells it: short, and printable."""
+    return ascii(name[:120])[1:-1][:120] or "''"
--- /dev/null
+++ b/tests/configstream/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the endpoint configuration as versioned changes."""
