configstream: which version is in force where, merged up the agreed log's feed tree

Nothing said which version of anything had reached which copy's decision module. A copy's module having been told all of a version is now the fact InForce; ConfiguredCore merges what the copies it feeds last said with its own and sends one Acknowledge (kind 19) up, to its feeder or the leader.

--- a/brassweir/agreed/facts.py
+++ b/brassweir/agreed/facts.py
@@ -77,7 +77,14 @@
     """This process is about to stop: hand leadership on."""
 
 
-Fact = Received | Written | WriteFailed | Propose | Read | Change | Late | Copies | Leave
+@dataclass(frozen=True, slots=True)
+class InForce:
+    """The decision module of this copy has been told all of this version. A plain core passes it over."""
+
+    version: int
+
+
+Fact = Received | Written | WriteFailed | Propose | Read | Change | Late | Copies | Leave | InForce
 
 
 class How(StrEnum):
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -110,9 +110,13 @@
         if not self.feeder or not self.identity.group or old:
             self.look_elsewhere()
         if self.feeder:
-            self.post(self.feeder, Pull(self.agreed + 1))
+            self.pull()
         self.pull_at = self.now + timing.PULL_AGAIN * (1.0 + self.rng.random())
 
+    def pull(self) -> None:
+        """Ask the feeder for what follows."""
+        self.post(self.feeder, Pull(self.agreed + 1))
+
     def look_elsewhere(self) -> None:
         """Another feeder: a voter, or any copy if there is none known."""
         names = sorted({*self.log.membership.names(), *self.founders} - {self.name, self.feeder})
--- a/brassweir/agreed/member.py
+++ b/brassweir/agreed/member.py
@@ -39,12 +39,12 @@
 from brassweir.agreed.state import LEADER
 from brassweir.agreed.status import Port, Status, seen
 from brassweir.agreed.store import Damaged
+from brassweir.agreed.tickets import Tickets
 from brassweir.journal.storage import Files, Locked, Storage
 
 KIND = "log"
 AGAIN, AGAIN_MOST = 1.0, 30.0  # s before a folder that failed is opened again; doubled up to the most
 HAND_OVER = 1.0  # s a leader that stops waits for another
-GRACE = 500.0  # ms past a question's own time-out after which its asker is freed in any case
 
 
 class Member:
@@ -58,8 +58,10 @@
         port: Port,
         founders: tuple[str, ...] = (),
         copies: tuple[str, ...] = (),
+        core: type[Core] = Core,
     ) -> None:
         """``founders``: settings' voters; ``copies``: all names there are. Nothing is opened yet."""
+        self.core_type = core
         self.name, self.machine, self.port, self.founders, self.copies = name, machine, port, founders, copies
         self.blank = machine.snapshot()
         make: Callable[[], Storage] = (lambda: Files(folder)) if isinstance(folder, Path) else folder
@@ -74,8 +76,7 @@
         self._facts: list[Fact] = []
         self._turning = self._stopping = False
         self._timer: asyncio.TimerHandle | None = None
-        self._tickets: dict[int, asyncio.Future[Outcome]] = {}
-        self._ticket = 0
+        self._tickets = Tickets()
         self._seen = 0
         self._again = AGAIN
         self._reopening: asyncio.Task[None] | None = None
@@ -104,9 +105,10 @@
             self._later()
             return
         self.machine.restore(self.blank)
-        rng = Random(os.urandom(16))
         try:
-            self.core = Core(self.name, store.kept, self.machine, rng, self.now, self.founders)
+            self.core = self.core_type(
+                self.name, store.kept, self.machine, self._rng, self.now, self.founders
+            )
         except msgspec.MsgspecError as error:  # a later version's state
             self._stand_still(error)
             return
@@ -138,9 +140,7 @@
             self._timer.cancel()
         await self.disk.close()
         self.disk.shut()
-        for future in self._tickets.values():
-            if not future.done():
-                future.set_result(Outcome(How.UNKNOWN, why="this copy stops"))
+        self._tickets.stop()
 
     # What is asked
 
@@ -159,16 +159,8 @@
     async def _ask(self, fact: Callable[[int, float], Fact], timeout_ms: float) -> Outcome:
         if self.core is None:
             return Outcome(How.REFUSED, why=self.trouble)
-        self._ticket += 1
-        ticket = self._ticket
-        future = self._tickets[ticket] = asyncio.get_running_loop().create_future()
-        self.take(fact(ticket, self.now + timeout_ms))
-        try:
-            return await asyncio.wait_for(future, (timeout_ms + GRACE) / 1_000.0)
-        except TimeoutError:
-            return Outcome(How.UNKNOWN, why="not ended in time; it may still come")
-        finally:
-            self._tickets.pop(ticket, None)
+        until = self.now + timeout_ms
+        return await self._tickets.ask(self.take, lambda ticket: fact(ticket, until), timeout_ms)
 
     def reload(self, copies: tuple[str, ...]) -> None:
         """Other copies are there now."""
@@ -181,10 +173,9 @@
 
     def status(self) -> Status:
         """As it stands."""
-        core = self.core
-        if core is None:
+        if self.core is None:
             return Status(self.name, self.trouble, dropped=dict(self.dropped))
-        return seen(core, self.trouble, self.dropped)
+        return seen(self.core, self.trouble, self.dropped)
 
     def _heard(self, sender: str, body: bytes) -> None:
         try:
@@ -236,9 +227,7 @@
                     self._timer.cancel()
                 self._timer = asyncio.get_running_loop().call_at(step.at / 1_000.0, self._wake, step.at)
             case Told():
-                future = self._tickets.get(step.ticket)
-                if future is not None and not future.done():
-                    future.set_result(step.outcome)
+                self._tickets.tell(step)
             case Applied() if step.index > self._seen:
                 self._seen = step.index
                 for applied in self.on_apply:
--- a/brassweir/agreed/messages.py
+++ b/brassweir/agreed/messages.py
@@ -6,52 +6,23 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import msgspec
 
-VERSION = 1
-Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 53)]
-Word = Annotated[str, msgspec.Meta(max_length=200)]
+from brassweir.agreed.entry import COMMAND as COMMAND
+from brassweir.agreed.entry import MEMBERS as MEMBERS
+from brassweir.agreed.entry import NOOP as NOOP
+from brassweir.agreed.entry import Count as Count
+from brassweir.agreed.entry import Entry as Entry
+from brassweir.agreed.entry import Membership as Membership
+from brassweir.agreed.entry import Word as Word
 
-NOOP, COMMAND, MEMBERS = 0, 1, 2
+VERSION = 1
 
 
 class Unreadable(ValueError):
     """Not a message of ours, or of a later kind."""
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True):
-    """One place of the log. ``session``, ``seq`` name the proposal, ``low`` its session's lowest open one."""
-
-    index: Count
-    term: Count
-    kind: Count
-    data: bytes = b""
-    session: Word = ""
-    seq: Count = 0
-    low: Count = 0
-
-
-class Membership(msgspec.Struct, frozen=True, array_like=True):
-    """Who votes: (name, member id), by name."""
-
-    voters: tuple[tuple[Word, Word], ...]
-
-    def has(self, name: str, member: str) -> bool:
-        """Does this very member vote?"""
-        return (name, member) in self.voters
-
-    def names(self) -> list[str]:
-        """Names of the voters."""
-        return [name for name, _ in self.voters]
-
-    @property
-    def quorum(self) -> int:
-        """How many of them decide."""
-        return len(self.voters) // 2 + 1
-
-
 class AskVote(msgspec.Struct, frozen=True, array_like=True, tag=1):
     """Vote for me in ``term``; ``pre``: would you? ``called``: the leader itself asks me to take over."""
 
@@ -195,6 +166,18 @@
     index: Count
 
 
+class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=19):
+    """Which versions are in force at the copies below the sender in the feed tree, merged.
+
+    ``roster`` identifies the sorted list of names that the bits stand for. ``rows``: a version, and the
+    copies whose newest it is, newest version first; 0 stands for all older ones. ``number`` grows in a run.
+    """
+
+    roster: Count
+    rows: tuple[tuple[Count, bytes], ...]
+    number: Count = 0
+
+
 Message = (
     AskVote
     | Vote
@@ -214,6 +197,7 @@
     | TakeOver
     | AskRead
     | ReadAt
+    | Acknowledge
 )
 
 
--- /dev/null
+++ b/tests/configstream/ackworld.py
@@ -0,0 +1,108 @@
+"""A simulated fleet whose copies tell which version is in force at them, and what must hold of the counts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from brassweir.agreed import timing
+from brassweir.agreed.facts import Fact, InForce, Post, Propose
+from brassweir.agreed.messages import Acknowledge, encode
+from brassweir.configstream.core import ConfiguredCore
+from brassweir.lab.models.logworld import Weather, World
+from brassweir.lab.models.toys import Pile
+
+MODULE = 40.0  # ms until a copy's decision module has been told of a version
+LEAVE = b"leave "
+
+
+@dataclass(frozen=True)
+class Member:
+    version: int
+
+
+class PileCore(ConfiguredCore):
+    """The version is the number of commands; all names but those that left are members."""
+
+    @property
+    def pile(self) -> list[bytes]:
+        machine = self.replica.machine
+        assert isinstance(machine, Pile)
+        return machine.taken
+
+    def copies(self) -> dict[str, Member]:
+        gone = {command[len(LEAVE) :].decode() for command in self.pile if command.startswith(LEAVE)}
+        return {name: Member(1) for name in sorted({*self.names, self.name} - gone)}
+
+    def newest_version(self) -> int:
+        return len(self.pile)
+
+
+class AckWorld(World):
+    """Copies with modules that lag; ``look`` compares the leader's counts with what the modules were told."""
+
+    def __init__(self, seed: int, voters: int = 3, learners: int = 0, weather: Weather | None = None) -> None:
+        self.due: dict[str, tuple[int, int]] = {}  # what a module is being told: run, version
+        self.told: dict[str, list[tuple[float, int]]] = {}  # when each module was told what, over restarts
+        self.largest = 0  # bytes of an acknowledgement
+        self.acknowledged: dict[str, int] = {}  # messages by receiver
+        super().__init__(seed, voters, learners, weather, PileCore)
+
+    def start(self, name: str) -> None:
+        if self.nodes[name].core is None:
+            self.told.setdefault(name, []).append((self.now, 0))
+        super().start(name)
+
+    def give(self, name: str, *facts: Fact) -> None:
+        super().give(name, *facts)
+        node = self.nodes[name]
+        if not isinstance(node.core, PileCore):
+            return
+        due = (node.starts, len(node.machine.taken))
+        if due[1] and self.due.get(name) != due:
+            self.due[name] = due
+            self.at(self.now + MODULE, self.tell, name, *due)
+
+    def tell(self, name: str, start: int, version: int) -> None:
+        node = self.nodes[name]
+        if node.starts == start and node.core is not None and node.stalled <= self.now:
+            self.told[name].append((self.now, version))
+            self.give(name, InForce(version))
+
+    def send(self, sender: str, post: Post) -> None:
+        if isinstance(post.envelope.body, Acknowledge):
+            self.largest = max(self.largest, len(encode(post.envelope)))
+            self.acknowledged[post.to] = self.acknowledged.get(post.to, 0) + 1
+        super().send(sender, post)
+
+    def command(self, name: str, command: bytes) -> None:
+        self.tickets += 1
+        self.judge.asked(name, self.tickets, command, self.now)
+        self.give(name, Propose(self.tickets, command, self.now + 8_000.0))
+
+    def core(self, name: str) -> PileCore:
+        core = self.nodes[name].core
+        assert isinstance(core, PileCore)
+        return core
+
+    def look(self, expiry: float = timing.CHILD) -> None:
+        """Whoever leads counts no copy for a version that it has not had within the expiry, and none twice."""
+        leader = self.leader()
+        if leader is None:
+            return
+        core = self.core(leader)
+        view = core.in_force(self.now)
+        names = set(core.rosters.current.names)
+        behind = {one.name for one in view.behind}
+        assert view.in_force + len(behind) + len(view.unheard) == view.copies == len(names)
+        for name in names - behind - set(view.unheard):
+            had = [at for at, version in self.told[name] if version >= view.newest]
+            assert had, f"{name} never had {view.newest}"
+            lost = [at for at, version in self.told[name] if version < view.newest and at > max(had)]
+            assert not lost or min(lost) >= self.now - expiry, f"{name} lost {view.newest} at {min(lost)}"
+
+    def watch(self, span: float, every: float = 100.0, expiry: float = timing.CHILD) -> None:
+        """Let time pass and look."""
+        end = self.now + span
+        while self.now < end:
+            self.run(min(end, self.now + every))
+            self.look(expiry)
