Configuration: serve follows versions, acknowledges, publishes on SIGHUP (in work)

Need: versions of the endpoint list reach every sender's decision module, and an operator's list becomes one.

--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -6,7 +6,7 @@
 from collections.abc import Mapping
 from dataclasses import asdict
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brassweir.agreed.facts import Leave, Outcome
 from brassweir.agreed.machine import Machine
@@ -19,6 +19,10 @@
 from brassweir.service.region import Region
 from brassweir.service.regionlog import RegionLog
 
+if TYPE_CHECKING:
+    from brassweir.service.configuration import FleetConfiguration
+    from brassweir.service.following import Follower
+
 SHOWN = ("term", "last", "agreed", "applied", "waiting", "age_ms")  # of the status, as metrics
 
 
@@ -34,11 +38,25 @@
         port: PeerPort,
         region: Region | None,
         note: Note,
+        follower: Follower | None = None,
     ) -> None:
+        """``follower``: what puts versions of the endpoint configuration in force here, if anything does."""
         assert config.agreed is not None
         given, names = config.agreed, tuple(one.name for one in copies)
-        self.machine = Machine()
-        self.member = Member(me.name, agreed_folder(config, base), self.machine, port, given.voters, names)
+        folder = agreed_folder(config, base)
+        self.configuration: FleetConfiguration | None = None
+        self.machine: Machine
+        if config.configuration is None:
+            self.machine = Machine()
+            self.member = Member(me.name, folder, self.machine, port, given.voters, names)
+        else:
+            from brassweir.configstream.core import ConfiguredCore
+            from brassweir.configstream.machine import ConfiguredMachine
+            from brassweir.service.configuration import FleetConfiguration
+
+            self.machine = machine = ConfiguredMachine()
+            self.member = Member(me.name, folder, machine, port, given.voters, names, ConfiguredCore)
+            self.configuration = FleetConfiguration(self.member, machine, self, follower, base, note)
         self.deals = Agreeing(
             me,
             self.machine,
@@ -59,6 +77,8 @@
         self.deals.read_wish(False)
         self.task = asyncio.create_task(self.deals.run())
         self.task.add_done_callback(self._ended)
+        if self.configuration is not None:
+            self.configuration.start()
 
     def _ended(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and (error := task.exception()) is not None:
@@ -72,6 +92,8 @@
         if config.agreed is not None:
             self.deals.want_voters(frozenset(config.agreed.voters))
         self.deals.read_wish(True)
+        if self.configuration is not None:
+            self.configuration.reload(config.configuration)
 
     async def propose(self, command: bytes, timeout_ms: float) -> Outcome:
         """Agree on a command."""
@@ -123,6 +145,8 @@
         for task in (self.task, self.deals.changing):
             if task is not None:
                 task.cancel()
+        if self.configuration is not None:
+            self.configuration.abort()
 
     async def stop(self) -> None:
         """End taking part."""
--- a/brassweir/service/checking.py
+++ b/brassweir/service/checking.py
@@ -14,8 +14,8 @@
 from brassweir.service.descriptors import needed, plan
 from brassweir.service.forward_side import KeyFiles
 from brassweir.service.keyfiles import credentials, peer_keys, secrets
-from brassweir.service.listed import Numbers, listed
-from brassweir.service.listfile import read_entries, read_list
+from brassweir.service.listed import Numbers
+from brassweir.service.listfile import read_list
 from brassweir.service.wiring import partnerships, settings
 
 
@@ -69,11 +69,13 @@
     """What is wrong with the list that an operator edits here."""
     if config.configuration is None or config.configuration.list is None:
         return []
+    from brassweir.service.editedlist import read_edited  # only where the settings have it
+
     found = path.parent / config.configuration.list
     try:
-        entries = read_entries(found)
+        read_edited(found)
         if isinstance(config, Config) and config.endpoints_in_log:
-            listed(entries, config, Numbers(config), str(found))
+            read_list(found, config, Numbers(config))
     except ConfigError as error:
         return error.problems
     return []
--- /dev/null
+++ b/brassweir/service/configuration_view.py
@@ -0,0 +1,86 @@
+"""What operators are shown of the endpoint configuration, as a tree and as metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict
+from typing import Any
+
+from brassweir.configstream.core import ConfiguredCore
+from brassweir.configstream.fleet import FleetView
+from brassweir.configstream.machine import ConfiguredMachine
+from brassweir.service.following import Follower
+from brassweir.service.publisher import Edit
+
+NEVER = 1e15  # ms: an age above this means that nothing was ever known
+
+
+def shown(
+    machine: ConfiguredMachine, core: ConfiguredCore | None, follower: Follower | None, edit: Edit
+) -> dict[str, Any]:
+    """This copy's own state; at the leader the fleet's as well."""
+    there = machine.configuration
+    view = core.in_force(_now()) if core is not None else None
+    return {
+        "level": machine.state.level,
+        "version": there.version,
+        "by": there.by,
+        "endpoints": there.catalog.size,
+        "digest": there.catalog.digest(),
+        "source": "agreed" if follower is not None else "file",
+        "in_force": follower.told if follower is not None else 0,
+        "refused": follower.refused if follower is not None else "",
+        "knowledge_age_ms": _age(core),
+        "out_of_contact": core is None or core.out_of_contact(_now()),
+        "leader": core.leader if core is not None else "",
+        "edit": asdict(edit),
+        "fleet": _fleet(view) if view is not None and view.leading else None,
+    }
+
+
+def counts(
+    machine: ConfiguredMachine, core: ConfiguredCore | None, follower: Follower | None
+) -> dict[str, float]:
+    """The same as numbers; the fleet's only at its leader."""
+    age = _age(core)
+    found = {
+        "version": float(machine.configuration.version),
+        "endpoints": float(machine.configuration.catalog.size),
+        "in_force": float(follower.told if follower is not None else 0),
+        "knowledge_age_ms": -1.0 if age is None else age,
+        "out_of_contact": float(core is None or core.out_of_contact(_now())),
+    }
+    view = core.in_force(_now()) if core is not None else None
+    if view is not None and view.leading:
+        found |= {
+            "fleet_newest": float(view.newest),
+            "fleet_copies": float(view.copies),
+            "fleet_in_force": float(view.in_force),
+            "fleet_behind": float(len(view.behind)),
+            "fleet_unheard": float(len(view.unheard)),
+            "fleet_longest_behind_ms": max((one.ms for one in view.behind), default=0.0),
+        }
+    return found
+
+
+def _fleet(view: FleetView) -> dict[str, Any]:
+    return {
+        "newest": view.newest,
+        "copies": view.copies,
+        "in_force": view.in_force,
+        "behind": [
+            {"copy": one.name, "version": one.version, "for_ms": round(one.ms)} for one in view.behind
+        ],
+        "unheard": list(view.unheard),
+    }
+
+
+def _age(core: ConfiguredCore | None) -> float | None:
+    """Ms; None if nothing was ever known."""
+    age = core.knowledge_age(_now()) if core is not None else NEVER
+    return round(age, 1) if age < NEVER else None
+
+
+def _now() -> float:
+    """The member's clock: the loop's monotonic ms."""
+    return asyncio.get_running_loop().time() * 1000.0
--- a/brassweir/service/controlmachine.py
+++ b/brassweir/service/controlmachine.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from brassweir.config.model import ControlConfig
 from brassweir.core.clock import LoopClock
@@ -16,6 +16,9 @@
 from brassweir.service.watch import Observer
 from brassweir.service.wiring import limits
 
+if TYPE_CHECKING:
+    from brassweir.service.following import Follower
+
 
 class ControlMachine:
     """A running control machine. Made inside the loop that it will run on."""
@@ -27,7 +30,9 @@
         self.metrics = Metrics()
         self.observer = Observer(self.log, self.metrics, LoopClock(loop), lambda _: "")
         self.region = region_of(config, base, {}, self.metrics, self.observer.note)
-        self.together = Together(config, base, self.region, self.metrics, self.observer.note)
+        self.together = Together(
+            config, base, self.region, self.metrics, self.observer.note, self._follower()
+        )
         self.stopping = False
         operations = Operations(
             self.metrics, self.together.states, lambda: "draining" if self.stopping else ""
@@ -36,6 +41,14 @@
         self.broken: asyncio.Future[BaseException] = loop.create_future()  # there is no journal to break
         self.tasks: list[asyncio.Task[None]] = []
 
+    def _follower(self) -> Follower | None:
+        """Imported only where the settings have it."""
+        if self.config.configuration is None:
+            return None
+        from brassweir.service.following import Holder
+
+        return Holder()
+
     def _complain(self, peer: str, status: int, reason: str) -> None:
         self.observer.note("bad_request", {"peer": peer, "status": status, "reason": reason})
 
--- /dev/null
+++ b/brassweir/service/following.py
@@ -0,0 +1,33 @@
+"""What follows the versions of the endpoint configuration at one copy."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from brassweir.configstream.catalog import Catalog
+
+
+class Follower(Protocol):
+    """Puts versions in force here, the newest in the end."""
+
+    told: int  # the version that is in force here; 0: none
+    refused: str  # why a newer version cannot be used here; empty if none was refused
+    on_told: Callable[[int], None]
+
+    def follow(self, version: int, catalog: Catalog) -> None:
+        """This is the newest version now."""
+
+
+class Holder:
+    """Follows where nothing is delivered: a version is in force once it is held."""
+
+    def __init__(self) -> None:
+        self.told = 0
+        self.refused = ""
+        self.on_told: Callable[[int], None] = lambda _: None
+
+    def follow(self, version: int, catalog: Catalog) -> None:
+        """In force at once."""
+        self.told = version
+        self.on_told(version)
--- a/brassweir/service/listed.py
+++ b/brassweir/service/listed.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 from brassweir import interface as api
@@ -69,6 +69,11 @@
     urls: dict[str, str]
 
 
+def scaled(infos: Iterable[api.EndpointInfo], scale: float) -> list[api.EndpointInfo]:
+    """Endpoints with this part of their rates."""
+    return [replace(info, rate=info.rate * scale) if info.rate else info for info in infos]
+
+
 def listed(entries: Sequence[Home], config: Config, numbers: Numbers, name: str) -> Listed:
     """Check a list against the settings. Raises ConfigError, and then numbers nothing."""
     carriers = {kind.name: kind.carrier for kind in config.kinds}
--- a/brassweir/service/listfile.py
+++ b/brassweir/service/listfile.py
@@ -9,7 +9,6 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
-from dataclasses import replace
 from pathlib import Path
 
 from brassweir import interface as api
@@ -17,7 +16,7 @@
 from brassweir.config.load import ConfigError, load
 from brassweir.config.model import Config, EndpointList
 from brassweir.destinations.intake import Intake
-from brassweir.service.listed import Home, Listed, Numbers, listed
+from brassweir.service.listed import Home, Listed, Numbers, listed, scaled
 
 LOOK = 0.1  # seconds between two looks: drains are to be known well within any grace
 
@@ -60,6 +59,10 @@
         while (news := self.intake.next()) is not None:
             self.tell(news)
 
+    async def open(self) -> None:
+        """Tell the first list, before anything runs. Raises ConfigError."""
+        self.read()
+
     async def watch(self) -> None:
         """Read again at each change, for ever."""
         while True:
@@ -79,9 +82,7 @@
                 await asyncio.sleep(0)  # one step a turn: all else goes on between
 
     def _take(self, found: Listed) -> None:
-        scale = self.scale()
-        infos = [replace(info, rate=info.rate * scale) if info.rate else info for info in found.infos]
-        count = self.intake.take(infos)
+        count = self.intake.take(scaled(found.infos, self.scale()))
         # Removed endpoints keep their address while an attempt that is out may need it: until the next list.
         gone = {
             name: self.urls[name]
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import gc
 import random
-import sys
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
@@ -19,17 +17,18 @@
 from brassweir.core.ports import Carrier, Submission
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
-from brassweir.journal.restart import carry_out
 from brassweir.net.house import Pools
 from brassweir.net.server import Server
 from brassweir.observe.metrics import Metrics
 from brassweir.service.as2_side import As2Side
 from brassweir.service.descriptors import secure
 from brassweir.service.forward_side import ForwardSide
-from brassweir.service.journaling import Journaling, Keeping, Unusable
+from brassweir.service.journaling import Journaling, Unusable
 from brassweir.service.listfile import ListFile
 from brassweir.service.plain import Plain
+from brassweir.service.recovery import keeping_of, recover
 from brassweir.service.regionof import region_of
+from brassweir.service.runtime import measure_stalls, settle
 from brassweir.service.sides import Parts, Side
 from brassweir.service.watch import Observer
 from brassweir.service.webhook_side import WebhookSide
@@ -37,13 +36,8 @@
 
 if TYPE_CHECKING:
     from brassweir.service.together import Together
+    from brassweir.service.versionedlist import VersionedList
 
-# Net new objects before a young collection, young ones before a middle one, middle ones before a full one.
-# A full one walks every remembered answer, for a tenth of a second and more; what is no longer used goes
-# without it, and the few cycles there are (tasks, errors) die young.
-COLLECT = (10_000, 5, 100_000)
-SWITCH = 0.001  # seconds until a busy thread yields: lists and keys are worked on beside the loop
-_STALL_LOOK = 0.01  # seconds between two looks at the loop's delay
 _ANSWERS = 0.2  # share of the drain's grace kept for answers to be written and receipts to be brought
 
 
@@ -72,7 +66,7 @@
         )
         self.offload = Offload(sender.crypto_threads)
         note = self.observer.note
-        self.list = ListFile(base / config.endpoints, config, self._news, note)
+        self.list = self._endpoints(base)
         parts = Parts(
             config,
             base,
@@ -112,20 +106,14 @@
             side.open(self.engine)
         self.together = self._together(base)
         states = self.together.states if self.together is not None else {}
-        plain = Plain(self.engine, self.list.numbers, self.metrics, self.clock, states)
+        self.starting = "starting" if config.endpoints_in_log else ""
+        plain = Plain(self.engine, self.list.numbers, self.metrics, self.clock, states, lambda: self.starting)
         self.plain = Server(plain.answer, bounds, self._complain)
         self.tasks: list[asyncio.Task[None]] = []
         self.metrics_port = 0
 
     def _journal(self, base: Path, classes: dict[str, api.MessageClass]) -> Journaling:
-        sender = self.config.sender
-        keeping = Keeping(
-            base / (sender.journal or Path(f"{sender.name}.journal")),
-            sender.name,
-            classes,
-            sender.remember_ms,
-            sender.order_pause_ms,
-        )
+        keeping = keeping_of(self.config.sender, base, classes)
         try:
             return Journaling(keeping, self.list.numbers.name, self._broken, self.observer.note)
         except Unusable as error:
@@ -137,7 +125,16 @@
             return None
         from brassweir.service.together import Together
 
-        return Together(self.config, base, self.region, self.metrics, self.observer.note)
+        versions = self.list if not isinstance(self.list, ListFile) else None
+        return Together(self.config, base, self.region, self.metrics, self.observer.note, versions)
+
+    def _endpoints(self, base: Path) -> ListFile | VersionedList:
+        """The endpoint list. What follows the log is imported only where the settings have it."""
+        if not self.config.endpoints_in_log:
+            return ListFile(base / self.config.endpoints, self.config, self._news, self.observer.note)
+        from brassweir.service.versionedlist import VersionedList
+
+        return VersionedList(self.config, self._news, self.observer.note)
 
     @property
     def port(self) -> int:
@@ -163,28 +160,6 @@
         if not self.broken.done():
             self.broken.set_result(error)
 
-    async def _recover(self) -> None:
-        """Go on where the process before this one was, whatever ended it."""
-        if self.journal is None:
-            return
-        plan = self.journal.plan(self.list.numbers.number)
-        found = self.journal.found
-        self.log.info(
-            "recovered",
-            again=len(plan.again),
-            answered=len(plan.answered),
-            dropped=plan.dropped,
-            owed=sum(one.owed for one in plan.answered),
-            records=found.records,
-            bytes=found.size,
-            torn_bytes=found.torn,
-            holes=len(found.holes),
-            pause_ms=plan.pause,
-        )
-        if plan.pause:
-            await asyncio.sleep(plan.pause / 1000.0)
-        carry_out(plan, self.engine, self.journal.store, self.list.numbers.number, self._owing)
-
     def _owing(self, message: int, submission: Submission) -> Waiter | None:
         """The side that took a message knows who waits for it."""
         return next((waiter for side in self.sides if (waiter := side.owing(message, submission))), None)
@@ -193,43 +168,39 @@
         self.observer.note("bad_request", {"peer": peer, "status": status, "reason": reason})
 
     async def start(self) -> None:
-        """Read the list, then listen. Raises ConfigError and OSError."""
+        """Take in the list, then listen. Raises ConfigError and OSError."""
         if self.region is not None:
             self.region.look()
             self.region.part_changed()
             self.list.scale = self.region.part
-        self.list.read()
-        await self._recover()
         said: dict[str, object] = {}
+        first = self.config.endpoints_in_log  # then the log is what the list comes from
+        if first:
+            said.update(await self._take_part())
+        await self.list.open()
+        if self.journal is not None:
+            await recover(self.journal, self.list.numbers, self.engine, self._owing, self.log)
         for side in self.sides:
             said.update(await side.start())
-        if self.config.sender.metrics:
-            host, _, port = self.config.sender.metrics.rpartition(":")
-            self.metrics_port = await self.plain.listen(host, int(port))
-        if self.together is not None:
-            said.update(await self.together.start())
-        # What stands now stands for good: the collector need not walk the whole list again and again.
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*COLLECT)
-        sys.setswitchinterval(SWITCH)
+        if not first:
+            said.update(await self._take_part())
+        settle()
         loop = asyncio.get_running_loop()
-        self.tasks = [loop.create_task(self.list.watch()), loop.create_task(self._stalls())]
+        self.tasks = [
+            loop.create_task(self.list.watch()),
+            loop.create_task(measure_stalls(self.metrics.stall)),
+        ]
         if self.region is not None:
             self.tasks.append(loop.create_task(self.region.watch(self.list.again)))
+        self.starting = ""
         self.log.info("started", metrics_port=self.metrics_port, **said)
 
-    async def _stalls(self) -> None:
-        """Keep the longest delay of the loop over the last ten seconds or more."""
-        loop = asyncio.get_running_loop()
-        worst, since = 0.0, loop.time()
-        while True:
-            before = loop.time()
-            await asyncio.sleep(_STALL_LOOK)
-            worst = max(worst, loop.time() - before - _STALL_LOOK)
-            if loop.time() - since > 10.0:
-                self.metrics.stall.set(worst)
-                worst, since = 0.0, loop.time()
+    async def _take_part(self) -> dict[str, object]:
+        """Show operators what there is, and take part in what copies share."""
+        if self.config.sender.metrics:
+            host, _, port = self.config.sender.metrics.rpartition(":")
+            self.metrics_port = await self.plain.listen(host, int(port))
+        return await self.together.start() if self.together is not None else {}
 
     async def drain(self) -> None:
         """Take nothing new, let open work end, answer what is left, and close: all within the grace."""
--- /dev/null
+++ b/brassweir/service/recovery.py
@@ -0,0 +1,55 @@
+"""How a sender goes on where the process before it was, whatever ended that one."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+from brassweir.config.model import SenderModel
+from brassweir.core.engine import Engine
+from brassweir.core.ledger import Waiter
+from brassweir.core.ports import Submission
+from brassweir.interface import MessageClass
+from brassweir.journal.restart import carry_out
+from brassweir.service.journaling import Journaling, Keeping
+from brassweir.service.listed import Numbers
+
+
+def keeping_of(sender: SenderModel, base: Path, classes: Mapping[str, MessageClass]) -> Keeping:
+    """Where a sender keeps its journal, and what it has to know for that."""
+    return Keeping(
+        base / (sender.journal or Path(f"{sender.name}.journal")),
+        sender.name,
+        classes,
+        sender.remember_ms,
+        sender.order_pause_ms,
+    )
+
+
+async def recover(
+    journal: Journaling,
+    numbers: Numbers,
+    engine: Engine,
+    owing: Callable[[int, Submission], Waiter | None],
+    log: Any,
+) -> None:
+    """Carry out what the journal leaves to do; the endpoint list has been told before."""
+    plan = journal.plan(numbers.number)
+    found = journal.found
+    log.info(
+        "recovered",
+        again=len(plan.again),
+        answered=len(plan.answered),
+        dropped=plan.dropped,
+        owed=sum(one.owed for one in plan.answered),
+        records=found.records,
+        bytes=found.size,
+        torn_bytes=found.torn,
+        holes=len(found.holes),
+        pause_ms=plan.pause,
+    )
+    if plan.pause:
+        await asyncio.sleep(plan.pause / 1000.0)
+    carry_out(plan, engine, journal.store, numbers.number, owing)
--- a/brassweir/service/sides.py
+++ b/brassweir/service/sides.py
@@ -19,7 +19,7 @@
 from brassweir.net.house import Pools
 from brassweir.net.limits import Limits
 from brassweir.observe.metrics import Metrics
-from brassweir.service.listfile import ListFile
+from brassweir.service.endpointsource import EndpointSource
 
 Note = Callable[[str, dict[str, object]], None]
 
@@ -31,7 +31,7 @@
     config: Config
     base: Path
     classes: Mapping[str, MessageClass]
-    list: ListFile
+    list: EndpointSource
     pools: Pools
     offload: Offload
     bounds: Limits
--- a/brassweir/service/together.py
+++ b/brassweir/service/together.py
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from brassweir.service.agreedside import AgreedSide
+    from brassweir.service.following import Follower
 
 
 class Together:
@@ -34,8 +35,10 @@
         region: Region | None,
         metrics: Metrics,
         note: Callable[[str, dict[str, object]], None],
+        follower: Follower | None = None,
     ) -> None:
-        """Raises ConfigError with all that is wrong with the files that copies share."""
+        """``follower``: what puts versions of the endpoint configuration in force here, if anything does.
+        Raises ConfigError with all that is wrong with the files that copies share."""
         assert config.peers is not None
         self.config, self.base, self.note = config, base, note
         self.copies, keys = self._read(config)
@@ -49,9 +52,15 @@
         if config.agreed is not None:
             from brassweir.service.agreedside import AgreedSide
 
-            self.agreed = AgreedSide(config, base, self.me, self.copies, self.port, region, note)
+            self.agreed = AgreedSide(config, base, self.me, self.copies, self.port, region, note, follower)
             self.states["/agreed"] = self.agreed.state
             metrics.read_from("brassweir_agreed", "The agreed log as this copy sees it", self.agreed.counts)
+            configuration = self.agreed.configuration
+            if configuration is not None:
+                self.states["/configuration"] = configuration.state
+                metrics.read_from(
+                    "brassweir_configuration", "The endpoint configuration as seen here", configuration.counts
+                )
 
     def _read(self, config: CopyConfig) -> tuple[tuple[CopyModel, ...], list[bytes]]:
         """The copies' file and the keys. Raises ConfigError, all problems at once."""
--- /dev/null
+++ b/tests/service/test_configuration.py
@@ -0,0 +1,195 @@
+"""The endpoint configuration between processes: two control machines and two senders over loopback."""
+
+from __future__ import annotations
+
+import json
+import shutil
+import signal
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from tests.config.test_forward import GOOD, folder
+from tests.service.processes import WAIT, Processes
+
+NAMES = ("c1", "c2", "s1", "s2")
+SENDERS = ("s1", "s2")
+ENDS = ("configuration_agreed", "configuration_unchanged", "configuration_refused")
+PEERS = "peers: {copies: copies.yaml, keys: [peers.key]}\n"
+
+
+class Fleet(Processes):
+    """The operator edits at c1; c1, c2 and s1 vote."""
+
+    def __init__(self, home: Path) -> None:
+        super().__init__(home, {name: (f"x{name}", "r1") for name in NAMES})
+        self.ended_before = 0
+        self.list = home / "c1" / "list.yaml"
+        for name in NAMES:
+            edits = "{list: list.yaml}" if name.startswith("c") else "{}"
+            shared = f"{PEERS}agreed: {{voters: [c1, c2, s1], configuration: {edits}}}\n"
+            metrics = f"metrics: '127.0.0.1:{self.metrics[name]}'"
+            if name in SENDERS:
+                text = GOOD.replace("name: s1,", f"name: {name}, {metrics},")
+                folder(home / name, text.replace("endpoints: endpoints.yaml", "endpoints: agreed") + shared)
+            else:
+                self.settings(name).write_text(f"sender: {{name: {name}, {metrics}}}\n{shared}")
+                (home / name / "list.yaml").write_text(endpoints("a"))
+
+    def configuration(self, name: str) -> dict[str, Any]:
+        """What a copy shows of it."""
+        found = self.shown(name, "/configuration")
+        return found if isinstance(found, dict) else {}
+
+    def publish(self, text: str, at: str = "c1") -> None:
+        """The operator edits the list and says so."""
+        self.ended_before = len(self.said(at, *ENDS))
+        (self.home / at / "list.yaml").write_text(text)
+        self.running[at].send_signal(signal.SIGHUP)
+
+    def edit(self, at: str = "c1") -> dict[str, Any]:
+        """How the last edit ended."""
+        found = self.configuration(at).get("edit", {})
+        return found if isinstance(found, dict) else {}
+
+    def wait_edit(self, state: str, at: str = "c1") -> dict[str, Any]:
+        """Wait until the last edit has ended: so, and not otherwise."""
+        self.until(lambda: len(self.said(at, *ENDS)) > self.ended_before, f"an edit's end at {at}")
+        edit = self.edit(at)
+        assert edit["state"] == state, edit
+        return edit
+
+    def wait_in_force(self, version: int, names: tuple[str, ...] = NAMES) -> None:
+        """Wait until a version is in force at these copies."""
+        self.until(
+            lambda: all(self.configuration(name).get("in_force") == version for name in names),
+            f"version {version} in force at {names}",
+            "/configuration",
+        )
+
+    def told(self, name: str) -> list[str]:
+        """The endpoints that a sender's decision module knows; with their states while it is awake."""
+        found = self.shown(name, "/destinations/hook-x")["endpoints"]
+        return sorted(one if isinstance(one, str) else f"{one['name']} {one['state']}" for one in found)
+
+    def taken(self, name: str) -> list[dict[str, Any]]:
+        """What a sender has logged of each version that it took."""
+        return self.said(name, "configuration_taken")
+
+    def said(self, name: str, *events: str) -> list[dict[str, Any]]:
+        """What a copy has logged of these."""
+        lines = [json.loads(line) for line in self.log(name).splitlines() if line.startswith("{")]
+        return [line for line in lines if line.get("event") in events]
+
+    def fleet_view(self) -> dict[str, Any]:
+        """What whoever leads shows of the fleet."""
+        for name in NAMES:
+            found = self.configuration(name).get("fleet")
+            if isinstance(found, dict):
+                return found
+        return {}
+
+
+def endpoints(*names: str, state: str = "ready") -> str:
+    """A list of one destination's endpoints."""
+    return "endpoints:\n" + "".join(
+        f"  - {{name: {name}, url: 'forward://127.0.0.1:9', destination: hook-x, kind: collectors, state: {state}}}\n"
+        for name in names
+    )
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    made = Fleet(tmp_path)
+    for name in NAMES:
+        made.start(name)
+    made.until(lambda: made.agreed(lambda state: state.get("level") == 2), "level 2 is agreed at all")
+    yield made
+    made.end()
+
+
+def test_a_change_at_one_copy_is_in_force_at_all_and_bad_ones_change_nothing(fleet: Fleet) -> None:
+    assert "configuration_taken" not in fleet.log("s1") and '"started"' not in fleet.log("s1"), (
+        "a sender takes nothing in before it has a list"
+    )
+    fleet.publish(endpoints("a", "b", "c"))
+    first = int(fleet.wait_edit("agreed")["version"])
+    fleet.wait_in_force(first)
+    fleet.until(lambda: '"started"' in fleet.log("s1") and '"started"' in fleet.log("s2"), "senders start")
+    fleet.until(
+        lambda: fleet.fleet_view().get("in_force") == 4 and fleet.fleet_view()["newest"] == first,
+        "the leader knows it of all",
+        "/configuration",
+    )
+    assert fleet.fleet_view()["behind"] == [] and fleet.fleet_view()["unheard"] == []
+    digests = {fleet.configuration(name)["digest"] for name in NAMES}
+    assert len(digests) == 1 and fleet.configuration("s2")["endpoints"] == 3
+    assert fleet.told("s2") == ["a", "b", "c"]
+    assert f'brassweir_configuration{{what="in_force"}} {first}'.encode() in fleet.shown("s2", "/metrics")
+
+    # A list that cannot be read, an entry the log does not carry, and one that leaves a destination alone.
+    fleet.publish(endpoints("a", "b").replace("name: b", "name: b, colour: red"))
+    refused = fleet.wait_edit("refused")
+    assert f"{fleet.list}:3: endpoints[1].colour: is no known field" in refused["why"]
+    fleet.publish(endpoints("a", "b", "c").replace("destination: hook-x", "destination: hook-y"))
+    refused = fleet.wait_edit("refused")
+    assert refused["field"] == "destinations" and "hook-x" in refused["why"], "nobody confirmed that"
+    assert all(fleet.configuration(name)["in_force"] == first for name in NAMES)
+
+    # A drain and a removal, which the settings confirm.
+    text = fleet.settings("c1").read_text()
+    fleet.settings("c1").write_text(text.replace("list.yaml}", "list.yaml, confirm_removed: 1}"))
+    fleet.publish(endpoints("a") + endpoints("c", state="draining").partition("\n")[2])
+    second = int(fleet.wait_edit("agreed")["version"])
+    assert second > first
+    fleet.wait_in_force(second)
+    last = fleet.taken("s1")[-1]
+    assert (last["changed"], last["removed"], last["first_off"]) == (1, 1, 2), "a drain and a removal first"
+
+
+def test_of_two_edits_from_one_version_the_second_is_refused(fleet: Fleet) -> None:
+    fleet.publish(endpoints("a", "b"))
+    first = int(fleet.wait_edit("agreed")["version"])
+    fleet.wait_in_force(first)
+    fleet.publish(endpoints("a", "b"), "c2")
+    assert fleet.wait_edit("unchanged", "c2")["version"] == first
+    fleet.publish(endpoints("a", "b", "c"), "c2")
+    second = int(fleet.wait_edit("agreed", "c2")["version"])
+    fleet.wait_in_force(second)
+    fleet.publish(endpoints("a", "b", "d"))
+    refused = fleet.wait_edit("refused")
+    assert refused["field"] == "after" and f"version {second} by c2" in refused["why"]
+    written = (fleet.home / "c1" / "list.in-force.jsonl").read_text()
+    assert [line.split('"')[3] for line in written.splitlines()] == ["a", "b", "c"]
+    fleet.publish(endpoints("a", "b", "c", "d"))
+    fleet.wait_in_force(int(fleet.wait_edit("agreed")["version"]))
+
+
+def test_a_copy_comes_back_with_its_folder_and_without(fleet: Fleet) -> None:
+    fleet.publish(endpoints("a", "b"))
+    first = int(fleet.wait_edit("agreed")["version"])
+    fleet.wait_in_force(first)
+    for name in ("s2", "c2"):
+        fleet.kill(name)
+    fleet.publish(endpoints("a", "b", "c"))
+    second = int(fleet.wait_edit("agreed")["version"])
+    fleet.wait_in_force(second, ("c1", "s1"))
+    shutil.rmtree(fleet.home / "c2" / "c2.agreed")
+    for name in ("s2", "c2"):
+        fleet.start(name)
+    fleet.wait_in_force(second)
+    versions = [one["version"] for one in fleet.taken("s2")]
+    assert versions[:2] == [first, first] and versions[-1] == second, "from the folder at once"
+
+    # Alone: no quorum, and what it has stays in force; it knows that its knowledge is old.
+    for name in ("c1", "c2", "s1"):
+        fleet.running[name].terminate()
+    for name in ("c1", "c2", "s1"):
+        assert fleet.running[name].wait(WAIT) == 0
+    fleet.kill("s2")
+    fleet.start("s2")
+    fleet.wait_in_force(second, ("s2",))
+    assert fleet.configuration("s2")["out_of_contact"] is True
+    assert fleet.told("s2") == ["a", "b", "c"]
