Names: limiter, admission, connector and reconciliation in place of words of our own

Four files hid a standard concept behind a word of our own: net/house (the limiter of all connection pools), resp/crowd (admission control of clients), service/sides with the three *_side modules (one connector for each protocol) and agreed/wanted (reconciliation of a desired epoch with the agreed one).

--- a/brassweir/agreed/wanted.py
+++ b/brassweir/agreed/reconciliation.py
@@ -2,7 +2,8 @@
 
 Leases in the log move on every few seconds, so an epoch that was planned beside it is always made from an
 older state. Proposed as it is it would cut leases short, and the machine refuses that. So what the file says
-counts as the wish: which places go to whom, with which pause; the epoch is planned from what is there now.
+counts as the desired epoch: which places go to whom, with which pause; what is proposed is planned from what
+is there now.
 """
 
 from __future__ import annotations
@@ -30,35 +31,35 @@
 
 
 def proposal(
-    wish: Epoch, there: Epoch | None, now: float, lease: float, assumed: Assumed
+    desired: Epoch, there: Epoch | None, now: float, lease: float, assumed: Assumed
 ) -> tuple[Epoch, str] | None:
     """The epoch to propose, and the region that it states as lost ("" for none); None if there is nothing to
-    do. Raises EpochError with the reason where the wish does not follow."""
-    check(wish)
+    do. Raises EpochError with the reason where the desired epoch does not follow."""
+    check(desired)
     if there is None or publisher(there) is not Source.AGREED:
-        if publisher(wish) is not Source.AGREED:
+        if publisher(desired) is not Source.AGREED:
             raise EpochError(
-                f"epoch {wish.number} is the file's to publish (turn {wish.turn}): hand over first"
+                f"epoch {desired.number} is the file's to publish (turn {desired.turn}): hand over first"
             )
-        return wish, ""
-    if wish.number <= there.number:
+        return desired, ""
+    if desired.number <= there.number:
         return None
-    if wish.number != there.number + 1:
-        raise EpochError(f"epoch {wish.number} does not follow {there.number}, which the log holds")
-    if wish.turn != there.turn:
-        return _handed(wish, there, now), ""
-    lost = _lost(wish, there)
+    if desired.number != there.number + 1:
+        raise EpochError(f"epoch {desired.number} does not follow {there.number}, which the log holds")
+    if desired.turn != there.turn:
+        return _handed(desired, there, now), ""
+    lost = _lost(desired, there)
     if lost:
         move = planning.taken_over(there, lost, now, lease, assumed, Lost(True, True))
         return move.epoch, lost
-    return _moved(wish, there, now, lease, _pausing(wish, assumed)), ""
+    return _moved(desired, there, now, lease, _pausing(desired, assumed)), ""
 
 
-def _handed(wish: Epoch, there: Epoch, now: float) -> Epoch:
-    if wish.turn != there.turn + 1:
-        raise EpochError(f"epoch {wish.number} is of turn {wish.turn}, and {there.turn} is reached")
-    if _owners(wish) != _owners(there):
-        raise EpochError(f"epoch {wish.number} hands over and changes grants: it may do one only")
+def _handed(desired: Epoch, there: Epoch, now: float) -> Epoch:
+    if desired.turn != there.turn + 1:
+        raise EpochError(f"epoch {desired.number} is of turn {desired.turn}, and {there.turn} is reached")
+    if _owners(desired) != _owners(there):
+        raise EpochError(f"epoch {desired.number} hands over and changes grants: it may do one only")
     return planning.handed_over(there, now)
 
 
@@ -66,37 +67,37 @@
     return [(one.region, one.low, one.high) for one in sorted(epoch.grants, key=lambda one: one.low)]
 
 
-def _lost(wish: Epoch, there: Epoch) -> str:
+def _lost(desired: Epoch, there: Epoch) -> str:
     """The region that was taken over from, by an operator's statement: what it held ends when it was made."""
     holders = {one.region for one in there.grants}
-    gone = holders - {one.region for one in wish.grants}
-    cut = {one.region for one in wish.past if one.ends == wish.issued}
+    gone = holders - {one.region for one in desired.grants}
+    cut = {one.region for one in desired.past if one.ends == desired.issued}
     return next(iter(sorted(gone & cut)), "")
 
 
-def _pausing(wish: Epoch, assumed: Assumed) -> Assumed:
+def _pausing(desired: Epoch, assumed: Assumed) -> Assumed:
     """What the operator assumed shows in the pause of the move; the longer one counts."""
     pauses = [
-        one.begins - max(before.ends, wish.issued)
-        for one in wish.grants
-        for before in wish.past
+        one.begins - max(before.ends, desired.issued)
+        for one in desired.grants
+        for before in desired.past
         if one.region != before.region
         and before.low < one.high
         and one.low < before.high
-        and one.begins > wish.issued
+        and one.begins > desired.issued
     ]
     shown = min(pauses, default=0.0) - 2.0 * assumed.clock_error
     return replace(assumed, longest=max(assumed.longest, shown))
 
 
-def _moved(wish: Epoch, there: Epoch, now: float, lease: float, assumed: Assumed) -> Epoch:
-    """Every piece that has another owner in the wish is moved, all in one epoch."""
+def _moved(desired: Epoch, there: Epoch, now: float, lease: float, assumed: Assumed) -> Epoch:
+    """Every piece that has another owner in the desired epoch is moved, all in one epoch."""
     made = there
-    for one in wish.grants:
+    for one in desired.grants:
         if any(other.region != one.region for other in _within(there, one)):
             made = planning.moved(made, one.low, one.high, one.region, now, lease, assumed).epoch
     if _owners(_joined(made)) == _owners(_joined(there)):
-        raise EpochError(f"epoch {wish.number} changes no owner: renewals are the leader's")
+        raise EpochError(f"epoch {desired.number} changes no owner: renewals are the leader's")
     return msgspec.structs.replace(made, number=there.number + 1)
 
 
--- a/brassweir/as2/carrier.py
+++ b/brassweir/as2/carrier.py
@@ -20,7 +20,7 @@
 from brassweir.interface import Result
 from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 
 
 class As2Carrier(TaskCarrier):
--- a/brassweir/as2/owed.py
+++ b/brassweir/as2/owed.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from brassweir.net.client import CallFailed
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.server import Response
 
 Note = Callable[[str, dict[str, object]], None]
--- a/brassweir/forward/carrier.py
+++ b/brassweir/forward/carrier.py
@@ -17,7 +17,7 @@
 from brassweir.interface import Result
 from brassweir.net.address import Address
 from brassweir.net.connection import CallFailed, Stage
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.pool import ConnectionPool
 
 INLINE = 16_384  # bytes: what is built in less time than a thread takes to hear of it
@@ -135,8 +135,8 @@
             for _, _, _, done in ready:
                 done(endings.failed(failed))
 
-    def _make(self, address: Address, house: Pools) -> ConnectionPool:
-        return ForwardLinks(address, house, self.credentials)
+    def _make(self, address: Address, pools: Pools) -> ConnectionPool:
+        return ForwardLinks(address, pools, self.credentials)
 
     async def _send(self, link: ForwardLink, attempt: Attempt, chunk: str, data: bytes, done: Done) -> None:
         """One chunk of a call, to its own ending."""
--- a/brassweir/forward/link.py
+++ b/brassweir/forward/link.py
@@ -11,7 +11,7 @@
 from brassweir.forward.frames import Frames
 from brassweir.net.address import Address
 from brassweir.net.connection import CallFailed, Connection, Stage
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.pool import ConnectionPool
 
 ANSWER = 4096  # bytes of anything a destination says
--- a/brassweir/relay/carrier.py
+++ b/brassweir/relay/carrier.py
@@ -10,7 +10,7 @@
 from brassweir.interface import Result
 from brassweir.net.client import CallFailed, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.relay import endings
 
 # Seconds for which a call's last byte is held back (see Pool.post): enough for a reset to come from the next
--- a/brassweir/relay/notices.py
+++ b/brassweir/relay/notices.py
@@ -16,7 +16,7 @@
 from brassweir.core.ports import Answer, FinalAnswer
 from brassweir.net.client import CallFailed, Pool
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 
 MOST = 200  # notices of one post: some 20 KB, under the platform's bound on bodies
 WITHIN, PATIENT = 0.2, 1.0  # seconds for one post, doubled up to the second; the platform answers at once
--- a/brassweir/resp/crowd.py
+++ b/brassweir/resp/admission.py
@@ -16,7 +16,7 @@
 
 
 @dataclass(slots=True)
-class Standing:
+class ClientState:
     """One connection: since when, when it was last heard or answered, and what is known of it."""
 
     id: int
@@ -29,7 +29,7 @@
     weight: int = 0  # bytes of it that are kept and not taken up yet
 
 
-class Crowd:
+class Admission:
     """All connections of clients; at most ``most``, of which usual clients hold ``usual`` at once.
 
     ``room`` is for bytes that they have sent and that are not taken up yet.
@@ -40,17 +40,17 @@
             raise ValueError(f"room for {most} clients serves nobody")
         self.most, self.usual, self.room = most, usual, room
         self.held = 0  # bytes, of all
-        self.standing: dict[int, Standing] = {}
-        self.silent: dict[int, Standing] = {}  # those that have handed nothing in, in the order of coming
+        self.clients: dict[int, ClientState] = {}
+        self.silent: dict[int, ClientState] = {}  # those that have handed nothing in, in the order of coming
 
-    def enter(self, ident: int, now: float) -> tuple[bool, int | None]:
+    def admit(self, ident: int, now: float) -> tuple[bool, int | None]:
         """A connection comes: may it stay, and who has to go for it?"""
         victim = None
-        if len(self.standing) >= self.most:
+        if len(self.clients) >= self.most:
             victim = self._victim(now)
             if victim is None:
                 return False, None
-        self.standing[ident] = self.silent[ident] = Standing(ident, now, now)
+        self.clients[ident] = self.silent[ident] = ClientState(ident, now, now)
         return True, victim
 
     def proved(self, ident: int) -> None:
@@ -61,11 +61,11 @@
 
     def leave(self, ident: int) -> None:
         """A connection is gone."""
-        one = self.standing.pop(ident, None)
+        one = self.clients.pop(ident, None)
         self.silent.pop(ident, None)
         self.held -= one.weight if one is not None else 0
 
-    def weigh(self, one: Standing, weight: int) -> int | None:
+    def weigh(self, one: ClientState, weight: int) -> int | None:
         """A connection keeps so many bytes; who has to go, if all together keep too many. A body comes within
         a packet or two: who keeps a part of one for long sends it in pieces, or not at all."""
         self.held += weight - one.weight
@@ -73,7 +73,7 @@
         if self.held <= self.room:
             return None
         heavy = [other for other in self.silent.values() if other.weight]
-        heavy = heavy or [other for other in self.standing.values() if other.weight]
+        heavy = heavy or [other for other in self.clients.values() if other.weight]
         return min(heavy, key=lambda other: other.heard).id
 
     def _victim(self, now: float) -> int | None:
@@ -82,14 +82,12 @@
         idle = self._idle(now)
         return min(idle, key=lambda one: one.heard).id if idle else None
 
-    def _idle(self, now: float) -> list[Standing]:
+    def _idle(self, now: float) -> list[ClientState]:
         return [
-            one
-            for one in self.standing.values()
-            if one.proven and not one.working and now - one.heard >= IDLE
+            one for one in self.clients.values() if one.proven and not one.working and now - one.heard >= IDLE
         ]
 
-    def tired(self, now: float) -> list[int]:
+    def expired(self, now: float) -> list[int]:
         """Those to be closed now: the silent, those that stopped within a command, and, while there is little
         room, the longest idle."""
         gone = [
@@ -99,8 +97,8 @@
         ]
         idle = self._idle(now)
         gone += [one.id for one in idle if one.half]
-        over = len(self.standing) - len(gone) - int(self.most * PRESSED)
-        if len(self.standing) - len(self.silent) > self.usual * USUAL_PRESSED:
+        over = len(self.clients) - len(gone) - int(self.most * PRESSED)
+        if len(self.clients) - len(self.silent) > self.usual * USUAL_PRESSED:
             over = len(idle)
         if over > 0:
             rest = sorted((one for one in idle if not one.half), key=lambda one: one.heard)
--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -12,8 +12,8 @@
 from brassweir.core.ledger import Record
 from brassweir.core.ports import Answer, FinalAnswer, Submission
 from brassweir.resp import codec, handin
+from brassweir.resp.admission import ClientState
 from brassweir.resp.channel import Channel
-from brassweir.resp.crowd import Standing
 
 if TYPE_CHECKING:
     from brassweir.resp.front import Front
@@ -41,7 +41,7 @@
         self.front = front
         self.decoder = codec.Decoder()
         self.slots: deque[Slot] = deque()
-        self.standing: Standing | None = None
+        self.client: ClientState | None = None
         self.resting = self.advancing = False
         self.faults = 0
 
@@ -50,8 +50,8 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected; if there is no room, somebody must go."""
         super().connection_made(transport)
-        self.standing = self.front.enter(self)
-        if self.standing is None:
+        self.client = self.front.admit(self)
+        if self.client is None:
             self.ending = True
             transport.close()
 
@@ -71,9 +71,9 @@
 
     def leave(self) -> None:
         """It counts no more."""
-        if self.standing is not None:
-            self.front.left(self.standing.id)
-            self.standing = None
+        if self.client is not None:
+            self.front.left(self.client.id)
+            self.client = None
 
     def drop(self) -> None:
         """Close at once."""
@@ -87,11 +87,11 @@
             self.finish()
             self.advance()
 
-    def tire(self) -> None:
+    def expire(self) -> None:
         """It has been silent for too long: half a command gets its error line."""
         if self.ending:
             return
-        if self.standing is not None and self.standing.proven:
+        if self.client is not None and self.client.proven:
             self.front.idled += 1
         else:
             self.front.silenced += 1
@@ -104,8 +104,8 @@
     def received(self, data: bytes) -> None:
         """Read on."""
         self.decoder.feed(data)
-        if self.standing is not None:
-            self.standing.heard = self.loop.time()
+        if self.client is not None:
+            self.client.heard = self.loop.time()
         self.advance()
 
     def readable(self) -> None:
@@ -128,9 +128,9 @@
                 break
             self.command(args)
         self.advancing = False
-        if self.standing is not None:
-            self.standing.working, self.standing.half = bool(self.slots), self.decoder.partial
-            self.front.weigh(self.standing, self.decoder.weight)
+        if self.client is not None:
+            self.client.working, self.client.half = bool(self.slots), self.decoder.partial
+            self.front.weigh(self.client, self.decoder.weight)
         if not self.ending:
             self.pause(self.resting or self.choked or len(self.slots) >= MOST_OPEN)
         elif not self.slots and not self.choked:
@@ -140,8 +140,8 @@
         """Take one command up."""
         name = args[0].upper()
         if name == b"PING" and len(args) == 1:
-            if self.standing is not None:
-                self.standing.greeted = True
+            if self.client is not None:
+                self.client.greeted = True
             self.slots.append(Slot(codec.PONG))
             self.flush()
         elif name == b"MSG.PUT":
@@ -158,8 +158,8 @@
                 raise handin.Unreadable("a message of this id was handed in before")
         except handin.Unreadable as error:
             return self.fault(str(error))
-        if self.standing is not None:
-            front.crowd.proved(self.standing.id)
+        if self.client is not None:
+            front.admission.proved(self.client.id)
         slot = Slot()
         self.slots.append(slot)
         if engine.ledger.held >= engine.settings.max_open:
@@ -228,6 +228,6 @@
             lines.append(self.slots.popleft().answer)
         if lines:
             self.write(b"".join(lines))
-            if self.standing is not None:
-                self.standing.heard = self.loop.time()
-                self.standing.working = bool(self.slots)
+            if self.client is not None:
+                self.client.heard = self.loop.time()
+                self.client.working = bool(self.slots)
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -13,25 +13,25 @@
 
 from brassweir.core.engine import Engine
 from brassweir.core.ledger import Record, Waiter
+from brassweir.resp.admission import Admission, ClientState
 from brassweir.resp.connection import Connection
-from brassweir.resp.crowd import Crowd, Standing
 
 BACKLOG = 512  # connections that wait to be accepted
 LOOK = 0.05  # seconds between two looks at who has been silent for too long
 
 
 class Front:
-    """Listens for clients. ``listed`` says which destinations there are; ``crowd`` decides who must go."""
+    """Listens for clients. ``listed`` says which destinations exist; ``admission`` decides who must go."""
 
     def __init__(
         self,
         engine: Engine,
-        crowd: Crowd,
+        admission: Admission,
         listed: Callable[[int], bool],
         owing: Callable[[Record], Waiter],
         told: Callable[[int], None],
     ) -> None:
-        self.engine, self.crowd, self.listed = engine, crowd, listed
+        self.engine, self.admission, self.listed = engine, admission, listed
         self.owing, self.told = owing, told
         self.connections: dict[int, Connection] = {}
         self.last = 0
@@ -58,34 +58,34 @@
         return int(self.listener.sockets[0].getsockname()[1])
 
     def _look(self, loop: asyncio.AbstractEventLoop) -> None:
-        for ident in self.crowd.tired(loop.time()):
-            self.connections[ident].tire()
+        for ident in self.admission.expired(loop.time()):
+            self.connections[ident].expire()
         self.looking = loop.call_later(LOOK, self._look, loop)
 
-    def enter(self, connection: Connection) -> Standing | None:
+    def admit(self, connection: Connection) -> ClientState | None:
         """One more client, for whom another may have to go; None if there is no room for it, or no time."""
         if self.closed:
             return None
         self.last += 1
         self.opened += 1
-        go, victim = self.crowd.enter(self.last, connection.loop.time())
+        go, victim = self.admission.admit(self.last, connection.loop.time())
         if victim is not None:
             self.connections[victim].drop()
         if not go:
             self.dropped += 1
             return None
         self.connections[self.last] = connection
-        return self.crowd.standing[self.last]
+        return self.admission.clients[self.last]
 
-    def weigh(self, one: Standing, weight: int) -> None:
+    def weigh(self, one: ClientState, weight: int) -> None:
         """A client keeps so many bytes here, for which another may have to go."""
-        victim = self.crowd.weigh(one, weight)
+        victim = self.admission.weigh(one, weight)
         if victim is not None:
             self.connections[victim].drop()
 
     def left(self, ident: int) -> None:
         """A client is gone."""
-        self.crowd.leave(ident)
+        self.admission.leave(ident)
         self.connections.pop(ident, None)
 
     def stop_listening(self) -> None:
--- a/brassweir/service/agreeing.py
+++ b/brassweir/service/agreeing.py
@@ -13,8 +13,8 @@
 from brassweir.agreed.commands import Command, CommandError, Join, Leave, Publish, Result
 from brassweir.agreed.contents import lost_regions
 from brassweir.agreed.machine import Machine
+from brassweir.agreed.reconciliation import proposal, recent
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing
-from brassweir.agreed.wanted import proposal, recent
 from brassweir.config.model import CopyModel
 from brassweir.regions.epochs import Epoch, EpochError, follows, parse
 from brassweir.service.regionlog import RegionLog
--- a/brassweir/service/as2_side.py
+++ b/brassweir/service/as2_connector.py
@@ -14,11 +14,11 @@
 from brassweir.core.ledger import Waiter
 from brassweir.core.ports import Carrier, Submission
 from brassweir.net.server import Server
-from brassweir.service.sides import Parts
+from brassweir.service.connector import Parts
 from brassweir.service.wiring import partnerships
 
 
-class As2Side:
+class As2Connector:
     """Clients and partners over AS2. Raises ConfigError where a key or certificate cannot be read."""
 
     def __init__(self, parts: Parts) -> None:
--- a/brassweir/service/checking.py
+++ b/brassweir/service/checking.py
@@ -10,7 +10,7 @@
 from brassweir.config.model import Config
 from brassweir.regions.epochs import EpochError, parse
 from brassweir.service.descriptors import needed, plan
-from brassweir.service.forward_side import KeyFiles
+from brassweir.service.forward_connector import KeyFiles
 from brassweir.service.keyfiles import credentials, peer_keys, secrets
 from brassweir.service.listed import Numbers
 from brassweir.service.listfile import read_list
--- a/brassweir/service/sides.py
+++ b/brassweir/service/connector.py
@@ -16,7 +16,7 @@
 from brassweir.core.offload import Offload
 from brassweir.core.ports import Carrier, Submission
 from brassweir.interface import MessageClass
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.observe.metrics import Metrics
 from brassweir.service.listfile import ListFile
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Parts:
-    """What all sides of one process share. Paths of the settings count from ``base``."""
+    """What all connectors of one process share. Paths of the settings count from ``base``."""
 
     config: Config
     base: Path
@@ -41,7 +41,7 @@
     told: Callable[[int], None]  # the receipt owed for a message was brought
 
 
-class Side(Protocol):
+class Connector(Protocol):
     """One protocol: the carriers of its kinds of destinations, and its front if clients come over it."""
 
     carriers: Mapping[str, Carrier]  # by kind of destination
@@ -53,7 +53,7 @@
         """Listen; returns what the log is to say of it. Raises OSError."""
 
     def owing(self, message: int, submission: Submission) -> Waiter | None:
-        """Who waits for the answer of a message of this side's from before a restart."""
+        """Who waits for the answer of a message of this connector from before a restart."""
 
     def stop_taking(self) -> None:
         """The drain begins: nothing new from now on, as far as that can be told here."""
@@ -70,3 +70,6 @@
 
     def abort(self) -> None:
         """End everything at once."""
+
+
+Side = Connector  # the name that process.py still uses
--- a/brassweir/service/forward_side.py
+++ b/brassweir/service/forward_connector.py
@@ -16,8 +16,8 @@
 from brassweir.forward.front import ForwardFront
 from brassweir.forward.ports import Source
 from brassweir.observe.metrics import Metrics
+from brassweir.service.connector import Note, Parts
 from brassweir.service.keyfiles import credentials, secret_line
-from brassweir.service.sides import Note, Parts
 from brassweir.service.wiring import bounds, tag_rules
 from brassweir.undelivered.item import Item
 from brassweir.undelivered.store import Kept
@@ -122,7 +122,7 @@
     return base / (config.kept or Path(f"{sender}.kept"))
 
 
-class ForwardSide:
+class ForwardConnector:
     """Sources and destinations over forward. Raises ConfigError where a key or directory cannot be used."""
 
     def __init__(self, parts: Parts) -> None:
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -28,14 +28,14 @@
 from brassweir.journal.recover import keyless
 from brassweir.journal.restart import carry_out
 from brassweir.journal.writer import Broken
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.relay.carrier import SETTLING, RelayCarrier
 from brassweir.relay.discovery import Discovery
 from brassweir.relay.listing import Change, Listing
 from brassweir.relay.notices import Notices, notice
 from brassweir.relay.settings import NodeConfig, NodeError
-from brassweir.resp.crowd import Crowd
+from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
 from brassweir.service.journaling import Journaling, Keeping, wall
 from brassweir.service.node_file import configured
@@ -113,10 +113,10 @@
         apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
         self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
         self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
-        crowd = Crowd(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
+        admission = Admission(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
         self.front = Front(
             self.engine,
-            crowd,
+            admission,
             self.listing.listed,
             lambda record: self._waiter(record.id, record.submission),
             self.journal.store.told,
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -20,19 +20,19 @@
 from brassweir.destinations.budget import Budget
 from brassweir.destinations.setups import Setups
 from brassweir.journal.restart import carry_out
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.server import Server
 from brassweir.observe.metrics import Metrics
-from brassweir.service.as2_side import As2Side
+from brassweir.service.as2_connector import As2Connector as As2Side
+from brassweir.service.connector import Parts, Side
 from brassweir.service.descriptors import secure
-from brassweir.service.forward_side import ForwardSide
+from brassweir.service.forward_connector import ForwardConnector as ForwardSide
 from brassweir.service.journaling import Journaling, Keeping, Unusable
 from brassweir.service.listfile import ListFile
 from brassweir.service.plain import Plain
 from brassweir.service.regionof import region_of
-from brassweir.service.sides import Parts, Side
 from brassweir.service.watch import Observer
-from brassweir.service.webhook_side import WebhookSide
+from brassweir.service.webhook_connector import WebhookConnector as WebhookSide
 from brassweir.service.wiring import limits, settings
 
 if TYPE_CHECKING:
--- a/brassweir/service/webhook_side.py
+++ b/brassweir/service/webhook_connector.py
@@ -7,12 +7,12 @@
 from brassweir.core.engine import Engine
 from brassweir.core.ledger import Waiter
 from brassweir.core.ports import Carrier, Submission
+from brassweir.service.connector import Parts
 from brassweir.service.keyfiles import secrets
-from brassweir.service.sides import Parts
 from brassweir.webhook.carrier import WebhookCarrier
 
 
-class WebhookSide:
+class WebhookConnector:
     """Raises ConfigError where a secret cannot be read."""
 
     connections = 0
--- a/brassweir/webhook/carrier.py
+++ b/brassweir/webhook/carrier.py
@@ -12,7 +12,7 @@
 from brassweir.interface import Result
 from brassweir.net.client import CallFailed, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.webhook import codec, endings
 
 
--- a/tests/agreed/drawn.py
+++ b/tests/agreed/drawn.py
@@ -10,8 +10,8 @@
 from brassweir.agreed import commands
 from brassweir.agreed.commands import Publish, encode
 from brassweir.agreed.machine import Machine
+from brassweir.agreed.reconciliation import proposal
 from brassweir.agreed.renewing import Facts, Renew, Renewing
-from brassweir.agreed.wanted import proposal
 from brassweir.interface import Effect
 from brassweir.regions import planning, sources
 from brassweir.regions.epochs import PLACES, Epoch, EpochError
--- a/tests/agreed/test_grants.py
+++ b/tests/agreed/test_grants.py
@@ -12,8 +12,8 @@
 from brassweir.agreed import commands, machine, renewing
 from brassweir.agreed.commands import Publish, encode
 from brassweir.agreed.machine import Machine
+from brassweir.agreed.reconciliation import proposal
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing, Wait
-from brassweir.agreed.wanted import proposal
 from brassweir.interface import Effect
 from brassweir.regions import planning
 from brassweir.regions.epochs import KEEP_LONGER, PLACES, Epoch, EpochError
--- a/tests/config/test_forward.py
+++ b/tests/config/test_forward.py
@@ -13,7 +13,7 @@
 from brassweir.config.load import ConfigError, parse
 from brassweir.config.model import Config
 from brassweir.service.checking import check
-from brassweir.service.forward_side import KeyFiles
+from brassweir.service.forward_connector import KeyFiles
 
 GOOD = """\
 sender: {name: s1, slots: 8, max_open: 100}
--- a/tests/forward/server.py
+++ b/tests/forward/server.py
@@ -16,7 +16,7 @@
 from brassweir.forward.session import Admitted, Came, Denied, Session
 from brassweir.interface import EndpointInfo
 from brassweir.lab.standins.sink import Keys
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from tests.conftest import run
 
--- a/tests/forward/test_carrier.py
+++ b/tests/forward/test_carrier.py
@@ -18,7 +18,7 @@
 from brassweir.forward.session import Admitted, Denied, Session
 from brassweir.interface import Result
 from brassweir.lab.standins.sink import Keys
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from tests.conftest import run
 from tests.forward.server import (
--- a/tests/net/peers.py
+++ b/tests/net/peers.py
@@ -16,7 +16,7 @@
 from brassweir.net.client import CallFailed, Pool, Reply
 from brassweir.net.connection import Connection, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 
 _T = TypeVar("_T")
--- a/tests/net/test_nodelay.py
+++ b/tests/net/test_nodelay.py
@@ -12,7 +12,7 @@
 from brassweir.net.connection import Connection
 from brassweir.net.limits import Limits
 from brassweir.net.server import Request, Response, Server
-from brassweir.resp.crowd import Crowd
+from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
 from tests.net.peers import LOOPS, OK, after, on, scene
 
@@ -69,7 +69,7 @@
 @both
 def test_connections_of_clients_of_the_platform(loop: Loop) -> None:
     async def work() -> None:
-        front = Front(cast(Any, None), Crowd(4, 4), lambda _: True, cast(Any, None), lambda _: None)
+        front = Front(cast(Any, None), Admission(4, 4), lambda _: True, cast(Any, None), lambda _: None)
         reader, writer = await asyncio.open_connection("127.0.0.1", await front.listen("127.0.0.1", 0))
         writer.write(b"*1\r\n$4\r\nPING\r\n")
         assert await reader.readline() == b"+PONG\r\n"
--- a/tests/relay/test_notice_handovers.py
+++ b/tests/relay/test_notice_handovers.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.relay import notices
 from brassweir.relay.notices import Notice, Notices
--- a/tests/relay/test_notices.py
+++ b/tests/relay/test_notices.py
@@ -13,7 +13,7 @@
 from brassweir.destinations.budget import Budget
 from brassweir.net.client import CallFailed
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.relay import notices, settings
 from brassweir.relay.notices import Notice, Notices
 from brassweir.service.node import ANSWERS, NodeProcess
--- a/tests/resp/desk.py
+++ b/tests/resp/desk.py
@@ -11,7 +11,7 @@
 from brassweir.core.engine import Engine
 from brassweir.core.ports import Attempt, Fact, FinalAnswer, MemoryStore, Outcome
 from brassweir.lab.standins.relay_client import Client
-from brassweir.resp.crowd import Crowd
+from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
 
 
@@ -70,7 +70,7 @@
         self.engine.news(api.ListNews(api.ListKind.FULL, (api.EndpointInfo("a", 1, ""),)))
         self.ends: list[FinalAnswer] = []
         self.front = Front(
-            self.engine, Crowd(100, 100), lambda one: one == 1, lambda _: self.ends.append, lambda _: None
+            self.engine, Admission(100, 100), lambda one: one == 1, lambda _: self.ends.append, lambda _: None
         )
         self.port = 0
         self.clients: list[socket.socket] = []
--- a/tests/service/test_asked.py
+++ b/tests/service/test_asked.py
@@ -23,7 +23,7 @@
 from brassweir.net import client
 from brassweir.net.client import CallFailed, Reply, Stage
 from brassweir.net.headers import Headers
-from brassweir.net.house import Pools
+from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.net.pool import Short
 from brassweir.service.process import SenderProcess
--- a/tests/service/test_review_founding.py
+++ b/tests/service/test_review_founding.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from brassweir.agreed import wanted
+from brassweir.agreed import reconciliation
 from brassweir.regions import planning
 from brassweir.regions.epochs import PLACES
 from brassweir.service import agreeing
@@ -22,7 +22,7 @@
 ) -> None:
     monkeypatch.setattr(agreeing, "LOOK", 0.005)
     if not guarded:
-        monkeypatch.setattr(wanted, "FIRST_FOR", float("inf"))
+        monkeypatch.setattr(reconciliation, "FIRST_FOR", float("inf"))
 
     async def work() -> None:
         now = time.time() * 1000.0
@@ -48,4 +48,4 @@
 
 
 def test_a_fresh_first_epoch_needs_no_word() -> None:
-    wanted.recent(first(), time.time() * 1000.0)
+    reconciliation.recent(first(), time.time() * 1000.0)
