--- a/brassweir/service/checking.py
+++ b/brassweir/service/checking.py
@@ -12,7 +12,7 @@
 from brassweir.config.settings import load_settings
 from brassweir.regions.epochs import EpochError, parse
 from brassweir.service.descriptors import needed, plan
-from brassweir.service.forward_side import KeyFiles
+from brassweir.service.forward_connector import KeyFiles
 from brassweir.service.keyfiles import credentials, peer_keys, secrets
 from brassweir.service.listed import Numbers
 from brassweir.service.listfile import read_list
