--- /dev/null
+++ b/tests/configstream/test_catalog.py
@@ -0,0 +1,163 @@
+"""Entries and their rules, catalogs and the differences between them, and their bounded bytes."""
+
+from __future__ import annotations
+
+import zlib
+from collections import Counter
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from brassweir.configstream import buckets, checking, delta
+from brassweir.configstream.catalog import EMPTY, Catalog, CatalogError
+from brassweir.configstream.checking import CheckError, Confirmation, check, check_packed
+from brassweir.configstream.delta import Delta, DeltaError
+from brassweir.configstream.entries import Entry, EntryError, shown, validate
+from tests.configstream.samples import catalog, entries, entry
+
+GOOD = Entry("e", "http://h:80/x?y=z", "d", kind="webhook", zone="z1", rate=2.0)
+BAD = [
+    ("name", {"name": "two words"}),
+    ("name", {"name": ""}),
+    ("url", {"url": "https://user@h/"}),
+    ("url", {"url": "http://h:65536/"}),
+    ("url", {"url": "http://h/" + "x" * 2_000}),
+    ("url", {"url": "forward://h:1/path"}),
+    ("url", {"url": "http://h/a b"}),
+    ("destination", {"destination": ""}),
+    ("destination", {"partner": "p"}),
+    ("partner", {"destination": "", "partner": " p"}),
+    ("kind", {"kind": "k\n"}),
+    ("zone", {"zone": "z" * 121}),
+    ("state", {"state": "well"}),
+    ("rate", {"rate": float("nan")}),
+    ("rate", {"rate": -0.5}),
+]
+
+
+@pytest.mark.parametrize(("field", "change"), BAD)
+def test_an_entry_that_cannot_be_accepted_is_named_with_its_field(field: str, change: dict[str, str]) -> None:
+    bad = msgspec.structs.replace(GOOD, **change)
+    with pytest.raises(EntryError) as caught:
+        validate(bad)
+    assert caught.value.field == field
+    assert str(caught.value).startswith(f"endpoint {shown(bad.name)}: {field}: ")
+    with pytest.raises(CheckError) as refused:
+        check_packed(EMPTY, delta.pack(Delta((bad,))))
+    assert refused.value.field == "entry" and refused.value.why == str(caught.value)
+
+
+@pytest.mark.parametrize("url", ["http://[::1]:80/x", "https://h", "forward://h:9", "http://a.b-c_d:/?q"])
+def test_good_entries_pass(url: str) -> None:
+    validate(msgspec.structs.replace(GOOD, url=url))
+
+
+@pytest.mark.parametrize(
+    ("row", "words"),
+    [
+        (["e", 5, "d"], "endpoint e: url: not of its type"),
+        (["e"], "endpoint e: url: missing"),
+        ([*msgspec.structs.astuple(GOOD), 1], "endpoint e: rate: more fields than an entry has"),
+        ([*msgspec.structs.astuple(GOOD)[:-1], "1"], "endpoint e: rate: not of its type"),
+        ({"name": "e"}, "endpoint ?: name: not an entry's list of fields"),
+    ],
+)
+def test_an_entry_of_another_form_is_named_with_its_field(row: object, words: str) -> None:
+    data = zlib.compress(msgspec.msgpack.encode([[msgspec.structs.astuple(GOOD), row], []]))
+    with pytest.raises(EntryError, match=f"^{words.replace('?', '[?]')}$"):
+        delta.unpack(data)
+
+
+def test_compressed_bytes_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(delta, "MOST_UNPACKED", 10_000)
+    for bomb in (b"\0" * 10_001, b"\0" * 5_000_000):
+        with pytest.raises(DeltaError, match="more than 10000 bytes when decompressed"):
+            delta.unpack(zlib.compress(bomb))
+    monkeypatch.setattr(checking, "MOST_LENGTH", 5_000)
+    with pytest.raises(CheckError, match="bytes of endpoints; 5000 are the most"):
+        check(EMPTY, Delta(tuple(entries(100))))
+    monkeypatch.setattr(checking, "MOST_SIZE", 99)
+    with pytest.raises(CheckError, match="100 endpoints; 99 are the most"):
+        check(EMPTY, Delta(tuple(entries(100))))
+
+
+def test_an_endpoint_that_is_gone_counts_as_removed() -> None:
+    there = check(EMPTY, Delta((*entries(40), entry(40, owner="d1"), entry(41, state="gone"))))
+    assert there.size == 42 and there.counts["d1"] == 2 and "d41" not in there.counts
+    assert check(there, Delta((entry(1, state="gone"),))).counts["d1"] == 1
+    assert check(there, Delta((), ("e41",))).size == 41, "it was gone before"
+    for lost in (Delta((entry(2, state="gone"),)), Delta((entry(2, owner="d3"),))):
+        with pytest.raises(CheckError, match="1 would be left with no endpoint, and 0 are confirmed: d2"):
+            check(there, lost)
+    with pytest.raises(CheckError, match="5 of 42 endpoints would be removed at once"):
+        check(there, Delta(tuple(entry(n, state="gone") for n in range(5)), ()), Confirmation(4, 5))
+    assert len(check(there, Delta((entry(2, owner="d3"),)), Confirmation(0, 1)).counts) == 39
+
+
+def test_what_is_alike_is_shared_and_what_is_damaged_refused() -> None:
+    there = catalog(2_000)
+    after = check(there, Delta((entry(7, 1.0),)))
+    assert sum(one is not other for one, other in zip(there._entries, after._entries, strict=True)) == 1
+    assert there._owners == after._owners and len(list(there.differing(after))) == 1
+    data = after.pack()
+    assert Catalog.unpack(data).digest() == after.digest() != there.digest()
+    packed = after._entries[buckets.number("e7")].packed
+    for bad in (b"", data[:-1], data.replace(packed, packed[::-1])):
+        with pytest.raises(CatalogError):
+            Catalog.unpack(bad)
+
+
+def test_the_digest_is_over_plain_bytes(monkeypatch: pytest.MonkeyPatch) -> None:
+    here = catalog(50)
+    monkeypatch.setattr(buckets, "COMPRESSION", 9)
+    there = catalog(50)
+    assert here.pack() != there.pack() and here.digest() == there.digest()
+
+
+def test_a_name_that_stands_twice_in_a_list() -> None:
+    with pytest.raises(DeltaError, match="endpoint e1 stands more than once"):
+        delta.difference(EMPTY, [entry(1), entry(2), entry(1)])
+
+
+lists = st.dictionaries(
+    st.integers(0, 12),
+    st.tuples(st.integers(0, 2), st.sampled_from(["ready", "gone"]), st.sampled_from(["", "d0", "d1"])),
+).map(lambda drawn: [entry(number, rate, state, owner) for number, (rate, state, owner) in drawn.items()])
+
+
+@given(st.lists(lists, max_size=3))
+@settings(max_examples=100, deadline=None)
+def test_differences_lead_from_any_list_to_any_other(drawn: list[list[Entry]]) -> None:
+    there, deltas = EMPTY, []
+    for wanted in drawn:
+        made = delta.difference(there, wanted)
+        after = there.advance(made.changed, made.removed).catalog
+        anew = EMPTY.advance(wanted, ()).catalog
+        assert after.digest() == anew.digest() and after.size == len(wanted) and after.pack() == anew.pack()
+        assert dict(after.counts) == Counter(one.owner for one in wanted if one.usable)
+        assert not delta.difference(after, wanted) and set(after.entries()) == set(wanted)
+        between = delta.between(there, after)
+        assert set(between.changed) == set(made.changed) and set(between.removed) == set(made.removed)
+        assert delta.unpack(delta.pack(made)) == made
+        there = after
+        deltas.append(made)
+    merged = delta.merge(deltas)
+    assert {one.name for one in merged.changed} >= {one.name for one in there.entries()}
+    assert EMPTY.advance(merged.changed, ()).catalog.digest() == there.digest()
+
+
+@given(st.binary(max_size=200))
+@settings(max_examples=200, deadline=None)
+def test_no_bytes_are_more_than_refused(noise: bytes) -> None:
+    for body in (
+        noise,
+        zlib.compress(noise),
+        zlib.compress(b"\x92\x91" + noise),
+        zlib.compress(b"\x92\x91\x98" + noise),
+    ):
+        try:
+            check_packed(EMPTY, body)
+        except CheckError as error:
+            assert error.field in {"body", "entry", "name", "size"}
