Configuration core: the entries of a delta are counted before any is read

Cause: 40 MB of plain bytes could hold thirteen million tiny entries, gigabytes once they are read. Change: at most 100,000 changed and as many removed, checked by the decoder before the first of them.

--- a/brassweir/configstream/checking.py
+++ b/brassweir/configstream/checking.py
@@ -11,11 +11,10 @@
 import msgspec
 
 from brassweir.configstream.catalog import Catalog, UnknownEntry
-from brassweir.configstream.delta import Delta, DeltaError, unpack
+from brassweir.configstream.delta import MOST_ENTRIES, Delta, DeltaError, unpack
 from brassweir.configstream.entries import EntryError, shown, validate
 
 MOST_REMOVED = 0.1  # of all entries, by one change without an operator's word
-MOST_SIZE = 100_000  # entries of a catalog
 MOST_LENGTH = 32 << 20  # bytes of a catalog's entries before compression
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 30)]
@@ -77,8 +76,8 @@
 
 
 def _check_size(catalog: Catalog) -> None:
-    if catalog.size > MOST_SIZE:
-        raise CheckError("size", f"{catalog.size} endpoints; {MOST_SIZE} are the most")
+    if catalog.size > MOST_ENTRIES:
+        raise CheckError("size", f"{catalog.size} endpoints; {MOST_ENTRIES} are the most")
     if catalog.length > MOST_LENGTH:
         raise CheckError("size", f"{catalog.length} bytes of endpoints; {MOST_LENGTH} are the most")
 
--- a/brassweir/configstream/delta.py
+++ b/brassweir/configstream/delta.py
@@ -4,6 +4,7 @@
 
 import zlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -11,6 +12,7 @@
 from brassweir.configstream.catalog import EMPTY, Catalog
 from brassweir.configstream.entries import Entry, EntryError, locate, shown
 
+MOST_ENTRIES = 100_000  # changed, and as many removed: counted before any of them is read
 MOST_UNPACKED = 40 << 20  # bytes: above a whole catalog's (checking.MOST_LENGTH) and the names it removes
 COMPRESSION = 6  # of 9: packed once, sent to every copy
 
@@ -23,11 +25,14 @@
         self.field = field
 
 
+_Bounded = msgspec.Meta(max_length=MOST_ENTRIES)
+
+
 class Delta(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """Entries that are new or other than before, and names of those that are there no more."""
 
-    changed: tuple[Entry, ...] = ()
-    removed: tuple[str, ...] = ()
+    changed: Annotated[tuple[Entry, ...], _Bounded] = ()
+    removed: Annotated[tuple[str, ...], _Bounded] = ()
 
     def __bool__(self) -> bool:
         return bool(self.changed or self.removed)
@@ -35,7 +40,9 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Delta)
-_loose = msgspec.msgpack.Decoder(tuple[list[msgspec.Raw], list[str]])
+_loose = msgspec.msgpack.Decoder(
+    tuple[Annotated[list[msgspec.Raw], _Bounded], Annotated[list[str], _Bounded]]
+)
 _entry = msgspec.msgpack.Decoder(Entry)
 
 
--- a/tests/configstream/test_catalog.py
+++ b/tests/configstream/test_catalog.py
@@ -75,10 +75,14 @@
     for bomb in (b"\0" * 10_001, b"\0" * 5_000_000):
         with pytest.raises(DeltaError, match="more than 10000 bytes when decompressed"):
             delta.unpack(zlib.compress(bomb))
+    monkeypatch.undo()
+    crowd = msgspec.msgpack.encode([[["e", "u"]] * (delta.MOST_ENTRIES + 1), []])
+    with pytest.raises(DeltaError, match="^no delta$"):
+        delta.unpack(zlib.compress(crowd))
     monkeypatch.setattr(checking, "MOST_LENGTH", 5_000)
     with pytest.raises(CheckError, match="bytes of endpoints; 5000 are the most"):
         check(EMPTY, Delta(tuple(entries(100))))
-    monkeypatch.setattr(checking, "MOST_SIZE", 99)
+    monkeypatch.setattr(checking, "MOST_ENTRIES", 99)
     with pytest.raises(CheckError, match="100 endpoints; 99 are the most"):
         check(EMPTY, Delta(tuple(entries(100))))
 
