Configuration core: a refused change names its endpoint as a value

Cause: the service has to tell the line of the list file that a refusal speaks of. Change: CheckError carries the name of the endpoint where it is about one.

--- a/brassweir/configstream/checking.py
+++ b/brassweir/configstream/checking.py
@@ -31,11 +31,11 @@
 
 
 class CheckError(ValueError):
-    """A change that must not be made: which field stands against it, and why."""
+    """A change that must not be made: which field stands against it, and why; the endpoint if it is one's."""
 
-    def __init__(self, field: str, why: str) -> None:
+    def __init__(self, field: str, why: str, endpoint: str = "") -> None:
         super().__init__(f"{field}: {why}")
-        self.field, self.why = field, why
+        self.field, self.why, self.endpoint = field, why, endpoint
 
 
 def check(catalog: Catalog, delta: Delta, confirmation: Confirmation = UNCONFIRMED) -> Catalog:
@@ -45,7 +45,7 @@
         try:
             validate(entry)
         except EntryError as error:
-            raise CheckError("entry", str(error)) from None
+            raise CheckError("entry", str(error), entry.name) from None
     try:
         made = catalog.advance(delta.changed, delta.removed)
     except UnknownEntry as error:
@@ -61,7 +61,7 @@
     try:
         delta = unpack(body)
     except EntryError as error:
-        raise CheckError("entry", str(error)) from None
+        raise CheckError("entry", str(error), error.name) from None
     except DeltaError as error:
         raise CheckError(error.field, str(error)) from None
     return check(catalog, delta, confirmation)
@@ -71,7 +71,7 @@
     seen: set[str] = set()
     for name in (*(entry.name for entry in delta.changed), *delta.removed):
         if name in seen:
-            raise CheckError("name", f"endpoint {shown(name)} stands more than once")
+            raise CheckError("name", f"endpoint {shown(name)} stands more than once", name)
         seen.add(name)
 
 
--- a/brassweir/configstream/delta.py
+++ b/brassweir/configstream/delta.py
@@ -18,11 +18,11 @@
 
 
 class DeltaError(ValueError):
-    """Bytes that are no delta. ``field`` says what of it."""
+    """What is no delta: which field of it is wrong, and the endpoint if it is one's."""
 
-    def __init__(self, why: str, field: str = "body") -> None:
+    def __init__(self, why: str, field: str = "body", endpoint: str = "") -> None:
         super().__init__(why)
-        self.field = field
+        self.field, self.endpoint = field, endpoint
 
 
 _Bounded = msgspec.Meta(max_length=MOST_ENTRIES)
@@ -82,7 +82,7 @@
     fresh: dict[str, Entry] = {}
     for entry in new:
         if entry.name in fresh:
-            raise DeltaError(f"endpoint {shown(entry.name)} stands more than once", "name")
+            raise DeltaError(f"endpoint {shown(entry.name)} stands more than once", "name", entry.name)
         fresh[entry.name] = entry
     removed = []
     for entry in old.entries():
--- a/brassweir/configstream/planning.py
+++ b/brassweir/configstream/planning.py
@@ -40,7 +40,7 @@
     try:
         difference = delta.difference(catalog, entries)
     except delta.DeltaError as error:
-        raise CheckError(error.field, str(error)) from None
+        raise CheckError(error.field, str(error), error.endpoint) from None
     if not difference:
         return None
     digest = check(catalog, difference, confirmation).digest()
--- a/brassweir/configstream/sharing.py
+++ b/brassweir/configstream/sharing.py
@@ -50,7 +50,7 @@
                 self._made[key] = error
         made = self._made[key]
         if isinstance(made, CheckError):
-            raise CheckError(made.field, made.why)
+            raise CheckError(made.field, made.why, made.endpoint)
         return made
 
     def restored(self, data: bytes) -> Catalog:
