--- a/tests/service/test_lean.py
+++ b/tests/service/test_lean.py
@@ -30,7 +30,7 @@
 asyncio.run(work(Path(sys.argv[1])))
 """
 NODE = "import brassweir.cli.node, brassweir.service.node"
-SHOW = "\nprint(*sorted(name for name in sys.modules if name.split('.')[1:2] in (['peers'], ['agreed']) and name.startswith('brassweir')))"
+SHOW = "\nprint(*sorted(name for name in sys.modules if name.split('.')[1:2] in (['peers'], ['agreed'], ['configstream']) and name.startswith('brassweir')))"
 
 
 def imported(code: str, *given: str) -> list[str]:
@@ -63,3 +63,9 @@
     )
     found = imported(START, str(put(tmp_path, text)))
     assert "brassweir.peers.port" in found and ("brassweir.agreed.member" in found) is agreed
+    assert not [name for name in found if name.startswith("brassweir.configstream")]
+
+
+def test_versions_of_the_endpoint_list_are_imported_where_the_settings_have_them(tmp_path: Path) -> None:
+    path = put(tmp_path, SETTINGS.replace("first.json}", "first.json, configuration: {}}"))
+    assert "brassweir.configstream.core" in imported(START, str(path))
