--- a/brassweir/service/configuration.py
+++ b/brassweir/service/configuration.py
@@ -16,7 +16,7 @@
 from brassweir.configstream.core import ConfiguredCore
 from brassweir.configstream.machine import ConfiguredMachine
 from brassweir.service.configuration_view import counts, shown
-from brassweir.service.following import Follower
+from brassweir.service.following import Follower, Holder
 from brassweir.service.publisher import Note, Publisher
 
 LOOK = 0.1  # seconds between two looks: at the machine, the core, and the members' levels
@@ -51,7 +51,8 @@
     ) -> None:
         self.member, self.machine, self.group = member, machine, group
         self.follower, self.note = follower, note
-        self.publisher = Publisher(member.name, machine, group.propose, base, note)
+        accepts = follower.check if follower is not None else Holder().check
+        self.publisher = Publisher(member.name, machine, group.propose, base, note, accepts)
         self.followed = 0
         self._acknowledged: tuple[object, int] = (None, 0)
         self.task: asyncio.Task[None] | None = None
--- a/brassweir/service/following.py
+++ b/brassweir/service/following.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Protocol
 
 from brassweir.configstream.catalog import Catalog
+from brassweir.configstream.entries import Entry
 
 
 class Follower(Protocol):
@@ -18,6 +19,9 @@
     def follow(self, version: int, catalog: Catalog) -> None:
         """This is the newest version now."""
 
+    def check(self, entries: Sequence[Entry]) -> None:
+        """Could these be in force here? On a thread. Raises ConfigError."""
+
 
 class Holder:
     """Follows where nothing is delivered: a version is in force once it is held."""
@@ -31,3 +35,6 @@
         """In force at once."""
         self.told = version
         self.on_told(version)
+
+    def check(self, entries: Sequence[Entry]) -> None:
+        """Any could."""
--- a/brassweir/service/publisher.py
+++ b/brassweir/service/publisher.py
@@ -10,7 +10,7 @@
 import asyncio
 import json
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -21,6 +21,7 @@
 from brassweir.config.model import ConfigurationModel
 from brassweir.configstream.checking import CheckError, Confirmation
 from brassweir.configstream.delta import difference
+from brassweir.configstream.entries import Entry
 from brassweir.configstream.machine import ConfiguredMachine
 from brassweir.configstream.planning import Plan, plan
 from brassweir.configstream.publishing import (
@@ -56,8 +57,18 @@
 class Publisher:
     """One edit at a time."""
 
-    def __init__(self, name: str, machine: ConfiguredMachine, ask: Ask, base: Path, note: Note) -> None:
-        """``base``: what paths of the settings count from."""
+    def __init__(
+        self,
+        name: str,
+        machine: ConfiguredMachine,
+        ask: Ask,
+        base: Path,
+        note: Note,
+        accepts: Callable[[Sequence[Entry]], None] = lambda _: None,
+    ) -> None:
+        """``base``: what paths of the settings count from; ``accepts`` raises ConfigError for a list that
+        this copy itself could not use."""
+        self.accepts = accepts
         self.name, self.machine, self.ask, self.base, self.note = name, machine, ask, base, note
         self.remembered = base / f"{name}.configuration"
         self.edit = Edit("none")
@@ -76,16 +87,22 @@
         self.edit = Edit("proposing")
         confirmation = Confirmation(given.confirm_removed, given.confirm_destinations)
         self.task = asyncio.create_task(self._publish(self.base / given.list, confirmation))
+        self.task.add_done_callback(self._stopped)
+
+    def _stopped(self, task: asyncio.Task[None]) -> None:
+        if not task.cancelled() and (error := task.exception()) is not None:
+            self.edit = Edit("refused", 0, "list", repr(error))
+            self.note("configuration_refused", {"field": "list", "error": repr(error)})
 
     async def _publish(self, path: Path, confirmation: Confirmation) -> None:
         there = self.machine.configuration
         version, catalog = there.version, there.catalog
         try:
-            entries = await asyncio.to_thread(read_edited, path)
+            entries = await asyncio.to_thread(self._read, path)
             if self._made_from() == version:
                 made = await asyncio.to_thread(plan, version, catalog, entries, self.name, confirmation)
             elif await asyncio.to_thread(difference, catalog, entries):
-                return await self._outdated(path, version)
+                return await self._outdated(path)
             else:
                 made = None
         except ConfigError as error:
@@ -96,24 +113,30 @@
             return self._unchanged(path, version)
         await self._propose(path, made)
 
+    def _read(self, path: Path) -> list[Entry]:
+        """On a thread. Raises ConfigError."""
+        entries = read_edited(path)
+        self.accepts(entries)
+        return entries
+
     def _unchanged(self, path: Path, version: int) -> None:
         self._remember(version)
         self.edit = Edit("unchanged", version)
         self.note("configuration_unchanged", {"path": str(path), "version": version})
 
-    async def _outdated(self, path: Path, version: int) -> None:
+    async def _outdated(self, path: Path) -> None:
         """Another version came since the list was made."""
         before = self._made_from()
         words = f"version {before}" if before is not None else "a version that is not known here"
+        there = self.machine.configuration
         shown = path.with_name(f"{path.stem}.in-force.jsonl")
-        await asyncio.to_thread(write_list, shown, self.machine.configuration.catalog)
-        self._remember(version)
-        by = self.machine.configuration.by
+        await asyncio.to_thread(write_list, shown, there.catalog)
+        self._remember(there.version)
         self._refuse(
             path,
             "after",
-            f"the list was made from {words}, and version {version} by {by} is in force, written to {shown}: "
-            "bring its changes into the list, and ask again",
+            f"the list was made from {words}, and version {there.version} by {there.by} is in force, written "
+            f"to {shown}: bring its changes into the list, and ask again",
         )
 
     async def _propose(self, path: Path, made: Plan) -> None:
@@ -126,7 +149,7 @@
             facts = Facts(self.machine.state.level, there.version, there.catalog.digest(), ended)
             for step in publishing.step(_now(), facts):
                 if isinstance(step, Superseded):
-                    await self._outdated(path, step.version)
+                    await self._outdated(path)
                 if self._end(path, made, step):
                     return
                 await self._carry_out(step)
--- a/brassweir/service/versionedlist.py
+++ b/brassweir/service/versionedlist.py
@@ -9,7 +9,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 
 from brassweir import interface as api
 from brassweir.config import lines
@@ -52,6 +52,10 @@
         self._newest = (version, catalog)
         self._changed.set()
 
+    def check(self, entries: Sequence[Entry]) -> None:
+        """Could these be in force here? On a thread. Raises ConfigError."""
+        listed([_home(entry) for entry in entries], self.config, Numbers(self.config), "the list")
+
     def again(self) -> None:
         """The part of each rate that is ours has changed."""
         self._rescaled = True
--- a/tests/service/test_configuration.py
+++ b/tests/service/test_configuration.py
@@ -5,6 +5,8 @@
 import json
 import shutil
 import signal
+import urllib.error
+import urllib.request
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
@@ -100,6 +102,20 @@
     )
 
 
+def test_a_sender_that_waits_for_its_first_list_can_be_stopped(tmp_path: Path) -> None:
+    fleet = Fleet(tmp_path)
+    try:
+        fleet.start("s1")
+        fleet.until(lambda: bool(fleet.configuration("s1")), "it takes part", "/configuration")
+        with pytest.raises(urllib.error.HTTPError) as caught:
+            urllib.request.urlopen(f"http://127.0.0.1:{fleet.metrics['s1']}/healthz", timeout=5.0)
+        assert caught.value.code == 503 and caught.value.read() == b"starting\n"
+        fleet.running["s1"].terminate()
+        assert fleet.running["s1"].wait(WAIT) == 0 and '"stopped"' in fleet.log("s1")
+    finally:
+        fleet.end()
+
+
 @pytest.fixture
 def fleet(tmp_path: Path) -> Iterator[Fleet]:
     made = Fleet(tmp_path)
--- /dev/null
+++ b/tests/service/test_versionedlist.py
@@ -0,0 +1,154 @@
+"""Versions of the endpoint list at one sender: told in steps, the last good one kept."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from pathlib import Path
+
+import pytest
+
+from brassweir.config.load import ConfigError, load
+from brassweir.config.model import Config
+from brassweir.configstream.catalog import EMPTY, Catalog
+from brassweir.configstream.entries import Entry
+from brassweir.interface import ListNews, State
+from brassweir.service.versionedlist import VersionedList
+from tests.config.test_control import FOLLOWS
+from tests.config.test_copies import put
+
+
+def entry(name: str, state: str = "ready", kind: str = "collectors", rate: float = 0.0) -> Entry:
+    return Entry(name, f"forward://{name}:9", "hook", "", kind, "", state, rate)
+
+
+def catalog(*entries: Entry) -> Catalog:
+    return EMPTY.advance(entries, ()).catalog
+
+
+class Sender:
+    """What the decision module of one sender is told."""
+
+    def __init__(self, home: Path) -> None:
+        self.news: list[ListNews] = []
+        self.notes: list[tuple[str, dict[str, object]]] = []
+        self.in_force: list[int] = []
+        self.list = VersionedList(
+            load(put(home, FOLLOWS), Config), self.tell, lambda event, more: self.notes.append((event, more))
+        )
+        self.list.on_told = self.in_force.append
+        self.between: list[tuple[int, Catalog]] = []  # versions that come after the next steps
+
+    def tell(self, news: ListNews) -> None:
+        self.news.append(news)
+        if self.between:
+            self.list.follow(*self.between.pop(0))
+
+    def states(self) -> dict[str, State]:
+        return {one.name: one.state for news in self.news for one in news.entries}
+
+
+def run(work: Coroutine[None, None, None]) -> None:
+    asyncio.run(asyncio.wait_for(work, 30.0))
+
+
+async def until_told(sender: Sender, version: int) -> None:
+    task = asyncio.create_task(sender.list.watch())
+    while sender.list.told != version:
+        await asyncio.sleep(0)
+    task.cancel()
+
+
+def test_the_first_version_is_waited_for_and_the_next_are_told_as_differences(tmp_path: Path) -> None:
+    async def work() -> None:
+        sender = Sender(tmp_path)
+        opening = asyncio.create_task(sender.list.open())
+        await asyncio.sleep(0)
+        assert not opening.done() and not sender.news
+        sender.list.follow(7, catalog(entry("a"), entry("b"), entry("c")))
+        await opening
+        assert sender.in_force == [7] and sender.list.url("b") == "forward://b:9"
+        sender.news.clear()
+        sender.list.follow(9, catalog(entry("a", "draining"), entry("c"), entry("d")))
+        await until_told(sender, 9)
+        (news,) = sender.news
+        assert [(one.name, one.state.value) for one in news.entries] == [
+            ("b", "gone"),
+            ("a", "draining"),
+            ("d", "ready"),
+        ]
+        assert sender.list.url("b") == "forward://b:9", "an attempt that is out may need it"
+        assert sender.in_force == [7, 9]
+
+    run(work())
+
+
+def test_a_version_that_the_settings_cannot_use_changes_nothing_and_the_next_is_taken(tmp_path: Path) -> None:
+    async def work() -> None:
+        sender = Sender(tmp_path)
+        sender.list.follow(3, catalog(entry("a")))
+        await sender.list.open()
+        sender.list.follow(4, catalog(entry("b", kind="other")))
+        task = asyncio.create_task(sender.list.watch())
+        while not sender.list.refused:
+            await asyncio.sleep(0)
+        assert "kind 'other' is not in the settings" in sender.list.refused and sender.list.told == 3
+        assert sender.notes[-1][0] == "configuration_unusable" and sender.states() == {"a": State.READY}
+        task.cancel()
+        sender.list.follow(5, catalog(entry("c")))
+        await until_told(sender, 5)
+        assert sender.in_force == [3, 5] and not sender.list.refused
+        assert sender.states() == {"a": State.GONE, "c": State.READY}
+        with pytest.raises(ConfigError, match="kind 'other' is not in the settings"):
+            sender.list.check([entry("b", kind="other")])
+
+    run(work())
+
+
+def test_a_version_that_comes_while_one_is_told_is_in_force_alone(tmp_path: Path) -> None:
+    async def work() -> None:
+        sender = Sender(tmp_path)
+        sender.list.intake.step = 1
+        sender.list.follow(1, catalog(*(entry(name) for name in "abcd")))
+        sender.between = [(2, catalog(entry("a", "draining"), entry("b"), entry("e")))]
+        await sender.list.open()
+        assert sender.in_force == [2] and len(sender.news) <= 5
+        told = {name for name, state in sender.states().items() if state is not State.GONE}
+        assert told == {"a", "b", "e"}
+
+    run(work())
+
+
+def test_rates_are_told_anew_when_the_part_that_is_ours_changes(tmp_path: Path) -> None:
+    async def work() -> None:
+        sender = Sender(tmp_path)
+        sender.list.follow(1, catalog(entry("a", rate=10.0), entry("b")))
+        await sender.list.open()
+        sender.news.clear()
+        sender.list.scale = lambda: 0.5
+        sender.list.again()
+        task = asyncio.create_task(sender.list.watch())
+        while not sender.news:
+            await asyncio.sleep(0)
+        task.cancel()
+        assert [(one.name, one.rate) for one in sender.news[0].entries] == [("a", 5.0)]
+
+    run(work())
+
+
+def test_addresses_of_removed_endpoints_go_after_a_while(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def work() -> None:
+        sender = Sender(tmp_path)
+        sender.list.follow(1, catalog(entry("a"), entry("b")))
+        await sender.list.open()
+        sender.list.follow(2, catalog(entry("a")))
+        await until_told(sender, 2)
+        assert sender.list.url("b")
+        monkeypatch.setattr("brassweir.service.versionedlist.KEEP_URL", -1.0)
+        sender.list.follow(3, catalog(entry("a", "draining")))
+        await until_told(sender, 3)
+        assert sender.list.url("b") is None and sender.list.url("a")
+
+    run(work())
