Configuration core: checking an entry and rewriting a bucket take fewer calls

Cause: a first version of 70,000 entries holds a copy's loop for as long as it is checked and packed.

--- a/brassweir/configstream/catalog.py
+++ b/brassweir/configstream/catalog.py
@@ -21,7 +21,7 @@
     seal,
     unseal,
 )
-from brassweir.configstream.entries import Entry
+from brassweir.configstream.entries import GONE, Entry
 
 Buckets = tuple[Bucket, ...]
 
@@ -122,19 +122,11 @@
             wanted[number(name)][name] = None
         for entry in changed:
             wanted[number(entry.name)][entry.name] = entry
-        buckets, size, lost = list(self._entries), self.size, 0
-        shifts: dict[str, int] = defaultdict(int)  # of usable endpoints, by owner
+        buckets, tally = list(self._entries), _Tally(self.size)
         for at, changes in wanted.items():
-            rows = {entry.name: entry for entry in _read(buckets[at])}
-            size -= len(rows)
-            for name, after in changes.items():
-                before = rows.get(name)
-                lost += _shift(shifts, before, after)
-                _replace(rows, name, after)
-            size += len(rows)
-            buckets[at] = seal([rows[name] for name in sorted(rows)])
-        owners, unserved = _moved(self._owners, shifts)
-        return Advance(Catalog(size, tuple(buckets), owners), lost, unserved)
+            buckets[at] = _rewritten(buckets[at], changes, tally)
+        owners, unserved = _moved(self._owners, tally.shifts)
+        return Advance(Catalog(tally.size, tuple(buckets), owners), tally.removed, unserved)
 
     def pack(self) -> bytes:
         """All of it."""
@@ -161,22 +153,35 @@
     return _entries.decode(unseal(bucket))
 
 
-def _replace(rows: dict[str, Entry], name: str, after: Entry | None) -> None:
-    if after is not None:
-        rows[name] = after
-    elif rows.pop(name, None) is None:
-        raise UnknownEntry(name)
+class _Tally:
+    """What a change adds up to."""
 
-
-def _shift(shifts: dict[str, int], before: Entry | None, after: Entry | None) -> int:
-    """Count the change of one endpoint with its owners; 1 if a usable one is lost by it."""
-    was = before is not None and before.usable
-    remains = after is not None and after.usable
-    if before is not None and was:
-        shifts[before.owner] -= 1
-    if after is not None and remains:
-        shifts[after.owner] += 1
-    return 1 if was and not remains else 0
+    def __init__(self, size: int) -> None:
+        self.size = size
+        self.removed = 0  # endpoints that were usable, and are not there or gone
+        self.shifts: dict[str, int] = defaultdict(int)  # of usable endpoints, by owner
+
+
+def _rewritten(bucket: Bucket, changes: Mapping[str, Entry | None], tally: _Tally) -> Bucket:
+    """A bucket after the changes to its entries. Raises UnknownEntry."""
+    rows = {entry.name: entry for entry in _read(bucket)}
+    tally.size -= len(rows)
+    for name, after in changes.items():
+        before = rows.get(name)
+        remains = after is not None and after.state != GONE
+        if before is not None and before.state != GONE:
+            tally.shifts[before.owner] -= 1
+            tally.removed += not remains
+        if after is not None:
+            rows[name] = after
+            if remains:
+                tally.shifts[after.owner] += 1
+        elif before is not None:
+            del rows[name]
+        else:
+            raise UnknownEntry(name)
+    tally.size += len(rows)
+    return seal([rows[name] for name in sorted(rows)])
 
 
 def _moved(owners: Buckets, shifts: Mapping[str, int]) -> tuple[Buckets, tuple[str, ...]]:
--- a/brassweir/configstream/entries.py
+++ b/brassweir/configstream/entries.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import re
+from functools import lru_cache
 
 import msgspec
 
@@ -35,7 +36,7 @@
         self.name, self.field, self.why = name, field, why
 
 
-class Entry(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
+class Entry(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True, gc=False):
     """One endpoint, known by its name."""
 
     name: str
@@ -62,28 +63,27 @@
     """Raise EntryError for the first field that cannot be accepted."""
     if not _NAME.match(entry.name):
         raise EntryError(shown(entry.name), "name", "1 to 120 printable ASCII characters without spaces")
-    found = _problem(entry)
-    if found is not None:
-        raise EntryError(entry.name, *found)
-
-
-def _problem(entry: Entry) -> tuple[str, str] | None:
-    """Field and reason."""
     if why := _url_problem(entry.url):
-        return "url", why
+        raise EntryError(entry.name, "url", why)
     if bool(entry.partner) == bool(entry.destination):
-        return "destination", "an endpoint has either a partner or a destination"
-    if not _OWNER.match(entry.owner):
+        raise EntryError(entry.name, "destination", "an endpoint has either a partner or a destination")
+    if not _OWNER.match(entry.partner or entry.destination):
         field = "partner" if entry.partner else "destination"
-        return field, "1 to 128 printable ASCII characters, no space first or last"
-    for field, label in (("kind", entry.kind), ("zone", entry.zone)):
-        if not _LABEL.match(label):
-            return field, "at most 120 printable ASCII characters"
+        raise EntryError(entry.name, field, "1 to 128 printable ASCII characters, no space first or last")
+    if not _is_label(entry.kind):
+        raise EntryError(entry.name, "kind", "at most 120 printable ASCII characters")
+    if not _is_label(entry.zone):
+        raise EntryError(entry.name, "zone", "at most 120 printable ASCII characters")
     if entry.state not in STATES:
-        return "state", "one of ready, draining, gone"
+        raise EntryError(entry.name, "state", "one of ready, draining, gone")
     if not 0.0 <= entry.rate <= MOST_RATE:  # fails for what is not a number as well
-        return "rate", "a number from 0 to 1e9"
-    return None
+        raise EntryError(entry.name, "rate", "a number from 0 to 1e9")
+
+
+@lru_cache(maxsize=1_024)
+def _is_label(label: str) -> bool:
+    """There are few of them, each on many entries."""
+    return _LABEL.match(label) is not None
 
 
 def _url_problem(url: str) -> str:
