--- a/brassweir/cli/between.py
+++ b/brassweir/cli/between.py
@@ -6,7 +6,9 @@
 import json
 import sys
 import tempfile
+from collections.abc import Callable, Coroutine, Sequence
 from pathlib import Path
+from typing import Any
 
 import click
 import uvloop
@@ -14,22 +16,25 @@
 from rich.table import Table
 
 from brassweir.config.load import ConfigError
+from brassweir.lab.between import configuration_run
 from brassweir.lab.between import schedule as schedules
+from brassweir.lab.between.configuration_rig import STANDS
 from brassweir.lab.between.guards import GUARDS
 from brassweir.lab.between.run import Outcome, Plan, run
-from brassweir.lab.between.sites import LEAST, MOST, stands
+from brassweir.lab.between.sites import LEAST, MOST, Stand, stands
 
-PLANS = ("peers",)  # those that stand; ``all`` is every one of them
+Play = Callable[[Plan, Path, Callable[[str], None]], Coroutine[Any, Any, Outcome]]
+PLANS: dict[str, Play] = {"peers": run, "configuration": configuration_run.run}
 
 
 @click.command("between")
 @click.option(
     "--plan",
     "name",
-    default="all",
+    default="peers",
     show_default=True,
     type=click.Choice([*PLANS, "all"]),
-    help="What the copies do together.",
+    help="What the copies do together; all: one run of each, one after the other.",
 )
 @click.option(
     "--seed",
@@ -39,7 +44,13 @@
     help="One seed, one day and one schedule of faults.",
 )
 @click.option("--seconds", default=30.0, show_default=True, type=click.FloatRange(12.0, 120.0))
-@click.option("--copies", default=6, show_default=True, type=click.IntRange(LEAST, MOST), help="Processes.")
+@click.option(
+    "--copies",
+    default=6,
+    show_default=True,
+    type=click.IntRange(LEAST, MOST),
+    help="Processes of the plan peers; the others have theirs.",
+)
 @click.option(
     "--rate",
     default=10.0,
@@ -83,7 +94,17 @@
     """
     if folder is not None and folder.exists() and any(folder.iterdir()):
         raise click.ClickException(f"{folder} is not empty: each run makes keys and settings of its own")
-    plan = Plan(seed, seconds, copies, rate, _schedule(path, copies, seconds), without)
+    names = list(PLANS) if name == "all" else [name]
+    outcomes = []
+    for one in names:
+        where = STANDS if one == "configuration" else stands(copies)
+        plan = Plan(seed, seconds, len(where), rate, _schedule(path, where, seconds), without)
+        outcomes.append(_play(one, plan, folder / one if folder and len(names) > 1 else folder, as_json))
+    sys.exit(0 if all(outcome.clean for outcome in outcomes) else 1)
+
+
+def _play(name: str, plan: Plan, folder: Path | None, as_json: bool) -> Outcome:
+    """One run, and what came of it."""
     console = Console(stderr=True)
 
     def say(text: str) -> None:
@@ -94,28 +115,28 @@
         if folder is not None:
             folder.mkdir(parents=True, exist_ok=True)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            outcome = runner.run(run(plan, folder or Path(temporary), say))
+            outcome = runner.run(PLANS[name](plan, folder or Path(temporary), say))
     if as_json:
         click.echo(json.dumps(outcome.tree() | {"schedule": schedules.to_text(outcome.schedule)}))
     else:
-        _show(outcome)
-    sys.exit(0 if outcome.clean else 1)
+        _show(outcome, name)
+    return outcome
 
 
-def _schedule(path: Path | None, copies: int, seconds: float) -> schedules.Schedule | None:
+def _schedule(path: Path | None, where: Sequence[Stand], seconds: float) -> schedules.Schedule | None:
     if path is None:
         return None
     try:
         found = schedules.read(path)
-        schedules.known(found, stands(copies), seconds, str(path))
+        schedules.known(found, where, seconds, str(path))
     except ConfigError as error:
         raise click.ClickException("\n".join(error.problems)) from None
     return found
 
 
-def _show(outcome: Outcome) -> None:
+def _show(outcome: Outcome, name: str) -> None:
     console = Console()
-    table = Table(title=f"between, seed {outcome.plan.seed}")
+    table = Table(title=f"between, {name}, seed {outcome.plan.seed}")
     for column in ("property", "put to the test", "broken", "figures"):
         table.add_column(column)
     for name, found in outcome.findings.items():
--- a/brassweir/lab/between/guards.py
+++ b/brassweir/lab/between/guards.py
@@ -5,6 +5,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from brassweir.lab.between.configuration_guards import GUARDS as OF_CONFIGURATION
+
 
 def digest_not_checked() -> None:
     """Every sealed message opens, also one that was spoilt on its way."""
@@ -63,6 +65,7 @@
     "quorum": two_decide,
     "entries": entries_not_durable,
     "lease": lease_not_kept,
+    **OF_CONFIGURATION,
 }
 
 
--- a/brassweir/service/publisher.py
+++ b/brassweir/service/publisher.py
@@ -49,6 +49,7 @@
     """How the last edit of the list ended, as operators are shown it."""
 
     state: str  # none, proposing, agreed, unchanged, refused
+    number: int = 0  # counts the edits of this process
     version: int = 0
     field: str = ""
     why: str = ""
@@ -84,14 +85,14 @@
         if self.task is not None and not self.task.done():
             self.note("configuration_refused", {"field": "list", "error": "an edit is still on its way"})
             return
-        self.edit = Edit("proposing")
+        self.edit = Edit("proposing", self.edit.number + 1)
         confirmation = Confirmation(given.confirm_removed, given.confirm_destinations)
         self.task = asyncio.create_task(self._publish(self.base / given.list, confirmation))
         self.task.add_done_callback(self._stopped)
 
     def _stopped(self, task: asyncio.Task[None]) -> None:
         if not task.cancelled() and (error := task.exception()) is not None:
-            self.edit = Edit("refused", 0, "list", repr(error))
+            self._ended_as("refused", 0, "list", repr(error))
             self.note("configuration_refused", {"field": "list", "error": repr(error)})
 
     async def _publish(self, path: Path, confirmation: Confirmation) -> None:
@@ -121,7 +122,7 @@
 
     def _unchanged(self, path: Path, version: int) -> None:
         self._remember(version)
-        self.edit = Edit("unchanged", version)
+        self._ended_as("unchanged", version)
         self.note("configuration_unchanged", {"path": str(path), "version": version})
 
     async def _outdated(self, path: Path) -> None:
@@ -184,7 +185,7 @@
         match step:
             case Done():
                 self._remember(step.version)
-                self.edit = Edit("agreed", step.version)
+                self._ended_as("agreed", step.version)
                 said = {"path": str(path), "version": step.version}
                 self.note("configuration_agreed", {**said, "changed": made.changed, "removed": made.removed})
             case Refused():
@@ -192,9 +193,12 @@
         return isinstance(step, Done | Refused | Superseded)
 
     def _refuse(self, path: Path, field: str, why: str) -> None:
-        self.edit = Edit("refused", 0, field, why)
+        self._ended_as("refused", 0, field, why)
         self.note("configuration_refused", {"path": str(path), "field": field, "error": why})
 
+    def _ended_as(self, state: str, version: int, field: str = "", why: str = "") -> None:
+        self.edit = Edit(state, self.edit.number, version, field, why)
+
     def _made_from(self) -> int | None:
         """The version that the list was made from; None if that is not known, 0 before there is any."""
         try:
--- a/tests/lab/between/test_command.py
+++ b/tests/lab/between/test_command.py
@@ -20,7 +20,7 @@
 @pytest.mark.parametrize(
     ("args", "words"),
     [
-        (["--plan", "site"], "'site' is not one of 'peers', 'all'"),
+        (["--plan", "site"], "'site' is not one of 'peers', 'configuration', 'all'"),
         (["--copies", "3"], "not in the range 5<=x<=9"),
         (["--schedule", "s.yaml"], "s.yaml:2: faults[0].what"),
         (["--schedule", "t.yaml"], "t.yaml: faults[0].who: s9 is none of"),
--- a/tests/service/test_publisher.py
+++ b/tests/service/test_publisher.py
@@ -58,9 +58,9 @@
     async def work() -> None:
         operator = Operator(tmp_path, level_2(ConfiguredMachine()))
         edit = await operator.edit(line("x") + line("y"))
-        assert edit == Edit("agreed", operator.machine.configuration.version) and edit.version
+        assert edit == Edit("agreed", 1, operator.machine.configuration.version) and edit.version
         assert operator.notes[-1][0] == "configuration_agreed" and operator.notes[-1][1]["changed"] == 2
-        assert (await operator.edit(line("y") + line("x"))) == Edit("unchanged", edit.version)
+        assert (await operator.edit(line("y") + line("x"))) == Edit("unchanged", 2, edit.version)
         assert operator.machine.configuration.by == "a"
 
     run(work())
