--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -1,6 +1,7 @@
 """The agreed log's core: facts and the time in, steps out. Pure; each part of it is a class it is built of.
 
-State and what waits for durability < replication < elections < identity < learners < asking < changes < Core.
+State and what waits for durability < following < replication < elections < identity < feeding < fetching <
+learners < asking < changes < Core.
 """
 
 from __future__ import annotations
@@ -27,11 +28,13 @@
     WriteFailed,
     Written,
 )
+from brassweir.agreed.pacing import Pacing
 from brassweir.agreed.records import Kept
+from brassweir.agreed.reordering import Reordering
 from brassweir.agreed.replica import Machine
 from brassweir.agreed.state import ASKING, CANDIDATE, LEADER
 
-LEADERS = (m.Append, m.Offer, m.Feed)  # messages by which a copy without a group learns of it
+LEADERS = (m.Append, m.Offer, m.Feed, m.Full)  # messages by which a copy without a group learns of it
 
 
 class Core(Changes):
@@ -47,7 +50,8 @@
         self.rest()
         self.hello_at = self.hello_until = self.found_at = 0.0
         self.agreeing, self.fresh = {}, {}
-        self.children = {}
+        self.children, self.sending, self.pacing = {}, {}, Pacing()
+        self.ahead, self.early = Reordering(timing.WINDOW), Reordering(2 * timing.FEEDS)
         self.since, self.pull_at = now, now
         self.asked, self.confirms = Asked(f"{rng.getrandbits(64):016x}"), []
         self.wanted, self.changing, self.strangers, self.readmitted = [], {}, {}, {}
@@ -120,6 +124,7 @@
         if self.role == LEADER:
             self.send_news()
         self.feed_news()
+        self.tend_chunks()
 
     def next_time(self) -> float:
         """When time makes something due."""
@@ -136,7 +141,7 @@
             times.append(self.found_at)
         if self.fetch is not None:
             times.append(self.fetch.at)
-        times.append(self.pull_at)
+        times += [self.pull_at, self.pacing.next_time()]
         times += [min(waiting.again, waiting.fact.until) for waiting in self.asked.open.values()]
         times += [min(reading.again, reading.until) for reading in self.asked.reads]
         return max(self.now + 1.0, min(times))
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -1,138 +1,99 @@
-"""How 340 copies get what is agreed: learners pull from a feeder, which may be a learner itself. Pure.
+"""How 490 copies get what is agreed: learners pull from a feeder, which may be a learner itself. Pure.
 
-A feeder takes a bounded number and names some of those for the rest: a tree grows whose width is bounded, and
-no copy speaks to all. A feed tells how long ago a leader was heard at its root; one that is cut off, or feeds
-itself in a circle, is left for another. Only agreed entries are fed, so nothing of it is ever taken back.
+A feeder that is cut off, or feeds itself in a circle, tells of a leader that was heard long ago: it is left
+for another. Entries that come ahead of others are kept for a while, and only what lies between is asked for.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass
-
-import google_crc32c
-import msgspec
-
 from brassweir.agreed import timing
-from brassweir.agreed.identity import Identities
-from brassweir.agreed.messages import Appended, AskChunk, Chunk, Feed, Full, Offer, Pull
+from brassweir.agreed.fetching import Fetching
+from brassweir.agreed.messages import Appended, Chunk, Entry, Feed, Full, Offer, Pull
 from brassweir.agreed.progress import in_order
-from brassweir.agreed.records import Snapshot
+from brassweir.agreed.reordering import Reordering
 from brassweir.agreed.state import ASKING, FOLLOWER, LEADER, LEARNER
 
-
-@dataclass
-class Child:
-    """A learner that is fed."""
-
-    next: int
-    until: float
-
-
-@dataclass
-class Fetch:
-    """A snapshot on its way here."""
-
-    sender: str
-    index: int
-    size: int
-    parts: dict[int, bytes]
-    at: float  # when to ask again
-    round: int = 0
-    term: int = 0
+NO_TIME = float("inf")
 
 
-class Learners(Identities):
-    """Feeding, being fed, and snapshots in chunks, which a receiver asks for piece by piece."""
+class Learners(Fetching):
+    """Being fed."""
 
-    children: dict[str, Child]
     feeder = ""
     since: float  # when it was chosen, or last brought a piece of a snapshot
-    word_at = -1e18  # when a leader surely led, by the feeders' word
     pull_at: float
-    fetch: Fetch | None = None
-
-    def age(self) -> float:
-        """Ms since a leader was heard, directly or by feeders."""
-        if self.role == LEADER:
-            return 0.0
-        return self.now - max(self.fitted, self.word_at)
-
-    # The feeder's side
-
-    def on_pull(self, sender: str, message: Pull) -> None:
-        """A learner asks."""
-        if not self.identity.group:
-            return
-        self.children = {name: child for name, child in self.children.items() if child.until > self.now}
-        busy = self.role == LEADER and len(self.others()) > 0
-        room = timing.FED_BY_LEADER if busy else timing.FED
-        first = sender in self.log.membership.names()  # one that votes, and lacks what it needs for it
-        if not first and sender not in self.children and len(self.children) >= room:
-            names = sorted(self.children)
-            names = self.rng.sample(names, min(4, len(names)))
-            if self.role == LEADER:
-                names = self.others() + names
-            self.post(sender, Full(tuple(names)))
-            return
-        self.children[sender] = Child(message.first, self.now + timing.CHILD)
-        self.feed(sender, True)
-
-    def feed(self, name: str, always: bool) -> None:
-        """What is agreed and the learner lacks."""
-        child = self.children[name]
-        if child.next <= self.log.base.index:
-            if self.snap is not None:
-                self.offer(name, 0, 0)
-                child.next = self.firm + 1  # until it pulls again
-            return
-        entries = self.log.some(child.next, self.firm)
-        if entries or always:
-            age = int(min(self.age(), 1e9))
-            self.post(name, Feed(child.next, entries, self.firm, age, self.leader))
-            child.next += len(entries)
-
-    def feed_news(self) -> None:
-        """Feed all that lack something; one message each, they pull for more."""
-        for name in self.children:
-            if self.children[name].next <= self.firm:
-                self.feed(name, False)
-
-    # The learner's side
+    pulled_at = -1e18
+    unanswered_since = NO_TIME  # when the first pull was sent that the feeder did not answer
+    gaps_at = -1e18  # when gaps were last asked for
+    fed = 0  # messages with entries since the last pull
+    early: Reordering[tuple[Entry, ...]]  # entries that came ahead of others
 
     def tend_pull(self) -> None:
         """Pull, and look for another feeder if this one brings nothing or only old things."""
         if self.now < self.pull_at:
             return
-        if self.now - self.fitted < (timing.FEED_OLD if self.votes else timing.ELECT):
+        if self.role == LEADER or self.now - self.fitted < (timing.FEED_OLD if self.votes else timing.ELECT):
+            self.early.clear()
             self.pull_at = self.now + timing.PULL
             return
-        old = self.now - max(self.since, self.word_at) > timing.FEED_OLD
-        if not self.feeder or not self.identity.group or old:
+        if not self.feeder or not self.identity.group or self.feeder_failed():
             self.look_elsewhere()
         if self.feeder:
             self.pull()
         self.pull_at = self.now + timing.PULL_AGAIN * (1.0 + self.rng.random())
+        if self.early.kept:
+            self.pull_at = min(self.pull_at, self.gaps_due())
+
+    def feeder_failed(self) -> bool:
+        """Does the feeder bring nothing, or only old things?"""
+        if self.now - self.unanswered_since > timing.UNANSWERED:
+            return True
+        still = self.fetch is not None and self.now - max(self.since, self.fetch.moved) > timing.FETCH_STILL
+        return still or self.now - max(self.since, self.word_at) > timing.FEED_OLD
 
     def pull(self) -> None:
-        """Ask the feeder for what follows."""
-        self.post(self.feeder, Pull(self.agreed + 1))
+        """Ask the feeder for what lies between what is here, and tell it what follows."""
+        self.take_early()
+        gaps = self.gaps() if self.now >= self.gaps_due() else []
+        for first, last in gaps or [(self.agreed + 1, self.agreed)]:
+            self.post(self.feeder, Pull(first, last))
+        if gaps:
+            self.gaps_at = self.now
+        self.pulled_at, self.fed = self.now, 0
+        self.unanswered_since = min(self.unanswered_since, self.now)
+
+    def gaps_due(self) -> float:
+        """When to ask for gaps: what fills them may only be late, or has been asked for."""
+        return max(self.early.due(), self.gaps_at + timing.GAP_AGAIN)
+
+    def gaps(self) -> list[tuple[int, int]]:
+        """The first and last entry of what is missing before and between early messages."""
+        found = []
+        have = self.agreed
+        for first, entries in sorted(self.early.kept.items()):
+            if first > have + 1:
+                found.append((have + 1, first - 1))
+            have = max(have, first + len(entries) - 1)
+        return found[: timing.GAPS]
 
     def look_elsewhere(self) -> None:
         """Another feeder: a voter, or any copy if there is none known."""
         names = sorted({*self.log.membership.names(), *self.founders} - {self.name, self.feeder})
         if not names or self.rng.random() < 0.2:
             names = [name for name in self.names if name not in (self.name, self.feeder)] or names
-        self.feeder = self.rng.choice(names) if names else self.feeder
-        self.since = self.now
+        self.choose_feeder(self.rng.choice(names) if names else self.feeder)
+
+    def choose_feeder(self, name: str) -> None:
+        """Be fed by that copy."""
+        self.feeder, self.since, self.unanswered_since = name, self.now, NO_TIME
 
     def on_full(self, sender: str, message: Full) -> None:
         """Go down the tree, or begin at its top again."""
         if sender != self.feeder:
             return
         names = [name for name in message.names if name != self.name]
-        self.feeder = self.rng.choice(names) if names else ""
+        self.choose_feeder("".join(self.nearest(self.name, names, 1)))
         self.pull_at = self.now + timing.PULL_AGAIN * self.rng.random()
-        self.since = self.now
 
     def on_feed(self, sender: str, message: Feed) -> None:
         """Agreed entries, the next ones or such as are here."""
@@ -141,19 +102,41 @@
             return
         if not in_order(message.first, message.entries):
             return
+        if sender == self.feeder and message.commit < self.agreed and message.age > timing.ELECT:
+            self.look_elsewhere()  # it has started anew, with less than is here
+            self.pull_at = self.now + timing.PULL_AGAIN * self.rng.random()
+            return
         if sender == self.feeder:
+            self.unanswered_since = NO_TIME
             self.word_at = max(self.word_at, self.now - message.age)
             self.pull_at = self.now + timing.PULL * (0.5 + 0.5 * self.rng.random())
             self.leader = message.leader
         if message.first > self.agreed + 1:
-            self.pull_at = min(self.pull_at, self.now + timing.PULL_AGAIN)
+            self.keep_early(message)
             return
         if self.role == ASKING and message.commit > self.agreed:  # it may ask for what it was removed from
             self.follow(self.term, "")
-        self.take(message.entries)
-        self.agree(message.first + len(message.entries) - 1)
-        if message.commit > self.agreed:
-            self.pull_at = self.now
+        self.take_fed(message.first, message.entries)
+        self.fed += 1 if message.entries else 0
+        if message.commit > self.agreed or self.fed >= timing.FEEDS // 2:
+            self.pull_at = min(self.pull_at, max(self.now, self.pulled_at + timing.PULL_NEXT))
+
+    def take_fed(self, first: int, entries: tuple[Entry, ...]) -> None:
+        """Take the next entries, and early ones that follow them."""
+        self.take(entries)
+        self.agree(first + len(entries) - 1)
+        self.take_early()
+
+    def take_early(self) -> None:
+        """Take what came early and follows now."""
+        while (early := self.early.following(self.agreed + 1, self.now)) is not None:
+            self.take(early)
+            self.agree(early[-1].index)
+
+    def keep_early(self, message: Feed) -> None:
+        """Something before this is missing: it may be late, or lost."""
+        self.early.keep(message.first, message.entries or None, self.now)
+        self.pull_at = min(self.pull_at, self.gaps_due())
 
     # Snapshots
 
@@ -167,53 +150,15 @@
         elif sender != self.feeder or self.role not in (LEARNER, FOLLOWER, ASKING):
             return
         else:
-            self.since = self.now
-        if message.index <= self.agreed or message.size > 1 << 30:
-            return
-        if self.fetch is None or (self.fetch.sender, self.fetch.index) != (sender, message.index):
-            self.fetch = Fetch(sender, message.index, message.size, {}, self.now)
-        self.fetch.term, self.fetch.round = message.term, message.round
-        self.tend_fetch()
-
-    def tend_fetch(self) -> None:
-        """Ask for the first pieces that are missing."""
-        f = self.fetch
-        if f is None or self.now < f.at:
-            return
-        f.at = self.now + timing.CHUNK_AGAIN
-        missing = [at for at in range(0, f.size, timing.CHUNK) if at not in f.parts]
-        for at in missing[: timing.CHUNKS]:
-            self.post(f.sender, AskChunk(f.index, at))
-
-    def on_ask_chunk(self, sender: str, message: AskChunk) -> None:
-        """Send a piece, or tell of a newer snapshot by silence."""
-        index, data = self.sending
-        if index == message.index:
-            piece = data[message.at : message.at + timing.CHUNK]
-            self.post(sender, Chunk(index, message.at, len(data), piece))
+            self.since, self.unanswered_since = self.now, NO_TIME
+        if message.index > self.agreed and message.size <= 1 << 30:
+            self.fetch_from(sender, message.index, message.size)
 
     def on_chunk(self, sender: str, message: Chunk) -> None:
         """A piece; the last one makes it whole."""
-        f = self.fetch
-        if f is None or (sender, message.index, message.size) != (f.sender, f.index, f.size):
-            return
-        if message.at % timing.CHUNK or len(message.data) != min(timing.CHUNK, f.size - message.at):
+        if not self.take_chunk(sender, message):
             return
-        f.parts[message.at] = message.data
         self.since = self.now
-        missing = [at for at in range(0, f.size, timing.CHUNK) if at not in f.parts]
-        if missing:
-            asked = [at for at in missing if at > message.at][timing.CHUNKS - 1 : timing.CHUNKS]
-            for at in asked:
-                self.post(sender, AskChunk(f.index, at))
-            return
-        self.fetch = None
-        data = b"".join(f.parts[at] for at in sorted(f.parts))
-        if google_crc32c.value(data[:-4]).to_bytes(4, "little") != data[-4:]:
-            self.count("snapshot damaged")
-            return
-        try:
-            self.install(msgspec.msgpack.decode(data[:-4], type=Snapshot))
-        except msgspec.MsgspecError:
-            self.count("snapshot unreadable")
-        self.pull_at = self.now
+        if self.fetch is None:
+            self.take_early()
+            self.pull_at = self.now
--- a/brassweir/agreed/messages.py
+++ b/brassweir/agreed/messages.py
@@ -74,9 +74,14 @@
 
 
 class Pull(msgspec.Struct, frozen=True, array_like=True, tag=6):
-    """A learner: feed me from ``first`` on."""
+    """A learner: feed me from ``first`` on.
+
+    ``last``: 0, or the last entry that is missing here: what follows was here early, or is awaited. It is
+    ``first - 1`` if nothing is known to be missing.
+    """
 
     first: Count
+    last: Count = 0
 
 
 class Feed(msgspec.Struct, frozen=True, array_like=True, tag=7):
@@ -169,12 +174,14 @@
 class Acknowledge(msgspec.Struct, frozen=True, array_like=True, tag=19):
     """Which versions are in force at the copies below the sender in the feed tree, merged.
 
-    ``roster`` identifies the sorted list of names that the bits stand for. ``rows``: a version, and the
-    copies whose newest it is, newest version first; 0 stands for all older ones. ``number`` grows in a run.
+    ``roster`` identifies the sorted list of names that the bits of ``bitmaps`` stand for: the copies whose
+    newest version is the one at the same place of ``versions``, newest first; 0 stands for all older ones.
+    ``number`` grows within a run.
     """
 
     roster: Count
-    rows: tuple[tuple[Count, bytes], ...]
+    versions: tuple[Count, ...]
+    bitmaps: tuple[bytes, ...]
     number: Count = 0
 
 
--- a/brassweir/agreed/progress.py
+++ b/brassweir/agreed/progress.py
@@ -22,6 +22,8 @@
     sent: float = -1e18
     heard: float = -1e18
     agreed: int = -1  # what was last told to be agreed
+    back: int = 0  # where it was last gone back to, and when
+    back_at: float = -1e18
     until: float = 0.0  # a learner's: when its admission is given up
 
 
--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -1,24 +1,34 @@
-"""Raft's log replication: the leader's side, what a follower takes, and when an entry is agreed. Pure."""
+"""Raft's log replication, the leader's side, and when an entry is agreed. Pure."""
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+
 import google_crc32c
 import msgspec
 
 from brassweir.agreed import timing
+from brassweir.agreed.following import Following
 from brassweir.agreed.messages import COMMAND, Append, Appended, Entry, Offer
-from brassweir.agreed.progress import Progress, in_order
+from brassweir.agreed.progress import Progress
 from brassweir.agreed.records import Ack, Added
-from brassweir.agreed.state import ELECTED, FOLLOWER, LEADER, LEARNER, State
+from brassweir.agreed.state import LEADER
+
+
+@dataclass
+class Sending:
+    """A snapshot as it is sent."""
+
+    data: bytes
+    used: float = 0.0  # when it was last offered, or a piece of it sent
 
 
-class Replication(State):
+class Replication(Following):
     """Entries go from the leader to voters and to learners that shall vote."""
 
     progress: dict[str, Progress]
     queued: dict[tuple[str, int], int]  # proposals in the log without effect yet
-    sending: tuple[int, bytes] = (0, b"")  # a snapshot as it is sent
-    fitted = -1e18  # when a leader's entries, or its beat, last fitted behind what is here
+    sending: dict[int, Sending]  # snapshots as they are sent, by their places
     round: int = 0
 
     def lead(self) -> None:
@@ -95,10 +105,14 @@
     def offer(self, name: str, term: int, round: int) -> None:
         """Tell that a snapshot is to be fetched."""
         assert self.snap is not None
-        if self.sending[0] != self.snap.index:
+        sending = self.sending.get(self.snap.index)
+        if sending is None:
             data = msgspec.msgpack.encode(self.snap)
-            self.sending = (self.snap.index, data + google_crc32c.value(data).to_bytes(4, "little"))
-        self.post(name, Offer(term, self.snap.index, len(self.sending[1]), round))
+            sending = Sending(data + google_crc32c.value(data).to_bytes(4, "little"))
+            self.sending = dict([*self.sending.items()][-1:])  # one before it may be on its way to someone
+            self.sending[self.snap.index] = sending
+        sending.used = self.now
+        self.post(name, Offer(term, self.snap.index, len(sending.data), round))
 
     def acks(self) -> tuple[Ack, ...]:
         """What each voter has durably of this leader's log."""
@@ -138,7 +152,7 @@
                 self.remember(self.ack_of(member, memory.life, memory.nonce, p.match))
             p.next = max(p.next, p.match + 1)
         else:
-            p.next, p.out = max(p.match, min(message.match, self.log.last)) + 1, 0
+            self.go_back(p, max(p.match, min(message.match, self.log.last)) + 1)
         self.count_agreed()
 
     def count_agreed(self) -> None:
@@ -154,6 +168,13 @@
                 self.remember(ack)
             self.agree(index, acks)
 
+    def go_back(self, p: Progress, index: int) -> None:
+        """Send again from there on; once, if several messages sent before say the same."""
+        if index == p.back and self.now - p.back_at < timing.BACK_AGAIN:
+            return
+        p.next, p.out = index, 0
+        p.back, p.back_at = index, self.now
+
     def match_of(self, name: str, member: str) -> int:
         """What a voter has durably."""
         if (name, member) == (self.name, self.identity.member):
@@ -169,65 +190,3 @@
             if self.now - p.heard < timing.ELECT and self.voter(name, p.member)
         }
         return found | ({self.name} if self.votes else set())
-
-    # Followers
-
-    def follow(self, term: int, leader: str) -> None:
-        """Be no leader; go to the term if it is later."""
-        if term > self.term:
-            self.write_ballot(term, "")
-            self.leader = ""
-        if self.role in (LEADER, ELECTED):
-            self.deposed()
-        self.role = FOLLOWER if self.votes else LEARNER
-        self.leader = leader or ("" if self.leader == self.name else self.leader)
-
-    def deposed(self) -> None:
-        """Leadership ended: nothing of it may be told any more."""
-
-    def on_append(self, sender: str, message: Append) -> None:
-        """Entries of a leader."""
-        if not in_order(message.prev + 1, message.entries):
-            return
-        if message.term < self.term:
-            self.post_after(sender, Appended(self.term, False, 0, message.round))
-            return
-        self.hear_leader(message.term, sender)
-        for ack in message.acks:
-            self.remember(ack)
-        if message.prev < self.agreed and message.prev + len(message.entries) <= self.agreed:
-            self.post_after(sender, Appended(self.term, True, self.agreed, message.round))
-            return
-        here = self.log.term(message.prev)
-        if here != message.prev_term and message.prev > self.agreed:
-            hint = min(message.prev - 1, self.log.last)
-            while hint > self.agreed and self.log.term(hint) == here:  # the whole conflicting term at once
-                hint -= 1
-            self.post_after(sender, Appended(self.term, False, max(hint, self.agreed), message.round))
-            return
-        self.fitted = self.now
-        self.take(message.entries)
-        match = message.prev + len(message.entries)
-        self.agree(min(message.commit, match), message.acks)
-        self.post_after(sender, Appended(self.term, True, max(match, self.agreed), message.round))
-
-    def hear_leader(self, term: int, leader: str) -> None:
-        """A leader of a term that is not past spoke."""
-        if term > self.term or self.role not in (FOLLOWER, LEARNER) or self.leader != leader:
-            self.follow(term, leader)
-        self.heard = self.now
-        self.rest()
-
-    def take(self, entries: tuple[Entry, ...]) -> None:
-        """Add what is not here; entries here that differ give way."""
-        fresh = [entry for entry in entries if entry.index > self.agreed]
-        while fresh and self.log.term(fresh[0].index) == fresh[0].term:
-            del fresh[0]
-        if not fresh:
-            return
-        if fresh[0].index <= self.log.last:
-            self.cut(fresh[0].index)
-        self.log.add(fresh)
-        self.write(Added(tuple(fresh)))
-        if self.role in (FOLLOWER, LEARNER):
-            self.role = FOLLOWER if self.votes else LEARNER
--- a/brassweir/agreed/state.py
+++ b/brassweir/agreed/state.py
@@ -176,14 +176,18 @@
             self.applied += 1
             entry = self.log.get(self.applied)
             self.ended.append((self.applied, entry))
-            if entry.kind != COMMAND:
-                continue
-            done = self.replica.apply(entry)
-            if done is not None and done[2]:
-                self.out.append(Applied(entry.index, entry.data, done[1]))
-            self.came(entry, done)
-        if self.applied - (self.snap.index if self.snap else 0) >= self.snap_every:
-            self.take_snapshot()
+            if entry.kind == COMMAND:
+                self.carry_out(entry)
+            # looked at after each entry, so that all copies take their snapshots at the same places
+            if self.applied - (self.snap.index if self.snap else 0) >= self.snap_every:
+                self.take_snapshot()
+
+    def carry_out(self, entry: Entry) -> None:
+        """A command takes effect, unless it did before."""
+        done = self.replica.apply(entry)
+        if done is not None and done[2]:
+            self.out.append(Applied(entry.index, entry.data, done[1]))
+        self.came(entry, done)
 
     def came(self, entry: Entry, done: tuple[int, bytes, bool] | None) -> None:
         """An entry took effect: tell whoever waits for it."""
--- a/brassweir/configstream/acknowledging.py
+++ b/brassweir/configstream/acknowledging.py
@@ -48,20 +48,21 @@
     until: float
 
 
-def read_rows(message: Acknowledge, roster: Roster) -> Rows:
-    """The rows of a message. Raises ValueError if they cannot have been made by ``pack_rows``."""
-    if len(message.rows) > ROWS + 1:
-        raise ValueError(f"{len(message.rows)} rows; {ROWS + 1} are the most")
-    rows = tuple((version, roster.unpack(data)) for version, data in message.rows)
-    versions = [version for version, _ in rows]
-    if versions != sorted(set(versions), reverse=True):
+def read_message(message: Acknowledge, roster: Roster) -> Rows:
+    """The rows of a message. Raises ValueError if they cannot have been made by ``pack_message``."""
+    versions = message.versions
+    if len(versions) > ROWS + 1 or len(versions) != len(message.bitmaps):
+        raise ValueError(f"{len(versions)} versions, {len(message.bitmaps)} bitmaps; {ROWS + 1} are the most")
+    if list(versions) != sorted(set(versions), reverse=True):
         raise ValueError("versions are not in descending order")
-    return rows
+    return tuple(zip(versions, map(roster.unpack, message.bitmaps), strict=True))
 
 
-def pack_rows(rows: Rows, roster: Roster) -> tuple[tuple[int, bytes], ...]:
-    """Rows as a message carries them."""
-    return tuple((version, roster.pack(bits)) for version, bits in rows)
+def pack_message(rows: Rows, roster: Roster, number: int) -> Acknowledge:
+    """The message that carries these rows."""
+    versions = tuple(version for version, _ in rows)
+    bitmaps = tuple(roster.pack(bits) for _, bits in rows)
+    return Acknowledge(roster.number, versions, bitmaps, number)
 
 
 def merge(parts: list[Rows]) -> Rows:
@@ -101,7 +102,7 @@
         if sender not in self.heard and len(self.heard) >= MOST_SENDERS:
             return "acknowledgement beyond the most senders"
         try:
-            rows = read_rows(message, roster)
+            rows = read_message(message, roster)
         except ValueError:
             return "acknowledgement unreadable"
         self.heard[sender] = Heard(run, roster, rows, until)
--- a/brassweir/configstream/core.py
+++ b/brassweir/configstream/core.py
@@ -17,7 +17,7 @@
 from brassweir.agreed.records import Kept
 from brassweir.agreed.replica import Machine
 from brassweir.agreed.state import LEADER
-from brassweir.configstream.acknowledging import Acknowledgements, Rows, Run, pack_rows
+from brassweir.configstream.acknowledging import Acknowledgements, Rows, Run, pack_message
 from brassweir.configstream.fleet import Fleet, FleetView
 from brassweir.configstream.roster import Rosters, Versioned
 from brassweir.configstream.staleness import Knowledge, quorum_heard
@@ -217,7 +217,7 @@
             self.fleet.update(rows, roster, self.now)
         elif said != self.spoken or self.now >= self.repeat_at:
             self.number += 1
-            self.post(uplink, Acknowledge(roster.number, pack_rows(rows, roster), self.number))
+            self.post(uplink, pack_message(rows, roster, self.number))
         self.changed_below, self.spoken, self.spoken_at = False, said, self.now
         pulls = self.role != LEADER and not self.hears_leader()
-        self.repeat_at = NO_TIME if pulls else self.now + REPEAT  # or with the next pull
+        self.repeat_at = self.now + (timing.PULL if pulls else REPEAT)  # or with the next pull
--- /dev/null
+++ b/tests/agreed/feedworld.py
@@ -0,0 +1,65 @@
+"""A simulated floor whose links carry so many bytes a second, with large commands and copies left behind."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from brassweir.agreed.core import Core
+from brassweir.agreed.facts import Post, Propose
+from brassweir.agreed.messages import encode
+from brassweir.lab.models.logworld import Weather, World
+
+LINK = 12_500.0  # bytes a ms that a copy can send: 100 Mbit a second
+
+
+class FeedWorld(World):
+    """What a copy sends waits for what it sent before."""
+
+    def __init__(
+        self,
+        seed: int,
+        learners: int,
+        weather: Weather | None = None,
+        core: type[Core] = Core,
+        link: float = LINK,
+    ) -> None:
+        self.link = link
+        self.free: dict[str, float] = {}  # when each copy's link is free
+        self.kinds: dict[tuple[str, str], int] = {}  # messages by receiver and kind
+        super().__init__(seed, 3, learners, weather, core)
+        self.run(6_000.0)
+
+    def send(self, sender: str, post: Post) -> None:
+        kind = (post.to, type(post.envelope.body).__name__)
+        self.kinds[kind] = self.kinds.get(kind, 0) + 1
+        begin = max(self.now, self.free.get(sender, 0.0))
+        self.free[sender] = begin + len(encode(post.envelope)) / self.link
+        now, self.now = self.now, self.free[sender]
+        super().send(sender, post)
+        self.now = now
+
+    def command(self, size: int, through: str = "") -> bytes:
+        """Propose a command of that many bytes."""
+        self.tickets += 1
+        body = f"{self.tickets} ".encode().ljust(size, b"-")
+        name = through or str(self.leader())
+        if self.nodes[name].core is not None:
+            self.judge.asked(name, self.tickets, body, self.now)
+            self.give(name, Propose(self.tickets, body, self.now + 30_000.0))
+        return body
+
+    def version(self, parts: int = 125, size: int = 5_600) -> None:
+        """Many commands at once."""
+        for _ in range(parts):
+            self.command(size)
+
+    def until(self, done: Callable[[], bool], most: float, every: float = 20.0) -> float:
+        """Let time pass until ``done()``; how long that took, or ``most``."""
+        begin = self.now
+        while self.now < begin + most and not done():
+            self.run(self.now + every)
+        return self.now - begin
+
+    def have(self, count: int, names: tuple[str, ...] = ()) -> bool:
+        """Do these copies have so many commands?"""
+        return all(len(self.nodes[name].machine.taken) >= count for name in names or self.names)
--- a/tests/agreed/test_acknowledge.py
+++ b/tests/agreed/test_acknowledge.py
@@ -11,7 +11,7 @@
 from brassweir.agreed.facts import InForce, Post, Received
 from brassweir.lab.models.logworld import World
 
-ENVELOPE = m.Envelope(1, "g", "m", 1, 7, m.Acknowledge(3, ((9, b"\1\2"), (0, b"\4")), 5))
+ENVELOPE = m.Envelope(1, "g", "m", 1, 7, m.Acknowledge(3, (9, 0), (b"\1\2", b"\4"), 5))
 
 
 def test_it_is_read_as_it_was_written() -> None:
--- a/tests/configstream/test_acknowledging.py
+++ b/tests/configstream/test_acknowledging.py
@@ -6,7 +6,14 @@
 
 from brassweir.agreed import timing
 from brassweir.agreed.messages import Acknowledge, Envelope, encode
-from brassweir.configstream.acknowledging import ROWS, Acknowledgements, Run, merge, pack_rows, read_rows
+from brassweir.configstream.acknowledging import (
+    ROWS,
+    Acknowledgements,
+    Run,
+    merge,
+    pack_message,
+    read_message,
+)
 from brassweir.configstream.roster import Roster, Rosters
 from brassweir.lab.models.logworld import Weather
 from tests.configstream.ackworld import LEAVE, AckWorld
@@ -25,23 +32,24 @@
 def test_a_message_is_bounded_at_490_copies() -> None:
     roster = Roster(f"copy-{i:03}" for i in range(490))
     rows = tuple(((1 << 52) - i, roster.all) for i in range(ROWS)) + ((0, roster.all),)
-    body = Acknowledge(roster.number, pack_rows(rows, roster), 1 << 30)
+    body = pack_message(rows, roster, 1 << 30)
     assert len(encode(Envelope(1, "a" * 16, "b" * 16, 99, 1 << 31, body))) < 400
-    assert read_rows(body, roster) == rows
+    assert read_message(body, roster) == rows
 
 
 @pytest.mark.parametrize(
-    "rows",
+    "versions, bitmaps",
     [
-        ((3, b"\xff"),),
-        ((3, b"\1"), (4, b"\2")),
-        ((4, b"\1"), (4, b"\2")),
-        tuple((9 - i, b"") for i in range(5)),
+        ((3,), (b"\xff",)),
+        ((3, 4), (b"\1", b"\2")),
+        ((4, 4), (b"\1", b"\2")),
+        ((4, 3), (b"\1",)),
+        ((9, 8, 7, 6, 5), (b"",) * 5),
     ],
 )
-def test_rows_that_nobody_packed_are_not_read(rows: tuple[tuple[int, bytes], ...]) -> None:
+def test_rows_that_nobody_packed_are_not_read(versions: tuple[int, ...], bitmaps: tuple[bytes, ...]) -> None:
     with pytest.raises(ValueError):
-        read_rows(Acknowledge(0, rows), Roster("abc"))
+        read_message(Acknowledge(0, versions, bitmaps), Roster("abc"))
 
 
 def taken(*names: str) -> tuple[Rosters, Acknowledgements]:
@@ -55,7 +63,7 @@
     number = rosters.current.number
 
     def say(life: int, count: int, version: int, member: str = "m") -> str:
-        message = Acknowledge(number, ((version, b"\2"),))
+        message = Acknowledge(number, (version,), (b"\2",))
         return acks.take("b", Run(member, life, life, count), message, 0.0, 100.0)
 
     assert [say(1, 1, 5), say(1, 3, 7)] == ["", ""]
@@ -70,18 +78,18 @@
 def test_bitmaps_of_another_member_list_are_translated_or_dropped() -> None:
     rosters, acks = taken("a", "b", "c", "d")
     old = rosters.current
-    message = Acknowledge(old.number, ((4, old.pack(old.bit("b") | old.bit("d"))),))
+    message = pack_message(((4, old.bit("b") | old.bit("d")),), old, 1)
     assert acks.take("b", Run("m", 1, 1, 1), message, 0.0, 100.0) == ""
     assert rosters.replace(["a", "c", "d", "e"])
     assert rosters.current.named(acks.merged("a", None)[0][1]) == ["d"]
     unknown = Roster(["a", "z"])
-    assert acks.take("d", Run("n", 1, 1, 1), Acknowledge(unknown.number, ()), 0.0, 100.0)
+    assert acks.take("d", Run("n", 1, 1, 1), Acknowledge(unknown.number, (), ()), 0.0, 100.0)
 
 
 def test_others_do_not_speak_for_this_copy_nor_its_feeder_for_those_below() -> None:
     rosters, acks = taken("a", "b", "c")
     for sender in ("b", "c"):
-        message = Acknowledge(rosters.current.number, ((8, b"\7"),))
+        message = Acknowledge(rosters.current.number, (8,), (b"\7",))
         assert acks.take(sender, Run(sender, 1, 1, 1), message, 0.0, 100.0) == ""
     assert acks.merged("a", 3) == ((8, 0b110), (3, 0b001))
     acks.heard.pop("c")
