--- a/brassweir/destinations/shown.py
+++ b/brassweir/destinations/shown.py
@@ -13,6 +13,7 @@
 from brassweir.control import Sender
 from brassweir.control.gate import Gate
 from brassweir.control.open import Destination, Endpoint
+from brassweir.interface import State
 
 ORDERS: dict[str, Callable[[Destination], float]] = {
     "open": lambda dest: dest.load.open,
@@ -62,7 +63,7 @@
             return None
         return {
             "asleep": True,
-            "endpoints": [info.name for info in nap[2::2]],
+            "endpoints": [info.name for info in nap[2::2] if info.state is not State.GONE],
             "remembers": sum(len(part) // 2 for part in nap[1]),
         }
     return {
--- a/brassweir/lab/between/configuration_rig.py
+++ b/brassweir/lab/between/configuration_rig.py
@@ -188,7 +188,7 @@
                 if agreed and peers and configuration and (copy.life, copy.run) == (life, run):
                     at = self.now()
                     self.told.append(told_of(at, copy.name, life, run, agreed, peers))
-                    self.shown.append(shown_of(at, copy.name, life, run, configuration))
+                    self.shown.append(shown_of(at, copy.name, life, run, configuration, agreed))
             await asyncio.sleep(EVERY)
 
     async def ask_modules(self) -> None:
--- a/brassweir/lab/between/configuration_seen.py
+++ b/brassweir/lab/between/configuration_seen.py
@@ -32,10 +32,13 @@
     refused: str
     edit: tuple[str, int]  # state and number
     fleet: View | None = None
+    feeder: str = ""  # whom it has entries from, and is counted by
 
 
-def shown_of(at: float, copy: str, life: int, run: int, tree: dict[str, Any]) -> Shown:
-    """Read an answer. Raises KeyError naming what is missing."""
+def shown_of(
+    at: float, copy: str, life: int, run: int, tree: dict[str, Any], agreed: dict[str, Any]
+) -> Shown:
+    """Read an answer, and that of ``/agreed``. Raises KeyError naming what is missing."""
     fleet = tree["fleet"]
     return Shown(
         at,
@@ -49,6 +52,7 @@
         str(tree["refused"]),
         (str(tree["edit"]["state"]), int(tree["edit"]["number"])),
         None if fleet is None else _view(fleet),
+        str(agreed["feeder"]),
     )
 
 
