--- a/benchmarks/idle_policies.py
+++ b/benchmarks/idle_policies.py
@@ -130,7 +130,7 @@
         key = str(one)
         if key not in held:
             total += cost[one]
-            step = budget.wish(key, now)
+            step = budget.request(key, now)
             if step.close is not None:
                 budget.closed(step.close)
                 held.discard(step.close)
--- a/benchmarks/peers.py
+++ b/benchmarks/peers.py
@@ -13,7 +13,7 @@
 
 SIZES = (4, 32, 340)
 BAD = Weather(loss=0.2, soonest=200.0, latest=205.0)
-LIFE = 1_780_000_000_001
+GENERATION = 1_780_000_000_001
 
 
 def started(copies: int, seed: int) -> Net:
@@ -61,7 +61,7 @@
             if word == "dead":
                 net.kill(name)
             else:
-                net.start(name, LIFE + trial)
+                net.start(name, GENERATION + trial)
             net.run(4_500.0)
             took = {who: when - at for when, who, of, what in net.tape if of == name and what == word}
             into.append(max(took.get(who, float("inf")) for who in others))
--- a/brassweir/destinations/budget.py
+++ b/brassweir/destinations/budget.py
@@ -29,7 +29,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Step:
-    """What to do about one wish: may it connect now, and whose idle connection is to be closed first."""
+    """What to do about one request: may it connect now, and whose idle connection is to be closed first."""
 
     go: bool
     close: str | None = None
@@ -50,11 +50,11 @@
         self.short_at = -float("inf")
         self.given_way = 0
 
-    def wish(self, key: str, now: float) -> Step:
+    def request(self, key: str, now: float) -> Step:
         """A destination wants one more connection.
 
         A first one may use all of the budget, a further one only what the waking do not need. If there is no
-        room, an idle connection elsewhere gives way; if none is idle, the wish waits.
+        room, an idle connection elsewhere gives way; if none is idle, the request waits.
         """
         self._regrow(now)
         holder = self.holders.get(key)
--- a/brassweir/lab/models/peernet.py
+++ b/brassweir/lab/models/peernet.py
@@ -14,7 +14,7 @@
 from brassweir.core.clock import SimClock
 from brassweir.peers.copies import Copy, Fleet
 from brassweir.peers.liveness import Core
-from brassweir.peers.talk import Changed, Fact, Heard, Listed, Relive, SelfChanged, Send, Step, View
+from brassweir.peers.talk import Changed, Fact, Heard, Listed, NewGeneration, SelfChanged, Send, Step, View
 from brassweir.peers.tuning import DEFAULT, Tuning
 from brassweir.peers.wire import Dropped, Keys, Wire
 
@@ -44,12 +44,12 @@
 class Node:
     """One process."""
 
-    def __init__(self, net: Net, name: str, life: int, copies: Iterable[Copy]) -> None:
+    def __init__(self, net: Net, name: str, generation: int, copies: Iterable[Copy]) -> None:
         self.net, self.name = net, name
-        rng = random.Random(f"{net.seed} {name} {life}")
+        rng = random.Random(f"{net.seed} {name} {generation}")
         self.fleet = Fleet(name, copies)
-        self.core = net.make(self.fleet, life, net.clock.now(), rng, net.tuning)
-        self.wire = net.make_wire(name, life, KEY)
+        self.core = net.make(self.fleet, generation, net.clock.now(), rng, net.tuning)
+        self.wire = net.make_wire(name, generation, KEY)
         self.up = True
         self.stopped = False
         self.buffer: list[bytes] = []
@@ -75,8 +75,8 @@
             self.net.said(self.name, step.name, step.state)
         elif isinstance(step, SelfChanged):
             self.net.said(self.name, self.name, "doubts" if step.self_suspected else "sure")
-        elif isinstance(step, Relive):
-            self.wire.relive(step.life)
+        elif isinstance(step, NewGeneration):
+            self.wire.begin_generation(step.generation)
 
     def receive(self, datagram: bytes) -> None:
         """A datagram reaches the process's socket."""
@@ -89,7 +89,7 @@
         except Dropped as dropped:
             self.net.dropped[dropped.reason] = self.net.dropped.get(dropped.reason, 0) + 1
             return
-        self.step([Heard(envelope.sender, envelope.life, envelope.body)])
+        self.step([Heard(envelope.sender, envelope.generation, envelope.body)])
 
 
 class Net:
@@ -115,11 +115,13 @@
         self.buffer = BUFFER
         self.recorder: Callable[[str, str, bytes], None] = lambda sender, to, datagram: None
 
-    def start(self, name: str, life: int = 1_780_000_000_000, copies: Iterable[Copy] | None = None) -> None:
+    def start(
+        self, name: str, generation: int = 1_780_000_000_000, copies: Iterable[Copy] | None = None
+    ) -> None:
         """Start, or restart, a process; ``copies``: its own file, where that differs."""
         if name in self.nodes:
             self.nodes[name].up = False
-        node = self.nodes[name] = Node(self, name, life, copies if copies is not None else self.copies)
+        node = self.nodes[name] = Node(self, name, generation, copies if copies is not None else self.copies)
         node.step()
 
     def start_all(self, within: float = 1_000.0) -> None:
--- a/brassweir/net/limiter.py
+++ b/brassweir/net/limiter.py
@@ -38,7 +38,7 @@
         self.budget, self.setups = budget or Budget(1_000_000), setups or Setups(1_000_000)
         self.pools: dict[str, ConnectionPool] = {}
         self.urls: dict[ConnectionPool, str] = {}
-        self.rooms: dict[asyncio.Future[bool], str] = {}  # wishes that found the budget spent, in order
+        self.rooms: dict[asyncio.Future[bool], str] = {}  # requests that found the budget spent, in order
         self.turns: dict[int, asyncio.Future[bool]] = {}  # tickets in the line for set-ups
 
     def of(self, url: str, name: str = "") -> Pool:
@@ -97,7 +97,7 @@
                 self._room()
 
     def _grant(self, url: str, now: float) -> bool:
-        step = self.budget.wish(url, now * 1000.0)
+        step = self.budget.request(url, now * 1000.0)
         if step.close is not None and step.close in self.pools:
             self.pools[step.close].close_idle(1)
         if step.go:
--- a/brassweir/peers/claims.py
+++ b/brassweir/peers/claims.py
@@ -1,7 +1,8 @@
 """What is said of a copy, and which of two sayings counts. Pure.
 
-A claim is ordered by life, then incarnation, then status: SWIM's order with the process's life before it, so
-that a restarted copy supersedes its older self at once. Only the copy itself raises its incarnation.
+A claim is ordered by generation, then incarnation, then status: SWIM's order with the process's generation
+before it, so that a restarted copy supersedes its older self at once. Only the copy itself raises its
+incarnation.
 """
 
 from __future__ import annotations
@@ -20,8 +21,8 @@
     """``by`` is who suspects or found dead; a copy that leaves says itself that it is dead."""
 
     name: str
-    life: Number
-    inc: Number
+    generation: Number
+    incarnation: Number
     status: Number
     by: str = ""
 
@@ -36,23 +37,23 @@
 
 
 class Standing:
-    """What is held of one copy; ``life`` 0: never heard of, taken for alive because it is listed."""
+    """What is held of one copy; ``generation`` 0: never heard of, taken for alive because it is listed."""
 
-    __slots__ = ("inc", "life", "status", "told")
+    __slots__ = ("incarnation", "generation", "status", "told")
 
     def __init__(self) -> None:
-        self.life = self.inc = 0
+        self.generation = self.incarnation = 0
         self.status = ALIVE
         self.told = 0.0  # when it was last told what is said of it (ms)
 
     def claim(self, name: str, by: str = "") -> Claim:
         """It as a claim."""
-        return Claim(name, self.life, self.inc, self.status, by)
+        return Claim(name, self.generation, self.incarnation, self.status, by)
 
 
 def weigh(held: Standing, claim: Claim, joins: bool = False) -> Weight:
     """Which counts. A death found by others is looked into; one that ``joins`` and knows nothing takes it."""
-    mine, theirs = (held.life, held.inc), (claim.life, claim.inc)
+    mine, theirs = (held.generation, held.incarnation), (claim.generation, claim.incarnation)
     if theirs < mine or claim.status > DEAD:
         return Weight.STALE
     newer = theirs > mine
@@ -64,4 +65,4 @@
         return Weight.CONFIRM if held.status == SUSPECTED else Weight.STALE
     if claim.by == claim.name or held.status == DEAD:
         return Weight.TAKE if newer or held.status != DEAD else Weight.STALE
-    return Weight.TAKE if joins and held.life == 0 and held.status == ALIVE else Weight.DOUBT
+    return Weight.TAKE if joins and held.generation == 0 and held.status == ALIVE else Weight.DOUBT
--- a/brassweir/peers/liveness.py
+++ b/brassweir/peers/liveness.py
@@ -30,7 +30,7 @@
     Heard,
     Late,
     Listed,
-    Relive,
+    NewGeneration,
     Send,
     Step,
     Talk,
@@ -46,13 +46,13 @@
     """One copy's liveness. ``counts`` is for metrics: what happened, by word."""
 
     def __init__(
-        self, fleet: Fleet, life: int, now: float, rng: random.Random, tuning: Tuning = DEFAULT
+        self, fleet: Fleet, generation: int, now: float, rng: random.Random, tuning: Tuning = DEFAULT
     ) -> None:
         self.fleet, self.rng, self.tuning = fleet, rng, tuning
         self.counts: Counter[str] = Counter()
         self.health, self.pace = Health(tuning), Pace(tuning)
         self.contact = Contact(fleet, now, tuning)
-        self.table = Table(fleet, life, now, tuning, self.health, self.pace)
+        self.table = Table(fleet, generation, now, tuning, self.health, self.pace)
         self.prober, self.errands = Prober(tuning, self.pace, rng), Errands()
         self.sharing = Sharing(self.table, fleet, tuning, rng)
         self.left = False
@@ -100,7 +100,7 @@
             return
         self.contact.hear(sender, now)
         self.showing.hear(sender)
-        self._claim(Claim(sender, fact.life, talk.inc, ALIVE), now)
+        self._claim(Claim(sender, fact.generation, talk.incarnation, ALIVE), now)
         for claim in talk.claims:
             self._claim(claim, now)
         if talk.what == PING:
@@ -121,9 +121,9 @@
             self.due = min(self.due, max(self.next_push, now))
 
     def _claim(self, claim: Claim, now: float) -> None:
-        life = self.table.hear(claim, now)
-        if life is not None:
-            self.steps.append(Relive(life))
+        generation = self.table.hear(claim, now)
+        if generation is not None:
+            self.steps.append(NewGeneration(generation))
 
     def _answered(self, sender: str, talk: Talk, now: float) -> None:
         errand = self.errands.answered(talk.number, sender)
@@ -170,7 +170,7 @@
 
     def _leave(self) -> None:
         self.left = self.table.left = True
-        claim = Claim(self.table.own, self.table.life, self.table.inc, DEAD, self.table.own)
+        claim = Claim(self.table.own, self.table.generation, self.table.incarnation, DEAD, self.table.own)
         for name in self.sharing.some(2 * self.tuning.push_to):
             self._send(name, PUSH, 0, (claim,))
 
@@ -246,4 +246,5 @@
     def _send(
         self, to: str, what: int, number: int, claims: Iterable[Claim], about: str = "", sync: bool = False
     ) -> None:
-        self.steps.append(Send(to, pack(Talk(what, number, self.table.inc, tuple(claims), about, sync))))
+        talk = Talk(what, number, self.table.incarnation, tuple(claims), about, sync)
+        self.steps.append(Send(to, pack(talk)))
--- a/brassweir/peers/news.py
+++ b/brassweir/peers/news.py
@@ -23,7 +23,11 @@
     def put(self, claim: Claim) -> None:
         """Pass it on, in place of what is older of the same copy."""
         for by, held in list(self._claims.get(claim.name, {}).items()):
-            same = (held.life, held.inc, held.status) == (claim.life, claim.inc, SUSPECTED)
+            same = (held.generation, held.incarnation, held.status) == (
+                claim.generation,
+                claim.incarnation,
+                SUSPECTED,
+            )
             if claim.status != SUSPECTED or not same:
                 self._forget((claim.name, by))
         by = claim.by if claim.status == SUSPECTED else ""
--- a/brassweir/peers/port.py
+++ b/brassweir/peers/port.py
@@ -23,7 +23,7 @@
     Late,
     Leave,
     Listed,
-    Relive,
+    NewGeneration,
     SelfChanged,
     Send,
     Step,
@@ -49,14 +49,14 @@
         *,
         tuning: Tuning = DEFAULT,
         seed: int | None = None,
-        life: int | None = None,
+        generation: int | None = None,
     ) -> None:
         self.fleet = Fleet(own, copies)
         self.listen = host_port(listen, "peers: listen") if listen else self.fleet.own.host_port()
         self.tuning = tuning
         self.rng = random.Random(seed)
-        self.life = life if life is not None else int(time.time() * 1_000)
-        self.wire = Wire(own, self.life, Keys(keys))
+        self.generation = generation if generation is not None else int(time.time() * 1_000)
+        self.wire = Wire(own, self.generation, Keys(keys))
         self.counts: Counter[str] = Counter()
         self.bytes_sent = self.bytes_taken = 0
         self.handlers: dict[str, Handler] = {}
@@ -76,7 +76,7 @@
         loop = self.loop = asyncio.get_running_loop()
         await self.addresses.resolve(loop)
         await loop.create_datagram_endpoint(lambda: self, local_addr=self.listen)
-        self.core = Core(self.fleet, self.life, self._now(), self.rng, self.tuning)
+        self.core = Core(self.fleet, self.generation, self._now(), self.rng, self.tuning)
         self._step()
 
     async def stop(self) -> None:
@@ -171,7 +171,7 @@
         self.counts[f"taken_{envelope.kind}"] += 1
         if envelope.kind == LIVE:
             if self.core is not None:
-                self._step([Heard(envelope.sender, envelope.life, envelope.body)])
+                self._step([Heard(envelope.sender, envelope.generation, envelope.body)])
             return
         try:
             self.handlers[envelope.kind](envelope.sender, envelope.body)
@@ -197,8 +197,8 @@
     def _do(self, step: Step) -> None:
         if isinstance(step, Send):
             self.send(step.to, LIVE, step.body)
-        elif isinstance(step, Relive):
-            self.wire.relive(step.life)
+        elif isinstance(step, NewGeneration):
+            self.wire.begin_generation(step.generation)
         elif isinstance(step, Changed):
             for told in self.on_change:
                 told(step.name, step.state)
--- a/brassweir/peers/replay.py
+++ b/brassweir/peers/replay.py
@@ -1,4 +1,4 @@
-"""Which numbers of one sender's life have been seen: a sliding window. Pure."""
+"""Which numbers of one sender's generation have been seen: a sliding window. Pure."""
 
 from __future__ import annotations
 
@@ -9,10 +9,10 @@
 class Window:
     """Bit ``i`` of ``seen`` stands for the number ``top - i``."""
 
-    __slots__ = ("life", "seen", "top")
+    __slots__ = ("generation", "seen", "top")
 
-    def __init__(self, life: int) -> None:
-        self.life = life
+    def __init__(self, generation: int) -> None:
+        self.generation = generation
         self.top = 0
         self.seen = 0
 
--- a/brassweir/peers/sharing.py
+++ b/brassweir/peers/sharing.py
@@ -50,9 +50,11 @@
         return self._first(to, [])
 
     def known(self, about: str) -> list[Claim]:
-        """What is held of one, for who asked about it: it may never have heard of that life."""
+        """What is held of one, for who asked about it: it may never have heard of that generation."""
         held = self.table.standings.get(about)
-        return [held.claim(about, self.table.first_found(about))] if held is not None and held.life else []
+        return (
+            [held.claim(about, self.table.first_found(about))] if held is not None and held.generation else []
+        )
 
     def _first(self, to: str, claims: list[Claim]) -> list[Claim]:
         held = self.table.standings.get(to)
@@ -73,7 +75,7 @@
             self.turn += 1
             name = bad.pop() if bad else self.names[(self.turn // 2) % len(self.names)]
             held = standings[name]
-            if held.life and name != to:
+            if held.generation and name != to:
                 claims.append(held.claim(name, self.table.first_found(name)))
         return claims
 
--- a/brassweir/peers/table.py
+++ b/brassweir/peers/table.py
@@ -14,7 +14,7 @@
 from brassweir.peers.tuning import Tuning
 
 AGAIN = 100.0  # ms; a suspicion that may not end yet is looked at again after so long
-FURTHEST = 1 << 61  # no life is so late; going on from it would end the numbers
+FURTHEST = 1 << 61  # no generation is so late; going on from it would end the numbers
 MANY = 8  # with more suspicions than this, all are looked at twice as often instead of each at its time
 
 
@@ -22,11 +22,11 @@
     """The shared part of a copy's state; ``changed`` collects the names whose standing changed."""
 
     def __init__(
-        self, fleet: Fleet, life: int, now: float, tuning: Tuning, health: Health, pace: Pace
+        self, fleet: Fleet, generation: int, now: float, tuning: Tuning, health: Health, pace: Pace
     ) -> None:
         self.tuning, self.health, self.pace = tuning, health, pace
-        self.own, self.life, self.inc = fleet.own.name, life, 0
-        self.relived = float("-inf")
+        self.own, self.generation, self.incarnation = fleet.own.name, generation, 0
+        self.renewed_at = float("-inf")
         self.news = News(tuning)
         self.standings: dict[str, Standing] = {}
         self.suspicions: dict[str, Suspicion] = {}
@@ -50,10 +50,10 @@
 
     def self_claim(self) -> Claim:
         """What this copy says of itself."""
-        return Claim(self.own, self.life, self.inc, ALIVE)
+        return Claim(self.own, self.generation, self.incarnation, ALIVE)
 
     def hear(self, claim: Claim, now: float) -> int | None:
-        """Take note of a claim; a later life to go on as, if it was about this copy and called for one."""
+        """Take note of a claim; a later generation to go on as, if it was about us and called for one."""
         if claim.name == self.own:
             return self._of_self(claim, now)
         held = self.standings.get(claim.name)
@@ -66,21 +66,29 @@
             if self.suspicions[claim.name].confirm(claim.by, self.span().enough):
                 self.news.put(claim)
         elif weight is Weight.DOUBT:
-            if held.status == ALIVE or (held.life, held.inc) < (claim.life, claim.inc):
-                self.take(Claim(claim.name, claim.life, claim.inc, SUSPECTED, claim.by), now)
+            if held.status == ALIVE or (held.generation, held.incarnation) < (
+                claim.generation,
+                claim.incarnation,
+            ):
+                self.take(Claim(claim.name, claim.generation, claim.incarnation, SUSPECTED, claim.by), now)
             self.suspicions[claim.name].found = True
         return None
 
     def _of_self(self, claim: Claim, now: float) -> int | None:
-        if claim.life > self.life:
-            if claim.life > FURTHEST or now < self.relived + self.tuning.relive:
+        if claim.generation > self.generation:
+            if claim.generation > FURTHEST or now < self.renewed_at + self.tuning.renew_after:
                 return None
-            self.twins += self.relived > float("-inf")
-            self.relived = now
-            self.life, self.inc = claim.life + 1, 0
+            self.twins += self.renewed_at > float("-inf")
+            self.renewed_at = now
+            self.generation, self.incarnation = claim.generation + 1, 0
             self.news.put(self.self_claim())
-            return self.life
-        if not self.left and claim.life == self.life and claim.status != ALIVE and claim.inc >= self.inc:
+            return self.generation
+        if (
+            not self.left
+            and claim.generation == self.generation
+            and claim.status != ALIVE
+            and claim.incarnation >= self.incarnation
+        ):
             self.refute(claim, now)
         return None
 
@@ -91,7 +99,7 @@
 
     def refute(self, claim: Claim, now: float) -> None:
         """Say with a higher incarnation that this copy is alive."""
-        self.inc = claim.inc + 1
+        self.incarnation = claim.incarnation + 1
         self.refuted += 1
         self.health.refuted(now)
         self.news.put(self.self_claim())
@@ -99,7 +107,7 @@
     def take(self, claim: Claim, now: float) -> None:
         """Hold a claim in place of what was held, and pass it on if it is news."""
         held = self.standings[claim.name]
-        known = held.life > 0 or held.status != ALIVE
+        known = held.generation > 0 or held.status != ALIVE
         if known or claim.status != ALIVE:
             self.news.put(claim)
         if held.status != claim.status:
@@ -108,7 +116,7 @@
                 self.dead |= {claim.name}
             elif held.status == DEAD:
                 self.dead -= {claim.name}
-        held.life, held.inc, held.status = claim.life, claim.inc, claim.status
+        held.generation, held.incarnation, held.status = claim.generation, claim.incarnation, claim.status
         if claim.status == SUSPECTED:
             self.suspicions[claim.name] = Suspicion(now, claim.by)
         else:
@@ -118,7 +126,7 @@
         """The own probe of it failed."""
         held = self.standings.get(name)
         if held is not None and held.status != DEAD:
-            self.hear(Claim(name, held.life, held.inc, SUSPECTED, self.own), now)
+            self.hear(Claim(name, held.generation, held.incarnation, SUSPECTED, self.own), now)
 
     def forgive(self, names: frozenset[str]) -> None:
         """This copy was cut off from these: whom it suspects there, it has no grounds to."""
@@ -145,7 +153,7 @@
                 suspicion.since, suspicion.calls = now, 0
             elif not contact.level(name) and contact.witness(name, suspicion.since):
                 held = self.standings[name]
-                self.take(Claim(name, held.life, held.inc, DEAD, self.own), now)
+                self.take(Claim(name, held.generation, held.incarnation, DEAD, self.own), now)
 
     def due(self, now: float) -> float:
         """When a suspicion may run out next."""
--- a/brassweir/peers/talk.py
+++ b/brassweir/peers/talk.py
@@ -18,7 +18,7 @@
 
     what: Number
     number: Number  # of the ping it is or answers
-    inc: Number  # the sender's own
+    incarnation: Number  # the sender's own
     claims: tuple[Claim, ...] = ()
     about: str = ""  # whom to ask, or who answered through the sender
     sync: bool = False  # asks for state in the answer
@@ -47,10 +47,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Heard:
-    """Fact: a sealed message of kind "live" from the process ``life`` of ``sender``."""
+    """Fact: a sealed message of kind "live" from the process ``generation`` of ``sender``."""
 
     sender: str
-    life: int
+    generation: int
     body: bytes
 
 
@@ -99,14 +99,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Relive:
-    """Step: go on as this life; an earlier process of this name had a later one than ours."""
+class NewGeneration:
+    """Step: go on as this generation; an earlier process of this name had a later one than ours."""
 
-    life: int
+    generation: int
 
 
 Fact = Heard | Late | Listed | Leave
-Step = Send | Changed | SelfChanged | Relive
+Step = Send | Changed | SelfChanged | NewGeneration
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/peers/tuning.py
+++ b/brassweir/peers/tuning.py
@@ -59,8 +59,8 @@
     retry_least: float = 500.0
     # For how long after its start a copy takes deaths from others without looking into them.
     join: float = 3_000.0
-    # A copy takes a later life at most so often: two processes of one name must not race.
-    relive: float = 2_000.0
+    # A copy takes a later generation at most so often: two processes of one name must not race.
+    renew_after: float = 2_000.0
     # Late answers tell the time of the way for so long.
     remember: float = 5_000.0
 
--- a/brassweir/peers/wire.py
+++ b/brassweir/peers/wire.py
@@ -31,8 +31,8 @@
     kind: str
     sender: str
     receiver: str
-    life: Number  # of the sender's process; later ones are greater
-    number: Number  # of this message among those from this life to this receiver, from 1
+    generation: Number  # of the sender's process; later ones are greater
+    number: Number  # of this message among those from this generation to this receiver, from 1
     body: bytes
 
 
@@ -80,16 +80,16 @@
 class Wire:
     """One copy's end: seals what it sends, opens what it is sent."""
 
-    def __init__(self, own: str, life: int, keys: Keys) -> None:
-        self.own, self.life, self.keys = own, life, keys
-        self.sent: Counter[str] = Counter()  # messages to each receiver in this life
+    def __init__(self, own: str, generation: int, keys: Keys) -> None:
+        self.own, self.generation, self.keys = own, generation, keys
+        self.sent: Counter[str] = Counter()  # messages to each receiver in this generation
         self.windows: dict[str, Window] = {}
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(Envelope)
 
-    def relive(self, life: int) -> None:
-        """Go on as a later life: numbers start anew."""
-        self.life = life
+    def begin_generation(self, generation: int) -> None:
+        """Go on as a later generation: numbers start anew."""
+        self.generation = generation
         self.sent.clear()
 
     def keep(self, names: Collection[str]) -> None:
@@ -102,7 +102,7 @@
         if len(body) > MOST_BODY:
             raise Dropped("large")
         self.sent[to] += 1
-        data = self._encoder.encode(Envelope(kind, self.own, to, self.life, self.sent[to], body))
+        data = self._encoder.encode(Envelope(kind, self.own, to, self.generation, self.sent[to], body))
         version = bytes([VERSION])
         return version + self.keys.seal(version + data) + data
 
@@ -140,9 +140,9 @@
 
     def _number(self, envelope: Envelope, once: Collection[str]) -> None:
         window = self.windows.get(envelope.sender)
-        if window is None or envelope.life > window.life:
-            window = self.windows[envelope.sender] = Window(envelope.life)
-        elif envelope.life < window.life:
+        if window is None or envelope.generation > window.generation:
+            window = self.windows[envelope.sender] = Window(envelope.generation)
+        elif envelope.generation < window.generation:
             raise Dropped("old_life")
         how = window.take(envelope.number)
         if envelope.kind in once and how in (SEEN, OLD):
--- a/brassweir/regions/sources.py
+++ b/brassweir/regions/sources.py
@@ -1,10 +1,10 @@
-"""The two sources of epochs, head office's file and the agreed log, and whose turn it is to publish. Pure.
+"""The two sources of epochs, head office's file and the agreed log, and which of them publishes. Pure.
 
-An epoch's ``turn`` counts hand-overs: even, and the file publishes the next epoch; odd, and the log does. A
-hand-over is itself an epoch, the last of its source: it changes no grant, only the turn. Whoever has taken it
-takes nothing from the old source any more, across restarts too, so that never both are followed. Why that is
-enough: each source has one order of its epochs, and what a copy took of the old one binds the new one by
-``follows``, as any older epoch does.
+An epoch's publication term, its field ``turn``, counts hand-overs: even, and the file publishes the next
+epoch; odd, and the log does. A hand-over is itself an epoch, the last of its source: it changes no grant,
+only the term. Whoever has taken it takes nothing from the old source any more, across restarts too, so that
+never both are followed. Why that is enough: each source has one order of its epochs, and what a copy took
+of the old one binds the new one by ``follows``, as any older epoch does.
 """
 
 from __future__ import annotations
--- a/tests/destinations/test_destinations.py
+++ b/tests/destinations/test_destinations.py
@@ -93,7 +93,7 @@
 
 
 def connected(budget: Budget, key: str, cost: float = 1.0, now: float = 0.0) -> str | None:
-    step = budget.wish(key, now)
+    step = budget.request(key, now)
     assert step.go
     if step.close is not None:
         budget.closed(step.close)
@@ -135,20 +135,20 @@
         connected(budget, key)
     budget.busy("a")
     budget.pin("b", True)
-    assert not budget.wish("c", 0.0).go
+    assert not budget.request("c", 0.0).go
     budget.pin("b", False)
-    assert budget.wish("c", 0.0).close == "b"
+    assert budget.request("c", 0.0).close == "b"
     assert not budget.holders["a"].pinned and budget.holders["a"].busy == 1
 
 
 def test_the_busy_leave_room_for_waking_ones() -> None:
     budget = Budget(20)
     for _ in range(18):
-        assert budget.wish("busy", 0.0).go
+        assert budget.request("busy", 0.0).go
         budget.opened("busy")
         budget.busy("busy")
-    assert not budget.wish("busy", 0.0).go, "what is left is for those that wake"
-    assert budget.wish("waking", 0.0).go
+    assert not budget.request("busy", 0.0).go, "what is left is for those that wake"
+    assert budget.request("waking", 0.0).go
 
 
 def test_a_shortage_shrinks_the_budget_and_it_grows_back_slowly() -> None:
@@ -156,11 +156,11 @@
     for i in range(50):
         connected(budget, str(i))
     assert budget.shortage(1000.0) == "0" and budget.most == 45
-    assert budget.wish("x", 1000.0).close is not None
+    assert budget.request("x", 1000.0).close is not None
     now = 1000.0
     while budget.most < 100:
         now += REGROW
-        budget.wish("x", now)
+        budget.request("x", now)
         assert now < 1e8
     assert now > 1000.0 + 5 * REGROW
 
@@ -172,7 +172,7 @@
     for number, move in moves:
         key = str(number)
         if move in "cu" and not idle.get(key):
-            step = budget.wish(key, 0.0)
+            step = budget.request(key, 0.0)
             if step.close is not None:
                 assert idle.get(step.close, 0) > 0 and not budget.holders[step.close].pinned
                 idle[step.close] -= 1
--- a/tests/peers/play.py
+++ b/tests/peers/play.py
@@ -10,7 +10,7 @@
 KNOWN = 4_000.0  # ms: a death is known by all others by then
 BAD_KNOWN = 14_000.0  # the same with a fifth lost and answers that take 400 ms
 SETTLED = 12_000.0  # ms after the last fault: all are shown alive everywhere by then
-LIFE = 1_780_000_000_000
+GENERATION = 1_780_000_000_000
 LATE = Weather(loss=0.2, soonest=150.0, latest=200.0, doubled=0.1)
 
 
@@ -30,7 +30,7 @@
         self.rng = random.Random(f"{seed} faults")
         self.names = [copy.name for copy in self.net.copies]
         self.excused: dict[str, float] = {}  # a copy that was down, stopped or cut off, until when
-        self.life = LIFE
+        self.generation = GENERATION
         self.run, self.fresh = self.net.run, self.net.tape.clear
         self.net.start_all(within)
         self.net.run(settle + within)
@@ -41,9 +41,9 @@
         self.net.kill(name)
         self.excused[name] = float("inf")
 
-    def restart(self, name: str, life: int | None = None) -> None:
-        self.life += 1
-        self.net.start(name, self.life if life is None else life)
+    def restart(self, name: str, generation: int | None = None) -> None:
+        self.generation += 1
+        self.net.start(name, self.generation if generation is None else generation)
         self.excused[name] = self.net.clock.now() + BAD_KNOWN
 
     def stop(self, name: str, ms: float) -> None:
--- a/tests/peers/test_guards.py
+++ b/tests/peers/test_guards.py
@@ -109,7 +109,7 @@
 def blind(held: Standing, claim: Claim, joins: bool = False) -> Weight:
     """Weighs without incarnations."""
     same = Standing()
-    same.life, same.inc, same.status = held.life, claim.inc, held.status
+    same.generation, same.incarnation, same.status = held.generation, claim.incarnation, held.status
     return weigh(same, claim)
 
 
--- a/tests/peers/test_liveness.py
+++ b/tests/peers/test_liveness.py
@@ -7,7 +7,7 @@
 
 from brassweir.lab.models.peernet import Weather, fleet
 from brassweir.peers.talk import ACK, ASK, PUSH, Heard
-from tests.peers.play import LIFE, World, anything, deaths
+from tests.peers.play import GENERATION, World, anything, deaths
 
 
 @pytest.mark.parametrize(("seed", "bad"), [*((seed, False) for seed in range(5)), (6, True)])
@@ -101,7 +101,7 @@
     world.kill("c001")
     world.run(5_000.0)
     assert world.unknown_dead("c001") == []
-    world.restart("c001", LIFE - 3_600_000)
+    world.restart("c001", GENERATION - 3_600_000)
     world.run(10_000.0)
     assert world.unsettled() == [] and world.net.dropped["old_life"] > 0
 
@@ -146,8 +146,8 @@
     world = World(3, 10)
     core = world.net.nodes["c000"].core
     later = [
-        ["c001", LIFE, 0, 0, "", "more"],
-        ["c002", LIFE, 9, 7, ""],
+        ["c001", GENERATION, 0, 0, "", "more"],
+        ["c002", GENERATION, 9, 7, ""],
         ["c009", 1, 1, 1, ""],
         ["c000", 1 << 62, 1, 0, ""],
     ]
@@ -161,9 +161,9 @@
         msgspec.msgpack.encode({"what": 1}),
     ]
     for body in bodies:
-        core.step(world.net.clock.now(), [Heard("c001", LIFE, body), Heard("nobody", LIFE, body)])
+        core.step(world.net.clock.now(), [Heard("c001", GENERATION, body), Heard("nobody", GENERATION, body)])
     assert core.counts["bad_body"] == 3 and core.counts["unknown_talk"] == 1
-    assert core.table.life == LIFE and set(core.view().states.values()) == {"alive"}
+    assert core.table.generation == GENERATION and set(core.view().states.values()) == {"alive"}
 
 
 def test_two_processes_of_one_name_do_not_race() -> None:
--- a/tests/peers/test_wire.py
+++ b/tests/peers/test_wire.py
@@ -17,8 +17,8 @@
 KNOWN, KINDS = ("a", "b", "c"), ("live", "log")
 
 
-def wire(own: str, life: int = 7, *keys: bytes) -> Wire:
-    return Wire(own, life, Keys(keys or (OLD_KEY,)))
+def wire(own: str, generation: int = 7, *keys: bytes) -> Wire:
+    return Wire(own, generation, Keys(keys or (OLD_KEY,)))
 
 
 def reason(to: Wire, datagram: bytes, once: tuple[str, ...] = KINDS) -> str:
@@ -84,7 +84,7 @@
     newer = wire("a", 8)
     assert reason(own, newer.seal("b", "live", b"")) == "taken"
     assert reason(own, sender.seal("b", "live", b"")) == "old_life"
-    sender.relive(9)
+    sender.begin_generation(9)
     assert reason(own, sender.seal("b", "live", b"")) == "taken"
     for _ in range(WIDTH):
         last = sender.seal("b", "live", b"")
