--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -7,22 +7,42 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Callable
+from typing import Protocol
 
-from brassweir.core.ledger import Record
+from brassweir.core.engine import Engine
+from brassweir.core.ledger import Record, Waiter
 from brassweir.core.ports import Answer, FinalAnswer, Submission
 from brassweir.resp import codec, handin
-from brassweir.resp.admission import ClientState
+from brassweir.resp.admission import Admission, ClientState
 from brassweir.resp.channel import Channel
-
-if TYPE_CHECKING:
-    from brassweir.resp.front import Front
+from brassweir.resp.counts import Counts
 
 MOST_OPEN = 64  # commands of one connection being answered; more wait in its socket
 PENALTY = 0.2  # seconds for which one that sent what cannot be used is not read, doubled with each
 MOST_ERRORS = 6  # after so many it is closed
 
 
+class Host(Protocol):
+    """The front that has accepted a connection, as the connection needs it."""
+
+    engine: Engine
+    admission: Admission
+    counts: Counts
+    listed: Callable[[int], bool]
+    owing: Callable[[Record], Waiter]
+    told: Callable[[int], None]
+
+    def admit(self, connection: Connection) -> ClientState | None:
+        """Keep a new connection, or None."""
+
+    def weigh(self, one: ClientState, weight: int) -> None:
+        """A client keeps so many bytes here."""
+
+    def left(self, ident: int) -> None:
+        """A client is gone."""
+
+
 class Slot:
     """One command's place in the order of answers."""
 
@@ -36,7 +56,7 @@
 class Connection(Channel):
     """One client's connection."""
 
-    def __init__(self, front: Front, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, front: Host, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self.front = front
         self.decoder = codec.Decoder()
@@ -45,8 +65,6 @@
         self.resting = self.advancing = False
         self.faults = 0
 
-    # ---- life
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected; if there is no room, somebody must go."""
         super().connection_made(transport)
@@ -65,7 +83,7 @@
         """Nobody will hear of what has no answer yet: it is not taken on."""
         for slot in self.slots:
             if slot.record is not None and not slot.answer:
-                self.front.withdrawn += 1
+                self.front.counts.withdrawn += 1
                 self.front.engine.withdraw(slot.record)
         self.slots.clear()
 
@@ -77,7 +95,7 @@
 
     def drop(self) -> None:
         """Close at once."""
-        self.front.dropped += 1
+        self.front.counts.dropped += 1
         self.leave()
         self.abort()
 
@@ -92,15 +110,13 @@
         if self.ending:
             return
         if self.client is not None and self.client.proven:
-            self.front.idled += 1
+            self.front.counts.idled += 1
         else:
-            self.front.silenced += 1
+            self.front.counts.silenced += 1
         if self.decoder.partial:
             self.fault("the command did not come whole")
         self.end()
 
-    # ---- commands in
-
     def received(self, data: bytes) -> None:
         """Read on."""
         self.decoder.feed(data)
@@ -163,7 +179,7 @@
         slot = Slot()
         self.slots.append(slot)
         if engine.ledger.held >= engine.settings.max_open:
-            front.busy += 1
+            front.counts.busy += 1
             return self.answer(slot, codec.busy(0.0))  # the platform's limit on what one sender holds
         self.take(given, slot)
 
@@ -177,7 +193,7 @@
                 return
             front.told(record.id)
             if answer.answer is Answer.REFUSED:
-                front.busy += 1
+                front.counts.busy += 1
                 self.answer(slot, codec.busy(answer.retry_after))
             elif answer.answer is Answer.DELIVERED:
                 self.answer(slot, codec.OK)
@@ -185,7 +201,7 @@
                 self.answer(slot, codec.error(answer.reason))
 
         def promised() -> None:
-            front.taken += 1
+            front.counts.taken += 1
             self.answer(slot, codec.OK)
 
         _, record = front.engine.submit(given, ended)
@@ -194,7 +210,7 @@
 
     def fault(self, reason: str) -> None:
         """Answer what cannot be used, and read no more from its sender for a while."""
-        self.front.errors += 1
+        self.front.counts.errors += 1
         self.faults += 1
         self.slots.append(Slot(codec.error(reason)))
         self.flush()
@@ -211,8 +227,6 @@
         if not self.ending:
             self.advance()
 
-    # ---- answers out
-
     def answer(self, slot: Slot, line: bytes) -> None:
         """A command has its answer."""
         slot.answer = line
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -15,6 +15,7 @@
 from brassweir.core.ledger import Record, Waiter
 from brassweir.resp.admission import Admission, ClientState
 from brassweir.resp.connection import Connection
+from brassweir.resp.counts import Counts
 
 BACKLOG = 512  # connections that wait to be accepted
 LOOK = 0.05  # seconds between two looks at who has been silent for too long
@@ -38,9 +39,7 @@
         self.closed = False
         self.listener: asyncio.Server | None = None
         self.looking: asyncio.TimerHandle | None = None
-        self.taken = self.busy = self.errors = self.withdrawn = 0
-        self.opened = self.dropped = 0  # connections: all, and those closed for want of room
-        self.silenced = self.idled = 0  # and those closed since they said nothing, or no more
+        self.counts = Counts()
 
     async def listen(self, host: str, port: int) -> int:
         """Start to listen and return the port. Raises OSError."""
@@ -67,12 +66,12 @@
         if self.closed:
             return None
         self.last += 1
-        self.opened += 1
+        self.counts.opened += 1
         go, victim = self.admission.admit(self.last, connection.loop.time())
         if victim is not None:
             self.connections[victim].drop()
         if not go:
-            self.dropped += 1
+            self.counts.dropped += 1
             return None
         self.connections[self.last] = connection
         return self.admission.clients[self.last]
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -10,7 +10,7 @@
 import os
 import signal
 from collections.abc import Mapping
-from dataclasses import replace
+from dataclasses import asdict, replace
 from pathlib import Path
 from typing import Any
 
@@ -203,14 +203,7 @@
             late_ms=round(late * 1000.0),
             **belief(self.engine.sender, self.clock.now()),
             **self.counts.take(),
-            taken=front.taken,
-            busy=front.busy,
-            errors=front.errors,
-            opened=front.opened,
-            dropped=front.dropped,
-            silenced=front.silenced,
-            idled=front.idled,
-            withdrawn=front.withdrawn,
+            **asdict(front.counts),
             clients=len(front.connections),
             calls=self.pools.budget.open,
             owed=len(self.notices.owed),
--- a/tests/resp/test_closing.py
+++ b/tests/resp/test_closing.py
@@ -149,7 +149,7 @@
         desk.store.let_go()
         await asyncio.sleep(0.01)
         assert desk.carrier.sent == [] and desk.engine.ledger.held == 0
-        assert desk.front.taken == 0
+        assert desk.front.counts.taken == 0
 
     play(day)
 
--- a/tests/resp/test_flood.py
+++ b/tests/resp/test_flood.py
@@ -24,7 +24,7 @@
             if i % 10 == 0:
                 usual.send(put(f"u{i}", "note"))
                 assert await desk.loop.sock_recv(usual, 100) == OK
-        assert len(desk.front.connections) == 6 and desk.front.dropped == 35
+        assert len(desk.front.connections) == 6 and desk.front.counts.dropped == 35
 
     play(day)
 
