--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -212,7 +212,7 @@
 
         tasks = [asyncio.create_task(one()) for _ in range(12)]
         await asyncio.sleep(0.3)
-        most = server.buffered
+        most = server.bodies.buffered
         assert len(seen.requests) >= 2, "bodies that are each half here must not wait for one another"
         seen.gate.set()
         answers = await asyncio.gather(*tasks)
