--- a/brassweir/as2/front.py
+++ b/brassweir/as2/front.py
@@ -21,6 +21,7 @@
 from brassweir.as2.partnership import Client, Partnerships
 from brassweir.as2.receipts import Receipts
 from brassweir.as2.reply import Note, Reply, plain, turned_away
+from brassweir.core.futures import resolver
 from brassweir.core.ledger import Record, Taken
 from brassweir.core.lines import Lines
 from brassweir.core.offload import Offload
@@ -132,7 +133,7 @@
                 )
                 if asked.wanted and asked.delivery and client.receipt_url:
                     submission = replace(submission, reply=receipt.note())
-                how, record = self.engine.submit(submission, _setter(answered))
+                how, record = self.engine.submit(submission, resolver(answered))
         except As2Error as error:
             return await self._unacceptable(request, client, receiver, ident, asked, error)
         if asked.wanted and asked.delivery:
@@ -202,12 +203,4 @@
             return None
         answered: asyncio.Future[FinalAnswer] = asyncio.get_running_loop().create_future()
         self.owed.when_ready(self._owe(receipt, answered, message))
-        return _setter(answered)
-
-
-def _setter(answered: asyncio.Future[FinalAnswer]) -> Callable[[FinalAnswer], None]:
-    def waiter(answer: FinalAnswer) -> None:
-        if not answered.done():
-            answered.set_result(answer)
-
-    return waiter
+        return resolver(answered)
--- a/brassweir/forward/connection.py
+++ b/brassweir/forward/connection.py
@@ -3,19 +3,39 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, cast
+from typing import Protocol, cast
 
+from brassweir.forward.decide.turns import Turns
 from brassweir.forward.errors import ForwardError
+from brassweir.forward.message import Message
+from brassweir.forward.ports import Bounds
 from brassweir.forward.session import Admitted, Came, Denied, Session
 
-if TYPE_CHECKING:
-    from brassweir.forward.front import ForwardFront
+
+class Host(Protocol):
+    """The front that has accepted a connection, as the connection needs it."""
+
+    bounds: Bounds
+    turns: Turns
+    buffer: memoryview
+    connections: set[Connection]
+    readers: dict[int, Connection]
+    stopping: bool
+
+    def complain(self, connection: Connection, reason: str) -> None:
+        """Note what a peer did that cannot be served."""
+
+    def look_later(self) -> None:
+        """Look who may read on, soon."""
+
+    async def take(self, connection: Connection, given: Message, size: int) -> None:
+        """See one chunk through to what its source is told."""
 
 
 class Connection(asyncio.BufferedProtocol):
     """States: greeting, open, closing. One timer serves them all; it stands still while we do not read."""
 
-    def __init__(self, front: ForwardFront, session: Session, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(self, front: Host, session: Session, loop: asyncio.AbstractEventLoop) -> None:
         self.front, self.session, self.loop = front, session, loop
         self.transport: asyncio.Transport | None = None
         self.peer = ""
@@ -33,8 +53,6 @@
         """Who is there; empty until it has proved it."""
         return self.session.source
 
-    # ---- life
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Greet it."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass
@@ -102,8 +120,6 @@
         if not self.work:
             self.close()
 
-    # ---- bytes
-
     def say(self, data: bytes) -> bool:
         """Write, if it can still be heard."""
         if self.transport is None or self.transport.is_closing():
@@ -173,8 +189,6 @@
             self.work.add(task)
             task.add_done_callback(self.work.discard)
 
-    # ---- turns
-
     def consider(self) -> None:
         """Go on reading if it is our turn, else stop until it is."""
         if self.closing or self.deaf or self.transport is None or self.transport.is_closing():
