--- a/brassweir/cli/lab.py
+++ b/brassweir/cli/lab.py
@@ -17,12 +17,12 @@
 from brassweir.cli import model
 from brassweir.cli.between import between_command
 from brassweir.config.load import ConfigError
-from brassweir.lab.rigs import idle
+from brassweir.lab.rigs import days, idle
 from brassweir.lab.rigs.flood import Flood, FloodPlan
 from brassweir.lab.rigs.idle_setup import Plan
 from brassweir.lab.rigs.load import Mix
 from brassweir.lab.rigs.play import Report, play
-from brassweir.lab.rigs.script import Day, bad, crash, demo, mixed
+from brassweir.lab.rigs.script import Day
 from brassweir.lab.simulated.crash import steps_of, sweep
 from brassweir.lab.simulated.crash_world import Script
 from brassweir.lab.simulated.disk import MODES
@@ -52,7 +52,7 @@
 
     Prints what ended how. Exits with 1 if a rule was broken.
     """
-    _run(demo, seed, as_json, folder)
+    _run(days.demo, seed, as_json, folder)
 
 
 @lab.command("day")
@@ -73,7 +73,7 @@
     With the forward front as well, four shippers and three forward destinations join in. Exits with 1 if a
     rule was broken.
     """
-    _run(bad if fronts == "as2" else mixed, seed, as_json, folder)
+    _run(days.bad if fronts == "as2" else days.mixed, seed, as_json, folder)
 
 
 @lab.command("crash")
@@ -89,7 +89,7 @@
 
     Exits with 1 if a message had no answer or two, or a payment took effect twice.
     """
-    _run(lambda number: crash(number, kills, rate), seed, as_json, folder)
+    _run(lambda number: days.crash(number, kills, rate), seed, as_json, folder)
 
 
 @lab.command("sweep")
