--- /dev/null
+++ b/tests/net/raw_peer.py
@@ -0,0 +1,58 @@
+"""A peer that answers the client with given bytes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from brassweir.net.client import Address, Pool, Reply
+from brassweir.net.headers import Headers
+from brassweir.net.limits import Limits
+
+LIMITS = Limits(head=2000, body=5000)
+Peer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+async def with_peer(
+    peer: Peer, work: Callable[[Pool], Awaitable[object]], *, cap: int = 4, idle: float = 500.0
+) -> object:
+    async def guard(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await peer(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(guard, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    pool = Pool(Address.of(f"http://127.0.0.1:{port}/x"), LIMITS, cap, idle, 300.0)
+    try:
+        return await work(pool)
+    finally:
+        pool.close_idle()
+        server.close()
+
+
+async def request(reader: asyncio.StreamReader) -> bytes:
+    head = await reader.readuntil(b"\r\n\r\n")
+    length = int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0])
+    return await reader.readexactly(length)
+
+
+def answering(*raws: bytes) -> Peer:
+    async def peer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for raw in raws:
+            await request(reader)
+            writer.write(raw)
+            await writer.drain()
+
+    return peer
+
+
+async def post(pool: Pool, seconds: float = 1.0) -> Reply:
+    return await pool.post(Headers([("X", "y")]), b"body", asyncio.get_running_loop().time() + seconds)
+
+
+def ok(body: bytes = b"fine") -> bytes:
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
--- /dev/null
+++ b/tests/net/server_client.py
@@ -0,0 +1,73 @@
+"""A handler that sees requests, and raw sockets that send them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from brassweir.net.limits import Limits
+from brassweir.net.server import Abort, Request, Response, Server
+
+SMALL = Limits(
+    head=2000,
+    headers=20,
+    body=5000,
+    buffered=20_000,
+    connections=50,
+    head_time=300.0,
+    body_time=300.0,
+    idle_time=600.0,
+    write_time=300.0,
+)
+
+
+class Seen:
+    """An echoing handler that keeps what came."""
+
+    def __init__(self) -> None:
+        self.requests: list[Request] = []
+        self.complaints: list[tuple[int, str]] = []
+        self.gate: asyncio.Event | None = None
+
+    async def __call__(self, request: Request) -> Response:
+        self.requests.append(request)
+        if self.gate is not None:
+            await self.gate.wait()
+        if request.path == "/boom":
+            raise RuntimeError("a fault")
+        if request.path == "/abort":
+            raise Abort(b"HTTP/1.1 2")
+        return Response(200, body=request.body)
+
+    def complain(self, peer: str, status: int, reason: str) -> None:
+        self.complaints.append((status, reason))
+
+
+async def talk(
+    raw: bytes, seen: Seen, limits: Limits = SMALL, *, pieces: int = 1, eof: bool = False, wait: float = 3.0
+) -> bytes:
+    server = Server(seen, limits, seen.complain)
+    port = await server.listen("127.0.0.1", 0)
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        step = max(1, len(raw) // pieces)
+        for at in range(0, len(raw), step):
+            writer.write(raw[at : at + step])
+            await writer.drain()
+            if pieces > 1:
+                await asyncio.sleep(0.001)
+        if eof:
+            writer.write_eof()
+        async with asyncio.timeout(wait):
+            return await reader.read()
+    except (ConnectionError, TimeoutError):
+        return b""
+    finally:
+        writer.close()
+        server.abort()
+
+
+def post(body: bytes = b"abc", extra: str = "", path: str = "/", close: bool = True) -> bytes:
+    shut = "Connection: close\r\n" if close else ""
+    return (
+        f"POST {path} HTTP/1.1\r\nHost: a\r\n{shut}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
+    )
--- a/tests/net/test_server.py
+++ b/tests/net/test_server.py
@@ -1,4 +1,4 @@
-"""The server against raw sockets: what is no HTTP, what is too much, what is too slow, and what is smuggled."""
+"""The server against raw sockets: what is no HTTP, what is too much, and what is smuggled."""
 
 from __future__ import annotations
 
@@ -9,73 +9,9 @@
 from hypothesis import strategies as st
 
 from brassweir.net.limits import Limits
-from brassweir.net.server import Abort, Request, Response, Server
+from brassweir.net.server import Server
 from tests.conftest import run
-
-SMALL = Limits(
-    head=2000,
-    headers=20,
-    body=5000,
-    buffered=20_000,
-    connections=50,
-    head_time=300.0,
-    body_time=300.0,
-    idle_time=600.0,
-    write_time=300.0,
-)
-
-
-class Seen:
-    """An echoing handler that keeps what came."""
-
-    def __init__(self) -> None:
-        self.requests: list[Request] = []
-        self.complaints: list[tuple[int, str]] = []
-        self.gate: asyncio.Event | None = None
-
-    async def __call__(self, request: Request) -> Response:
-        self.requests.append(request)
-        if self.gate is not None:
-            await self.gate.wait()
-        if request.path == "/boom":
-            raise RuntimeError("a fault")
-        if request.path == "/abort":
-            raise Abort(b"HTTP/1.1 2")
-        return Response(200, body=request.body)
-
-    def complain(self, peer: str, status: int, reason: str) -> None:
-        self.complaints.append((status, reason))
-
-
-async def talk(
-    raw: bytes, seen: Seen, limits: Limits = SMALL, *, pieces: int = 1, eof: bool = False, wait: float = 3.0
-) -> bytes:
-    server = Server(seen, limits, seen.complain)
-    port = await server.listen("127.0.0.1", 0)
-    reader, writer = await asyncio.open_connection("127.0.0.1", port)
-    try:
-        step = max(1, len(raw) // pieces)
-        for at in range(0, len(raw), step):
-            writer.write(raw[at : at + step])
-            await writer.drain()
-            if pieces > 1:
-                await asyncio.sleep(0.001)
-        if eof:
-            writer.write_eof()
-        async with asyncio.timeout(wait):
-            return await reader.read()
-    except (ConnectionError, TimeoutError):
-        return b""
-    finally:
-        writer.close()
-        server.abort()
-
-
-def post(body: bytes = b"abc", extra: str = "", path: str = "/", close: bool = True) -> bytes:
-    shut = "Connection: close\r\n" if close else ""
-    return (
-        f"POST {path} HTTP/1.1\r\nHost: a\r\n{shut}{extra}Content-Length: {len(body)}\r\n\r\n".encode() + body
-    )
+from tests.net.server_client import SMALL, Seen, post, talk
 
 
 @pytest.mark.parametrize("pieces", [1, 7, 60])
@@ -147,32 +83,6 @@
     assert [request.body for request in seen.requests] == [b"good"]
 
 
-@pytest.mark.parametrize("raw", [b"POST / HT", b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 9\r\n\r\nabc"])
-def test_slow_peers_have_their_time_and_no_more(raw: bytes) -> None:
-    seen = Seen()
-    assert run(talk(raw, seen)).startswith(b"HTTP/1.1 408")
-    assert seen.complaints[0][0] == 408
-
-
-def test_a_byte_now_and_then_does_not_stretch_the_time() -> None:
-    async def work() -> tuple[list[tuple[int, str]], bytes]:
-        seen = Seen()
-        server = Server(seen, SMALL, seen.complain)
-        reader, writer = await asyncio.open_connection("127.0.0.1", await server.listen("127.0.0.1", 0))
-        raw = iter(b"POST / HTTP/1.1\r\nX: " + b"y" * 500)
-        while not seen.complaints:
-            writer.write(bytes([next(raw)]))
-            await asyncio.sleep(0.02)
-        return seen.complaints, await reader.read()
-
-    complaints, answer = run(work(), 5.0)
-    assert complaints[0][0] == 408 and answer.startswith(b"HTTP/1.1 408")
-
-
-def test_idle_connections_close_without_a_word() -> None:
-    assert run(talk(b"", Seen())) == b""
-
-
 def test_continue_is_said_before_the_body_and_only_where_asked() -> None:
     async def work() -> tuple[bytes, bytes]:
         server = Server(Seen(), SMALL)
@@ -194,79 +104,6 @@
     assert run(talk(post(path="/abort"), seen)) == b"HTTP/1.1 2"
 
 
-def test_bodies_over_all_connections_stay_within_the_budget_and_all_are_served() -> None:
-    async def work() -> tuple[int, int]:
-        seen = Seen()
-        seen.gate = asyncio.Event()
-        limits = Limits(head=2000, body=5000, buffered=12_000, body_time=5000.0)
-        server = Server(seen, limits)
-        port = await server.listen("127.0.0.1", 0)
-
-        async def one() -> bytes:
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
-            head, body = post(b"x" * 4500).split(b"\r\n\r\n", 1)
-            writer.write(head + b"\r\n\r\n" + body[:2500])
-            await asyncio.sleep(0.05)
-            writer.write(body[2500:])
-            return await reader.read()
-
-        tasks = [asyncio.create_task(one()) for _ in range(12)]
-        await asyncio.sleep(0.3)
-        most = server.bodies.buffered
-        assert len(seen.requests) >= 2, "bodies that are each half here must not wait for one another"
-        seen.gate.set()
-        answers = await asyncio.gather(*tasks)
-        return most, sum(answer.endswith(b"x" * 4500) for answer in answers)
-
-    most, served = run(work())
-    assert served == 12
-    assert 12_000 <= most <= 12_000 + 12 * 2500, (
-        "each connection adds at most what had come when it was stopped"
-    )
-
-
-def test_a_drain_ends_idle_connections_and_lets_answers_go_out() -> None:
-    async def work() -> tuple[bytes, bytes]:
-        seen = Seen()
-        seen.gate = asyncio.Event()
-        server = Server(seen, SMALL)
-        port = await server.listen("127.0.0.1", 0)
-        idle = await asyncio.open_connection("127.0.0.1", port)
-        busy = await asyncio.open_connection("127.0.0.1", port)
-        busy[1].write(post(b"open", close=False))
-        await asyncio.sleep(0.05)
-        server.drain()
-        ended = await idle[0].read()
-        seen.gate.set()
-        return ended, await busy[0].read()
-
-    ended, answer = run(work())
-    assert ended == b"" and b"Connection: close" in answer and answer.endswith(b"open")
-
-
-def test_too_many_connections_are_turned_away_and_room_comes_back() -> None:
-    async def work() -> tuple[bytes, bytes]:
-        server = Server(Seen(), Limits(connections=2))
-        port = await server.listen("127.0.0.1", 0)
-        held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(2)]
-        await asyncio.sleep(0.02)
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        try:
-            writer.write(post())
-            first = await reader.read()
-        except ConnectionError:
-            first = b""
-        for _, one in held:
-            one.close()
-        await asyncio.sleep(0.05)
-        reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        writer.write(post())
-        return first, await reader.read()
-
-    first, second = run(work())
-    assert first == b"" and second.startswith(b"HTTP/1.1 200")
-
-
 @settings(max_examples=60, deadline=None, suppress_health_check=[HealthCheck.too_slow])
 @given(
     st.lists(
