--- a/tests/agreed/drawn.py
+++ b/tests/agreed/drawn.py
@@ -18,7 +18,7 @@
 from brassweir.regions.ownership import Ownership
 from brassweir.regions.planning import Lost
 from brassweir.regions.sources import Source, publisher
-from tests.regions.test_regions import ASSUMED, LEASE, REGIONS
+from tests.regions.samples import ASSUMED, LEASE, REGIONS
 
 NAMES = list(REGIONS)
 ERROR = ASSUMED.clock_error
--- a/tests/agreed/test_grants.py
+++ b/tests/agreed/test_grants.py
@@ -1,27 +1,21 @@
-"""Grants through the log: renewals, operators' wishes planned anew, and clocks that step by a minute or an hour."""
+"""Grants through the log: renewals, and operators' desired epochs planned anew."""
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 import msgspec
 import pytest
-from hypothesis import given, settings
-from hypothesis import strategies as st
 
-from brassweir.agreed import commands, machine, renewing
-from brassweir.agreed.commands import Publish, encode
-from brassweir.agreed.machine import Machine
+from brassweir.agreed import renewing
 from brassweir.agreed.reconciliation import proposal
 from brassweir.agreed.renewing import Facts, GiveAway, Renew, Renewing, Wait
-from brassweir.interface import Effect
 from brassweir.regions import planning
-from brassweir.regions.epochs import KEEP_LONGER, PLACES, Epoch, EpochError
-from brassweir.regions.ownership import Ownership, Why
+from brassweir.regions.epochs import Epoch, EpochError
 from brassweir.regions.planning import Lost
-from tests.regions.test_regions import ASSUMED, LEASE, REGIONS, identity_in
+from tests.agreed.grants_samples import FIRST
+from tests.regions.samples import ASSUMED, LEASE, REGIONS
 
-FIRST = msgspec.structs.replace(planning.first(REGIONS, 0.0, LEASE), turn=1)
 FACTS = Facts(True, 0.0, True, FIRST, 1, LEASE, ASSUMED)
 
 
@@ -115,196 +109,3 @@
 def test_wishes_that_do_not_follow(wish: Epoch, there: Epoch | None, words: str) -> None:
     with pytest.raises(EpochError, match=words):
         proposal(wish, there, 1_000.0, LEASE, ASSUMED)
-
-
-@dataclass
-class World:
-    """One log; three regions of one copy each, with own clocks; clients that ask anywhere while they may."""
-
-    machine: Machine = field(default_factory=Machine)
-    log: list[Epoch] = field(default_factory=list)
-    views: dict[str, Ownership] = field(default_factory=dict)
-    read: dict[str, int] = field(default_factory=dict)
-    clocks: dict[str, float] = field(default_factory=dict)
-    took: dict[str, set[str]] = field(default_factory=dict)
-    born: dict[str, float] = field(default_factory=dict)
-    now: float = 0.0
-    dated: bool = True  # clients tell when a message was made
-
-    def publish(self, epoch: Epoch, after: int, lost: str = "") -> None:
-        result = commands.result(
-            self.machine.apply(self.machine.state.index + 1, encode(Publish(epoch, after, lost)))
-        )
-        if result.ok and self.machine.state.epoch is not None:
-            self.log.append(self.machine.state.epoch)
-
-    def wall(self, region: str) -> float:
-        wall = self.now + self.clocks[region]
-        self.views[region].tick(wall, self.now)
-        return wall
-
-    def ask(self, name: str, region: str) -> None:
-        if self.now > self.born.setdefault(name, self.now) + ASSUMED.asks_on:
-            return
-        wall = self.wall(region)
-        born = self.born[name] if self.dated else None
-        if self.views[region].may(Effect.UNSAFE, "c", name, wall, born) is None:
-            self.took.setdefault(name, set()).add(region)
-
-
-Event = tuple[str, int, int]
-script = st.lists(
-    st.tuples(
-        st.sampled_from(
-            [
-                "renew",
-                "renew",
-                "renew",
-                "wish",
-                "wish",
-                "read",
-                "read",
-                "read",
-                "ask",
-                "ask",
-                "ask",
-                "step",
-                "restart",
-                "wait",
-            ]
-        ),
-        st.integers(0, 1 << 20),
-        st.integers(0, 1 << 20),
-    ),
-    max_size=90,
-)
-skew = st.floats(-200.0, 200.0)
-
-
-def play(
-    events: list[Event], skews: tuple[float, float, float], dated: bool = True, by: float = 60_000.0
-) -> World:
-    world, names, stale = World(dated=dated), list(REGIONS), FIRST
-    world.views = {name: Ownership(name, ASSUMED) for name in names}
-    world.clocks, world.read = dict(zip(names, skews, strict=True)), dict.fromkeys(names, 0)
-    world.publish(FIRST, 0)
-    for what, a, b in events:
-        world.now += a % 7_000 + (80_000 if what == "wait" and a % 5 == 0 else 0)
-        region = names[b % 3]
-        view, state = world.views[region], world.machine.state
-        assert state.epoch is not None
-        wall = world.wall(region)
-        if what == "renew":  # any copy may think that it leads
-            step = Renewing().step(
-                world.now, Facts(True, wall, view.trusted(wall), state.epoch, state.granted, LEASE, ASSUMED)
-            )
-            if isinstance(step, Renew):
-                world.publish(step.epoch, step.after)
-        elif what == "wish":  # planned from a file that is old, and by a clock of its own
-            low = a % PLACES
-            wish = planning.moved(
-                stale,
-                low,
-                min(PLACES, low + 1 + (b << 11)),
-                names[a % 3],
-                world.now + by * (a % 3 - 1),
-                LEASE,
-                ASSUMED,
-            ).epoch
-            try:
-                found = proposal(wish, state.epoch, wall, LEASE, ASSUMED) if view.trusted(wall) else None
-                if found is not None:
-                    world.publish(found[0], state.granted, found[1])
-                    stale = world.log[-1]
-            except EpochError:
-                stale = state.epoch
-        elif what == "read" and world.read[region] < len(
-            world.log
-        ):  # in the order of the log, some at a time
-            world.read[region] = min(len(world.log), world.read[region] + 1 + a % 3)
-            view.learn(world.log[world.read[region] - 1])
-        elif what == "step":
-            world.clocks[region] += by * (a % 3 - 1)
-        elif what == "restart":  # its operator has looked at the clock; it knows its epoch
-            world.views[region], world.clocks[region] = Ownership(region, ASSUMED, view.epoch), skews[b % 3]
-        elif what == "ask":
-            world.ask(f"m{b % 40}", region)
-    return world
-
-
-@given(script, st.tuples(skew, skew, skew), st.booleans())
-@settings(max_examples=300, deadline=None)
-def test_no_message_is_taken_in_two_regions_whatever_clocks_do(
-    events: list[Event], skews: tuple[float, float, float], dated: bool
-) -> None:
-    world = play(events, skews, dated)
-    assert all(len(found) == 1 for found in world.took.values())
-
-
-def asked_at_all_times(world: World, low: int, high: int, until: float) -> bool:
-    """Is a message of these places taken by two, asked for everywhere as long as it may be?"""
-    for born in range(int(world.now), int(until), 5_000):
-        name = f"{identity_in(low, high)}"
-        world.took.clear()
-        world.born.clear()
-        for at in range(born, int(min(until, born + ASSUMED.asks_on)), 500):
-            world.now = at
-            for region in REGIONS:
-                world.ask(name, region)
-        if len(world.took.get(name, ())) > 1:
-            return True
-    return False
-
-
-@pytest.mark.parametrize(
-    "fault", ["", "a stale wish as it is", "renews by a wrong clock", "admits by a wrong clock"]
-)
-def test_each_guard_left_out_is_seen(monkeypatch: pytest.MonkeyPatch, fault: str) -> None:
-    if fault == "a stale wish as it is":
-        monkeypatch.setattr(machine, "succeeds", lambda *_: None)
-    elif fault == "renews by a wrong clock":
-        right = Renewing.step
-        monkeypatch.setattr(
-            Renewing, "step", lambda self, now, facts: right(self, now, replace(facts, trusted=True))
-        )
-        monkeypatch.setattr(machine, "succeeds", lambda *_: None)
-    elif fault == "admits by a wrong clock":
-        monkeypatch.setattr(Ownership, "trusted", lambda *_: True)
-    world = play([], (0.0, 0.0, 0.0))
-    third = FIRST.grants[0].high
-    stale = planning.moved(FIRST, 0, third, "west", 1_000.0, LEASE, ASSUMED).epoch
-    if "stale" in fault or not fault:
-        world.publish(planning.renewed(FIRST, 20_000.0, LEASE, ASSUMED), 1)
-        world.views["east"].learn(world.log[-1])
-        world.publish(stale, world.machine.state.granted)
-        world.views["west"].learn(world.log[-1])
-        assert asked_at_all_times(world, 0, third, 60_000.0) is bool(fault)
-    if "admits" in fault or not fault:
-        world = play([], (0.0, 0.0, 0.0))
-        world.publish(planning.moved(FIRST, 0, third, "west", 1_000.0, 1e6, ASSUMED).epoch, 1)
-        for name in REGIONS:
-            world.views[name].learn(world.log[-1])
-            world.wall(name)
-        world.views["east"].epoch = FIRST  # it has not heard of the move
-        world.clocks["west"] += 100_000.0
-        assert asked_at_all_times(world, 0, third, 40_000.0) is bool(fault)
-    if "renews" in fault or not fault:
-        world = play([], (0.0, 0.0, 0.0))
-        world.publish(stale, 1)
-        world.wall("west")
-        world.clocks["west"] += KEEP_LONGER + 120_000.0
-        wall, state = world.wall("west"), world.machine.state
-        step = Renewing().step(
-            0.0,
-            Facts(True, wall, world.views["west"].trusted(wall), state.epoch, state.granted, LEASE, ASSUMED),
-        )
-        assert isinstance(step, Renew) is bool(fault)
-        if isinstance(step, Renew):
-            assert not step.epoch.past, "it forgets who held the places before"
-            world.publish(step.epoch, step.after)
-        own = Ownership("south", ASSUMED, world.log[-1])
-        told = Ownership("west", ASSUMED, msgspec.structs.replace(world.log[-1], issued=0.0)).may(
-            Effect.UNSAFE, "c", identity_in(0, third), stale.grants[0].begins + 300.0
-        )
-        assert own.epoch is not None and (told is None) is bool(fault)
-        assert told is None or told.why is Why.BORN_ELSEWHERE
--- a/tests/agreed/test_machine.py
+++ b/tests/agreed/test_machine.py
@@ -29,7 +29,7 @@
 from brassweir.agreed.machine import Beyond, Machine
 from brassweir.regions import planning
 from brassweir.regions.epochs import PLACES, Grant
-from tests.regions.test_regions import ASSUMED, LEASE, start
+from tests.regions.samples import ASSUMED, LEASE, start
 
 FIRST = msgspec.structs.replace(start(), turn=1)
 EAST = Pin("strict", ("east",))
--- /dev/null
+++ b/tests/regions/samples.py
@@ -0,0 +1,56 @@
+"""Two and three regions, their first epoch, and a move without its guard."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from brassweir.interface import Effect
+from brassweir.regions import planning
+from brassweir.regions.epochs import PLACES, Epoch, place
+from brassweir.regions.ownership import Assumed, Ownership, Why
+
+URLS = {"east": "http://east/as2", "west": "http://west/as2"}
+ASSUMED = Assumed(clock_error=200.0, longest=8_000.0, asks_on=60_000.0)
+LEASE = 30_000.0
+
+
+def start(now: float = 0.0) -> Epoch:
+    return planning.first(URLS, now, LEASE)
+
+
+def identity_in(low: int, high: int) -> str:
+    return next(f"m{i}" for i in range(10_000) if low <= place("c", f"m{i}") < high)
+
+
+EAST, WEST = identity_in(0, PLACES // 2), identity_in(PLACES // 2, PLACES)
+
+
+def told(
+    own: Ownership, name: str, wall: float, born: float | None = None, effect: Effect = Effect.UNSAFE
+) -> Why | None:
+    found = own.may(effect, "c", name, wall, born)
+    return None if found is None else found.why
+
+
+REGIONS = {"east": "e", "west": "w", "south": "s"}
+
+
+Mover = Callable[[Epoch, int, int, str, float, float, Assumed], planning.Move]
+
+
+def at_once(right: Mover) -> Mover:
+    """A move that does not wait for the old owner."""
+
+    def moved(
+        epoch: Epoch, low: int, high: int, to: str, now: float, lease: float, assumed: Assumed
+    ) -> planning.Move:
+        move = right(epoch, low, high, to, now, lease, assumed)
+        grants = tuple(
+            msgspec.structs.replace(one, begins=now) if one.begins > now else one for one in move.epoch.grants
+        )
+        past = tuple(msgspec.structs.replace(one, ends=min(one.ends, now)) for one in move.epoch.past)
+        return planning.Move(msgspec.structs.replace(move.epoch, grants=grants, past=past), 0.0)
+
+    return moved
--- a/tests/regions/test_sources.py
+++ b/tests/regions/test_sources.py
@@ -12,7 +12,7 @@
 from brassweir.regions.ownership import Ownership
 from brassweir.regions.planning import Lost
 from brassweir.regions.sources import Source, publisher, takes
-from tests.regions.test_regions import ASSUMED, EAST, LEASE, start, told
+from tests.regions.samples import ASSUMED, EAST, LEASE, start, told
 
 FILE, AGREED = Source.FILE, Source.AGREED
 
