--- a/tests/relay/test_settings.py
+++ b/tests/relay/test_settings.py
@@ -2,11 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
-import copy
-import json
-import signal
-from pathlib import Path
 from typing import Any
 
 import pytest
@@ -23,33 +18,9 @@
     Result,
     Send,
 )
-from brassweir.lab.standins.platform import Endpoint, hang
 from brassweir.relay import endings, settings
 from brassweir.resp import handin
-from tests.relay import world
-from tests.relay.plays import play
-
-GONE = object()
-
-
-def told(**changes: Any) -> bytes:
-    """The configuration with fields of its settings changed, or gone; a path's dots are written ``__``."""
-    found = copy.deepcopy(world.configuration())
-    for path, value in changes.items():
-        *above, last = [int(one) if one.isdecimal() else one for one in path.split("__")]
-        at: Any = found["settings"]
-        for one in above:
-            at = at[one]
-        if value is GONE:
-            del at[last]
-        else:
-            at[last] = value
-    return json.dumps(found).encode()
-
-
-def classes(*changes: dict[str, Any]) -> list[dict[str, Any]]:
-    """A class for each change of the first one."""
-    return [{**world.CLASSES[0], **change} for change in changes]
+from tests.relay.settings_samples import GONE, classes, told
 
 
 @pytest.mark.parametrize(
@@ -196,105 +167,9 @@
     )
 
 
-async def logged(seen: world.World, event: str, count: int) -> None:
-    """Wait until an event was logged so often."""
-    for _ in range(100):
-        if seen.log().count(event) == count:
-            return
-        await asyncio.sleep(0.02)
-    raise AssertionError(f"{event} was to be logged {count} times: {seen.log()[-2000:]}")
-
-
 @pytest.mark.parametrize(
     ("deadlines", "seconds"), [((300.0,), 0.3), ((300.0, 2500.0), 2.5), ((1200.0, 28000.0), 28.0)]
 )
 def test_the_longest_deadline(deadlines: tuple[float, ...], seconds: float) -> None:
     given = classes(*({"Name": f"c{i}", "HardLimit": one} for i, one in enumerate(deadlines)))
     assert settings.read(told(Classes=given)).longest == seconds
-
-
-def test_with_short_deadlines_a_planned_end_comes_before_the_kill(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    monkeypatch.setattr(world, "CLASSES", classes({"HardLimit": 300.0, "Objective": 200.0}))
-
-    async def day(seen: world.World) -> None:
-        assert await seen.kill(signal.SIGTERM) == 0
-        lines = [json.loads(line) for line in seen.log().splitlines()]
-        left, stopped = (
-            next(line["at"] for line in lines if line["event"] == event) for event in ("leaving", "stopped")
-        )
-        assert stopped - left < 3.0, "it was 3.3 s, whatever the deadlines"
-
-    play(tmp_path, day, Endpoint("a", 1))
-
-
-def test_sixty_classes_of_300_ms_in_a_process(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
-    """One is delivered, one hangs and ends by a notice in its time, and what names no class is told so."""
-    monkeypatch.setattr(
-        world,
-        "CLASSES",
-        classes(*({"Name": f"heart beat {i}", "HardLimit": 300.0, "Objective": 200.0} for i in range(60))),
-    )
-
-    async def day(seen: world.World) -> None:
-        client = await seen.client()
-        assert await client.put("m1", "heart beat 59", 1, 300.0) == b"+OK\r\n"
-        assert await client.put("m2", "heart beat 0", 2, 300.0) == b"+OK\r\n"
-        assert (await client.put("m3", "heart_beat_0", 1, 300.0)).startswith(b"-ERR")
-        await seen.settled(2)
-        assert seen.seen().delivered == ["m1"] and [one["ref"] for _, one in seen.discovery.notices] == ["m2"]
-
-    play(tmp_path, day, Endpoint("a", 1), Endpoint("b", 2, hang))
-
-
-def test_a_file_that_cannot_be_served_changes_nothing_and_the_next_one_is_read(tmp_path: Path) -> None:
-    async def day(seen: world.World) -> None:
-        assert seen.process is not None
-        file = seen.folder / "config.json"
-        good = file.read_text()
-        bad = [
-            ('{"a":' * 5000, "recursion"),
-            (good.replace("pure", "odd"), "Classes.0.Idempotency"),
-            (good.replace('"CallSlots": 30', '"CallSlots": 0'), "slots"),
-            (good.replace('"note"', '"pay"'), "classes"),
-            (good.replace('"active"', '"odd"'), "'odd'"),
-            ("", "truncated"),
-        ]
-        for count, (text, field) in enumerate(bad, 1):
-            file.write_text(text)
-            seen.process.send_signal(signal.SIGHUP)
-            await logged(seen, "reload_refused", count)
-            assert field in seen.log().splitlines()[-1], "one clear line that names the field"
-        file.write_text(good)
-        seen.process.send_signal(signal.SIGHUP)
-        await logged(seen, "reloaded", 1)
-        client = await seen.client()
-        assert await client.put("m1", "note", 1) == b"+OK\r\n"
-        await seen.settled(1)
-
-    play(tmp_path, day, Endpoint("a", 1))
-
-
-@pytest.mark.parametrize(("effect", "again"), [("pure", True), ("token", False), ("side_effect", False)])
-def test_a_class_that_has_another_effect_after_a_restart(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, effect: str, again: bool
-) -> None:
-    """It was safe and its call is out as the process dies. It has no idempotency key: only a safe one goes again."""
-
-    async def day(seen: world.World) -> None:
-        client = await seen.client()
-        assert await client.put("m1", "note", 1, 6000.0) == b"+OK\r\n"
-        while not seen.endpoints[0].calls:
-            await asyncio.sleep(0.01)
-        await seen.kill()
-        monkeypatch.setattr(world, "CLASSES", classes({"Idempotency": effect, "Window": 5000.0}))
-        seen.write()
-        await seen.start()
-        for _ in range(500):
-            if len(seen.endpoints[0].calls) > 1 or seen.discovery.notices:
-                break
-            await asyncio.sleep(0.01)
-        assert (len(seen.endpoints[0].calls), len(seen.discovery.notices)) == ((2, 0) if again else (1, 1))
-
-    play(tmp_path, day, Endpoint("a", 1, hang))
