agreed, configstream: near feeders, fetches proven, gaps asked for in time

After silence any near copy is tried as often as a voter. Early messages: the wait for a gap began anew at each pull, so a gap was asked for late or never under loss and doubling (125 commands took over 24 s); it now begins with the gap. A plain pull that says nothing new within 100 ms is not answered again: learners of an older version, now fed faster, pulled in a storm (93,000 feeds for 60 entries at 10 learners).

--- a/brassweir/agreed/feeding.py
+++ b/brassweir/agreed/feeding.py
@@ -28,8 +28,14 @@
     next: int
     until: float
     windowed: bool = False  # it tells what it has, so that more than one message may be under way
+    pulled: int = 0  # the entry from which it pulled last, and when
+    pulled_at: float = -1e18
     out: list[tuple[int, float]] = field(default_factory=list)  # last entry and time of messages under way
 
+    def repeats(self, first: int, now: float) -> bool:
+        """Is this a pull that says nothing new? A learner of an older version pulls at each message."""
+        return first <= self.pulled and now - self.pulled_at < timing.PULL_SAME
+
 
 class Feeding(Identities):
     """Feeding learners."""
@@ -61,7 +67,10 @@
             return
         child = self.children.get(sender)
         if child is None or not message.last:
-            self.children[sender] = Child(message.first, self.now + timing.CHILD, message.last > 0)
+            if child is not None and child.repeats(message.first, self.now):
+                return
+            until = self.now + timing.CHILD
+            self.children[sender] = Child(message.first, until, message.last > 0, message.first, self.now)
         else:
             self.confirm_feeds(child, message)
             if message.last >= message.first:
--- a/brassweir/agreed/fetching.py
+++ b/brassweir/agreed/fetching.py
@@ -39,7 +39,7 @@
 
     def due(self, now: float) -> list[int]:
         """Pieces to ask for now: those that did not come in time, then the next ones."""
-        patience = max(timing.CHUNK_AGAIN, 2.0 * self.answer)
+        patience = max(timing.CHUNK_AGAIN, 3.0 * self.answer)
         due = [at for at, asked in self.asked.items() if now - asked >= patience]
         while self.next < self.size and len(self.asked) < timing.CHUNKS:
             if self.next not in self.parts:
@@ -54,7 +54,8 @@
         """A piece. True if it was the last one."""
         asked = self.asked.pop(message.at, None)
         if asked is not None:
-            self.answer += ((now - asked) - self.answer) / 8.0
+            gain = 0.25 if self.parts else 1.0
+            self.answer += ((now - asked) - self.answer) * gain
         self.parts[message.at] = message.data
         self.moved = now
         return len(self.parts) * timing.CHUNK >= self.size
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -77,11 +77,12 @@
         return found[: timing.GAPS]
 
     def look_elsewhere(self) -> None:
-        """Another feeder: a voter, or any copy if there is none known."""
+        """Another feeder: a voter, or any copy if there is none known; after silence more often any."""
         names = sorted({*self.log.membership.names(), *self.founders} - {self.name, self.feeder})
-        if not names or self.rng.random() < 0.2:
+        silent = self.now - self.unanswered_since > timing.UNANSWERED
+        if not names or self.rng.random() < (0.5 if silent else 0.2):
             names = [name for name in self.names if name not in (self.name, self.feeder)] or names
-        self.choose_feeder(self.rng.choice(names) if names else self.feeder)
+        self.choose_feeder("".join(self.nearest(self.name, names, 1)) or self.feeder)
 
     def choose_feeder(self, name: str) -> None:
         """Be fed by that copy."""
--- a/brassweir/agreed/reordering.py
+++ b/brassweir/agreed/reordering.py
@@ -16,6 +16,7 @@
         self.most = most
         self.kept: dict[int, M] = {}
         self.since: float | None = None
+        self.missing = 0
 
     def keep(self, first: int, message: M | None, now: float) -> None:
         """Something is missing before this; None is not worth keeping. Of too many the nearest are kept."""
@@ -27,10 +28,14 @@
                 del self.kept[max(self.kept)]
 
     def following(self, index: int, now: float) -> M | None:
-        """A message that carries the entry ``index`` or an earlier one. Call it when that is the next one."""
+        """A message that carries the entry ``index``, which is the next one, or an earlier one."""
         first = min(self.kept, default=index + 1)
         if first > index:
-            self.since = now if self.kept else None  # something else is missing, or nothing
+            if not self.kept:
+                self.since = None
+            elif index != self.missing:  # something else than before
+                self.since = now
+            self.missing = index
             return None
         return self.kept.pop(first)
 
--- a/brassweir/agreed/timing.py
+++ b/brassweir/agreed/timing.py
@@ -18,6 +18,7 @@
 CHILD = 7_000.0  # ms a feeder keeps the place of a learner that pulls no more
 PULL_NEXT = 20.0  # ms between two pulls of a learner to which entries flow: a window outlasts it
 BACK_AGAIN = 200.0  # ms before a follower that lacks the same entry still is sent it again: late messages
+PULL_SAME = 100.0  # ms before a pull that says nothing new, nor what else is there, is answered again
 GAP_WAIT = 50.0  # ms that a message may come later than one sent after it, before it is asked for again
 GAP_AGAIN = 200.0  # ms before a gap that was asked for is asked for again: a round of messages 100 ms late
 CHUNK_AGAIN = 500.0  # ms, at least, before chunks of a snapshot that did not come are asked for again
--- a/brassweir/configstream/core.py
+++ b/brassweir/configstream/core.py
@@ -19,7 +19,7 @@
 from brassweir.agreed.state import LEADER
 from brassweir.configstream.acknowledging import Acknowledgements, Rows, Run, pack_message
 from brassweir.configstream.fleet import Fleet, FleetView
-from brassweir.configstream.roster import Rosters, Versioned
+from brassweir.configstream.roster import Listed, Rosters, distance
 from brassweir.configstream.staleness import Knowledge, quorum_heard
 
 REPEAT = 1_000.0  # ms between two acknowledgements of a voter that say the same
@@ -29,7 +29,7 @@
 
 class _State(Protocol):
     @property
-    def copies(self) -> Mapping[str, Versioned]: ...
+    def copies(self) -> Mapping[str, Listed]: ...
 
 
 class _Configuration(Protocol):
@@ -67,7 +67,7 @@
 
     # What it reads of its machine
 
-    def copies(self) -> Mapping[str, Versioned]:
+    def copies(self) -> Mapping[str, Listed]:
         """The agreed member list."""
         return cast(_Configured, self.replica.machine).state.copies
 
@@ -144,6 +144,12 @@
         super().pull()
         self.repeat_at = self.now
 
+    def nearest(self, name: str, names: list[str], count: int) -> list[str]:
+        """So many of these copies for that one to be fed by: of its site, then its region, else drawn."""
+        copies = self.copies()
+        drawn = self.rng.sample(names, len(names))
+        return sorted(drawn, key=lambda other: distance(copies, name, other))[:count]
+
     # Knowledge
 
     def on_feed(self, sender: str, message: Feed) -> None:
--- a/brassweir/configstream/roster.py
+++ b/brassweir/configstream/roster.py
@@ -9,13 +9,30 @@
 HISTORY = 8  # rosters remembered, so that bitmaps made before a member joined or left can still be read
 
 
-class Versioned(Protocol):
+class Listed(Protocol):
     """What the agreed list says of a member, as far as it matters here."""
 
     @property
     def version(self) -> int:
         """The place in the log of the command that set it."""
 
+    @property
+    def site(self) -> str:
+        """Its site."""
+
+    @property
+    def region(self) -> str:
+        """The region of its site."""
+
+
+def distance(copies: Mapping[str, Listed], one: str, other: str) -> int:
+    """How far two copies are apart: 0 within a site, 1 within a region, 2 else or if that is not known."""
+    if one not in copies or other not in copies:
+        return 2
+    if copies[one].site == copies[other].site:
+        return 0
+    return 1 if copies[one].region == copies[other].region else 2
+
 
 class Roster:
     """A sorted list of names. Its number is a checksum of them, so that equal numbers mean equal lists."""
@@ -63,10 +80,10 @@
     def __init__(self) -> None:
         self.current = Roster()
         self._known = {self.current.number: self.current}
-        self._copies: Mapping[str, Versioned] = {}
+        self._copies: Mapping[str, Listed] = {}
         self._signature: tuple[int, str, int] = (0, "", 0)
 
-    def update(self, copies: Mapping[str, Versioned]) -> bool:
+    def update(self, copies: Mapping[str, Listed]) -> bool:
         """Follow the agreed list, which may have been changed in place. True if other names are listed.
 
         A list that grows adds at its end, and a member that joins again gets another version: so its size and
