--- a/brassweir/service/listfile.py
+++ b/brassweir/service/listfile.py
@@ -8,8 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from dataclasses import replace
+from collections.abc import Callable, Sequence
 from pathlib import Path
 
 from brassweir import interface as api
@@ -17,15 +16,19 @@
 from brassweir.config.load import ConfigError, load
 from brassweir.config.model import Config, EndpointList
 from brassweir.destinations.intake import Intake
-from brassweir.service.listed import Listed, Numbers, listed
+from brassweir.service.listed import Home, Listed, Numbers, listed, scaled
 
 LOOK = 0.1  # seconds between two looks: drains are to be known well within any grace
 
 
+def read_entries(path: Path) -> Sequence[Home]:
+    """Read a list as it stands, YAML or JSON lines by its name. Raises ConfigError."""
+    return lines.read(path) if path.suffix == ".jsonl" else load(path, EndpointList).endpoints
+
+
 def read_list(path: Path, config: Config, numbers: Numbers) -> Listed:
-    """Read a list, YAML or JSON lines by its name. Raises ConfigError."""
-    entries = lines.read(path) if path.suffix == ".jsonl" else load(path, EndpointList).endpoints
-    return listed(entries, config, numbers, str(path))
+    """Read a list and check it against the settings. Raises ConfigError."""
+    return listed(read_entries(path), config, numbers, str(path))
 
 
 class ListFile:
@@ -56,6 +59,10 @@
         while (news := self.intake.next()) is not None:
             self.tell(news)
 
+    async def open(self) -> None:
+        """Tell the first list, before anything runs. Raises ConfigError."""
+        self.read()
+
     async def watch(self) -> None:
         """Read again at each change, for ever."""
         while True:
@@ -75,9 +82,7 @@
                 await asyncio.sleep(0)  # one step a turn: all else goes on between
 
     def _take(self, found: Listed) -> None:
-        scale = self.scale()
-        infos = [replace(info, rate=info.rate * scale) if info.rate else info for info in found.infos]
-        count = self.intake.take(infos)
+        count = self.intake.take(scaled(found.infos, self.scale()))
         # Removed endpoints keep their address while an attempt that is out may need it: until the next list.
         gone = {
             name: self.urls[name]
