service: the run of a platform sender, with its signals, apart from its wiring

The coroutine that takes signals, reads the configuration and says how the process ends is service/node_run.py; node.py keeps NodeProcess, and the times that tests set shorter.

--- a/brassweir/cli/node.py
+++ b/brassweir/cli/node.py
@@ -12,7 +12,7 @@
 from brassweir.observe.lines import Lines
 from brassweir.relay.settings import NodeError
 from brassweir.service.journaling import Unusable
-from brassweir.service.node import run
+from brassweir.service.node_run import run
 
 
 @click.command()
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import gc
-import os
-import signal
 from collections.abc import Mapping
 from dataclasses import asdict, replace
 from pathlib import Path
@@ -27,7 +25,6 @@
 from brassweir.journal.records import Taken
 from brassweir.journal.recover import keyless
 from brassweir.journal.restart import carry_out
-from brassweir.journal.writer import Broken
 from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.relay.carrier import SETTLING, RelayCarrier
@@ -38,7 +35,6 @@
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
 from brassweir.service.journaling import Journaling, Keeping, wall
-from brassweir.service.node_file import configured
 from brassweir.service.node_watch import Counting, belief, usage
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
@@ -51,7 +47,6 @@
 IDLE = 0.85  # share of the endpoints' idle time after which a connection is not trusted any more
 NOTICES = 2  # connections for notices, of those kept back: calls that hang hold none of them
 SETUPS = 64  # connections being made at once
-SIGNALS = {signal.SIGTERM, signal.SIGINT, signal.SIGHUP}
 BELIEF = 1.0  # seconds between two lines of what the sender believes
 COLLECT = (5_000, 10, 1000)  # as in ``serve``: what is no longer used goes without the collector
 ANSWERS = Limits(head=16_384, headers=64, body=65_536)  # of endpoints and of the platform
@@ -244,44 +239,3 @@
         self.front.abandon()
         self.journal.close()
         self.log.info("stopped", open=self.engine.ledger.held, **usage())
-
-
-async def run(log: Any) -> None:
-    """Run a sender until SIGTERM or SIGINT. Raises NodeError, Unusable, OSError, and Broken."""
-    loop = asyncio.get_running_loop()
-    told: asyncio.Future[float] = loop.create_future()
-    again = asyncio.Event()
-
-    def end() -> None:
-        if not told.done():
-            told.set_result(loop.time())
-
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, end)
-    loop.add_signal_handler(signal.SIGHUP, again.set)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)  # those that came before there was a handler come now
-    state = os.environ.get("RELAY_STATE", "")
-    if not state:
-        raise NodeError("RELAY_STATE is not set: it names the folder that lasts")
-    process = NodeProcess(configured(), Path(state), log)
-    await process.start()
-
-    async def reloads() -> None:
-        while True:
-            await again.wait()
-            again.clear()
-            try:
-                process.reload(configured())
-            except NodeError as error:
-                log.error("reload_refused", error=str(error))
-
-    reloading = loop.create_task(reloads())
-    either: set[asyncio.Future[Any]] = {told, process.broken}
-    await asyncio.wait(either, return_when=asyncio.FIRST_COMPLETED)
-    if not process.broken.done():
-        await process.leave(told.result())
-    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # it ends already: no second word may end it otherwise
-    reloading.cancel()
-    if process.broken.done():
-        raise Broken(str(process.broken.result()))
-    process.stop()
