--- a/brassweir/cli/model.py
+++ b/brassweir/cli/model.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import subprocess
 import sys
 import tempfile
 from collections.abc import Callable
@@ -16,11 +15,13 @@
 from rich.console import Console
 
 from brassweir.config.load import ConfigError, load
-from brassweir.lab.models.day import Day, decode, draw, encode, summary
+from brassweir.lab.models.day import Day, decode, encode, summary
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs, trace
 from brassweir.lab.trials.compare import compare
 from brassweir.lab.trials.experiment import Experiment
+from brassweir.lab.trials.retracing import elsewhere
 from brassweir.lab.trials.search import explained, search, shrink
 
 _json = click.option("--json", "as_json", is_flag=True, help="Print one JSON object.")
@@ -167,69 +168,14 @@
 
     Exits with 1 if one does.
     """
-    if code is not None:
-        tree = _elsewhere(file, code)
-    else:
-        try:
-            tree = retraced(file)
-        except (ValueError, OSError) as error:
-            raise click.ClickException(str(error)) from None
+    try:
+        tree = elsewhere(file, code) if code is not None else trace.retrace(file).tree()
+    except (ValueError, OSError) as error:
+        raise click.ClickException(str(error)) from None
     click.echo(json.dumps(tree) if as_json else json.dumps(tree, indent=2))
     sys.exit(0 if tree["difference"] is None else 1)
 
 
-def retraced(file: Path) -> dict[str, Any]:
-    """What feeding a trace came to."""
-    found = trace.retrace(file)
-    one = found.difference
-    return {
-        "turns": found.turns,
-        "events": found.events,
-        "difference": None
-        if one is None
-        else {
-            "turn": one.turn,
-            "now_ms": one.now,
-            "events": one.events,
-            "recorded": one.recorded,
-            "retraced": one.retraced,
-        },
-    }
-
-
-# Runs in a process with the other checkout's brassweir and our trace.py, which needs no more of it than the
-# decision module and its interface.
-_FEED = """
-import importlib.util, json, sys
-spec = importlib.util.spec_from_file_location("trace", sys.argv[1])
-trace = importlib.util.module_from_spec(spec)
-sys.modules["trace"] = trace
-spec.loader.exec_module(trace)
-from pathlib import Path
-found = trace.retrace(Path(sys.argv[2]))
-one = found.difference
-print(json.dumps({"turns": found.turns, "events": found.events, "difference": None if one is None else {
-    "turn": one.turn, "now_ms": one.now, "events": one.events, "recorded": one.recorded,
-    "retraced": one.retraced}}))
-"""
-
-
-def _elsewhere(file: Path, code: Path) -> dict[str, Any]:
-    done = subprocess.run(
-        [sys.executable, "-c", _FEED, str(Path(trace.__file__)), str(file.resolve())],
-        cwd=code,
-        capture_output=True,
-        text=True,
-        timeout=3600,
-        check=False,
-        env={"PYTHONPATH": str(code.resolve())},
-    )
-    if done.returncode:
-        raise click.ClickException(f"{code}: {(done.stderr.strip().splitlines() or ['no answer'])[-1]}")
-    tree: dict[str, Any] = json.loads(done.stdout)
-    return tree
-
-
 @click.command("compare")
 @click.argument("day", type=_path)
 @_seed
--- a/brassweir/lab/rigs/idle.py
+++ b/brassweir/lab/rigs/idle.py
@@ -8,8 +8,6 @@
 import os
 import resource
 import time
-from collections import Counter
-from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
@@ -17,21 +15,15 @@
 from brassweir.config.model import Config
 from brassweir.core.identity import onward
 from brassweir.core.ports import Answer, FinalAnswer, Payload, Submission
-from brassweir.lab.judges.checker import judge
 from brassweir.lab.judges.tape import (
     Answered,
-    Arrival,
-    Effect,
-    Ended,
     HandIn,
-    Outage,
     Published,
     Tape,
-    Tipped,
 )
-from brassweir.lab.judges.verdict import ClassFigures
+from brassweir.lab.rigs.idle_judge import Seen, judge_run
 from brassweir.lab.rigs.idle_setup import KEY, Plan, Quiet, publish, rss, write
-from brassweir.lab.rigs.load import Arrivals, Latency, draw
+from brassweir.lab.rigs.load import Arrivals, draw
 from brassweir.lab.standins import hooks
 from brassweir.net.client import Address, Pool
 from brassweir.net.headers import Headers
@@ -42,18 +34,6 @@
 LOOK = 0.001  # seconds between two looks at the loop's delay
 
 
-@dataclass(slots=True)
-class Seen:
-    """What clients saw of a run."""
-
-    busy: Latency = field(default_factory=Latency)
-    first: Latency = field(default_factory=Latency)
-    answers: Counter[str] = field(default_factory=Counter)
-    stalls: Latency = field(default_factory=Latency)
-    tape: Tape = field(default_factory=Tape)
-    short: int = 0  # times that the system refused a descriptor
-
-
 async def play(plan: Plan, folder: Path) -> dict[str, Any]:
     """Start everything, carry the load, and report."""
     total = plan.mix.busy + plan.mix.idle
@@ -118,7 +98,7 @@
         "cpu_ms_per_message": round(spent / len(arrivals.at) * 1000, 3),
         "descriptor_shortages_met": seen.short,
         "connections": {"open": budget.open, "gave_way": budget.given_way, "budget": budget.most},
-        **_judge(plan, seen, report),
+        **judge_run(plan, seen, report),
     }
     for pool in (plain, reader):
         pool.close_idle()
@@ -219,40 +199,3 @@
             {f"hook-{i}-{'b' if busy <= i < busy + replaced else 'a'}": "ready" for i in range(busy + idle)},
         )
     )
-
-
-CLASSES = {
-    "status": ClassFigures("safe"),
-    "order": ClassFigures("keyed", 8.0, True),
-    "payment": ClassFigures("unsafe"),
-}
-
-
-def _judge(plan: Plan, seen: Seen, report: dict[str, Any]) -> dict[str, Any]:
-    """The six rules, from what clients, receivers and the list saw."""
-    tape = seen.tape
-    for kind, at, *rest in report["tape"]:
-        if kind == "arrival":
-            call, number, letter, ident = rest
-            tape.add(Arrival(at, call, f"hook-{number}", f"hook-{number}-{letter}", "idle", ident, ident))
-        elif kind == "ended":
-            call, number, how, wait = rest
-            tape.add(Ended(at, call, f"hook-{number}", "idle", how, wait))
-        elif kind == "effect":
-            tape.add(Effect(at, f"hook-{rest[0]}", rest[1], rest[1]))
-        else:
-            tape.add(Tipped(at, f"hook-{rest[0]}", {"idle": rest[1]}))
-    for one in plan.strikes:
-        if one.kind == "hang":
-            for number in range(one.first, min(one.last, plan.mix.busy + plan.mix.idle)):
-                tape.add(Outage(report["began"] + one.start, f"hook-{number}", False, True))
-                tape.add(Outage(report["began"] + one.end, f"hook-{number}", True, True))
-    verdict = judge(tape, CLASSES)
-    broken = {str(rule): len(found) for rule, found in verdict.broken.items()}
-    breaks = [what for found in verdict.broken.values() for what in found]
-    return {
-        "broken_rules": broken,
-        "breaks": breaks[:20],
-        "rules_tested": {str(rule): count for rule, count in verdict.tested.items()},
-        "bad_signatures": report["bad_signatures"],
-    }
--- a/brassweir/lab/simulated/trace.py
+++ b/brassweir/lab/simulated/trace.py
@@ -126,6 +126,23 @@
     events: int
     difference: Difference | None
 
+    def tree(self) -> dict[str, Any]:
+        """It as plain values, for JSON."""
+        one = self.difference
+        return {
+            "turns": self.turns,
+            "events": self.events,
+            "difference": None
+            if one is None
+            else {
+                "turn": one.turn,
+                "now_ms": one.now,
+                "events": one.events,
+                "recorded": one.recorded,
+                "retraced": one.retraced,
+            },
+        }
+
 
 def retrace(path: Path, make: Callable[[api.Settings, int, float], Any] = Sender) -> Retraced:
     """Feed a trace to a module until its actions differ. Raises ValueError, OSError."""
--- a/brassweir/lab/trials/experiment.py
+++ b/brassweir/lab/trials/experiment.py
@@ -14,8 +14,8 @@
 
 from brassweir.config.load import ConfigError, load
 from brassweir.lab.models import verdicts
-from brassweir.lab.models.day import draw
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs
 from brassweir.lab.trials.variants import MEASURES, ExperimentModel, VariantModel, constants, varied
 
--- a/brassweir/lab/trials/search.py
+++ b/brassweir/lab/trials/search.py
@@ -16,8 +16,9 @@
 import msgspec
 import numpy as np
 
-from brassweir.lab.models.day import Day, Order, Strike, decode, draw, encode
+from brassweir.lab.models.day import Day, Order, Strike, decode, encode
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs
 
 RULES = tuple(f"rule_{rule}_broken" for rule in range(1, 7))
--- a/tests/lab/models/test_fleet.py
+++ b/tests/lab/models/test_fleet.py
@@ -12,8 +12,9 @@
 from brassweir.config.load import load
 from brassweir.control.gate import Gate
 from brassweir.lab.judges.tape import Tipped
-from brassweir.lab.models.day import Strike, draw
+from brassweir.lab.models.day import Strike
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs
 from tests.lab.models.made import ROOT
 
--- a/tests/lab/models/test_models.py
+++ b/tests/lab/models/test_models.py
@@ -16,9 +16,10 @@
 from brassweir import interface as api
 from brassweir.config.load import ConfigError, load
 from brassweir.lab.models import worth
-from brassweir.lab.models.day import ClassPlan, Strike, decode, draw, encode
+from brassweir.lab.models.day import ClassPlan, Strike, decode, encode
 from brassweir.lab.models.deployment import Deployment
 from brassweir.lab.models.desk import Desk, Manner
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs
 from brassweir.lab.trials.search import replay
 from tests.lab.models.made import ROOT, fingerprint, small
--- a/tests/lab/models/test_trials.py
+++ b/tests/lab/models/test_trials.py
@@ -16,7 +16,8 @@
 from brassweir.config.load import ConfigError
 from brassweir.control import choosing, ending, gate
 from brassweir.lab.models import verdicts
-from brassweir.lab.models.day import ClassPlan, Day, Strike, draw
+from brassweir.lab.models.day import ClassPlan, Day, Strike
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs, trace
 from brassweir.lab.trials.experiment import Experiment
 from brassweir.lab.trials.search import Found, shrink
--- a/tests/lab/test_compare.py
+++ b/tests/lab/test_compare.py
@@ -9,8 +9,9 @@
 import pytest
 
 from brassweir.config.load import load
-from brassweir.lab.models.day import Strike, draw
+from brassweir.lab.models.day import Strike
 from brassweir.lab.models.deployment import Deployment
+from brassweir.lab.models.drawing import draw
 from brassweir.lab.simulated import runs
 from brassweir.lab.trials import compare
 from tests.conftest import run
