--- a/tests/net/test_client_pool.py
+++ b/tests/net/test_client_pool.py
@@ -9,6 +9,7 @@
 from brassweir.net.client import CallFailed, Pool, Reply, Stage
 from brassweir.net.headers import Headers
 from tests.conftest import run
+from tests.net.peers import LOOPS, OK, on, scene, until
 from tests.net.raw_peer import answering, ok, post, request, with_peer
 
 
@@ -116,3 +117,16 @@
     found = run(with_peer(peer, work))
     assert found == ((Stage.CONNECT, 0) if hold else 200)
     assert came.endswith(b"bod") if hold else came.endswith(b"body")
+
+
+def test_the_idle_limit_met_exactly_is_over() -> None:
+    async def work() -> None:
+        async with scene() as at:
+            at.call()
+            end = await at.serve()
+            end.write(OK)
+            await until(lambda: bool(at.pool().idle))
+            connection = at.pool().idle[0]
+            assert connection.fresh(connection.stale_at - 0.001) and not connection.fresh(connection.stale_at)
+
+    on(LOOPS[0], work())
--- a/tests/net/test_pool.py
+++ b/tests/net/test_pool.py
@@ -237,16 +237,3 @@
             assert (await second).status == 200
 
     on(loop, work())
-
-
-def test_the_idle_limit_met_exactly_is_over() -> None:
-    async def work() -> None:
-        async with scene() as at:
-            at.call()
-            end = await at.serve()
-            end.write(OK)
-            await until(lambda: bool(at.pool().idle))
-            connection = at.pool().idle[0]
-            assert connection.fresh(connection.stale_at - 0.001) and not connection.fresh(connection.stale_at)
-
-    on(LOOPS[0], work())
--- /dev/null
+++ b/tests/service/as2_door.py
@@ -0,0 +1,98 @@
+"""A sender with an AS2 partner, and posts to it as a client would make them or would not."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+from brassweir.as2 import mdn, message, mime
+from brassweir.as2.message import Security
+from brassweir.as2.sending import letter, post
+from brassweir.core.offload import Offload
+from brassweir.core.ports import Payload
+from brassweir.lab.models.desk import Manner
+from brassweir.lab.rigs.fleet import HUB, Fleet
+from brassweir.lab.rigs.local import LocalSender
+from brassweir.lab.rigs.plan import FleetPlan
+from brassweir.net.client import Address, Pool, Reply
+from brassweir.net.headers import Headers
+from brassweir.net.limits import Limits
+from tests.conftest import identity
+
+OFFICE = "office 1"
+
+
+class Door:
+    """A running sender and a way to knock."""
+
+    def __init__(self, fleet: Fleet, sender: LocalSender) -> None:
+        self.fleet, self.sender = fleet, sender
+        self.url = f"http://127.0.0.1:{sender.port}/as2"
+        self.hub = identity(HUB).certificate
+        self.offload = Offload(1)
+
+    async def knock(self, fields: dict[str, str], body: bytes = b"x", url: str = "") -> Reply:
+        pool = Pool(Address.of(url or self.url), Limits(), 1, 100.0, 1000.0)
+        try:
+            return await pool.post(
+                Headers(list(fields.items())), body, asyncio.get_running_loop().time() + 5.0
+            )
+        finally:
+            pool.close_idle()
+
+    async def good(self, ident: str, wait: int = 5) -> str:
+        """A good message still goes through."""
+        sent = letter(
+            identity(OFFICE),
+            "bank",
+            self.hub,
+            Payload("application/json", b'{"payment":"p-1","effect":"safe"}', "status p-1"),
+            ident,
+            wait=wait,
+        )
+        pool = Pool(Address.of(self.url), Limits(), 1, 100.0, 1000.0)
+        try:
+            told = await post(pool, sent, self.hub, asyncio.get_running_loop().time() + 5.0, self.offload)
+            return told.answer
+        finally:
+            pool.close_idle()
+
+    async def said(self, reply: Reply, signed: bool = True) -> str:
+        """The modifier of a receipt, signed unless no common digest was to be found."""
+        assert reply.status == 200
+        got = mdn.parse(mime.of_http(reply.headers.first("content-type"), "", reply.body), [self.hub])
+        assert (got.signer is not None) == signed and got.disposition.severity in ("error", "failure")
+        return got.disposition.modifier
+
+
+async def opened(folder: Path) -> Door:
+    fleet = Fleet(
+        folder,
+        FleetPlan(clients=1, async_clients=0, partners={"bank": Manner()}, drain_grace=1.0),
+        1,
+        lambda name, path, port: LocalSender(name, path, port),
+    )
+    await fleet.set_up()
+    sender = fleet.senders[0]
+    assert isinstance(sender, LocalSender)
+    return Door(fleet, sender)
+
+
+def fields(**more: str) -> dict[str, str]:
+    base = {
+        "AS2-Version": "1.2",
+        "AS2-From": f'"{OFFICE}"',
+        "AS2-To": "bank",
+        "Message-ID": "<m@o>",
+        "Subject": "status p-1",
+        "Content-Type": "text/plain",
+        "Disposition-Notification-To": "me",
+        "Disposition-Notification-Options": "signed-receipt-protocol=required, pkcs7-signature; signed-receipt-micalg=required, sha-256",
+    }
+    return {**base, **{name.replace("_", "-"): value for name, value in more.items()}}
+
+
+def built(payload: bytes = b"{}", *, who: str = OFFICE, security: Security | None = None) -> message.Built:
+    return message.build(
+        Payload("application/json", payload), security or Security(), identity(who), identity(HUB).certificate
+    )
--- /dev/null
+++ b/tests/service/test_bad_documents.py
@@ -0,0 +1,85 @@
+"""Repeated messages, expired certificates and bad lists, in a sender that serves on."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from datetime import UTC, datetime, timedelta
+from pathlib import Path
+
+from brassweir.as2 import keys, message
+from brassweir.as2.message import Security
+from brassweir.core.ports import Payload
+from brassweir.interface import Result
+from brassweir.lab.rigs.fleet import HUB
+from tests.conftest import identity, run
+from tests.service.as2_door import OFFICE, fields, opened
+
+
+def test_the_same_id_is_the_same_message_of_one_client_and_bytes_are_opened_once(tmp_path: Path) -> None:
+    async def work() -> None:
+        door = await opened(tmp_path)
+        answers = await asyncio.gather(*(door.good("<one@o>") for _ in range(5)))
+        assert answers == ["delivered"] * 5 and await door.good("<one@o>") == "delivered"
+        partner = door.fleet.partners["bank"]
+        assert partner.effects == {"p-1": 1}, "six hand-ins, one effect"
+        assert sorted(line["how"] for line in door.sender.log.of("taken")) == ["ended"] + ["joined"] * 4 + [
+            "new"
+        ]
+        await door.fleet.stop()
+
+    run(work())
+
+
+def test_an_expired_certificate_is_no_certificate(tmp_path: Path) -> None:
+    async def work() -> None:
+        door = await opened(tmp_path)
+        assert door.sender.process is not None
+        assert door.sender.process.as2 is not None
+        book = door.sender.process.as2.book
+        old = keys.make("old", days=1.0, start=datetime.now(UTC) - timedelta(days=3))
+        client = book.clients[OFFICE]
+        object.__setattr__(client, "certificates", (old.certificate,))
+        sent = message.build(Payload("application/json", b"{}"), Security(), old, identity(HUB).certificate)
+        assert (
+            await door.said(await door.knock(fields(Content_Type=sent.content_type), sent.body))
+            == "authentication-failed"
+        )
+        object.__setattr__(client, "certificates", (identity(OFFICE).certificate,))
+        object.__setattr__(door.sender.process.as2.carrier.partners[1], "certificates", (old.certificate,))
+        assert await door.good("<x@o>") in ("refused", "failed")
+        attempts = [line["result"] for line in door.sender.log.of("ended")]
+        assert set(attempts) == {Result.NO_CONNECTION.value}, (
+            "nothing was written to a partner we cannot seal for"
+        )
+        await door.fleet.stop()
+
+    run(work())
+
+
+def test_a_list_that_is_bad_changes_nothing_and_a_good_one_is_taken(tmp_path: Path) -> None:
+    async def work() -> None:
+        door = await opened(tmp_path)
+        path = tmp_path / "endpoints.yaml"
+        right = path.read_text()
+        for wrong in (
+            "endpoints: [",
+            "endpoints:\n  - name: x\n",
+            right.replace("partner: bank", "partner: nobody"),
+            "",
+        ):
+            path.write_text(wrong)
+            await asyncio.sleep(0.25)
+        assert len(door.sender.log.of("list_refused")) == 4
+        assert await door.good("<a@o>") == "delivered"
+        path.unlink()
+        await asyncio.sleep(0.25)
+        assert await door.good("<b@o>") == "delivered"
+        path.write_text(right.replace("state: ready", "state: draining"))
+        await asyncio.sleep(0.25)
+        begun = time.monotonic()
+        assert await door.good("<c@o>", wait=1) in ("refused", "failed")
+        assert time.monotonic() - begun < 2.0
+        await door.fleet.stop()
+
+    run(work())
