--- a/benchmarks/journal.py
+++ b/benchmarks/journal.py
@@ -11,8 +11,10 @@
 import tempfile
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
+from unittest.mock import patch
 
 from brassweir import interface as api
 from brassweir.core.clock import SimClock
@@ -20,6 +22,7 @@
 from brassweir.core.ports import Attempt, Fact, Outcome, Payload, Store, Submission
 from brassweir.journal import frame
 from brassweir.journal import store as journal_store
+from brassweir.journal.durability import waits
 from brassweir.journal.records import Ended, Final, Intent, Taken
 from brassweir.journal.recover import plan
 from brassweir.journal.scan import scan, segment_name
@@ -124,13 +127,14 @@
 
     ``waiting`` takes the place of the table of what must be durable before what.
     """
-    right = journal_store.waits
-    if waiting is not None:
-        journal_store.waits = waiting
-    try:
+    with patch.object(journal_store, "waits", waiting or waits):
         return _throughput(journal, gap, count, cls)
-    finally:
-        journal_store.waits = right
+
+
+def _hand_in(
+    engine: Engine, submission: Submission, clock: SimClock, at: float, latencies: list[float]
+) -> None:
+    engine.submit(submission, lambda _: latencies.append(clock.now() - at))
 
 
 def _throughput(journal: bool, gap: float, count: int, cls: str) -> dict[str, float]:
@@ -154,12 +158,7 @@
         for i in range(count):
             submission = Submission("o", f"m{i}", cls, i % 50, 500_000.0, payload=Payload("a/b", CONTENT))
             at = 1000.0 + i * gap
-            clock.call_at(
-                at,
-                lambda one=submission, at=at: engine.submit(  # type: ignore[misc]
-                    one, lambda _: latencies.append(clock.now() - at)
-                ),
-            )
+            clock.call_at(at, partial(_hand_in, engine, submission, clock, at, latencies))
         begun = time.perf_counter()
         clock.run(1000.0 + count * gap + 5000.0)
         took = time.perf_counter() - begun
--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -1,7 +1,8 @@
 """When to rewrite the journal and what to keep. Pure.
 
-A snapshot is a segment that holds all that still matters and ends with a record that says so. Until that end is
-durable the older segments stand; after it they go. So at every moment the directory holds one whole history.
+A snapshot is a segment that holds all that still matters and ends with a record that says so. Until that end
+is durable the older segments stand; after it they go. So at every moment the directory holds one whole
+history.
 """
 
 from __future__ import annotations
@@ -38,7 +39,8 @@
 
 
 def kept_of(life: Life) -> Iterator[Record]:
-    """What a snapshot holds of one message. Ended ones keep name, answer and first attempt, not their content."""
+    """What a snapshot holds of one message. Ended ones keep name, answer and first attempt, not their
+    content."""
     if life.taken is not None:
         yield life.taken
     if life.final is None:
@@ -51,7 +53,8 @@
 
 
 def trails(lives: Lives) -> Iterator[Record]:
-    """Endings of messages that are forgotten still say how an endpoint fared: its last pass, and what came since."""
+    """Endings of messages that are forgotten still say how an endpoint fared: its last pass, and what came
+    since."""
     for endpoint, at in lives.passed.items():
         yield Ended(0, 0, endpoint, Result.OK.value, at)
     for trail in lives.trails.values():
--- a/brassweir/journal/frame.py
+++ b/brassweir/journal/frame.py
@@ -1,7 +1,8 @@
 """Bytes of a segment: a header, then framed records. Pure; the layout is docs/journal-format.md.
 
-A frame is: mark (4 bytes), sequence number (8), length (4), CRC-32C of number, length and payload (4), payload.
-All numbers little-endian. The mark lets a reader find the next record behind damage; the CRC says that it is one.
+A frame is: mark (4 bytes), sequence number (8), length (4), CRC-32C of number, length and payload (4),
+payload. All numbers little-endian. The mark lets a reader find the next record behind damage; the CRC says
+that it is one.
 """
 
 from __future__ import annotations
@@ -98,7 +99,7 @@
     end = at + FRAME + length
     if end > len(data):
         return "cut within a record"
-    payload = data[at + FRAME: end]
+    payload = data[at + FRAME : end]
     if google_crc32c.value(struct.pack("<QI", sequence, length) + payload) != crc:
         return "checksum differs"
     try:
--- a/brassweir/journal/life.py
+++ b/brassweir/journal/life.py
@@ -1,7 +1,8 @@
 """The life of a message as its records tell it. Pure state: records in, lives out.
 
 Records of one message may repeat (a snapshot holds what an earlier segment held) and may lack what a damaged
-stretch hid. Whatever order they come in, a life only ever learns; it never forgets that something may have run.
+stretch hid. Whatever order they come in, a life only ever learns; it never forgets that something may have
+run.
 """
 
 from __future__ import annotations
@@ -12,14 +13,29 @@
 from brassweir.interface import NEVER_RAN, Result
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told, Whole
 
-OWN = (Result.MOOT.value, Result.CANCELLED.value)  # endings that are our doing, and tell nothing of an endpoint
+OWN = (
+    Result.MOOT.value,
+    Result.CANCELLED.value,
+)  # endings that are our doing, and tell nothing of an endpoint
 TRAIL = 8  # endings since the last pass that are kept of an endpoint: enough to see an outage
 
 
 def bare(taken: Taken, first: float | None) -> Taken:
     """A message without its content, for one that has its answer."""
-    return Taken(taken.id, taken.owner, taken.identity, taken.class_name, taken.destination, taken.key,
-                 taken.deadline, "", "", b"", taken.reply, first or 0.0)
+    return Taken(
+        taken.id,
+        taken.owner,
+        taken.identity,
+        taken.class_name,
+        taken.destination,
+        taken.key,
+        taken.deadline,
+        "",
+        "",
+        b"",
+        taken.reply,
+        first or 0.0,
+    )
 
 
 @dataclass(slots=True)
@@ -36,11 +52,17 @@
     @property
     def first(self) -> float | None:
         """When an attempt may first have run: one without an ending may have, and may still."""
-        times = [one.at for number, one in self.intents.items()
-                 if number not in self.ended or Result(self.ended[number].result) not in NEVER_RAN]
+        times = [
+            one.at
+            for number, one in self.intents.items()
+            if number not in self.ended or Result(self.ended[number].result) not in NEVER_RAN
+        ]
         # An ending without its intent: the intent was lost or never waited for, and it went out before.
-        times += [one.at for number, one in self.ended.items()
-                  if number not in self.intents and Result(one.result) not in NEVER_RAN]
+        times += [
+            one.at
+            for number, one in self.ended.items()
+            if number not in self.intents and Result(one.result) not in NEVER_RAN
+        ]
         if self.taken is not None and self.taken.ran:
             times.append(self.taken.ran)
         return min(times) if times else None
@@ -94,7 +116,7 @@
             self._trail(record)
         elif isinstance(record, Final):
             if life.final is None and life.taken is not None:
-                # What still matters of an ended message: its name, its answer, and when it may first have run.
+                # What still matters of an ended message: its name, its answer, when it may first have run.
                 life.taken = bare(life.taken, life.first)
                 life.intents, life.ended = {}, {}
             life.final = life.final or record
--- a/brassweir/journal/records.py
+++ b/brassweir/journal/records.py
@@ -1,7 +1,8 @@
-"""What a journal holds. Wall times in ms since 1970; ids are the ledger's. docs/journal-format.md is the contract.
+"""What a journal holds. Wall times in ms since 1970; ids are the ledger's. docs/journal-format.md is the
+contract.
 
-The invariant of each record, in words, is its docstring: what is true of the world if the record is there, and
-what may be true if it is not.
+The invariant of each record, in words, is its docstring: what is true of the world if the record is there,
+and what may be true if it is not.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 class Taken(msgspec.Struct, tag="t", array_like=True, frozen=True):
     """A message was taken on. Without it the client was told nothing that it could rely on.
 
-    ``deadline`` is when its time is up; ``ran`` is when an attempt of an earlier hand-in may first have run, or
-    0; ``reply`` is the front's own note of how the answer is to be told, empty if only to who asks.
+    ``deadline`` is when its time is up; ``ran`` is when an attempt of an earlier hand-in may first have run,
+    or 0; ``reply`` is the front's own note of how the answer is to be told, empty if only to who asks.
     """
 
     id: int
@@ -35,7 +36,8 @@
 
 
 class Intent(msgspec.Struct, tag="i", array_like=True, frozen=True):
-    """An attempt may go out from now on. Without it, not a byte of an attempt that must not repeat went out."""
+    """An attempt may go out from now on. Without it, not a byte of an attempt that must not repeat went
+    out."""
 
     id: int
     number: int
--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -64,15 +64,26 @@
     last_id: int = 0
 
 
-def plan(lives: Lives, holes: Sequence[Hole], classes: Mapping[str, MessageClass], wall: float, remember: float,
-         order_pause: float, unknown: Sequence[str] = ()) -> Plan:
-    """Decide on every message. ``wall`` is now (ms); ``unknown`` names destinations no longer in the settings."""
+def plan(
+    lives: Lives,
+    holes: Sequence[Hole],
+    classes: Mapping[str, MessageClass],
+    wall: float,
+    remember: float,
+    order_pause: float,
+    unknown: Sequence[str] = (),
+) -> Plan:
+    """Decide on every message. ``wall`` is now (ms); ``unknown`` names destinations no longer in the
+    settings."""
     now = max(wall, lives.last_at)
     made = Plan(wall, last_id=lives.last_id)
     hidden = max((hole.known for hole in holes), default=0)
     # A refused message that was handed in again has a later life under the same name, which alone counts.
-    newest = {(life.taken.owner, life.taken.identity): life.id for life in lives.by_id.values()
-              if life.taken is not None}
+    newest = {
+        (life.taken.owner, life.taken.identity): life.id
+        for life in lives.by_id.values()
+        if life.taken is not None
+    }
     for life in lives.by_id.values():
         if life.taken is None:
             made.dropped += 1  # its record was lost: the client, never answered, asks again
@@ -95,8 +106,8 @@
 def standing(plan: Plan, place: Callable[[str], Hashable]) -> list[Past]:
     """What of the past still stands, where ``place`` says which endpoints fare as one.
 
-    A pass at any of them ends a row of failures, but no wait told before it, as while the process ran: one bad
-    endpoint must not close its whole destination for a sender that comes back.
+    A pass at any of them ends a row of failures, but no wait told before it, as while the process ran: one
+    bad endpoint must not close its whole destination for a sender that comes back.
     """
     last: dict[Hashable, float] = {}
     for endpoint, ago in plan.passed.items():
@@ -114,8 +125,15 @@
     made.answered.append(Answered(taken, final, ago, None if first is None else now - first, owed, False))
 
 
-def _open(life: Life, taken: Taken, classes: Mapping[str, MessageClass], now: float, hidden: bool, unknown: bool,
-          made: Plan) -> None:
+def _open(
+    life: Life,
+    taken: Taken,
+    classes: Mapping[str, MessageClass],
+    now: float,
+    hidden: bool,
+    unknown: bool,
+    made: Plan,
+) -> None:
     cls = classes.get(taken.class_name)
     first = life.first
     if first is None and hidden:
@@ -131,21 +149,28 @@
     if cls is None or unknown or left <= 0.0 or sent_once:
         harmless = first is None or effect is Effect.SAFE
         final = Final(life.id, "refused" if harmless else "failed", _why(cls, unknown, left), 0.0, now)
-        made.answered.append(Answered(taken, final, 0.0, None if first is None else now - first,
-                                      bool(taken.reply), True))
+        made.answered.append(
+            Answered(taken, final, 0.0, None if first is None else now - first, bool(taken.reply), True)
+        )
         return
     number = max([*life.intents, *life.ended], default=-1) + 1  # damage may have taken some: none goes twice
     made.again.append(Again(taken, left, None if first is None else now - first, number))
 
 
 def keyless(made: Plan, classes: Mapping[str, MessageClass], wall: float) -> None:
-    """End what is in a keyed class now and came when it was none, so without the key (the subject) that makes a
-    repeat harmless: refused if nothing can have run, else failed. For senders that take no other such message."""
+    """End what is in a keyed class now and came when it was none, so without the key (the subject) that makes
+    a repeat harmless: refused if nothing can have run, else failed. For senders that take no other such
+    message."""
     for one in made.again[:]:
         if classes[one.taken.class_name].effect is Effect.KEYED and not one.taken.subject:
             made.again.remove(one)
-            final = Final(one.taken.id, "refused" if one.ran_ago is None else "failed",
-                          "its class is keyed now, and it has no key", 0.0, wall)
+            final = Final(
+                one.taken.id,
+                "refused" if one.ran_ago is None else "failed",
+                "its class is keyed now, and it has no key",
+                0.0,
+                wall,
+            )
             made.answered.append(Answered(one.taken, final, 0.0, one.ran_ago, bool(one.taken.reply), True))
 
 
--- a/brassweir/journal/restart.py
+++ b/brassweir/journal/restart.py
@@ -16,17 +16,27 @@
 
 def _submission(taken: Taken, destination: int, left: float) -> Submission:
     payload = Payload(taken.content_type, taken.content, taken.subject) if taken.content_type else None
-    return Submission(taken.owner, taken.identity, taken.class_name, destination, left, taken.key, True, payload,
-                      taken.reply)
+    return Submission(
+        taken.owner,
+        taken.identity,
+        taken.class_name,
+        destination,
+        left,
+        taken.key,
+        True,
+        payload,
+        taken.reply,
+    )
 
 
-def carry_out(plan: Plan, engine: Engine, store: JournalStore, number_of: Callable[[str], int | None],
-              owing: Owing) -> None:
+def carry_out(
+    plan: Plan, engine: Engine, store: JournalStore, number_of: Callable[[str], int | None], owing: Owing
+) -> None:
     """Tell the engine the past, put back what ended, and go on with the rest, in the order taken.
 
-    ``owing`` makes the waiter that brings a message's receipt, or None where none is owed. The engine has been
-    given its list. Answers made now are written down before anybody is told them. Times count from when the
-    plan was made: a start that takes long must not push a deadline or the end of a window out.
+    ``owing`` makes the waiter that brings a message's receipt, or None where none is owed. The engine has
+    been given its list. Answers made now are written down before anybody is told them. Times count from when
+    the plan was made: a start that takes long must not push a deadline or the end of a window out.
     """
 
     def place(name: str) -> Hashable:
--- a/brassweir/journal/scan.py
+++ b/brassweir/journal/scan.py
@@ -68,8 +68,9 @@
     return found
 
 
-def _newest_snapshot(storage: Storage, order: list[tuple[int, bool]], named: dict[tuple[int, bool], str],
-                     found: Scan) -> tuple[int, bool] | None:
+def _newest_snapshot(
+    storage: Storage, order: list[tuple[int, bool]], named: dict[tuple[int, bool], str], found: Scan
+) -> tuple[int, bool] | None:
     for key in reversed(order):
         if not key[1]:
             continue
--- a/brassweir/journal/storage.py
+++ b/brassweir/journal/storage.py
@@ -54,8 +54,8 @@
 class Files:
     """A directory. One process at a time may write it; ``write=False`` reads a live or damaged one.
 
-    ``synced=False`` leaves out fsync. What is written then outlives the process, also one killed outright, but
-    not the machine: it is for folders that are lost with their machine anyhow.
+    ``synced=False`` leaves out fsync. What is written then outlives the process, also one killed outright,
+    but not the machine: it is for folders that are lost with their machine anyhow.
     """
 
     def __init__(self, folder: Path, write: bool = True, synced: bool = True) -> None:
--- a/brassweir/journal/store.py
+++ b/brassweir/journal/store.py
@@ -1,4 +1,4 @@
-"""The engine's store on a journal: facts become records, and what waits for them runs once they are durable."""
+"""The engine's store on a journal: facts become records, and what waits for them runs once they last."""
 
 from __future__ import annotations
 
@@ -12,27 +12,39 @@
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told
 from brassweir.journal.writer import Broken, Group, Writer
 
-
 SLICE = 2000  # lives gone through in one turn of the loop: a millisecond or two
 
 
 class Disk(Protocol):
     """Runs I/O on the one thread that may, and tells the loop's side when it is done."""
 
-    def run(self, work: Callable[[], object], done: Callable[[object], None],
-            failed: Callable[[BaseException], None]) -> None:
+    def run(
+        self,
+        work: Callable[[], object],
+        done: Callable[[object], None],
+        failed: Callable[[BaseException], None],
+    ) -> None:
         """Run ``work``; then ``done`` with its result, or ``failed``, on the loop's side."""
 
 
 class JournalStore:
     """Keeps facts in a journal.
 
-    ``wall`` is the time in ms since 1970; ``name_of`` the name of a destination's number; ``broken`` is called
-    when the disk can no longer be trusted, after which nothing more is kept and nothing waiting goes on.
+    ``wall`` is the time in ms since 1970; ``name_of`` the name of a destination's number; ``broken`` is
+    called when the disk can no longer be trusted, after which nothing more is kept and nothing waiting goes
+    on.
     """
 
-    def __init__(self, writer: Writer, disk: Disk, classes: Mapping[str, MessageClass], wall: Callable[[], float],
-                 name_of: Callable[[int], str], broken: Callable[[BaseException], None], remember: float) -> None:
+    def __init__(
+        self,
+        writer: Writer,
+        disk: Disk,
+        classes: Mapping[str, MessageClass],
+        wall: Callable[[], float],
+        name_of: Callable[[int], str],
+        broken: Callable[[BaseException], None],
+        remember: float,
+    ) -> None:
         self.writer, self.disk, self.classes, self.wall = writer, disk, classes, wall
         self.name_of, self.broken, self.remember = name_of, broken, remember
         self.effects = {cls.name: cls.effect for cls in classes.values()}
@@ -50,8 +62,14 @@
         """A message from before goes on under its id."""
         self.classed[ident], self.before[ident] = class_name, attempts
 
-    def keep(self, fact: Fact, message: int, detail: object, then: Callable[[], None],
-             unable: Callable[[str], None]) -> None:
+    def keep(
+        self,
+        fact: Fact,
+        message: int,
+        detail: object,
+        then: Callable[[], None],
+        unable: Callable[[str], None],
+    ) -> None:
         """Keep one fact (see :class:`brassweir.core.ports.Store`)."""
         if self.dead:
             return  # nothing may go on as if it had been written
@@ -59,10 +77,20 @@
         if isinstance(detail, Submission):
             self.classed[message] = detail.class_name
             payload = detail.payload if isinstance(detail.payload, Payload) else Payload("", b"")
-            record = Taken(message, detail.owner, detail.identity, detail.class_name,
-                           self.name_of(detail.destination), detail.key, now + detail.left,
-                           payload.content_type, payload.subject, payload.content, detail.reply,
-                           0.0 if detail.ran_ago is None else now - detail.ran_ago)
+            record = Taken(
+                message,
+                detail.owner,
+                detail.identity,
+                detail.class_name,
+                self.name_of(detail.destination),
+                detail.key,
+                now + detail.left,
+                payload.content_type,
+                payload.subject,
+                payload.content,
+                detail.reply,
+                0.0 if detail.ran_ago is None else now - detail.ran_ago,
+            )
             self._add(record, fact, then, unable)
         elif isinstance(detail, Attempt):
             self._add(Intent(message, self._number(detail), detail.endpoint.name, now), fact, then)
@@ -74,8 +102,9 @@
             assert isinstance(detail, tuple)
             attempt, outcome = detail
             assert isinstance(attempt, Attempt) and isinstance(outcome, Outcome)
-            ended = Ended(message, self._number(attempt), attempt.endpoint.name, outcome.result.value, now,
-                          outcome.wait)
+            ended = Ended(
+                message, self._number(attempt), attempt.endpoint.name, outcome.result.value, now, outcome.wait
+            )
             self._add(ended, fact, then)
         self._pump()
 
@@ -88,8 +117,13 @@
     def _number(self, attempt: Attempt) -> int:
         return attempt.number + self.before.get(attempt.id, 0)
 
-    def _add(self, record: Taken | Intent | Ended | Final, fact: Fact, then: Callable[[], None],
-             unable: Callable[[str], None] | None = None) -> None:
+    def _add(
+        self,
+        record: Taken | Intent | Ended | Final,
+        fact: Fact,
+        then: Callable[[], None],
+        unable: Callable[[str], None] | None = None,
+    ) -> None:
         effect = self.effects.get(self.classed.get(record.id, ""))
         if effect is None or waits(fact, effect):
             self.writer.add(record, then, unable)
@@ -102,7 +136,9 @@
     def _pump(self) -> None:
         group = self.writer.take()
         if group is not None:
-            self.disk.run(lambda: self.writer.commit(group), lambda refused: self._done(group, refused), self._failed)
+            self.disk.run(
+                lambda: self.writer.commit(group), lambda refused: self._done(group, refused), self._failed
+            )
 
     def _done(self, group: Group, refused: object) -> None:
         if self.dead:
@@ -129,15 +165,15 @@
     def compact(self, now: float) -> None:
         """Rewrite the journal with what still matters, beside the groups that go on.
 
-        First a new segment is begun, so that whatever comes meanwhile stands behind the snapshot. Then lives are
-        gone through by slices, each in a turn of the loop of its own; one that learns more after its slice has
-        that in the new segment.
+        First a new segment is begun, so that whatever comes meanwhile stands behind the snapshot. Then lives
+        are gone through by slices, each in a turn of the loop of its own; one that learns more after its
+        slice has that in the new segment.
         """
         lives, self.compacting = self.writer.lives, True
         ids, found = list(lives.by_id), list[Record]()
 
         def slices(number: int, at: int) -> None:
-            for ident in ids[at: at + SLICE]:
+            for ident in ids[at : at + SLICE]:
                 life = lives.by_id.get(ident)
                 if life is not None and compact.matters(life, now, self.remember):
                     found.extend(compact.kept_of(life))
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -1,7 +1,7 @@
 """Appends records in groups and says when they are durable. Knows no thread and no clock of its own.
 
-One group is written at a time: what comes meanwhile waits for the next, so a slow disk makes groups larger and
-not commits more. :meth:`commit` does the I/O and may run on any one thread; all else is the loop's.
+One group is written at a time: what comes meanwhile waits for the next, so a slow disk makes groups larger
+and not commits more. :meth:`commit` does the I/O and may run on any one thread; all else is the loop's.
 """
 
 from __future__ import annotations
@@ -61,8 +61,9 @@
 
     # ---- the loop's side
 
-    def add(self, record: Record, then: Callable[[], None] | None,
-            unable: Callable[[str], None] | None = None) -> None:
+    def add(
+        self, record: Record, then: Callable[[], None] | None, unable: Callable[[str], None] | None = None
+    ) -> None:
         """Put a record into the next group; ``then`` runs once it is durable.
 
         With ``unable`` it is one that may be refused for want of room.
@@ -124,7 +125,9 @@
         """Is there room for what a group takes on, where the folder has a bound?"""
         if not self.limits.most or not group.admits:
             return True
-        wanted = sum(len(one.content) + compact.ANSWER for one, _, _ in group.admits if isinstance(one, Taken))
+        wanted = sum(
+            len(one.content) + compact.ANSWER for one, _, _ in group.admits if isinstance(one, Taken)
+        )
         return self.total + wanted <= self.limits.most
 
     def _write(self, records: list[Record]) -> None:
@@ -186,13 +189,14 @@
         if self.total <= self.limits.least:
             return False
         lives = self.lives.by_id.values()
-        live = sum(len(life.taken.content) if life.taken is not None and life.final is None else 0
-                   for life in lives) + compact.ANSWER * len(lives)
+        live = sum(
+            len(life.taken.content) if life.taken is not None and life.final is None else 0 for life in lives
+        ) + compact.ANSWER * len(lives)
         return compact.due(self.total, live, self.limits.least) and not self.full
 
     def close_segment(self) -> int:
-        """Begin a segment; what is added from now on stands behind a snapshot of all before. Returns the number
-        of the one that is closed. Raises Broken."""
+        """Begin a segment; what is added from now on stands behind a snapshot of all before. Returns the
+        number of the one that is closed. Raises Broken."""
         number = self.segment - 1
         self._rotate()
         return number
--- a/tests/journal/made.py
+++ b/tests/journal/made.py
@@ -22,8 +22,12 @@
     writer = Writer(disk, scan(disk))
     writer.open()
     for ident in range(1, count + 1):
-        for record in (taken(ident), Intent(ident, 0, "e", 10.0 * ident), Ended(ident, 0, "e", "ok", 10.0 * ident + 5),
-                       Final(ident, "delivered", "", 0.0, 10.0 * ident + 6)):
+        for record in (
+            taken(ident),
+            Intent(ident, 0, "e", 10.0 * ident),
+            Ended(ident, 0, "e", "ok", 10.0 * ident + 5),
+            Final(ident, "delivered", "", 0.0, 10.0 * ident + 6),
+        ):
             writer.add(record, None)
             group = writer.take()
             assert group is not None
--- a/tests/journal/test_crashes.py
+++ b/tests/journal/test_crashes.py
@@ -29,8 +29,14 @@
     assert not found.problems and found.crashes > 3 * found.points
 
 
-@pytest.mark.parametrize(("fact", "words"), [
-    (Fact.INTENT, "was sent again"), (Fact.FINAL, "was told"), (Fact.TAKEN, "was accepted and never had an answer")])
+@pytest.mark.parametrize(
+    ("fact", "words"),
+    [
+        (Fact.INTENT, "was sent again"),
+        (Fact.FINAL, "was told"),
+        (Fact.TAKEN, "was accepted and never had an answer"),
+    ],
+)
 def test_a_barrier_left_out_is_caught(monkeypatch: pytest.MonkeyPatch, fact: Fact, words: str) -> None:
     monkeypatch.setattr(store, "waits", lambda one, effect: one is not fact and durability.waits(one, effect))
     problems: list[str] = []
@@ -45,7 +51,9 @@
     assert any("was accepted and never had an answer" in one for one in problems)
 
 
-def test_receipts_that_are_never_confirmed_are_brought_again_and_not_for_ever(monkeypatch: pytest.MonkeyPatch) -> None:
+def test_receipts_that_are_never_confirmed_are_brought_again_and_not_for_ever(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
     """And a recovery that owes nothing leaves those who wait without their answer."""
     monkeypatch.setattr(crash, "CONFIRMED", 0.0)
     assert not sweep(SEED, COUNT, ["lost"], range(1, TOTAL + 1, 17)).problems
--- a/tests/journal/test_damage.py
+++ b/tests/journal/test_damage.py
@@ -30,8 +30,13 @@
     except FormatError:
         assert at < frame.HEADER
         return
-    lost = [ident for ident in range(1, 7) if ident not in found.lives.by_id
-            or found.lives.by_id[ident].final is None or found.lives.by_id[ident].taken is None]
+    lost = [
+        ident
+        for ident in range(1, 7)
+        if ident not in found.lives.by_id
+        or found.lives.by_id[ident].final is None
+        or found.lives.by_id[ident].taken is None
+    ]
     assert len(lost) <= 1 and found.records >= 23
     assert found.problems or found.torn or found.records == 24
     if found.problems:
@@ -42,7 +47,7 @@
     disk = written()
     whole = disk.read(segment_name(1))
     cut = next(part.end for part in frame.read(whole) if isinstance(part, Found) and part.sequence == 8)
-    disk.synced = {segment_name(1): whole[:cut], segment_name(4): frame.header(4, 17) + whole[cut:][: 0]}
+    disk.synced = {segment_name(1): whole[:cut], segment_name(4): frame.header(4, 17) + whole[cut:][:0]}
     found = scan(disk)
     assert "segments 2 to 3 are missing" in found.problems[0] and found.holes[0].known == 2
     disk = written()
@@ -54,8 +59,9 @@
     disk.synced[segment_name(1)] = whole  # back from the dead, as after a crash
     again = scan(disk)
     assert segment_name(1) in again.stale and not again.problems
-    assert {ident: life.final for ident, life in again.lives.by_id.items()} == \
-        {ident: life.final for ident, life in lives.by_id.items()}
+    assert {ident: life.final for ident, life in again.lives.by_id.items()} == {
+        ident: life.final for ident, life in lives.by_id.items()
+    }
 
 
 def test_an_unfinished_snapshot_does_not_count() -> None:
--- a/tests/journal/test_journal.py
+++ b/tests/journal/test_journal.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -16,7 +17,7 @@
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Final, Intent, Taken, Told
 from brassweir.journal.scan import scan
-from brassweir.journal.sizes import within
+from brassweir.journal.sizes import LEAST, within
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.writer import Writer
 from brassweir.lab.simulated.crash import Run
@@ -47,18 +48,31 @@
     writer.snapshot(list(compact.kept(writer.lives, 5.0, 1e9)), writer.close_segment())
     files.close()
     found = scan(Files(tmp_path / "j"))
-    assert sorted(found.lives.by_id) == [1, 2, 3] and not found.problems and len(found.segments) == 2 and found.segments[0].endswith(".snap")
+    assert (
+        sorted(found.lives.by_id) == [1, 2, 3]
+        and not found.problems
+        and len(found.segments) == 2
+        and found.segments[0].endswith(".snap")
+    )
 
 
 def test_a_snapshot_keeps_what_matters_and_no_content_of_the_ended() -> None:
     lives = Lives()
-    for record in (taken(1), Intent(1, 0, "e", 5.0), Final(1, "failed", "", 0.0, 50.0), taken(2), taken(3),
-                   Final(3, "delivered", "", 0.0, 10.0), taken(4, reply=b"r"), Final(4, "failed", "", 0.0, 10.0)):
+    for record in (
+        taken(1),
+        Intent(1, 0, "e", 5.0),
+        Final(1, "failed", "", 0.0, 50.0),
+        taken(2),
+        taken(3),
+        Final(3, "delivered", "", 0.0, 10.0),
+        taken(4, reply=b"r"),
+        Final(4, "failed", "", 0.0, 10.0),
+    ):
         lives.apply(record)
     kept = list(compact.kept(lives, 100.0, 60.0))
     assert {one.id: len(one.content) for one in kept if isinstance(one, Taken)} == {1: 0, 2: 7, 4: 0}
     assert next(one for one in kept if isinstance(one, Taken) and one.id == 1).ran == 5.0
-    assert compact.due(10 * compact.LEAST, compact.LEAST) and not compact.due(compact.LEAST, 0)
+    assert compact.due(10 * LEAST, LEAST) and not compact.due(LEAST, 0)
 
 
 @pytest.mark.parametrize("fact", Fact)
@@ -102,7 +116,7 @@
     log = next(path for path in (tmp_path / "j").glob("*.log"))
     data = log.read_bytes()
     first = next(part.end for part in frame.read(data) if isinstance(part, Found))
-    log.write_bytes(data[:frame.HEADER] + data[first:] + frame.frame(99, taken(10)))
+    log.write_bytes(data[: frame.HEADER] + data[first:] + frame.frame(99, taken(10)))
     assert scan(Files(tmp_path / "j", write=False)).holes, "one that is missing there is still seen"
 
 
@@ -124,9 +138,13 @@
         group_ids = []
         for _ in range(rng.randint(0, 6)):
             last += 1
-            fresh = Taken(last, "o", f"m{last}", "pay", "1", "k", 9e9, "a/b", "", bytes(rng.randint(0, 4000)), b"n")
+            fresh = Taken(
+                last, "o", f"m{last}", "pay", "1", "k", 9e9, "a/b", "", bytes(rng.randint(0, 4000)), b"n"
+            )
             group_ids.append(last)
-            writer.add(fresh, lambda ident=last: open_.add(ident), lambda why, ident=last: refused.append(ident))
+            writer.add(
+                fresh, partial(open_.add, last), partial(lambda ident, why: refused.append(ident), last)
+            )
         for ident in [one for one in open_ if rng.random() < 0.1]:
             open_.discard(ident)
             writer.add(Final(ident, "failed", "", 0.0, now), None)
--- a/tests/journal/test_plan.py
+++ b/tests/journal/test_plan.py
@@ -16,30 +16,46 @@
 from tests.journal.made import taken
 
 
-def made(*all_records: records.Record, wall: float = 2000.0, holes: tuple[Hole, ...] = (), remember: float = 1e9,
-         unknown: tuple[str, ...] = ()) -> recover.Plan:
+def made(
+    *all_records: records.Record,
+    wall: float = 2000.0,
+    holes: tuple[Hole, ...] = (),
+    remember: float = 1e9,
+    unknown: tuple[str, ...] = (),
+) -> recover.Plan:
     lives = Lives()
     for record in all_records:
         lives.apply(record)
     return recover.plan(lives, holes, BY_NAME, wall, remember, 100.0, unknown)
 
 
-@pytest.mark.parametrize(("cls", "seen", "wall", "answer", "left"), [
-    ("pay", [], 2000.0, "", 4000.0),
-    ("pay", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
-    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], 2000.0, "", 4000.0),
-    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "no_connection", 600.0)], 2000.0, "", 4000.0),
-    ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], 2000.0, "failed", 0.0),
-    ("pay", [], 6001.0, "refused", 0.0),
-    ("key", [Intent(1, 0, "e", 500.0)], 2000.0, "", 2500.0),
-    ("key", [Intent(1, 0, "e", 500.0)], 4501.0, "failed", 0.0),
-    ("key", [Intent(1, 0, "e", 500.0)], 400.0, "", 4000.0),  # the clock stepped back: no window grows by it
-    ("safe", [Intent(1, 0, "e", 500.0)], 2000.0, "", 4000.0),
-    ("safe", [Intent(1, 0, "e", 500.0)], 7000.0, "refused", 0.0),
-    ("gone", [], 2000.0, "refused", 0.0),
-    ("gone", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
-])
-def test_what_becomes_of_an_open_message(cls: str, seen: list[records.Record], wall: float, answer: str, left: float) -> None:
+@pytest.mark.parametrize(
+    ("cls", "seen", "wall", "answer", "left"),
+    [
+        ("pay", [], 2000.0, "", 4000.0),
+        ("pay", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
+        ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], 2000.0, "", 4000.0),
+        ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "no_connection", 600.0)], 2000.0, "", 4000.0),
+        ("pay", [Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], 2000.0, "failed", 0.0),
+        ("pay", [], 6001.0, "refused", 0.0),
+        ("key", [Intent(1, 0, "e", 500.0)], 2000.0, "", 2500.0),
+        ("key", [Intent(1, 0, "e", 500.0)], 4501.0, "failed", 0.0),
+        (
+            "key",
+            [Intent(1, 0, "e", 500.0)],
+            400.0,
+            "",
+            4000.0,
+        ),  # the clock stepped back: no window grows by it
+        ("safe", [Intent(1, 0, "e", 500.0)], 2000.0, "", 4000.0),
+        ("safe", [Intent(1, 0, "e", 500.0)], 7000.0, "refused", 0.0),
+        ("gone", [], 2000.0, "refused", 0.0),
+        ("gone", [Intent(1, 0, "e", 500.0)], 2000.0, "failed", 0.0),
+    ],
+)
+def test_what_becomes_of_an_open_message(
+    cls: str, seen: list[records.Record], wall: float, answer: str, left: float
+) -> None:
     plan = made(taken(1, cls), *seen, wall=wall)
     if answer:
         assert [one.final.answer for one in plan.answered] == [answer] and plan.answered[0].fresh
@@ -48,29 +64,41 @@
         assert [one.left for one in plan.again] == [left] and not plan.answered
 
 
-@pytest.mark.parametrize(("seen", "answers", "again"), [
-    ([], [], [1]),
-    ([Intent(1, 0, "e", 500.0)], ["failed"], []),
-    ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], ["failed"], []),
-    ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], [], [1]),
-])
-def test_a_key_that_reaches_through_one_zone_is_not_taken_to_another(seen: list[records.Record], answers: list[str], again: list[int]) -> None:
+@pytest.mark.parametrize(
+    ("seen", "answers", "again"),
+    [
+        ([], [], [1]),
+        ([Intent(1, 0, "e", 500.0)], ["failed"], []),
+        ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "timeout", 600.0)], ["failed"], []),
+        ([Intent(1, 0, "e", 500.0), Ended(1, 0, "e", "full", 600.0)], [], [1]),
+    ],
+)
+def test_a_key_that_reaches_through_one_zone_is_not_taken_to_another(
+    seen: list[records.Record], answers: list[str], again: list[int]
+) -> None:
     """Nothing tells after a restart in which zone it may have run: neither another attempt nor a refusal is harmless."""
     lives = Lives()
     for record in (taken(1, "near"), *seen):
         lives.apply(record)
     near = api.MessageClass("near", 1000.0, 6000.0, api.Effect.KEYED, group="zone", window=5000.0)
     plan = recover.plan(lives, (), {"near": near}, 700.0, 1e9, 100.0)
-    assert [one.final.answer for one in plan.answered] == answers and [one.taken.id for one in plan.again] == again
-
-
-@pytest.mark.parametrize(("effect", "subject", "seen", "answers"), [
-    (api.Effect.KEYED, "", [], ["refused"]),
-    (api.Effect.KEYED, "", [Intent(1, 0, "e", 500.0)], ["failed"]),
-    (api.Effect.KEYED, "k1", [Intent(1, 0, "e", 500.0)], []),
-    (api.Effect.SAFE, "", [Intent(1, 0, "e", 500.0)], []),
-])
-def test_what_came_before_its_class_was_keyed_has_no_key_to_go_again_by(effect: api.Effect, subject: str, seen: list[records.Record], answers: list[str]) -> None:
+    assert [one.final.answer for one in plan.answered] == answers and [
+        one.taken.id for one in plan.again
+    ] == again
+
+
+@pytest.mark.parametrize(
+    ("effect", "subject", "seen", "answers"),
+    [
+        (api.Effect.KEYED, "", [], ["refused"]),
+        (api.Effect.KEYED, "", [Intent(1, 0, "e", 500.0)], ["failed"]),
+        (api.Effect.KEYED, "k1", [Intent(1, 0, "e", 500.0)], []),
+        (api.Effect.SAFE, "", [Intent(1, 0, "e", 500.0)], []),
+    ],
+)
+def test_what_came_before_its_class_was_keyed_has_no_key_to_go_again_by(
+    effect: api.Effect, subject: str, seen: list[records.Record], answers: list[str]
+) -> None:
     lives = Lives()
     for record in (msgspec.structs.replace(taken(1, "note", reply=b"n"), subject=subject), *seen):
         lives.apply(record)
@@ -92,7 +120,12 @@
 
 def test_of_a_message_handed_in_again_only_the_last_life_counts() -> None:
     again = Taken(2, "o", "m1", "pay", "1", "k", 6000.0, "a/b", "s", b"content", b"reply")
-    plan = made(taken(1, reply=b"reply"), Final(1, "refused", "", 0.0, 100.0), again, Final(2, "delivered", "", 0.0, 200.0))
+    plan = made(
+        taken(1, reply=b"reply"),
+        Final(1, "refused", "", 0.0, 100.0),
+        again,
+        Final(2, "delivered", "", 0.0, 200.0),
+    )
     assert [(one.taken.id, one.final.answer) for one in plan.answered] == [(2, "delivered")]
     plan = made(taken(1, reply=b"reply"), Final(1, "refused", "", 0.0, 100.0), again)
     assert not plan.answered and [one.taken.id for one in plan.again] == [2]
@@ -113,15 +146,26 @@
 
 
 def test_the_module_heeds_what_was_told_before_the_restart() -> None:
-    plan = made(*(Ended(i, 0, "e", "reset", 1000.0 + i) for i in range(1, 4)), Ended(9, 0, "w", "full", 1500.0, 2000.0),
-                Began(1600.0, "s"), Ended(10, 0, "w", "ok", 1700.0))
-    assert [(one.endpoint, one.result, one.ago, one.wait) for one in plan.past][-1] == ("w", Result.FULL, 500.0, 2000.0)
+    plan = made(
+        *(Ended(i, 0, "e", "reset", 1000.0 + i) for i in range(1, 4)),
+        Ended(9, 0, "w", "full", 1500.0, 2000.0),
+        Began(1600.0, "s"),
+        Ended(10, 0, "w", "ok", 1700.0),
+    )
+    assert [(one.endpoint, one.result, one.ago, one.wait) for one in plan.past][-1] == (
+        "w",
+        Result.FULL,
+        500.0,
+        2000.0,
+    )
     sets = api.Settings(classes=tuple(BY_NAME.values()), slots=4, max_open=40, max_retry_after=2000.0)
     sender = Sender(sets, 1, 0.0)
     entries = (api.EndpointInfo("e", 1, ""), api.EndpointInfo("w", 2, ""), api.EndpointInfo("n", 3, ""))
     news = [api.NewMessage(i, "safe", i, 5000.0) for i in (1, 2, 3)]
     actions = sender.handle(0.0, [api.ListNews(api.ListKind.FULL, entries), *plan.past, *news])
-    assert [one.endpoint for one in actions if isinstance(one, api.Send)] == ["n"], "one shut, one told to wait"
+    assert [one.endpoint for one in actions if isinstance(one, api.Send)] == ["n"], (
+        "one shut, one told to wait"
+    )
     sent: list[float] = []
     for now in range(100, 5000, 100):
         actions = sender.handle(float(now), [api.TimerDue()])
--- a/tests/journal/test_ready.py
+++ b/tests/journal/test_ready.py
@@ -21,13 +21,33 @@
 from tests.core.made import Slow, Store
 
 NOW = 100_000.0
-CLASSES = (api.MessageClass("pay", 1500.0, 6000.0, api.Effect.UNSAFE), api.MessageClass("safe", 1500.0, 6000.0, api.Effect.SAFE))
+CLASSES = (
+    api.MessageClass("pay", 1500.0, 6000.0, api.Effect.UNSAFE),
+    api.MessageClass("safe", 1500.0, 6000.0, api.Effect.SAFE),
+)
 
 
 def records(ident: int, ended: bool) -> list[Record]:
     """One message, open or ended."""
-    taken = Taken(ident, "o", f"m{ident}", "pay" if ident % 2 else "safe", str(ident % 4 + 1), "", NOW + 4000.0, "a/b", "", b"x" * 40, b"n")
-    rest = [Intent(ident, 0, "d1-0", NOW), Ended(ident, 0, "d1-0", "ok", NOW + 5.0), Final(ident, "delivered", "", 0.0, NOW + 6.0), Told(ident)]
+    taken = Taken(
+        ident,
+        "o",
+        f"m{ident}",
+        "pay" if ident % 2 else "safe",
+        str(ident % 4 + 1),
+        "",
+        NOW + 4000.0,
+        "a/b",
+        "",
+        b"x" * 40,
+        b"n",
+    )
+    rest: list[Record] = [
+        Intent(ident, 0, "d1-0", NOW),
+        Ended(ident, 0, "d1-0", "ok", NOW + 5.0),
+        Final(ident, "delivered", "", 0.0, NOW + 6.0),
+        Told(ident),
+    ]
     return [taken, *(rest if ended else [])]
 
 
@@ -46,16 +66,27 @@
     """From the folder to the end of the module's first turn."""
     found, clock = scan(disk), SimClock(NOW + 700.0)
     carrier = Slow(clock)
-    engine = Engine(api.Settings(classes=CLASSES, slots=8, max_open=60), 1, clock, lambda _: carrier, store=Store(clock))
-    engine.news(api.ListNews(api.ListKind.CACHED, tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3, 4) for j in (0, 1))))
-    plan = recover.plan(found.lives, found.holes, {cls.name: cls for cls in CLASSES}, clock.now(), 3000.0, 0.0)
+    engine = Engine(
+        api.Settings(classes=CLASSES, slots=8, max_open=60), 1, clock, lambda _: carrier, store=Store(clock)
+    )
+    engine.news(
+        api.ListNews(
+            api.ListKind.CACHED,
+            tuple(api.EndpointInfo(f"d{i}-{j}", i, "") for i in (1, 2, 3, 4) for j in (0, 1)),
+        )
+    )
+    plan = recover.plan(
+        found.lives, found.holes, {cls.name: cls for cls in CLASSES}, clock.now(), 3000.0, 0.0
+    )
     carry_out(plan, engine, Store(clock), int, lambda *_: lambda _: None)  # type: ignore[arg-type]
     clock.run(clock.now())
     return engine, clock
 
 
 @pytest.mark.parametrize("rewritten", [False, True])
-def test_a_full_folder_is_read_once_and_a_snapshot_twice(monkeypatch: pytest.MonkeyPatch, rewritten: bool) -> None:
+def test_a_full_folder_is_read_once_and_a_snapshot_twice(
+    monkeypatch: pytest.MonkeyPatch, rewritten: bool
+) -> None:
     disk, ident = SimStorage(), 0
     writer = Writer(disk, scan(disk), within(256 * 1024))
     writer.open()
--- a/tests/journal/test_torn.py
+++ b/tests/journal/test_torn.py
@@ -7,7 +7,7 @@
 import pytest
 
 from brassweir.journal import frame, recover
-from brassweir.journal.records import Intent, Record
+from brassweir.journal.records import Intent, Record, Taken
 from brassweir.journal.scan import Scan, scan, segment_name
 from brassweir.journal.writer import Writer
 from brassweir.lab.simulated import crash
@@ -43,18 +43,22 @@
     disk = SimStorage()
     life(disk, taken(1), taken(2, "key"), torn)
     size = len(frame.frame(3, torn))
-    disk.synced[FIRST] = disk.synced[FIRST][:-min(cut, size - 1)]
+    disk.synced[FIRST] = disk.synced[FIRST][: -min(cut, size - 1)]
     for more in (4, 5, 6):
         found = scan(disk)
         assert found.problems == [] and found.holes == [] and found.torn == size - min(cut, size - 1)
-        assert goes_on(found) == ([1, 2, *range(4, more)], []), "what was taken on and is untried is still tried"
+        assert goes_on(found) == ([1, 2, *range(4, more)], []), (
+            "what was taken on and is untried is still tried"
+        )
         life(disk, taken(more))
 
 
 @pytest.mark.parametrize("left", [0, 7, frame.HEADER - 1])
 @pytest.mark.parametrize("starts", [1, 3])
 @pytest.mark.parametrize("before", [[], [taken(1)]])
-def test_a_segment_that_got_no_whole_header_is_no_damage_either(before: list[Record], starts: int, left: int) -> None:
+def test_a_segment_that_got_no_whole_header_is_no_damage_either(
+    before: list[Taken], starts: int, left: int
+) -> None:
     disk = SimStorage()
     if before:
         life(disk, *before)
@@ -70,7 +74,7 @@
 
 
 def whole_record(data: bytes) -> bytes:
-    return data[:-len(frame.frame(2, Intent(1, 0, "e", 500.0)))]
+    return data[: -len(frame.frame(2, Intent(1, 0, "e", 500.0)))]
 
 
 def flipped(data: bytes) -> bytes:
@@ -79,7 +83,9 @@
 
 @pytest.mark.parametrize("spoil", [cut_record, whole_record, flipped])
 @pytest.mark.parametrize("more", [[], [taken(2)]])
-def test_what_was_whole_once_and_is_lost_is_damage(spoil: Callable[[bytes], bytes], more: list[Record]) -> None:
+def test_what_was_whole_once_and_is_lost_is_damage(
+    spoil: Callable[[bytes], bytes], more: list[Record]
+) -> None:
     """The next segment began behind it: an intent that is lost so must not be taken for one never written."""
     disk = SimStorage()
     life(disk, taken(1), Intent(1, 0, "e", 500.0))
--- a/tests/journal/test_windows.py
+++ b/tests/journal/test_windows.py
@@ -7,7 +7,7 @@
 import pytest
 
 from brassweir import interface as api
-from brassweir.core.ports import Answer, FinalAnswer, Outcome
+from brassweir.core.ports import Answer, FinalAnswer
 from brassweir.journal import recover
 from brassweir.journal.life import Lives
 from brassweir.journal.records import Ended, Intent, Record, Taken
@@ -17,8 +17,14 @@
 FIRST = 10_000.0  # wall ms at which the first attempt's intent was written
 
 
-def started(classes: tuple[api.MessageClass, ...], records: list[Record], ready: float, pause: float = 0.0,
-            turn: float = 0.0, prepare: Callable[[Slow], None] = lambda _: None) -> tuple[Slow, list[tuple[float, FinalAnswer]]]:
+def started(
+    classes: tuple[api.MessageClass, ...],
+    records: list[Record],
+    ready: float,
+    pause: float = 0.0,
+    turn: float = 0.0,
+    prepare: Callable[[Slow], None] = lambda _: None,
+) -> tuple[Slow, list[tuple[float, FinalAnswer]]]:
     """A process that reads ``records`` at ``ready``, takes ``pause`` until it carries its plan out and ``turn`` until
     the module's first turn after that; what it wrote and answered in the next 10 s."""
     lives = Lives()
@@ -51,22 +57,44 @@
 STEPS: dict[str, list[Record]] = {  # what is written when the process dies
     "intent": [taken(), INTENT],  # before its first byte, or after its last: nothing tells
     "reset": [taken(), INTENT, Ended(1, 0, "d1-0", "reset", FIRST + 100.0)],
-    "again": [taken(), INTENT, Ended(1, 0, "d1-0", "reset", FIRST + 100.0), Intent(1, 1, "d1-0", FIRST + 200.0)],
-    "unconnected first": [taken(), INTENT, Ended(1, 0, "d1-0", "no_connection", FIRST + 50.0), Intent(1, 1, "d1-0", FIRST + 200.0)],
+    "again": [
+        taken(),
+        INTENT,
+        Ended(1, 0, "d1-0", "reset", FIRST + 100.0),
+        Intent(1, 1, "d1-0", FIRST + 200.0),
+    ],
+    "unconnected first": [
+        taken(),
+        INTENT,
+        Ended(1, 0, "d1-0", "no_connection", FIRST + 50.0),
+        Intent(1, 1, "d1-0", FIRST + 200.0),
+    ],
 }
 
 
 @pytest.mark.parametrize("step", STEPS)
 @pytest.mark.parametrize("window", [1000.0, 2000.0])
-@pytest.mark.parametrize(("down", "pause", "turn", "connect"), [
-    (600.0, 0.0, 0.0, 1.0), (850.0, 0.0, 0.0, 1.0), (600.0, 300.0, 0.0, 1.0), (600.0, 0.0, 300.0, 1.0),
-    (600.0, 100.0, 100.0, 1.0), (600.0, 0.0, 0.0, 900.0), (1300.0, 0.0, 0.0, 1.0), (1300.0, 400.0, 350.0, 1.0),
-])
+@pytest.mark.parametrize(
+    ("down", "pause", "turn", "connect"),
+    [
+        (600.0, 0.0, 0.0, 1.0),
+        (850.0, 0.0, 0.0, 1.0),
+        (600.0, 300.0, 0.0, 1.0),
+        (600.0, 0.0, 300.0, 1.0),
+        (600.0, 100.0, 100.0, 1.0),
+        (600.0, 0.0, 0.0, 900.0),
+        (1300.0, 0.0, 0.0, 1.0),
+        (1300.0, 400.0, 350.0, 1.0),
+    ],
+)
 def test_a_repeat_goes_within_the_window_of_the_first_intent_or_not_at_all(
-        step: str, window: float, down: float, pause: float, turn: float, connect: float) -> None:
+    step: str, window: float, down: float, pause: float, turn: float, connect: float
+) -> None:
     records = STEPS[step]
     died = FIRST + (200.0 if len(records) > 3 else 100.0)
-    carrier, got = started((keyed(window),), records, died + down, pause, turn, lambda one: one.connects.append(connect))
+    carrier, got = started(
+        (keyed(window),), records, died + down, pause, turn, lambda one: one.connects.append(connect)
+    )
     first = FIRST + (200.0 if step == "unconnected first" else 0.0)
     at = died + down + pause + turn
     assert all(one <= first + window for one, _ in carrier.written), "written after the window"
@@ -103,8 +131,13 @@
 def test_what_may_not_be_repeated_goes_on_only_if_it_has_no_intent() -> None:
     pay = api.MessageClass("pay", 1500.0, 6000.0, api.Effect.UNSAFE)
     never: list[Record] = [taken("pay"), INTENT, Ended(1, 0, "d1-0", "no_connection", FIRST + 50.0)]
-    for records, answer in (([taken("pay")], Answer.DELIVERED), ([taken("pay"), INTENT], Answer.FAILED), (never, Answer.DELIVERED),
-                            ([*never, Intent(1, 1, "d1-1", FIRST + 90.0)], Answer.FAILED)):
+    cases: list[tuple[list[Record], Answer]] = [
+        ([taken("pay")], Answer.DELIVERED),
+        ([taken("pay"), INTENT], Answer.FAILED),
+        (never, Answer.DELIVERED),
+        ([*never, Intent(1, 1, "d1-1", FIRST + 90.0)], Answer.FAILED),
+    ]
+    for records, answer in cases:
         carrier, got = started((pay,), list(records), FIRST + 700.0)
         assert [one.answer for _, one in got] == [answer]
         assert len(carrier.written) == (answer is Answer.DELIVERED)
