Tests: guards of feeding, fetching and staleness are each seen when taken out

Six have a test now that fails without them; the last was said twice, and the one in on_chunk is gone (a pull does it).

--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -162,5 +162,4 @@
             return
         self.since = self.now
         if self.fetch is None:
-            self.take_early()
             self.pull_at = self.now
--- a/tests/agreed/test_feeding.py
+++ b/tests/agreed/test_feeding.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 
 from brassweir.agreed import messages as m
 from brassweir.agreed import timing
 from brassweir.agreed.core import Core
+from brassweir.agreed.facts import Received
+from brassweir.agreed.records import Identity, Kept
 from brassweir.agreed.reordering import Reordering
 from brassweir.lab.models.logworld import Weather
+from brassweir.lab.models.toys import Pile
 from tests.agreed.feedworld import FeedWorld
 
 
@@ -114,3 +119,40 @@
     world.lose(feeder, 100.0)
     world.version(1, 200)
     assert world.until(lambda: world.have(21, tuple(children)), 20_000.0) < timing.FEED_OLD
+
+
+def test_a_feeder_restored_from_an_old_copy_is_left_at_once() -> None:
+    world = FeedWorld(5, 30)
+    world.version(20, 200)
+    world.run(world.now + 8_000.0)
+    feeder = max(world.names[3:], key=lambda name: len(world.nodes[name].core.children))  # type: ignore[union-attr]
+    children = tuple(world.nodes[feeder].core.children)  # type: ignore[union-attr]
+    world.save(feeder)
+    world.version(20, 200)
+    assert world.until(lambda: world.have(40), 5_000.0) < 5_000.0
+    world.restore(feeder, 50.0)
+    world.cuts |= {(name, feeder) for name in world.names if name not in children}  # it learns nothing more
+    world.run(world.now + 1_500.0)
+    world.version(1, 200)
+    assert world.until(lambda: world.have(41, children), 20_000.0) < 2_000.0
+
+
+def test_a_leader_goes_back_once_for_one_gap() -> None:
+    world = FeedWorld(6, 0)
+    core = world.nodes[str(world.leader())].core
+    assert core is not None
+    progress = next(iter(core.progress.values()))
+    for back, following, at, expected in [(5, 9, 0.0, 5), (5, 9, 10.0, 9), (6, 9, 20.0, 6), (6, 9, 900.0, 6)]:
+        progress.next = following
+        core.now = world.now + at
+        core.go_back(progress, back)
+        assert progress.next == expected
+
+
+def test_a_copy_without_a_group_goes_down_a_full_tree() -> None:
+    kept = Kept(Identity("x" * 16, "", 1, 1))
+    core = Core("x", kept, Pile(), Random(1), 0.0, ("v1",))
+    core.step(1.0)
+    assert core.feeder == "v1"
+    core.step(2.0, [Received("v1", m.Envelope(1, "group", "a" * 16, 1, 7, m.Full(("l1",))))])
+    assert (core.identity.group, core.feeder) == ("group", "l1")
--- a/tests/agreed/test_fetching.py
+++ b/tests/agreed/test_fetching.py
@@ -125,6 +125,16 @@
     assert world.sent("Chunk", "l1") < 3.5 * pieces
 
 
+def test_a_fetch_that_gets_on_is_not_given_up_for_a_newer_snapshot() -> None:
+    core = FeedWorld(6, 1).nodes["l1"].core
+    assert core is not None
+    core.fetch_from("v1", 10, 99_000)
+    for wait, index in [(0.0, 10), (timing.FETCH_STILL - 1.0, 10), (2.0, 11)]:
+        core.now += wait
+        core.fetch_from("v1", 11, 99_000)
+        assert core.fetch is not None and core.fetch.index == index
+
+
 def test_a_snapshot_as_it_is_sent_is_forgotten_when_nobody_asks() -> None:
     world = filled(5, 6)
     world.lose("l1", 100.0)
--- a/tests/configstream/test_staleness.py
+++ b/tests/configstream/test_staleness.py
@@ -60,7 +60,7 @@
     name = {"learner": "l2", "leader": leader, "follower": follower}[cut_off]
     world.isolate(name, 20_000.0)
     world.watch(10_000.0, 500.0)
-    assert world.core(name).knowledge_age(world.now) > 9_000.0
+    assert world.core(name).knowledge_age(world.now) > 9_900.0
     assert not world.core(name).out_of_contact(world.now)
     world.run(world.now + 4_000.0)
     alone = world.core(name)
@@ -86,7 +86,9 @@
 def test_one_that_was_stopped_does_not_believe_what_it_finds() -> None:
     world = settled(8)
     world.stall("l1", 30_000.0)
+    world.propose(str(world.leader()))  # it finds this when it wakes, with a low age in it
     world.run(world.now + 30_000.5)
+    assert world.core("l1").newest_version() == 1 and world.core("l1").agreed > world.core("l1").applied
     assert world.core("l1").out_of_contact(world.now)
     world.run(world.now + 6_000.0)
     assert not world.core("l1").out_of_contact(world.now)
