--- a/brassweir/service/controlmachine.py
+++ b/brassweir/service/controlmachine.py
@@ -12,6 +12,7 @@
 from brassweir.observe.metrics import Metrics
 from brassweir.service.operations import Operations
 from brassweir.service.regionof import region_of
+from brassweir.service.runtime import measure_stalls
 from brassweir.service.together import Together
 from brassweir.service.watch import Observer
 from brassweir.service.wiring import limits
@@ -59,6 +60,7 @@
             host, _, port = self.config.sender.metrics.rpartition(":")
             said["metrics_port"] = await self.server.listen(host, int(port))
         said.update(await self.together.start())
+        self.tasks.append(asyncio.create_task(measure_stalls(self.metrics.stall)))
         if self.region is not None:
             self.region.look()
             self.tasks.append(asyncio.create_task(self.region.watch()))
