--- a/brassweir/cli/serving.py
+++ b/brassweir/cli/serving.py
@@ -24,7 +24,7 @@
 def serve_command(file: Path, plain_log: bool) -> None:
     """Run the sender that the settings in FILE describe, until SIGTERM or SIGINT."""
     try:
-        config = check(file)
+        config = check(file, edited=False)  # a bad edit must not keep a copy from starting
         log = set_up(config.sender.log_level, plain_log)
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
             runner.run(serve(file, log))
--- a/brassweir/service/checking.py
+++ b/brassweir/service/checking.py
@@ -19,11 +19,14 @@
 from brassweir.service.wiring import partnerships, settings
 
 
-def check(path: Path) -> Config | ControlConfig:
-    """Read all that a process would read at start. Raises ConfigError with every problem found."""
+def check(path: Path, edited: bool = True) -> Config | ControlConfig:
+    """Read all that a process would read at start; ``edited``: and the list that an operator edits, which is
+    read only when asked to. Raises ConfigError with every problem found."""
     config = load_settings(path)
     problems = _delivery(path, config) if isinstance(config, Config) else []
-    problems += _together(path, config) + _edited(path, config)
+    problems += _together(path, config)
+    if edited:
+        problems += _edited(path, config)
     if problems:
         raise ConfigError(problems)
     return config
--- a/tests/config/test_control.py
+++ b/tests/config/test_control.py
@@ -79,6 +79,7 @@
     assert len(found) == 1 and "endpoints.yaml:2: endpoints[0].url: " in found[0]
     (tmp_path / "endpoints.yaml").unlink()
     assert "No such file" in problems(path)[0]
+    assert isinstance(check(path, edited=False), ControlConfig), "a start does not read it"
 
 
 def test_a_sender_whose_list_comes_from_the_log_has_no_list_file(tmp_path: Path) -> None:
--- a/tests/service/test_configuration.py
+++ b/tests/service/test_configuration.py
@@ -189,6 +189,7 @@
     fleet.wait_in_force(first)
     for name in ("s2", "c2"):
         fleet.kill(name)
+    (fleet.home / "c2" / "list.yaml").write_text("half an edit: [")  # keeps nobody from starting
     fleet.publish(endpoints("a", "b", "c"))
     second = int(fleet.wait_edit("agreed")["version"])
     fleet.wait_in_force(second, ("c1", "s1"))
