--- a/brassweir/service/controlmachine.py
+++ b/brassweir/service/controlmachine.py
@@ -24,6 +24,8 @@
 class ControlMachine:
     """A running control machine. Made inside the loop that it will run on."""
 
+    waits = False  # for a first endpoint list
+
     def __init__(self, config: ControlConfig, base: Path, log: Any) -> None:
         """Wire everything together; paths count from ``base``. Raises ConfigError."""
         loop = asyncio.get_running_loop()
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -106,6 +106,7 @@
             side.open(self.engine)
         self.together = self._together(base)
         states = self.together.states if self.together is not None else {}
+        self.waits = False  # for a first endpoint list
         self.starting = "starting" if config.endpoints_in_log else ""
         plain = Plain(self.engine, self.list.numbers, self.metrics, self.clock, states, lambda: self.starting)
         self.plain = Server(plain.answer, bounds, self._complain)
@@ -177,7 +178,9 @@
         first = self.config.endpoints_in_log  # then the log is what the list comes from
         if first:
             said.update(await self._take_part())
+        self.waits = True
         await self.list.open()
+        self.waits = False
         if self.journal is not None:
             await recover(self.journal, self.list.numbers, self.engine, self._owing, self.log)
         for side in self.sides:
--- a/brassweir/service/serving.py
+++ b/brassweir/service/serving.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from brassweir.service.controlmachine import ControlMachine
 
+LOOK = 0.05  # seconds between two looks at a start that is to end
+
 
 def process_of(path: Path, log: Any) -> SenderProcess | ControlMachine:
     """What the settings are of: a sender or a control machine. Raises ConfigError."""
@@ -47,12 +49,13 @@
 
 
 async def _started(process: SenderProcess | ControlMachine, stop: asyncio.Task[Any]) -> None:
-    """Start, which may wait for the first endpoint list; an operator's stop ends the waiting."""
+    """Start; an operator's stop does not wait for a first endpoint list, and for all else of a start."""
     start = asyncio.ensure_future(process.start())
     await asyncio.wait({start, stop, process.broken}, return_when=asyncio.FIRST_COMPLETED)
-    if not start.done():
-        start.cancel()
-        await asyncio.wait({start})
+    while not start.done():
+        if process.waits:
+            start.cancel()
+        await asyncio.wait({start}, timeout=LOOK)
     if not start.cancelled():
         start.result()
 
