--- a/brassweir/lab/between/operator.py
+++ b/brassweir/lab/between/operator.py
@@ -76,11 +76,11 @@
     async def _edit(self, name: str, listed: EndpointList) -> Attempt:
         copy = self.rig.copy(name)
         attempt = Attempt(self.rig.now(), name, listed.digest(), listed.good, self._base(copy))
-        self.attempts.append(attempt)
         before = await self._shown(copy)
         run = copy.run
         if before is None or before["state"] == "proposing":
             return attempt
+        self.attempts.append(attempt)
         self.rig.list_file(name).write_text(listed.text(), encoding="utf-8")
         copy.reread()
         until = self.rig.now() + ENDS_WITHIN
