agreed: copies fed by a leader that is gone hear of the next one within 5 s

A copy that did not answer is now asked after others for 20 s; a learner without word of a leader for four pulls, and with nothing to give, takes no learner on and names the voters; only a copy that has never heard of a leader goes to the nearest voter, later ones draw.

--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -51,6 +51,7 @@
         self.hello_at = self.hello_until = self.found_at = 0.0
         self.agreeing, self.fresh = {}, {}
         self.children, self.sending, self.pacing = {}, {}, Pacing()
+        self.silent = {}
         self.ahead, self.early = Reordering(timing.WINDOW), Reordering(2 * timing.FEEDS)
         self.since, self.pull_at = now, now
         self.asked, self.confirms = Asked(f"{rng.getrandbits(64):016x}"), []
--- a/brassweir/agreed/feeding.py
+++ b/brassweir/agreed/feeding.py
@@ -42,6 +42,7 @@
 
     children: dict[str, Child]
     pacing: Pacing
+    pull_every = timing.PULL  # ms between pulls of one that has all
     word_at = -1e18  # when a leader surely led, by the feeders' word
 
     def age(self) -> float:
@@ -59,6 +60,9 @@
         if not self.identity.group:
             return
         self.children = {name: child for name, child in self.children.items() if child.until > self.now}
+        if sender not in self.children and self.is_stale() and message.first > self.agreed:
+            self.post(sender, Full(tuple(self.others())))  # nothing to give, and no leader in touch
+            return
         if not self.has_room(sender):
             names = self.nearest(sender, sorted(self.children), SUGGESTED)
             if self.role == LEADER:
@@ -78,6 +82,10 @@
                 return
         self.feed(sender, True)
 
+    def is_stale(self) -> bool:
+        """Is this a learner that has heard of no leader for a few pulls?"""
+        return not self.votes and self.age() > timing.STALE_PULLS * self.pull_every
+
     def has_room(self, sender: str) -> bool:
         """Is there a place for this learner?"""
         if sender in self.children or sender in self.log.membership.names():
--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -14,17 +14,18 @@
 from brassweir.agreed.state import ASKING, FOLLOWER, LEADER, LEARNER
 
 NO_TIME = float("inf")
+NEVER_HEARD = 1e15  # ms: an age above it means that no leader was heard yet
 
 
 class Learners(Fetching):
     """Being fed."""
 
     feeder = ""
-    pull_every = timing.PULL  # ms between pulls of one that has all
     since: float  # when it was chosen, or last brought a piece of a snapshot
     pull_at: float
     pulled_at = -1e18
     unanswered_since = NO_TIME  # when the first pull was sent that the feeder did not answer
+    silent: dict[str, float]  # copies that did not answer, and until when others come first
     gaps_at = -1e18  # when gaps were last asked for
     fed = 0  # messages with entries since the last pull
     early: Reordering[tuple[Entry, ...]]  # entries that came ahead of others
@@ -79,11 +80,21 @@
 
     def look_elsewhere(self) -> None:
         """Another feeder: a voter, or any copy if there is none known; after silence more often any."""
-        names = sorted({*self.log.membership.names(), *self.founders} - {self.name, self.feeder})
         silent = self.now - self.unanswered_since > timing.UNANSWERED
+        if silent:
+            self.silent = {name: until for name, until in self.silent.items() if until > self.now}
+            self.silent[self.feeder] = self.now + timing.SILENT
+        names = self.worth_asking(sorted({*self.log.membership.names(), *self.founders}))
         if not names or self.rng.random() < (0.5 if silent else 0.2):
-            names = [name for name in self.names if name not in (self.name, self.feeder)] or names
-        self.choose_feeder("".join(self.nearest(self.name, names, 1)) or self.feeder)
+            names = self.nearest(self.name, self.worth_asking(list(self.names)), 1) or names
+        # one that has just started goes to the nearest; later that may be the very one that is gone
+        drawn = self.nearest(self.name, names, len(names) if self.age() < NEVER_HEARD else 1)
+        self.choose_feeder(self.rng.choice(drawn) if drawn else self.feeder)
+
+    def worth_asking(self, names: list[str]) -> list[str]:
+        """These copies without this one, its feeder, and if others are left those that did not answer."""
+        names = [name for name in names if name not in (self.name, self.feeder)]
+        return [name for name in names if self.silent.get(name, 0.0) <= self.now] or names
 
     def choose_feeder(self, name: str) -> None:
         """Be fed by that copy."""
@@ -93,7 +104,7 @@
         """Go down the tree, or begin at its top again."""
         if sender != self.feeder:
             return
-        names = [name for name in message.names if name != self.name]
+        names = self.worth_asking(list(message.names))
         self.choose_feeder("".join(self.nearest(self.name, names, 1)))
         self.pull_at = self.now + timing.PULL_AGAIN * self.rng.random()
 
--- a/tests/configstream/test_nearness.py
+++ b/tests/configstream/test_nearness.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from brassweir.agreed import timing
 from brassweir.configstream.roster import distance
 from tests.configstream.ackworld import AckWorld, listed
@@ -34,3 +36,22 @@
                 world.lose(name)
             world.run(world.now + 8_000.0)
             assert all(world.core(name).newest_version() == 1 for name in zone)
+
+
+@pytest.mark.parametrize("seed, stopped", [(2, True), (3, False), (7, False)])
+def test_after_the_leader_went_all_hear_of_the_next_one_soon(seed: int, stopped: bool) -> None:
+    world = AckWorld(seed, 3, 97)
+    world.run(12_000.0)
+    old = str(world.leader())
+    if stopped:
+        world.stall(old, 30_000.0)
+    else:
+        world.crash(old, "kept", -1.0)
+    begin = world.now
+    while world.leader() in (None, old):
+        world.run(world.now + 50.0)
+    world.propose(str(world.leader()))
+    others = [name for name in world.names if name != old]
+    while not all(world.nodes[name].machine.taken for name in others):
+        world.run(world.now + 50.0)
+        assert world.now < begin + 6_000.0
