--- a/brassweir/agreed/core.py
+++ b/brassweir/agreed/core.py
@@ -58,8 +58,14 @@
         self.wanted, self.changing, self.strangers, self.readmitted = [], {}, {}, {}
         self.beat_at = now
         self.stepped = now
+        self.kept_agreed = kept.agreed
         self.follow(self.term, "")
 
+    @property
+    def recovered(self) -> bool:
+        """Is all carried out that the folder held as agreed at this start? Until then states are old ones."""
+        return self.applied >= self.kept_agreed
+
     def step(self, now: float, facts: Iterable[Fact] = ()) -> list[Step]:
         """Time and facts in, steps out. Raises nothing for whatever comes from the network."""
         if self.broken:
@@ -140,6 +146,8 @@
             times.append(self.hello_at)
         if not self.identity.group and self.founders[:1] == (self.name,):
             times.append(self.found_at)
+        if self.log.base.index <= self.applied < self.firm:
+            times.append(self.now)  # more is to be carried out
         if self.fetch is not None:
             times.append(self.fetch.at)
         times += [self.pull_at, self.pacing.next_time()]
