--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -47,6 +47,18 @@
     until: float
 
 
+@dataclass
+class Repeat:
+    """How long a leader keeps repeats of a proposal out of its log.
+
+    A copy that is slow to learn what came of its proposal repeats it, and each repeat in the log goes to all
+    copies. It is let in now and then, as the copy may have passed over the entry by a snapshot.
+    """
+
+    until: float
+    span: float
+
+
 @dataclass
 class Asked:
     """What this copy has asked for."""
@@ -64,6 +76,12 @@
     asked: Asked
     confirms: list[Confirm]
     beat_at: float
+    repeats: dict[tuple[str, int], Repeat]  # of proposals that this leader put into its log lately
+
+    def lead(self) -> None:
+        """Nothing was put into the log in this term."""
+        self.repeats = {}
+        super().lead()
 
     # Proposals
 
@@ -92,9 +110,19 @@
             self.post(self.leader, Forward(self.asked.session, seq, low, waiting.fact.command))
 
     def take_proposal(self, session: str, seq: int, low: int, command: bytes) -> None:
-        """A leader puts it into the log, unless it stands there."""
-        if (session, seq) not in self.queued and self.log.last - self.agreed < timing.MOST_UNAGREED:
-            self.add_entry(COMMAND, command, session, seq, low)
+        """A leader puts it into the log, unless it stands there without effect, or came there lately."""
+        key = (session, seq)
+        if key in self.queued or self.log.last - self.agreed >= timing.MOST_UNAGREED:
+            return
+        repeat = self.repeats.pop(key, None)
+        if repeat is not None and self.now < repeat.until:
+            self.repeats[key] = repeat
+            return
+        span = timing.PUT_AGAIN if repeat is None else 2.0 * repeat.span
+        self.repeats[key] = Repeat(self.now + span, span)
+        while len(self.repeats) > timing.MOST_REPEATS:
+            del self.repeats[next(iter(self.repeats))]
+        self.add_entry(COMMAND, command, session, seq, low)
 
     def on_forward(self, sender: str, message: Forward) -> None:
         """Take another copy's proposal, or pass it on."""
--- a/tests/agreed/test_world.py
+++ b/tests/agreed/test_world.py
@@ -5,6 +5,7 @@
 import pytest
 
 from brassweir.agreed.core import Core
+from brassweir.agreed.facts import How
 from brassweir.lab.models.logplan import draw, load, play, save, shrink, verdict
 from brassweir.lab.models.logworld import World
 from tests.agreed import faults
@@ -162,6 +163,20 @@
     assert world.leader() is not None
 
 
+def test_a_proposal_of_a_copy_that_hears_nothing_is_seldom_put_into_the_log_again() -> None:
+    world = settled(3, 1)
+    leader = world.nodes[world.leader() or ""].core
+    assert leader is not None
+    before = leader.log.last
+    world.deaf("l1", 5_000.0)
+    ticket = world.propose("l1", 20_000.0)
+    world.run(world.now + 4_500.0)
+    assert leader.log.last == before + 3  # at once, after 1 and after 3 s; not with each of nine repeats
+    world.run(world.now + 10_000.0)
+    outcome = world.judge.asks[ticket].outcome
+    assert outcome is not None and outcome.how is How.AGREED
+
+
 def test_340_copies_are_fed_by_a_tree_of_bounded_width() -> None:
     world = settled(5, 335)
     world.run(40_000.0)
