--- a/brassweir/configstream/checking.py
+++ b/brassweir/configstream/checking.py
@@ -11,11 +11,10 @@
 import msgspec
 
 from brassweir.configstream.catalog import Catalog, UnknownEntry
-from brassweir.configstream.delta import Delta, DeltaError, unpack
+from brassweir.configstream.delta import MOST_ENTRIES, Delta, DeltaError, unpack
 from brassweir.configstream.entries import EntryError, shown, validate
 
 MOST_REMOVED = 0.1  # of all entries, by one change without an operator's word
-MOST_SIZE = 100_000  # entries of a catalog
 MOST_LENGTH = 32 << 20  # bytes of a catalog's entries before compression
 
 _Count = Annotated[int, msgspec.Meta(ge=0, le=1 << 30)]
@@ -32,11 +31,11 @@
 
 
 class CheckError(ValueError):
-    """A change that must not be made: which field stands against it, and why."""
+    """A change that must not be made: which field stands against it, and why; the endpoint if it is one's."""
 
-    def __init__(self, field: str, why: str) -> None:
+    def __init__(self, field: str, why: str, endpoint: str = "") -> None:
         super().__init__(f"{field}: {why}")
-        self.field, self.why = field, why
+        self.field, self.why, self.endpoint = field, why, endpoint
 
 
 def check(catalog: Catalog, delta: Delta, confirmation: Confirmation = UNCONFIRMED) -> Catalog:
@@ -46,7 +45,7 @@
         try:
             validate(entry)
         except EntryError as error:
-            raise CheckError("entry", str(error)) from None
+            raise CheckError("entry", str(error), entry.name) from None
     try:
         made = catalog.advance(delta.changed, delta.removed)
     except UnknownEntry as error:
@@ -62,7 +61,7 @@
     try:
         delta = unpack(body)
     except EntryError as error:
-        raise CheckError("entry", str(error)) from None
+        raise CheckError("entry", str(error), error.name) from None
     except DeltaError as error:
         raise CheckError(error.field, str(error)) from None
     return check(catalog, delta, confirmation)
@@ -72,13 +71,13 @@
     seen: set[str] = set()
     for name in (*(entry.name for entry in delta.changed), *delta.removed):
         if name in seen:
-            raise CheckError("name", f"endpoint {shown(name)} stands more than once")
+            raise CheckError("name", f"endpoint {shown(name)} stands more than once", name)
         seen.add(name)
 
 
 def _check_size(catalog: Catalog) -> None:
-    if catalog.size > MOST_SIZE:
-        raise CheckError("size", f"{catalog.size} endpoints; {MOST_SIZE} are the most")
+    if catalog.size > MOST_ENTRIES:
+        raise CheckError("size", f"{catalog.size} endpoints; {MOST_ENTRIES} are the most")
     if catalog.length > MOST_LENGTH:
         raise CheckError("size", f"{catalog.length} bytes of endpoints; {MOST_LENGTH} are the most")
 
--- a/brassweir/configstream/delta.py
+++ b/brassweir/configstream/delta.py
@@ -4,6 +4,7 @@
 
 import zlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
@@ -11,23 +12,27 @@
 from brassweir.configstream.catalog import EMPTY, Catalog
 from brassweir.configstream.entries import Entry, EntryError, locate, shown
 
+MOST_ENTRIES = 100_000  # changed, and as many removed: counted before any of them is read
 MOST_UNPACKED = 40 << 20  # bytes: above a whole catalog's (checking.MOST_LENGTH) and the names it removes
 COMPRESSION = 6  # of 9: packed once, sent to every copy
 
 
 class DeltaError(ValueError):
-    """Bytes that are no delta. ``field`` says what of it."""
+    """What is no delta: which field of it is wrong, and the endpoint if it is one's."""
 
-    def __init__(self, why: str, field: str = "body") -> None:
+    def __init__(self, why: str, field: str = "body", endpoint: str = "") -> None:
         super().__init__(why)
-        self.field = field
+        self.field, self.endpoint = field, endpoint
+
+
+_Bounded = msgspec.Meta(max_length=MOST_ENTRIES)
 
 
 class Delta(msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True):
     """Entries that are new or other than before, and names of those that are there no more."""
 
-    changed: tuple[Entry, ...] = ()
-    removed: tuple[str, ...] = ()
+    changed: Annotated[tuple[Entry, ...], _Bounded] = ()
+    removed: Annotated[tuple[str, ...], _Bounded] = ()
 
     def __bool__(self) -> bool:
         return bool(self.changed or self.removed)
@@ -35,7 +40,9 @@
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Delta)
-_loose = msgspec.msgpack.Decoder(tuple[list[msgspec.Raw], list[str]])
+_loose = msgspec.msgpack.Decoder(
+    tuple[Annotated[list[msgspec.Raw], _Bounded], Annotated[list[str], _Bounded]]
+)
 _entry = msgspec.msgpack.Decoder(Entry)
 
 
@@ -75,7 +82,7 @@
     fresh: dict[str, Entry] = {}
     for entry in new:
         if entry.name in fresh:
-            raise DeltaError(f"endpoint {shown(entry.name)} stands more than once", "name")
+            raise DeltaError(f"endpoint {shown(entry.name)} stands more than once", "name", entry.name)
         fresh[entry.name] = entry
     removed = []
     for entry in old.entries():
