Agreed log: repeats of a proposal back off, and go to a new leader at once

A learner that lagged under loss sent 64 open pieces of 5.6 KB twice a second (1.4 MB in 5 s; trial of 30 copies, a fifth lost).

--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -24,6 +24,8 @@
     fact: Propose
     again: float
     sent: bool = False  # from here on it may come into a log somewhere
+    sent_to: str = ""  # the leader that it was brought to last
+    span: float = timing.RETRY  # ms until it is brought to the same leader again
 
 
 @dataclass
@@ -100,7 +102,10 @@
     def try_open(self, seq: int) -> None:
         """Bring it to the leader, if one is known."""
         waiting = self.asked.open[seq]
-        waiting.again = self.now + timing.RETRY
+        if self.leader != waiting.sent_to:
+            waiting.span = timing.RETRY
+        waiting.again, waiting.sent_to = self.now + waiting.span, self.leader
+        waiting.span = min(timing.RETRY_MOST, 2.0 * waiting.span) if self.leader else timing.RETRY
         low = min(self.asked.open) if self.asked.known else 1
         if self.role == LEADER:
             waiting.sent = True
@@ -164,7 +169,7 @@
                     self.tell(waiting.fact.ticket, How.UNKNOWN, why="not agreed in time; it may still come")
                 else:
                     self.tell(waiting.fact.ticket, How.REFUSED, why="no leader is known")
-            elif self.now >= waiting.again:
+            elif self.now >= waiting.again or self.leader not in ("", waiting.sent_to):
                 self.try_open(seq)
 
     # Reads
--- a/brassweir/agreed/timing.py
+++ b/brassweir/agreed/timing.py
@@ -7,7 +7,10 @@
 STALL = 1_000.0  # ms between two steps from which on a member takes itself for the one that was away
 ASK_AGAIN = 150.0  # ms before voters that did not answer are asked again: rides out lost messages
 RESEND = 400.0  # ms without an answer before entries go out again: above a round of 200 ms late messages
-RETRY = 500.0  # ms between two tries to bring a proposal to a leader
+RETRY = 500.0  # ms between the first two tries to bring a proposal to a leader, doubled with each
+RETRY_MOST = (
+    4_000.0  # ms between two tries at most: a copy that lags must not send 64 open pieces twice a second
+)
 PUT_AGAIN = 1_000.0  # ms a leader keeps a repeat of a proposal out of its log, doubled with each it lets in
 MOST_REPEATS = 1_024  # proposals of which a leader knows that: four copies' worth of open ones
 HELLO = 300.0  # ms between two questions what the others remember
--- a/brassweir/lab/models/configworld.py
+++ b/brassweir/lab/models/configworld.py
@@ -175,7 +175,7 @@
         leader = self.leader()
         core = self.nodes[leader].core if leader is not None else None
         if isinstance(core, ConfiguredCore):
-            self.weigh(core.in_force())
+            self.weigh(core.in_force(self.now))
 
     def weigh(self, view: FleetView) -> None:
         """A view counts in force those copies that it does not name as behind or unheard of."""
