Agreed log: messages that came early count towards confirming a learner's window

So the feeder's window stayed full and held back the next entry, the commit, until the learner's pull 0.8 to 2 s later. New test_feed_window: 8 fail before, pass after; test_world, test_feeding, test_fetching, test_model, test_acknowledge pass.

--- a/brassweir/agreed/learners.py
+++ b/brassweir/agreed/learners.py
@@ -25,7 +25,7 @@
     pulled_at = -1e18
     unanswered_since = NO_TIME  # when the first pull was sent that the feeder did not answer
     gaps_at = -1e18  # when gaps were last asked for
-    fed = 0  # messages with entries since the last pull
+    fed = 0  # messages with entries that came and that no pull has confirmed
     early: Reordering[tuple[Entry, ...]]  # entries that came ahead of others
 
     def tend_pull(self) -> None:
@@ -59,7 +59,7 @@
             self.post(self.feeder, Pull(first, last))
         if gaps:
             self.gaps_at = self.now
-        self.pulled_at, self.fed = self.now, 0
+        self.pulled_at, self.fed = self.now, len(self.early.kept)
         self.unanswered_since = min(self.unanswered_since, self.now)
 
     def gaps_due(self) -> float:
@@ -112,13 +112,13 @@
             self.word_at = max(self.word_at, self.now - message.age)
             self.pull_at = self.now + timing.PULL * (0.5 + 0.5 * self.rng.random())
             self.leader = message.leader
+        self.fed += 1 if message.entries else 0
         if message.first > self.agreed + 1:
             self.keep_early(message)
             return
         if self.role == ASKING and message.commit > self.agreed:  # it may ask for what it was removed from
             self.follow(self.term, "")
         self.take_fed(message.first, message.entries)
-        self.fed += 1 if message.entries else 0
         if message.commit > self.agreed or self.fed >= timing.FEEDS // 2:
             self.pull_at = min(self.pull_at, max(self.now, self.pulled_at + timing.PULL_NEXT))
 
