--- a/brassweir/service/together.py
+++ b/brassweir/service/together.py
@@ -13,7 +13,7 @@
 
 from brassweir.config.copies import agreed_folder, own_entry, read_copies
 from brassweir.config.load import ConfigError
-from brassweir.config.model import Config, CopyModel
+from brassweir.config.model import CopyConfig, CopyModel
 from brassweir.observe.metrics import Metrics
 from brassweir.peers.copies import Copy
 from brassweir.peers.port import PeerPort
@@ -22,6 +22,7 @@
 
 if TYPE_CHECKING:
     from brassweir.service.agreedside import AgreedSide
+    from brassweir.service.following import Follower
 
 
 class Together:
@@ -29,13 +30,15 @@
 
     def __init__(
         self,
-        config: Config,
+        config: CopyConfig,
         base: Path,
         region: Region | None,
         metrics: Metrics,
         note: Callable[[str, dict[str, object]], None],
+        follower: Follower | None = None,
     ) -> None:
-        """Raises ConfigError with all that is wrong with the files that copies share."""
+        """``follower``: what puts versions of the endpoint configuration in force here, if anything does.
+        Raises ConfigError with all that is wrong with the files that copies share."""
         assert config.peers is not None
         self.config, self.base, self.note = config, base, note
         self.copies, keys = self._read(config)
@@ -49,11 +52,17 @@
         if config.agreed is not None:
             from brassweir.service.agreedside import AgreedSide
 
-            self.agreed = AgreedSide(config, base, self.me, self.copies, self.port, region, note)
+            self.agreed = AgreedSide(config, base, self.me, self.copies, self.port, region, note, follower)
             self.states["/agreed"] = self.agreed.state
             metrics.read_from("brassweir_agreed", "The agreed log as this copy sees it", self.agreed.counts)
-
-    def _read(self, config: Config) -> tuple[tuple[CopyModel, ...], list[bytes]]:
+            configuration = self.agreed.configuration
+            if configuration is not None:
+                self.states["/configuration"] = configuration.state
+                metrics.read_from(
+                    "brassweir_configuration", "The endpoint configuration as seen here", configuration.counts
+                )
+
+    def _read(self, config: CopyConfig) -> tuple[tuple[CopyModel, ...], list[bytes]]:
         """The copies' file and the keys. Raises ConfigError, all problems at once."""
         assert config.peers is not None
         problems: list[str] = []
@@ -80,7 +89,7 @@
             await self.agreed.start()
         return said
 
-    def reload(self, config: Config) -> None:
+    def reload(self, config: CopyConfig) -> None:
         """An operator asks: copies, keys, voters and the next epoch are read again. What is bad changes
         nothing."""
         if config.sender.name != self.me.name or config.peers is None:
