--- a/brassweir/lab/models/logplan.py
+++ b/brassweir/lab/models/logplan.py
@@ -181,7 +181,7 @@
         play(plan, core)
     except Broken as error:
         return str(error)
-    except AssertionError as error:
+    except (AssertionError, LookupError) as error:
         return f"core: {error}"
     return ""
 
