--- a/brassweir/lab/models/configplan.py
+++ b/brassweir/lab/models/configplan.py
@@ -120,14 +120,14 @@
 
 
 def control_gone(world: World) -> None:
-    """The control machine that leads is gone, and does not come back."""
+    """The control machine that leads is gone shortly before a change is submitted, and does not come back."""
 
     def end() -> None:
         leader = world.leader()
         if leader is not None:
             world.crash(leader, -1.0)
 
-    world.at(world.now + FAULT_AT, end)
+    world.at(world.now + EVERY + 5_500.0, end)
 
 
 ROUGH = Weather(loss=0.2, late=200.0)
