--- a/benchmarks/configuration.py
+++ b/benchmarks/configuration.py
@@ -10,6 +10,7 @@
 import resource
 import sys
 import time
+from collections.abc import Sequence
 from random import Random
 
 import msgspec
@@ -18,7 +19,7 @@
 from brassweir.lab.models.configbaseline import Way
 from brassweir.lab.models.configfleet import COPIES, ENTRIES
 from brassweir.lab.models.configjudge import List
-from brassweir.lab.models.configplan import CASES, CHANGES, Setting, next_list, play, setting
+from brassweir.lab.models.configplan import CASES, CHANGES, LARGE, Setting, next_list, play, setting
 from brassweir.lab.models.configreport import CaseReport, Spread, report
 from brassweir.lab.models.logjudge import Broken
 
@@ -40,6 +41,7 @@
 
     cases: list[Played]
     baseline: list[Way]
+    baseline_small: list[Way]  # without the large change
 
 
 def played(name: str, given: Setting, seed: int) -> Played:
@@ -54,10 +56,10 @@
     return Played(name, made, broken, time.perf_counter() - begun, memory)
 
 
-def baseline(given: Setting, seed: int) -> list[Way]:
-    """The same ten changes, by whole lists and by differences."""
+def baseline(given: Setting, seed: int, numbers: Sequence[int]) -> list[Way]:
+    """The same changes, by whole lists and by differences."""
     rng, edited, lists = Random(f"changes {seed}"), given.entries, list[List]()
-    for number in range(CHANGES):
+    for number in numbers:
         edited = next_list(edited, number, rng)
         lists.append(edited)
     return configbaseline.compare(given.founding, lists)
@@ -115,18 +117,22 @@
     parser.add_argument("--json", action="store_true")
     options = parser.parse_args()
     given = setting(options.copies, options.entries)
-    run = Run([], [])
+    run = Run([], [], [])
     for name in options.case or CASES:
         run.cases.append(played(name, given, options.seed))
         if not options.json:
             print_case(run.cases[-1])
             sys.stdout.flush()
-    run.baseline = baseline(given, options.seed)
+    run.baseline = baseline(given, options.seed, range(CHANGES))
+    run.baseline_small = baseline(given, options.seed, [one for one in range(CHANGES) if one != LARGE])
     if options.json:
         print(msgspec.json.format(msgspec.json.encode(run), indent=1).decode())
     else:
         for one in run.baseline:
             print_way(one)
+        print("without the large change")
+        for one in run.baseline_small:
+            print_way(one)
     sys.exit(1 if any(one.broken for one in run.cases) else 0)
 
 
