--- a/brassweir/agreed/replication.py
+++ b/brassweir/agreed/replication.py
@@ -72,15 +72,20 @@
     def send_news(self) -> None:
         """Entries, and what is agreed, for whoever lacks them."""
         for name, p in self.progress.items():
-            if p.next <= self.log.last and p.out < timing.WINDOW or p.agreed < min(self.agreed, p.match):
+            if p.next <= self.log.last and p.out < self.window(p) or p.agreed < min(self.agreed, p.match):
                 self.send_to(name, False)
 
+    def window(self, p: Progress) -> int:
+        """Messages with entries that may be out to a copy: one, as a probe, if it has long been silent."""
+        return timing.WINDOW if self.now - p.heard < timing.ELECT else 1
+
     def send_to(self, name: str, always: bool) -> None:
         """As many messages as the window allows, one at least if ``always``."""
         p = self.progress[name]
         if p.out and self.now - p.sent >= timing.RESEND:
             p.out, p.next = 0, p.match + 1
-        if p.out >= timing.WINDOW:
+        window = self.window(p)
+        if p.out >= window:
             p.next, always = min(p.next, self.log.last + 1), True
         while True:
             prev = p.next - 1
@@ -90,7 +95,7 @@
                     p.agreed, p.sent = self.agreed, self.now
                     self.offer(name, self.term, self.round)
                 return
-            entries = self.log.some(p.next, self.log.last) if p.out < timing.WINDOW else ()
+            entries = self.log.some(p.next, self.log.last) if p.out < window else ()
             if not entries and not always and p.agreed >= min(self.agreed, p.match):
                 return
             acks = self.acks() if p.agreed < self.agreed or self.round % timing.ACKS_EVERY == 0 else ()
