--- a/brassweir/agreed/asking.py
+++ b/brassweir/agreed/asking.py
@@ -24,6 +24,8 @@
     fact: Propose
     again: float
     sent: bool = False  # from here on it may come into a log somewhere
+    sent_to: str = ""  # the leader that it was brought to last
+    span: float = timing.RETRY  # ms until it is brought to the same leader again
 
 
 @dataclass
@@ -47,6 +49,18 @@
     until: float
 
 
+@dataclass
+class Repeat:
+    """How long a leader keeps repeats of a proposal out of its log.
+
+    A copy that is slow to learn what came of its proposal repeats it, and each repeat in the log goes to all
+    copies. It is let in now and then, as the copy may have passed over the entry by a snapshot.
+    """
+
+    until: float
+    span: float
+
+
 @dataclass
 class Asked:
     """What this copy has asked for."""
@@ -64,6 +78,12 @@
     asked: Asked
     confirms: list[Confirm]
     beat_at: float
+    repeats: dict[tuple[str, int], Repeat]  # of proposals that this leader put into its log lately
+
+    def lead(self) -> None:
+        """Nothing was put into the log in this term."""
+        self.repeats = {}
+        super().lead()
 
     # Proposals
 
@@ -82,7 +102,10 @@
     def try_open(self, seq: int) -> None:
         """Bring it to the leader, if one is known."""
         waiting = self.asked.open[seq]
-        waiting.again = self.now + timing.RETRY
+        if self.leader != waiting.sent_to:
+            waiting.span = timing.RETRY
+        waiting.again, waiting.sent_to = self.now + waiting.span, self.leader
+        waiting.span = min(timing.RETRY_MOST, 2.0 * waiting.span) if self.leader else timing.RETRY
         low = min(self.asked.open) if self.asked.known else 1
         if self.role == LEADER:
             waiting.sent = True
@@ -92,9 +115,19 @@
             self.post(self.leader, Forward(self.asked.session, seq, low, waiting.fact.command))
 
     def take_proposal(self, session: str, seq: int, low: int, command: bytes) -> None:
-        """A leader puts it into the log, unless it stands there."""
-        if (session, seq) not in self.queued and self.log.last - self.agreed < timing.MOST_UNAGREED:
-            self.add_entry(COMMAND, command, session, seq, low)
+        """A leader puts it into the log, unless it stands there without effect, or came there lately."""
+        key = (session, seq)
+        if key in self.queued or self.log.last - self.agreed >= timing.MOST_UNAGREED:
+            return
+        repeat = self.repeats.pop(key, None)
+        if repeat is not None and self.now < repeat.until:
+            self.repeats[key] = repeat
+            return
+        span = timing.PUT_AGAIN if repeat is None else 2.0 * repeat.span
+        self.repeats[key] = Repeat(self.now + span, span)
+        while len(self.repeats) > timing.MOST_REPEATS:
+            del self.repeats[next(iter(self.repeats))]
+        self.add_entry(COMMAND, command, session, seq, low)
 
     def on_forward(self, sender: str, message: Forward) -> None:
         """Take another copy's proposal, or pass it on."""
@@ -136,7 +169,7 @@
                     self.tell(waiting.fact.ticket, How.UNKNOWN, why="not agreed in time; it may still come")
                 else:
                     self.tell(waiting.fact.ticket, How.REFUSED, why="no leader is known")
-            elif self.now >= waiting.again:
+            elif self.now >= waiting.again or self.leader not in ("", waiting.sent_to):
                 self.try_open(seq)
 
     # Reads
