--- /dev/null
+++ b/benchmarks/capacity/probes/__init__.py
@@ -0,0 +1,21 @@
+"""The probes: each module has ``FIGURES`` and ``measure(point, seconds)``, and stands once in ``PROBES``."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+from benchmarks.capacity.measurement import Figure, Measurement, Point
+from benchmarks.capacity.probes import peers
+
+
+class Probe(Protocol):
+    """A module of this package."""
+
+    FIGURES: tuple[Figure, ...]
+
+    def measure(self, point: Point, seconds: float) -> list[Measurement]:
+        """Measure its figures at a point, in about that many seconds; run in a process of its own."""
+        ...
+
+
+PROBES: tuple[tuple[str, Probe], ...] = (("peers", peers),)
--- /dev/null
+++ b/benchmarks/capacity/tables.py
@@ -0,0 +1,112 @@
+"""Each table of docs/CAPACITY.md, as Markdown."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from functools import partial
+
+from benchmarks.capacity.measurement import TARGET, Figure, Kind, Role
+from benchmarks.capacity.predict import Model
+
+NO_DATA = "no data"
+
+
+def table(heads: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    """Markdown, with a blank line on both sides."""
+    lines = [heads, ["---"] * len(heads), *rows]
+    return "\n" + "\n".join("| " + " | ".join(line) + " |" for line in lines) + "\n"
+
+
+def number(value: float) -> str:
+    """Three significant digits, without an exponent."""
+    if value == 0.0:
+        return "0"
+    if abs(value) >= 1_000.0:
+        digits = len(str(int(abs(value)))) - 3
+        return f"{round(value, -digits):,.0f}"
+    return f"{value:.3g}" if abs(value) >= 0.001 else f"{value:.2g}"
+
+
+def value_of(model: Model, figure: Figure) -> float | None:
+    """At the target, if there are data."""
+    try:
+        return model.value(figure.name, TARGET)
+    except KeyError:
+        return None
+
+
+def role_table(role: Role, model: Model) -> str:
+    """What one role pays at the target, beside its budgets."""
+    rows = []
+    for figure in model.figures.values():
+        if figure.role is role:
+            need = value_of(model, figure)
+            rows.append(
+                [
+                    f"`{figure.name}`",
+                    figure.what,
+                    NO_DATA if need is None else f"{number(need)} {figure.unit}",
+                    "" if figure.budget is None else f"{number(figure.budget)} {figure.unit}",
+                    _origin(figure),
+                    figure.mechanism,
+                ]
+            )
+    return table(["figure", "what", "at the target", "budget", "how known", "carried by"], rows)
+
+
+def _origin(figure: Figure) -> str:
+    if figure.kind is Kind.DERIVED:
+        return f"derived: `{figure.formula}`"
+    return f"{figure.kind.value}, by {', '.join(f'`{term}`' for term in figure.terms)}"
+
+
+def ratios(model: Model) -> str:
+    """Need over budget of each figure with a budget, the worst first."""
+    found = []
+    for figure in model.figures.values():
+        need = value_of(model, figure)
+        if figure.budget is not None and need is not None:
+            found.append((need / figure.budget, need, figure.budget, figure))
+    found.sort(key=lambda row: (-row[0], row[3].name))
+    rows = [
+        [number(ratio), f"`{figure.name}`", figure.role.value, figure.what]
+        + [f"{number(need)} {figure.unit}", f"{number(budget)} {figure.unit}", figure.mechanism]
+        for ratio, need, budget, figure in found
+    ]
+    return table(["need/budget", "figure", "role", "what", "need", "budget", "carried by"], rows)
+
+
+def fits(model: Model) -> str:
+    """Each fit's slopes and residuals."""
+    rows = []
+    for fit in model.fits.values():
+        pairs = zip(fit.coefficients, fit.figure.terms, strict=True)
+        slopes = " + ".join(f"{number(slope)} {term}".replace(" 1", "") for slope, term in pairs)
+        rows.append(
+            [f"`{fit.figure.name}`", fit.figure.unit, slopes, str(fit.points)]
+            + [f"{fit.rms:.1%}", f"{fit.most:.1%}"]
+        )
+    return table(["figure", "unit", "fitted", "measurements", "residual rms", "most"], rows)
+
+
+def checks(model: Model) -> str:
+    """Points that were not fitted, beside their prediction."""
+    rows = []
+    for check in model.checks():
+        found = check.measurement
+        point = found.point
+        place = f"{point.senders} senders, {point.destinations:,} destinations"
+        place += f", {point.down:.1%} down" if point.down else ""
+        place += f", backlog {point.backlog:,}" if point.backlog else ""
+        rows.append(
+            [f"`{found.figure}`", place, number(found.value), number(check.predicted), f"{check.error:.1%}"]
+        )
+    return table(["figure", "at", "measured", "predicted", "error"], rows)
+
+
+TABLES: dict[str, Callable[[Model], str]] = {
+    "ratios": ratios,
+    "fits": fits,
+    "checks": checks,
+    **{f"role {role.value}": partial(role_table, role) for role in Role},
+}
--- /dev/null
+++ b/benchmarks/capacity/target.py
@@ -0,0 +1,26 @@
+"""The size and the budgets that the operators name, under the names that formulas use."""
+
+from __future__ import annotations
+
+from benchmarks.capacity.measurement import TARGET, Point
+
+MEMORY = 64.0  # MB of control memory at a sender
+CPU = 0.026  # cores that a sender spends on control
+BYTES = 27_000.0  # bytes a second that a sender spends on control
+IN_FORCE = 11.0  # seconds from a change to its being in force everywhere
+
+CONSTANTS: dict[str, float] = {
+    "events_per_second": 110_000.0,
+    "backlog_events": 7_300_000_000.0,
+    "changes_per_day": 1_200.0,
+    "restarts_per_day": 59.0,
+    "zone_senders": 49.0,
+    "call_interval": 300.0,  # seconds between two calls of one sender to one destination
+    "day": 86_400.0,
+}
+
+
+def constants(point: Point = TARGET) -> dict[str, float]:
+    """All names but those of figures."""
+    sizes = {"senders": float(point.senders), "destinations": float(point.destinations), "down": point.down}
+    return {**CONSTANTS, **sizes, "backlog": float(point.backlog)}
