Capacity probes: agreed log, whole lists as today, and hollow senders over loopback

Each role's cost needs a probe of the real code. agreed_log runs the cores with learners on the simulated network and counts bytes at both ends; lists reads one change of a whole list in JSON lines and YAML; hollow runs real ports, members and folders of many copies in one process. A figure now needs four sizes along each axis it names.

--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -77,13 +77,11 @@
 
 
 def _require_sizes(figure: Figure, points: Sequence[Point]) -> None:
-    """No term without four sizes along each axis that it depends on."""
-    for term in figure.terms:
-        if term not in TERMS:
-            raise FitError(f"{figure.name}: no term {term!r}")
-        for axis in TERMS[term].axes:
-            sizes = {point.along(axis) for point in points}
-            if len(sizes) < SIZES:
-                raise FitError(
-                    f"{figure.name}: term {term} needs {SIZES} sizes of {axis.value}, there are {len(sizes)}"
-                )
+    """No figure without four sizes along each axis that it, or one of its terms, depends on."""
+    unknown = [term for term in figure.terms if term not in TERMS]
+    if unknown:
+        raise FitError(f"{figure.name}: no term {unknown[0]!r}")
+    for axis in {*figure.axes, *(axis for term in figure.terms for axis in TERMS[term].axes)}:
+        sizes = len({point.along(axis) for point in points})
+        if sizes < SIZES:
+            raise FitError(f"{figure.name} needs {SIZES} sizes of {axis.value}, there are {sizes}")
--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from benchmarks.capacity.measurement import Figure, Measurement, Point
-from benchmarks.capacity.probes import peers
+from benchmarks.capacity.probes import agreed_log, hollow, lists, peers
 
 
 class Probe(Protocol):
@@ -18,4 +18,9 @@
         ...
 
 
-PROBES: tuple[tuple[str, Probe], ...] = (("peers", peers),)
+PROBES: tuple[tuple[str, Probe], ...] = (
+    ("peers", peers),
+    ("agreed_log", agreed_log),
+    ("hollow", hollow),
+    ("lists", lists),
+)
--- /dev/null
+++ b/benchmarks/capacity/probes/lists.py
@@ -0,0 +1,160 @@
+"""What a change of the endpoint list costs a sender today: the whole list, read, checked and compared again."""
+
+from __future__ import annotations
+
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Callable, Sequence
+from pathlib import Path
+
+import msgspec
+
+from benchmarks.capacity.measurement import Axis, Figure, Kind, Measurement, Point, Role
+from benchmarks.capacity.target import BYTES, CPU
+from brassweir.config import lines
+from brassweir.config.load import load
+from brassweir.config.model import EndpointList
+from brassweir.destinations.intake import Intake
+from brassweir.interface import EndpointInfo, State
+
+AXES = (Axis.DESTINATIONS,)
+MOST_YAML = 3_000  # entries of a YAML list that are read: some two seconds
+MISSING = "missing: whole lists, from outside the program"
+
+
+def _figure(name: str, unit: str, what: str, terms: tuple[str, ...] = ("1", "D")) -> Figure:
+    return Figure(name, unit, Role.SENDER, what, AXES, terms, Kind.MEASURED, mechanism=MISSING)
+
+
+LINES_BYTES = _figure("list_lines_bytes", "bytes", "a list in JSON lines, one endpoint a destination")
+LINES_CPU = _figure("list_lines_cpu", "s", "one change of it: read, checked, compared")
+LINES_MEMORY = _figure(
+    "list_lines_memory", "MB", "one change of it: the most that is held besides what was known"
+)
+YAML_BYTES = _figure("list_yaml_bytes", "bytes", "a list in YAML")
+YAML_CPU = _figure("list_yaml_cpu", "s", "one change of it")
+YAML_MEMORY = _figure(
+    "list_yaml_memory", "MB", "one change of it: the most that is held besides what was known"
+)
+
+
+def _share(name: str, unit: str, what: str, each: str, budget: float) -> Figure:
+    formula = f"{each} * changes_per_day / day"
+    return Figure(
+        name, unit, Role.SENDER, what, kind=Kind.DERIVED, budget=budget, formula=formula, mechanism=MISSING
+    )
+
+
+FIGURES: tuple[Figure, ...] = (
+    LINES_BYTES,
+    LINES_CPU,
+    LINES_MEMORY,
+    YAML_BYTES,
+    YAML_CPU,
+    YAML_MEMORY,
+    _share(
+        "list_lines_rate", "bytes/s", "whole lists in JSON lines at each change", "list_lines_bytes", BYTES
+    ),
+    _share("list_lines_share", "cores", "reading whole lists in JSON lines", "list_lines_cpu", CPU),
+    _share("list_yaml_rate", "bytes/s", "whole lists in YAML at each change", "list_yaml_bytes", BYTES),
+    _share("list_yaml_share", "cores", "reading whole lists in YAML", "list_yaml_cpu", CPU),
+)
+
+
+def entries(count: int) -> list[lines.Entry]:
+    """One endpoint for each destination."""
+    return [
+        lines.Entry(
+            f"e{number:05d}-a",
+            f"http://10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080/in",
+            destination=f"destination {number:05d}",
+            kind="plain",
+            zone=f"z{number % 10}",
+            rate=25.0,
+        )
+        for number in range(count)
+    ]
+
+
+def infos(listed: Sequence[lines.Entry]) -> list[EndpointInfo]:
+    """As the decision module is told them."""
+    return [
+        EndpointInfo(one.name, number, one.kind, one.zone, State(one.state), one.rate)
+        for number, one in enumerate(listed)
+    ]
+
+
+def measure(point: Point, seconds: float) -> list[Measurement]:
+    """One change of a list of that length in each form. Bounded by the length, not by ``seconds``."""
+    known = entries(point.destinations)
+    with tempfile.TemporaryDirectory() as folder:
+        found = _lines(Path(folder) / "list.jsonl", known, point)
+        if point.destinations <= MOST_YAML:
+            found += _yaml(Path(folder) / "list.yaml", known, point)
+    return found
+
+
+def _lines(path: Path, known: list[lines.Entry], point: Point) -> list[Measurement]:
+    path.write_bytes(b"\n".join(msgspec.json.encode(_given(entry)) for entry in known) + b"\n")
+    intake = Intake()
+    intake.take(infos(known[:-1]))
+    while intake.next() is not None:
+        pass
+    del known
+
+    def change() -> None:
+        intake.take(infos(lines.read(path)))
+
+    method = "JSON lines with one entry more than was known"
+    return [
+        Measurement(LINES_BYTES.name, point, float(path.stat().st_size), "size of the file"),
+        Measurement(LINES_CPU.name, point, _cpu(change), f"{method}, process time, least of 3"),
+        Measurement(LINES_MEMORY.name, point, _peak(change), f"{method}, peak of tracemalloc"),
+    ]
+
+
+def _yaml(path: Path, known: list[lines.Entry], point: Point) -> list[Measurement]:
+    rows = [
+        f"  - {{{', '.join(f'{key}: {value!r}' for key, value in _given(one).items())}}}" for one in known
+    ]
+    path.write_text("endpoints:\n" + "\n".join(rows) + "\n", encoding="utf-8")
+
+    def change() -> None:
+        load(path, EndpointList)
+
+    method = "YAML, read and checked"
+    return [
+        Measurement(YAML_BYTES.name, point, float(path.stat().st_size), "size of the file"),
+        Measurement(YAML_CPU.name, point, _cpu(change), f"{method}, process time, least of 3"),
+        Measurement(YAML_MEMORY.name, point, _peak(change), f"{method}, peak of tracemalloc"),
+    ]
+
+
+def _given(entry: lines.Entry) -> dict[str, object]:
+    """The fields that an operator writes."""
+    return {
+        name: value
+        for name, value in msgspec.structs.asdict(entry).items()
+        if value is not None and name != "state"
+    }
+
+
+def _cpu(change: Callable[[], None]) -> float:
+    """Seconds of processor time, the least of three."""
+    spans = []
+    for _ in range(3):
+        before = time.process_time()
+        change()
+        spans.append(time.process_time() - before)
+    return min(spans)
+
+
+def _peak(change: Callable[[], None]) -> float:
+    """MB held at most while it runs, beyond what was held before."""
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    change()
+    peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+    return (peak - before) / 1e6
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -48,9 +48,9 @@
     assert good.error < AGREES < bad.error
 
 
-def test_term_needs_four_sizes() -> None:
+def test_figure_needs_four_sizes_along_each_axis() -> None:
     few = [found for found in measured() if found.point.senders < 490]
-    with pytest.raises(FitError, match="cost: term N needs 4 sizes of senders, there are 3"):
+    with pytest.raises(FitError, match="cost needs 4 sizes of senders, there are 3"):
         fit(COST, few)
 
 
