--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from benchmarks.capacity.measurement import Figure, Measurement, Point
-from benchmarks.capacity.probes import agreed_log, hollow, lists, peers
+from benchmarks.capacity.probes import agreed_log, hollow, lists, outages, peers
 
 
 class Probe(Protocol):
@@ -23,4 +23,5 @@
     ("agreed_log", agreed_log),
     ("hollow", hollow),
     ("lists", lists),
+    ("outages", outages),
 )
--- a/benchmarks/capacity/probes/lists.py
+++ b/benchmarks/capacity/probes/lists.py
@@ -5,8 +5,10 @@
 import tempfile
 import time
 import tracemalloc
+import zlib
 from collections.abc import Callable, Sequence
 from pathlib import Path
+from random import Random
 
 import msgspec
 
@@ -32,6 +34,8 @@
 LINES_MEMORY = _figure(
     "list_lines_memory", "MB", "one change of it: the most that is held besides what was known"
 )
+PACKED_BYTES = _figure("list_packed_bytes", "bytes", "a list as zlib of msgpack: what a snapshot could be")
+DELTA_BYTES = _figure("list_delta_bytes", "bytes", "one changed entry, packed in the same way", ("1",))
 YAML_BYTES = _figure("list_yaml_bytes", "bytes", "a list in YAML")
 YAML_CPU = _figure("list_yaml_cpu", "s", "one change of it")
 YAML_MEMORY = _figure(
@@ -50,6 +54,8 @@
     LINES_BYTES,
     LINES_CPU,
     LINES_MEMORY,
+    PACKED_BYTES,
+    DELTA_BYTES,
     YAML_BYTES,
     YAML_CPU,
     YAML_MEMORY,
@@ -63,15 +69,16 @@
 
 
 def entries(count: int) -> list[lines.Entry]:
-    """One endpoint for each destination."""
+    """One endpoint for each destination, with drawn names and hosts: names in sequence would pack too well."""
+    rng = Random(1)
     return [
         lines.Entry(
-            f"e{number:05d}-a",
-            f"http://10.{number >> 16}.{number >> 8 & 255}.{number & 255}:8080/in",
-            destination=f"destination {number:05d}",
+            f"{rng.randbytes(5).hex()}-{number:05d}",
+            f"http://{rng.randbytes(6).hex()}.example:{rng.randrange(1_024, 65_536)}/in",
+            destination=f"destination {rng.randbytes(5).hex()}",
             kind="plain",
-            zone=f"z{number % 10}",
-            rate=25.0,
+            zone=f"z{rng.randrange(10)}",
+            rate=rng.choice((1.0, 5.0, 25.0, 100.0)),
         )
         for number in range(count)
     ]
@@ -101,14 +108,17 @@
     intake.take(infos(known[:-1]))
     while intake.next() is not None:
         pass
+    packed, delta = _packed(known), _packed(known[-1:])
     del known
 
     def change() -> None:
         intake.take(infos(lines.read(path)))
 
-    method = "JSON lines with one entry more than was known"
+    method = "JSON lines, read and compared, with one entry more than was known"
     return [
         Measurement(LINES_BYTES.name, point, float(path.stat().st_size), "size of the file"),
+        Measurement(PACKED_BYTES.name, point, packed, "zlib of msgpack of all entries"),
+        Measurement(DELTA_BYTES.name, point, delta, "zlib of msgpack of one entry"),
         Measurement(LINES_CPU.name, point, _cpu(change), f"{method}, process time, least of 3"),
         Measurement(LINES_MEMORY.name, point, _peak(change), f"{method}, peak of tracemalloc"),
     ]
@@ -131,6 +141,12 @@
     ]
 
 
+def _packed(listed: Sequence[lines.Entry]) -> float:
+    """Bytes of entries without the names of their fields."""
+    rows = [msgspec.structs.astuple(entry) for entry in listed]
+    return float(len(zlib.compress(msgspec.msgpack.encode(rows))))
+
+
 def _given(entry: lines.Entry) -> dict[str, object]:
     """The fields that an operator writes."""
     return {
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 
+from benchmarks.capacity.events import EVENTS
 from benchmarks.capacity.measurement import TARGET, Figure, Kind, Role
 from benchmarks.capacity.predict import Model
 
@@ -47,17 +49,23 @@
                     figure.what,
                     NO_DATA if need is None else f"{number(need)} {figure.unit}",
                     "" if figure.budget is None else f"{number(figure.budget)} {figure.unit}",
-                    _origin(figure),
+                    _origin(figure, model),
                     figure.mechanism,
                 ]
             )
     return table(["figure", "what", "at the target", "budget", "how known", "carried by"], rows)
 
 
-def _origin(figure: Figure) -> str:
+def _origin(figure: Figure, model: Model) -> str:
+    """How the value at the target is known: its formula, or its terms and how far the sizes reach."""
     if figure.kind is Kind.DERIVED:
         return f"derived: `{figure.formula}`"
-    return f"{figure.kind.value}, by {', '.join(f'`{term}`' for term in figure.terms)}"
+    told = f"{figure.kind.value}, by {', '.join(f'`{term}`' for term in figure.terms)}"
+    for axis in figure.axes:
+        sizes = [found.point.along(axis) for found in model.measurements if found.figure == figure.name]
+        if sizes and max(sizes) < TARGET.along(axis):
+            told += f"; extrapolated beyond {number(max(sizes))} {axis.value}"
+    return told
 
 
 def ratios(model: Model) -> str:
@@ -104,9 +112,33 @@
     return table(["figure", "at", "measured", "predicted", "error"], rows)
 
 
+def events(model: Model) -> str:
+    """The operators' events, with figures at the target."""
+
+    def seconds(match: re.Match[str]) -> str:
+        try:
+            return number(model.value(match[1], TARGET) / 1_000.0)
+        except KeyError:
+            return f"({NO_DATA})"
+
+    rows = [
+        [
+            event.name,
+            event.goes_on,
+            event.refused,
+            event.late,
+            re.sub(r"{(\w+)}", seconds, event.at_most),
+            event.shown_by,
+        ]
+        for event in EVENTS
+    ]
+    return table(["event", "goes on", "refused", "late", "for how long at most", "shown by"], rows)
+
+
 TABLES: dict[str, Callable[[Model], str]] = {
     "ratios": ratios,
     "fits": fits,
     "checks": checks,
+    "events": events,
     **{f"role {role.value}": partial(role_table, role) for role in Role},
 }
--- a/benchmarks/capacity/target.py
+++ b/benchmarks/capacity/target.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from benchmarks.capacity.measurement import TARGET, Point
+from brassweir.agreed import timing
 
 MEMORY = 64.0  # MB of control memory at a sender
 CPU = 0.026  # cores that a sender spends on control
@@ -17,6 +18,10 @@
     "zone_senders": 49.0,
     "call_interval": 300.0,  # seconds between two calls of one sender to one destination
     "day": 86_400.0,
+    "control_budget": BYTES,
+    "idle_close": 20.0,  # seconds, the default of sender.idle_close_ms
+    "log_entries_kept": float(timing.SNAP_EVERY + timing.KEEP),  # at most, in memory
+    "most_command": float(timing.MOST_COMMAND),
 }
 
 
