--- a/benchmarks/capacity/probes/agreed_log.py
+++ b/benchmarks/capacity/probes/agreed_log.py
@@ -15,7 +15,7 @@
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.messages import COMMAND, Entry
 from brassweir.agreed.records import NOBODY, Base, Identity, Kept
-from brassweir.lab.models.logworld import World
+from brassweir.lab.models.logworld import Weather, World
 from brassweir.lab.models.peernet import HEADERS
 from brassweir.peers.wire import Keys, Wire
 
@@ -24,6 +24,9 @@
 MOST_SECONDS = 60.0  # of simulated time
 PROPOSALS = 8
 PROPOSAL_SPAN = 2_000.0  # ms from one proposal to the next
+BAD = Weather(loss=0.2, low=200.0, high=205.0)
+BAD_PROPOSALS = 16
+BAD_SPAN = 30_000.0  # ms that a proposal may take then
 ENTRY = 200  # bytes of a command, about that of a renewal of leases
 KEY = Keys([b"a key of the simulated network"])
 AXES = (Axis.SENDERS,)
@@ -55,6 +58,13 @@
     "from a proposal at a learner to the last copy that applied it, calm",
     ("1", "log N"),
 )
+ENTRY_BAD_TIME = _figure(
+    "log_entry_bad_time",
+    "ms",
+    Role.RELAY,
+    "the same with a fifth of messages lost and 200 ms late",
+    ("1", "log N"),
+)
 MEMORY = Figure(
     "log_memory",
     "MB",
@@ -76,6 +86,7 @@
     LEADER_MESSAGES,
     LEADER_CPU,
     ENTRY_TIME,
+    ENTRY_BAD_TIME,
     MEMORY,
 )
 
@@ -131,9 +142,14 @@
     span = min(seconds, MOST_SECONDS)
     world.run(world.now + span * 1_000.0)
     found = _idle(world, point, span)
-    slowest = [_entry_time(world) for _ in range(PROPOSALS)]
+    slowest = [_entry_time(world, PROPOSAL_SPAN) for _ in range(PROPOSALS)]
     method = f"{point.senders} cores on the simulated network (0.5 to 3 ms), median of {PROPOSALS} entries"
     found.append(Measurement(ENTRY_TIME.name, point, statistics.median(slowest), method))
+    world.weather = BAD
+    world.run(world.now + SETTLE)
+    slowest = [_entry_time(world, BAD_SPAN) for _ in range(BAD_PROPOSALS)]
+    method = f"{point.senders} cores, 20% lost, 200 to 205 ms late, median of {BAD_PROPOSALS} entries"
+    found.append(Measurement(ENTRY_BAD_TIME.name, point, statistics.median(slowest), method))
     found.append(Measurement(MEMORY.name, point, _memory(point.senders), "tracemalloc, one core"))
     return found
 
@@ -163,18 +179,18 @@
     return found
 
 
-def _entry_time(world: MeteredWorld) -> float:
+def _entry_time(world: MeteredWorld, longest: float) -> float:
     """Ms until an entry that the last learner proposes is applied at the last copy."""
     before = {name: node.core.applied for name, node in world.nodes.items() if node.core is not None}
     wanted = max(before.values()) + 1
     start = world.now
-    world.propose(world.names[-1])
+    world.propose(world.names[-1], longest)
     while any(node.core is not None and node.core.applied < wanted for node in world.nodes.values()):
-        if world.now > start + PROPOSAL_SPAN:
-            raise RuntimeError("an entry did not reach all copies on a calm network")
+        if world.now > start + longest:
+            raise RuntimeError("an entry did not reach all copies in time")
         world.run(world.now + 0.5)
     took = world.now - start
-    world.run(start + PROPOSAL_SPAN)
+    world.run(max(world.now, start + PROPOSAL_SPAN))
     return took
 
 
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -9,6 +9,7 @@
 from benchmarks.capacity.events import EVENTS
 from benchmarks.capacity.measurement import TARGET, Figure, Kind, Role
 from benchmarks.capacity.predict import Model
+from benchmarks.capacity.trials import KEPT, TRIALS
 
 NO_DATA = "no data"
 
@@ -135,10 +136,26 @@
     return table(["event", "goes on", "refused", "late", "for how long at most", "shown by"], rows)
 
 
+def trials(model: Model) -> str:
+    """Figures of earlier trials, kept or corrected."""
+    rows = []
+    for trial in TRIALS:
+        try:
+            found = model.value(trial.figure, trial.point)
+        except KeyError:
+            rows.append([trial.text, number(trial.value), f"`{trial.figure}`", NO_DATA, "not checked"])
+            continue
+        close = abs(found - trial.value) <= KEPT * trial.value
+        verdict = "kept" if close else f"corrected{f': {trial.note}' if trial.note else ''}"
+        rows.append([trial.text, number(trial.value), f"`{trial.figure}`", number(found), verdict])
+    return table(["trial", "gave", "figure", "these data", "so"], rows)
+
+
 TABLES: dict[str, Callable[[Model], str]] = {
     "ratios": ratios,
     "fits": fits,
     "checks": checks,
     "events": events,
+    "trials": trials,
     **{f"role {role.value}": partial(role_table, role) for role in Role},
 }
--- /dev/null
+++ b/benchmarks/capacity/trials.py
@@ -0,0 +1,38 @@
+"""Figures of trials before this benchmark (on the version of 7f73eb9), each beside what the benchmark's data say."""
+
+from __future__ import annotations
+
+import msgspec
+
+from benchmarks.capacity.measurement import TARGET, Point
+
+KEPT = 0.15  # relative difference up to which a trial's figure is kept
+
+
+class Trial(msgspec.Struct, frozen=True):
+    """What a trial gave for a figure at a point. ``note``: why it differs, where that is known."""
+
+    text: str
+    value: float
+    figure: str
+    point: Point = TARGET
+    note: str = ""
+
+
+SHAPE = "entries of these data are longer: names and hosts are drawn"
+TRIALS: tuple[Trial, ...] = (
+    Trial("a YAML list of 7,000, s of CPU", 4.5, "list_yaml_cpu", Point(490, 7_000)),
+    Trial("a YAML list of 7,000, MB", 95.0, "list_yaml_memory", Point(490, 7_000)),
+    Trial("a YAML list of 70,000, s of CPU", 45.0, "list_yaml_cpu"),
+    Trial("YAML at 1,200 changes a day, cores", 0.6, "list_yaml_share"),
+    Trial("JSON lines of 70,000, s of CPU", 0.26, "list_lines_cpu"),
+    Trial("JSON lines of 70,000, bytes", 7_500_000.0, "list_lines_bytes", note=SHAPE),
+    Trial("JSON lines at 1,200 changes a day, bytes/s", 104_000.0, "list_lines_rate", note=SHAPE),
+    Trial("70,000 entries packed, bytes", 5_000_000.0, "list_packed_bytes"),
+    Trial("peers, sent a copy, bytes/s (732 and 12.5 headers of 28)", 1_082.0, "peer_bytes"),
+    Trial("peers, sent a copy, messages/s", 12.5, "peer_messages"),
+    Trial("an entry at all copies, calm, ms", 40.0, "log_entry_time"),
+    Trial(
+        "an entry at all copies, 20% lost and 200 ms late, ms (4.1 to 5.4 s)", 4_750.0, "log_entry_bad_time"
+    ),
+)
