Capacity: a probe of real serve processes beside the hollow senders

Hollow senders run many copies in one process; a few real processes are the check on them. The probe starts three to six serve with peers and agreed log and one without, and takes the one's cost off the others'.

--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from benchmarks.capacity.measurement import Figure, Measurement, Point
-from benchmarks.capacity.probes import agreed_log, hollow, lists, outages, peers
+from benchmarks.capacity.probes import agreed_log, hollow, lists, outages, peers, serve
 
 
 class Probe(Protocol):
@@ -24,4 +24,5 @@
     ("hollow", hollow),
     ("lists", lists),
     ("outages", outages),
+    ("serve", serve),
 )
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -12,6 +12,7 @@
 from benchmarks.capacity.trials import KEPT, TRIALS
 
 NO_DATA = "no data"
+PREDICTED_BY = {"serve_cpu": "hollow_cpu", "serve_bytes": "hollow_bytes", "serve_memory": "hollow_memory"}
 
 
 def table(heads: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
@@ -151,11 +152,25 @@
     return table(["trial", "gave", "figure", "these data", "so"], rows)
 
 
+def processes(model: Model) -> str:
+    """Real processes beside what the slopes of hollow senders say of the same number."""
+    rows = []
+    for found in model.measurements:
+        if found.figure in PREDICTED_BY:
+            name = PREDICTED_BY[found.figure]
+            predicted = number(model.value(name, found.point)) if name in model.fits else NO_DATA
+            rows.append(
+                [f"`{found.figure}`", str(found.point.senders), number(found.value), f"`{name}`", predicted]
+            )
+    return table(["figure", "processes", "measured", "predicted by", "predicted"], rows)
+
+
 TABLES: dict[str, Callable[[Model], str]] = {
     "ratios": ratios,
     "fits": fits,
     "checks": checks,
     "events": events,
+    "processes": processes,
     "trials": trials,
     **{f"role {role.value}": partial(role_table, role) for role in Role},
 }
