--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from benchmarks.capacity.measurement import Figure, Measurement, Point
-from benchmarks.capacity.probes import agreed_log, hollow, lists, outages, peers, serve
+from benchmarks.capacity.probes import agreed_log, hollow, lists, log_state, outages, peers, serve
 
 
 class Probe(Protocol):
@@ -23,6 +23,7 @@
     ("agreed_log", agreed_log),
     ("hollow", hollow),
     ("lists", lists),
+    ("log_state", log_state),
     ("outages", outages),
     ("serve", serve),
 )
--- a/benchmarks/capacity/probes/agreed_log.py
+++ b/benchmarks/capacity/probes/agreed_log.py
@@ -5,17 +5,11 @@
 import gc
 import statistics
 import time
-import tracemalloc
 from collections import defaultdict
-from random import Random
 
 from benchmarks.capacity.measurement import Axis, Figure, Kind, Measurement, Point, Role
-from brassweir.agreed import commands, timing
-from brassweir.agreed.core import Core
+from brassweir.agreed import timing
 from brassweir.agreed.facts import Fact
-from brassweir.agreed.machine import Machine
-from brassweir.agreed.messages import COMMAND, Entry
-from brassweir.agreed.records import NOBODY, Base, Identity, Kept
 from brassweir.lab.models.logworld import Weather, World
 from brassweir.lab.models.peernet import HEADERS
 from brassweir.peers.wire import Keys, Wire
@@ -29,7 +23,6 @@
 BAD = Weather(loss=0.2, low=200.0, high=205.0)
 BAD_PROPOSALS = 16
 BAD_SPAN = 30_000.0  # ms that a proposal may take then
-ENTRY = 200  # bytes of a command, about that of a renewal of leases
 KEY = Keys([b"a key of the simulated network"])
 AXES = (Axis.SENDERS,)
 TREE = "feed tree of the agreed log"
@@ -71,16 +64,6 @@
     "the same with a fifth of messages lost and 200 ms late",
     ("1", "log N"),
 )
-MEMORY = Figure(
-    "log_memory",
-    "MB",
-    Role.SENDER,
-    f"a core with {timing.SNAP_EVERY + timing.KEEP:,} entries of {ENTRY} bytes, the most between two snapshots, and its machine",
-    AXES,
-    ("1", "N"),
-    Kind.MEASURED,
-    mechanism=TREE,
-)
 FIGURES: tuple[Figure, ...] = (
     LEARNER_BYTES,
     LEARNER_MESSAGES,
@@ -93,7 +76,6 @@
     LEADER_CPU,
     ENTRY_TIME,
     ENTRY_BAD_TIME,
-    MEMORY,
 )
 
 
@@ -141,7 +123,7 @@
 
 
 def measure(point: Point, seconds: float) -> list[Measurement]:
-    """Idle copies for so many simulated seconds, then some proposals, then memory."""
+    """Idle copies for so many simulated seconds, then some proposals."""
     world = MeteredWorld(point.senders - VOTERS)
     world.run(SETTLE)
     span = min(seconds, MOST_SECONDS)
@@ -158,7 +140,6 @@
     slowest = [_entry_time(world, BAD_SPAN) for _ in range(BAD_PROPOSALS)]
     method = f"{point.senders} cores, 20% lost, 200 to 205 ms late, median of {BAD_PROPOSALS} entries"
     found.append(Measurement(ENTRY_BAD_TIME.name, point, statistics.median(slowest), method))
-    found.append(Measurement(MEMORY.name, point, _memory(point.senders), "tracemalloc, one core"))
     return found
 
 
@@ -221,25 +202,3 @@
     took = world.now - start
     world.run(max(world.now, start + PROPOSAL_SPAN))
     return took
-
-
-def _memory(copies: int) -> float:
-    """MB of one member's core with a full log and a machine that knows all copies."""
-    gc.collect()
-    tracemalloc.start()
-    machine = Machine()
-    for number in range(copies):
-        machine.apply(
-            number + 1, commands.encode(commands.Join(f"c{number:03d}", f"s{number % 10}", "r1", 1))
-        )
-    rng = Random(1)
-    entries = [
-        Entry(place, 1, COMMAND, rng.randbytes(ENTRY), f"c{place % copies:03d}/1", place, place)
-        for place in range(1, timing.SNAP_EVERY + timing.KEEP + 1)
-    ]
-    kept = Kept(identity=Identity("m", "g", 1, 1), base=Base(0, 0, NOBODY, 0), entries=entries)
-    core = Core("c000", kept, machine, rng, 0.0, ())
-    del entries, kept
-    gc.collect()
-    size = tracemalloc.get_traced_memory()[0]
-    return size / 1e6 if core.log.last else 0.0
--- a/benchmarks/capacity/probes/outages.py
+++ b/benchmarks/capacity/probes/outages.py
@@ -104,24 +104,22 @@
     """Ms until each watcher's view of each other copy in ``shown`` is as it says there."""
     start = net.clock.now()
     while True:
-        views = net.views()
-        right = all(
-            views[who].states.get(name) == state
-            for who in watchers
-            for name, state in shown.items()
-            if name != who
-        )
-        if right:
+        if all(_shows(net, who, shown) for who in watchers):  # one by one: views of all are dear
             return max(net.clock.now() - start, LOOK)
         if net.clock.now() > start + PATIENCE:
             raise RuntimeError("the copies did not agree in time")
         net.run(LOOK)
 
 
+def _shows(net: Net, who: str, shown: dict[str, str]) -> bool:
+    states = net.nodes[who].core.view().states
+    return all(states.get(name) == state for name, state in shown.items() if name != who)
+
+
 def _killed(net: Net, names: list[str]) -> float:
     for name in names:
         net.kill(name)
-    return _wait(net, dict.fromkeys(names, "dead"), set(net.views()) - set(names))
+    return _wait(net, dict.fromkeys(names, "dead"), sorted(set(net.views()) - set(names)))
 
 
 def _restarted(net: Net, names: list[str]) -> float:
