--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from functools import partial
 
-from benchmarks.capacity.events import EVENTS
+from benchmarks.capacity.events import EVENTS, Event
 from benchmarks.capacity.measurement import TARGET, Figure, Kind, Role
 from benchmarks.capacity.predict import Model
 from benchmarks.capacity.trials import KEPT, TRIALS
@@ -130,7 +130,7 @@
             event.refused,
             event.late,
             re.sub(r"{(\w+)}", seconds, event.at_most),
-            event.shown_by,
+            _shown_by(event),
         ]
         for event in EVENTS
     ]
@@ -152,6 +152,11 @@
     return table(["trial", "gave", "figure", "these data", "so"], rows)
 
 
+def _shown_by(event: Event) -> str:
+    shown = [f"`{test.rpartition('::')[2]}`" for test in event.tests]
+    return ", ".join([*shown, "probe `outages`"] if event.probed else shown)
+
+
 def processes(model: Model) -> str:
     """Real processes beside what the slopes of hollow senders say of the same number."""
     rows = []
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -9,12 +9,14 @@
 
 from benchmarks.capacity import __main__ as command
 from benchmarks.capacity import data, report
+from benchmarks.capacity.events import EVENTS
 from benchmarks.capacity.fit import FitError, fit
 from benchmarks.capacity.formula import FormulaError, evaluate
 from benchmarks.capacity.measurement import TARGET, Axis, Figure, Kind, Measurement, Point, Role
 from benchmarks.capacity.predict import AGREES, Model
 from benchmarks.capacity.tables import number
 
+ROOT = Path(__file__).parents[2]
 COST = Figure(
     "cost", "s", Role.SENDER, "a cost", (Axis.SENDERS, Axis.DESTINATIONS), ("1", "N", "D", "N*D"), budget=2.0
 )
@@ -120,6 +122,11 @@
     assert not report.differences(page, command.load_model())
 
 
+def test_each_test_that_the_page_names_is_there() -> None:
+    named = [test.split("::") for event in EVENTS for test in event.tests]
+    assert named and all(f"def {name}(" in (ROOT / path).read_text(encoding="utf-8") for path, name in named)
+
+
 def test_each_committed_holdout_is_predicted() -> None:
     wrong = [check for check in command.load_model().checks() if check.error > AGREES]
     assert not [(check.measurement.figure, round(check.error, 3)) for check in wrong]
