--- a/benchmarks/capacity/probes/hollow.py
+++ b/benchmarks/capacity/probes/hollow.py
@@ -14,7 +14,6 @@
 import uvloop
 
 from benchmarks.capacity.measurement import Axis, Figure, Kind, Measurement, Point, Role
-from benchmarks.capacity.target import BYTES, CPU, MEMORY
 from brassweir.agreed.machine import Machine
 from brassweir.agreed.member import Member
 from brassweir.lab.models.peernet import HEADERS
@@ -31,18 +30,18 @@
 AXES = (Axis.SENDERS,)
 
 
-def _figure(name: str, unit: str, what: str, terms: tuple[str, ...], budget: float) -> Figure:
-    return Figure(name, unit, Role.SENDER, what, AXES, terms, Kind.MEASURED, budget, mechanism=MECHANISM)
+def _figure(name: str, unit: str, what: str, terms: tuple[str, ...]) -> Figure:
+    return Figure(name, unit, Role.SENDER, what, AXES, terms, Kind.MEASURED, mechanism=MECHANISM)
 
 
 CORES = _figure(
-    "hollow_cpu", "cores", "liveness and log, idle, with system calls, a copy of the mean", ("1",), CPU
+    "hollow_cpu", "cores", "liveness and log, idle, with system calls, a copy of the mean", ("1",)
 )
 TRAFFIC = _figure(
-    "hollow_bytes", "bytes/s", "liveness and log, idle, both ways, with UDP headers", ("1", "1/N"), BYTES
+    "hollow_bytes", "bytes/s", "liveness and log, idle, both ways, with UDP headers", ("1", "1/N")
 )
 RESIDENT = _figure(
-    "hollow_memory", "MB", "liveness and log, resident, beyond the interpreter", ("1", "N", "1/N"), MEMORY
+    "hollow_memory", "MB", "liveness and log, resident, beyond the interpreter", ("1", "N", "1/N")
 )
 FIGURES: tuple[Figure, ...] = (CORES, TRAFFIC, RESIDENT)
 
--- a/benchmarks/capacity/probes/lists.py
+++ b/benchmarks/capacity/probes/lists.py
@@ -35,6 +35,9 @@
 LINES_MEMORY = _figure(
     "list_lines_memory", "MB", "one change of it: the most that is held besides what was known"
 )
+KNOWN_MEMORY = _figure(
+    "list_known_memory", "MB", "what is kept of a list to compare the next with, and its URLs"
+)
 PACKED_BYTES = _figure("list_packed_bytes", "bytes", "a list as zlib of msgpack: what a snapshot could be")
 DELTA_BYTES = _figure("list_delta_bytes", "bytes", "one changed entry, packed in the same way", ("1",))
 YAML_BYTES = _figure("list_yaml_bytes", "bytes", "a list in YAML")
@@ -55,6 +58,7 @@
     LINES_BYTES,
     LINES_CPU,
     LINES_MEMORY,
+    KNOWN_MEMORY,
     PACKED_BYTES,
     DELTA_BYTES,
     YAML_BYTES,
@@ -105,12 +109,12 @@
 
 def _lines(path: Path, known: list[lines.Entry], point: Point) -> list[Measurement]:
     path.write_bytes(b"\n".join(msgspec.json.encode(_given(entry)) for entry in known) + b"\n")
-    intake = Intake()
-    intake.take(infos(known[:-1]))
-    while intake.next() is not None:
-        pass
     packed, delta = _packed(known), _packed(known[-1:])
     del known
+    tracemalloc.start()
+    intake, urls = _known(path)
+    kept = tracemalloc.get_traced_memory()[0] / 1e6
+    tracemalloc.stop()
 
     def change() -> None:
         intake.take(infos(lines.read(path)))
@@ -118,6 +122,7 @@
     method = "JSON lines, read and compared, with one entry more than was known"
     return [
         Measurement(LINES_BYTES.name, point, float(path.stat().st_size), "size of the file"),
+        Measurement(KNOWN_MEMORY.name, point, kept, f"tracemalloc, with {len(urls):,} URLs"),
         Measurement(PACKED_BYTES.name, point, packed, "zlib of msgpack of all entries"),
         Measurement(DELTA_BYTES.name, point, delta, "zlib of msgpack of one entry"),
         Measurement(LINES_CPU.name, point, _cpu(change), f"{method}, process time, least of {REPEATS}"),
@@ -125,6 +130,16 @@
     ]
 
 
+def _known(path: Path) -> tuple[Intake, dict[str, str]]:
+    """A list that was told in full, but for its last entry."""
+    listed = lines.read(path)
+    intake = Intake()
+    intake.take(infos(listed[:-1]))
+    while intake.next() is not None:
+        pass
+    return intake, {entry.name: entry.url for entry in listed}
+
+
 def _yaml(path: Path, known: list[lines.Entry], point: Point) -> list[Measurement]:
     rows = [
         f"  - {{{', '.join(f'{key}: {value!r}' for key, value in _given(one).items())}}}" for one in known
--- a/benchmarks/capacity/trials.py
+++ b/benchmarks/capacity/trials.py
@@ -19,6 +19,7 @@
     note: str = ""
 
 
+OPEN, ONE = Point(490, 70_000, 0.0, 300_000), Point(1, 70_000)
 SHAPE = "entries of these data are longer: names and hosts are drawn"
 TRIALS: tuple[Trial, ...] = (
     Trial("a YAML list of 7,000, s of CPU", 4.5, "list_yaml_cpu", Point(490, 7_000)),
@@ -29,6 +30,8 @@
     Trial("JSON lines of 70,000, bytes", 7_500_000.0, "list_lines_bytes", note=SHAPE),
     Trial("JSON lines at 1,200 changes a day, bytes/s", 104_000.0, "list_lines_rate", note=SHAPE),
     Trial("70,000 entries packed, bytes", 5_000_000.0, "list_packed_bytes"),
+    Trial("decision module, 206 bytes a destination, MB", 14.4, "module_memory"),
+    Trial("decision module, a list less one, ms", 75.0, "module_list_less_one"),
     Trial("peers, sent a copy, bytes/s (732 and 12.5 headers of 28)", 1_082.0, "peer_bytes"),
     Trial("peers, sent a copy, messages/s", 12.5, "peer_messages"),
     Trial("an entry at all copies, calm, ms", 40.0, "log_entry_time"),
