--- a/benchmarks/as2_path.py
+++ b/benchmarks/as2_path.py
@@ -11,7 +11,6 @@
 import asyncio
 import json
 import multiprocessing
-import os
 import re
 import sys
 import tempfile
@@ -25,6 +24,8 @@
 from cryptography.hazmat.primitives.asymmetric import padding, rsa
 from ruamel.yaml import YAML
 
+from benchmarks.capacity.probes.resources import cpu
+from benchmarks.capacity.probes.resources import resident as rss
 from brassweir.as2 import keys
 from brassweir.as2.sending import letter, post
 from brassweir.core.offload import Offload
@@ -59,19 +60,6 @@
     return (time.process_time() - before) / rounds
 
 
-def cpu(pid: int) -> float:
-    """CPU seconds of a process so far."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def rss(pid: int) -> int:
-    """Resident bytes of a process."""
-    found = re.search(r"VmRSS:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    assert found is not None
-    return int(found[1]) * 1024
-
-
 def metric(port: int, name: str) -> float:
     """One series of the sender's metrics."""
     with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=5) as answer:
--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -25,6 +25,19 @@
 
 
 N, D, P, B = Axis.SENDERS, Axis.DESTINATIONS, Axis.DOWN, Axis.BACKLOG
+REACHED = 471.0  # messages for one destination in five minutes at the target
+
+
+def _table(entries: float) -> float:
+    """Slots of a dictionary of so many entries: the next power of two of which they fill no more than two thirds."""
+    return float(2 ** math.ceil(math.log2(max(entries * 1.5, 8.0))))
+
+
+def _reached(senders: float) -> float:
+    """Senders of so many that get at least one of ``REACHED`` messages, spread evenly."""
+    return senders * -math.expm1(-REACHED / senders)
+
+
 TERMS: dict[str, Term] = {
     "1": Term((), lambda point: 1.0),
     "N": Term((N,), lambda point: point.senders),
@@ -38,6 +51,8 @@
     "log N": Term((N,), lambda point: math.log(point.senders)),
     "log D": Term((D,), lambda point: math.log(point.destinations)),
     "N*log N": Term((N,), lambda point: point.senders * math.log(point.senders)),
+    "table D": Term((D,), lambda point: _table(point.destinations)),
+    "reached N": Term((N,), lambda point: _reached(point.senders)),
     "sqrt N": Term((N,), lambda point: math.sqrt(point.senders)),
 }
 
--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -5,7 +5,20 @@
 from typing import Protocol
 
 from benchmarks.capacity.measurement import Figure, Measurement, Point
-from benchmarks.capacity.probes import agreed_log, hollow, lists, outages, peers, serve
+from benchmarks.capacity.probes import (
+    agreed_log,
+    backlog,
+    connections,
+    dead_destination,
+    decisions,
+    forward_events,
+    hollow,
+    lists,
+    outages,
+    peers,
+    serve,
+    serve_lists,
+)
 
 
 class Probe(Protocol):
@@ -25,4 +38,10 @@
     ("lists", lists),
     ("outages", outages),
     ("serve", serve),
+    ("decisions", decisions),
+    ("backlog", backlog),
+    ("connections", connections),
+    ("dead_destination", dead_destination),
+    ("serve_lists", serve_lists),
+    ("forward_events", forward_events),
 )
--- a/benchmarks/idle_minute.py
+++ b/benchmarks/idle_minute.py
@@ -12,6 +12,8 @@
 import re
 import sys
 import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from pathlib import Path
 
 from brassweir.lab.rigs.flood import usage
@@ -20,25 +22,34 @@
 from brassweir.lab.rigs.load import Mix
 
 SPAN = 20.0  # seconds
+LISTENS_WITHIN, DRAIN = 60.0, 10.0
 
 
-async def measure(count: int) -> dict[str, float]:
-    """CPU ms a minute and resident bytes of a sender with so many idle destinations."""
+@asynccontextmanager
+async def running(count: int) -> AsyncIterator[tuple[SenderHandle, Path]]:
+    """A sender that knows so many idle destinations, with its journal on, and its folder."""
     with tempfile.TemporaryDirectory() as temporary:
         folder, port = Path(temporary), free_port()
         settings = write(folder, Plan(Mix(1.0, 1.0, 0, count), 1, journaled=True), port)
         listen = free_port()
         settings.write_text(re.sub(r"127\.0\.0\.1:0", f"127.0.0.1:{listen}", settings.read_text()))
         handle = SenderHandle("idle", settings, listen)
-        await handle.start()
+        handle.listens_within = LISTENS_WITHIN
         try:
-            assert handle.process is not None
-            await asyncio.sleep(3.0)
-            before = usage(handle.process.pid)
-            await asyncio.sleep(SPAN)
-            after = usage(handle.process.pid)
+            await handle.start()
+            yield handle, folder
         finally:
-            await handle.kill()
+            await handle.drain(DRAIN)
+
+
+async def measure(count: int) -> dict[str, float]:
+    """CPU ms a minute and resident bytes of a sender with so many idle destinations."""
+    async with running(count) as (handle, _):
+        assert handle.process is not None
+        await asyncio.sleep(3.0)
+        before = usage(handle.process.pid)
+        await asyncio.sleep(SPAN)
+        after = usage(handle.process.pid)
     return {
         "cpu_ms_a_minute": round((after.cpu - before.cpu) * 60_000.0 / SPAN),
         "rss_mb": round(after.rss / 1e6, 1),
--- a/benchmarks/open_messages.py
+++ b/benchmarks/open_messages.py
@@ -11,7 +11,9 @@
 from brassweir.core.engine import Engine
 from brassweir.core.ports import Attempt, Payload, Submission
 
-COUNT, CONTENT = 10_000, 500
+COUNT, CONTENT, DESTINATIONS = 10_000, 500, 100
+LEFT = 500_000.0  # ms that a message has
+CLASS = api.MessageClass("pay", 60_000.0, 600_000.0, api.Effect.UNSAFE)
 
 
 class Silent:
@@ -24,31 +26,37 @@
         """Nothing."""
 
 
+def engine_for(count: int, clock: SimClock) -> Engine:
+    """An engine that may hold so many and send all of them, to partners that never answer."""
+    settings = api.Settings(classes=(CLASS,), slots=2 * count, max_open=2 * count)
+    engine = Engine(settings, 1, clock, lambda _: Silent())
+    listed = tuple(api.EndpointInfo(f"e{i}", i, "") for i in range(DESTINATIONS))
+    engine.news(api.ListNews(api.ListKind.FULL, listed))
+    clock.run(clock.now() + 1.0)
+    return engine
+
+
+def submit(engine: Engine, clock: SimClock, count: int) -> None:
+    """Hand in so many messages, a millisecond apart by the thousand."""
+    for i in range(count):
+        payload = Payload("a/b", bytes(CONTENT))
+        submission = Submission(
+            "office", f"bank\n<{i}@office>", CLASS.name, i % DESTINATIONS, LEFT, payload=payload
+        )
+        engine.submit(submission, lambda _: None)
+        if i % 1000 == 999:
+            clock.run(clock.now() + 1.0)
+    clock.run(clock.now() + 99.0)
+
+
 def main() -> None:
     """Print JSON."""
     clock = SimClock(1000.0)
-    cls = api.MessageClass("pay", 60_000.0, 600_000.0, api.Effect.UNSAFE)
-    engine = Engine(
-        api.Settings(classes=(cls,), slots=2 * COUNT, max_open=2 * COUNT), 1, clock, lambda _: Silent()
-    )
-    engine.news(api.ListNews(api.ListKind.FULL, tuple(api.EndpointInfo(f"e{i}", i, "") for i in range(100))))
-    clock.run(1001.0)
+    engine = engine_for(COUNT, clock)
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
-    for i in range(COUNT):
-        engine.submit(
-            Submission(
-                "office",
-                f"bank\n<{i}@office>",
-                "pay",
-                i % 100,
-                500_000.0,
-                payload=Payload("a/b", bytes(CONTENT)),
-            ),
-            lambda _: None,
-        )
-    clock.run(1100.0)
+    submit(engine, clock, COUNT)
     gc.collect()
     used = (tracemalloc.get_traced_memory()[0] - before) / COUNT
     print(json.dumps({"open": len(engine.ledger.open()), "bytes_an_open_message": round(used - CONTENT)}))
