--- a/benchmarks/capacity/probes/backlog.py
+++ b/benchmarks/capacity/probes/backlog.py
@@ -26,6 +26,7 @@
 
 AXES = (Axis.BACKLOG,)
 SLOTS = 256
+RESTARTS = 3  # of which the least counts
 MOST_OPEN = 10_000_000.0  # the highest that sender.max_open may be set to
 WALL = 10.0  # ms: the moment of the restart by the wall clock
 REMEMBER = 3_600_000.0
@@ -104,8 +105,8 @@
         return _journal(point, round(MESSAGES * min(1.0, seconds)))
     memory = in_fresh_process(_open_memory, point.backlog)
     found = Measurement(OPEN_MEMORY.name, point, memory, "growth of the resident set of a fresh process")
-    with tempfile.TemporaryDirectory() as folder:
-        return [found, *in_fresh_process(_restart, point, Path(folder))]
+    rounds = [in_fresh_process(_restart, point) for _ in range(RESTARTS)]
+    return [found, *(min(same, key=lambda one: one.value) for same in zip(*rounds, strict=True))]
 
 
 def _journal(point: Point, messages: int) -> list[Measurement]:
@@ -131,8 +132,13 @@
     return None
 
 
-def _restart(point: Point, folder: Path) -> list[Measurement]:
+def _restart(point: Point) -> list[Measurement]:
     """A restart with so many open messages, none of which was tried."""
+    with tempfile.TemporaryDirectory() as folder:
+        return _restart_in(point, Path(folder))
+
+
+def _restart_in(point: Point, folder: Path) -> list[Measurement]:
     count = point.backlog
     size = journal.history(folder, count, count)
     gc.collect()
@@ -160,7 +166,7 @@
     if len(engine.ledger.open()) != count:
         raise RuntimeError(f"{len(engine.ledger.open())} of {count} messages are open after the restart")
     files.close()
-    method = f"one restart with {SLOTS} slots, process time"
+    method = f"restart with {SLOTS} slots, process time, least of {RESTARTS}"
     return [
         Measurement(JOURNAL_SIZE.name, point, size / 1e6, "size of the file"),
         Measurement(RESTART_READ.name, point, read, method),
