--- a/benchmarks/capacity/probes/__init__.py
+++ b/benchmarks/capacity/probes/__init__.py
@@ -7,6 +7,11 @@
 from benchmarks.capacity.measurement import Figure, Measurement, Point
 from benchmarks.capacity.probes import (
     agreed_log,
+    backlog,
+    connections,
+    dead_destination,
+    decisions,
+    forward_events,
     hollow,
     leader_lost,
     lists,
@@ -14,6 +19,7 @@
     outages,
     peers,
     serve,
+    serve_lists,
 )
 
 
@@ -36,4 +42,10 @@
     ("log_state", log_state),
     ("outages", outages),
     ("serve", serve),
+    ("decisions", decisions),
+    ("backlog", backlog),
+    ("connections", connections),
+    ("dead_destination", dead_destination),
+    ("serve_lists", serve_lists),
+    ("forward_events", forward_events),
 )
--- a/benchmarks/capacity/trials.py
+++ b/benchmarks/capacity/trials.py
@@ -21,6 +21,8 @@
 
 OPEN, ONE = Point(490, 70_000, 0.0, 300_000), Point(1, 70_000)
 SHAPE = "entries of these data are longer: names and hosts are drawn"
+MOMENT = "it depends on how long the outage has lasted, which the trial did not say"
+CLASS = "the messages' class and time of the trial are not known; here safe, 6 s"
 TRIALS: tuple[Trial, ...] = (
     Trial("a YAML list of 7,000, s of CPU", 4.5, "list_yaml_cpu", Point(490, 7_000)),
     Trial("a YAML list of 7,000, MB", 95.0, "list_yaml_memory", Point(490, 7_000)),
@@ -32,6 +34,11 @@
     Trial("70,000 entries packed, bytes", 5_000_000.0, "list_packed_bytes"),
     Trial("decision module, 206 bytes a destination, MB", 14.4, "module_memory"),
     Trial("decision module, a list less one, ms", 75.0, "module_list_less_one"),
+    Trial("an open message, 3.8 KB without its 500 bytes, MB at 300,000", 1_290.0, "backlog_memory", OPEN),
+    Trial("calls to a dead destination, 1.57/s, one sender, a minute", 26.0, "dead_calls_first", ONE),
+    Trial("the same, 490 senders", 88.0, "dead_calls_first", note=MOMENT),
+    Trial("the same, 490 senders, after an hour", 88.0, "dead_calls_later", note=MOMENT),
+    Trial("calls to a dead destination, 50/s, 490 senders, a minute", 974.0, "dead_calls_busy", note=CLASS),
     Trial("peers, sent a copy, bytes/s (732 and 12.5 headers of 28)", 1_082.0, "peer_bytes"),
     Trial("peers, sent a copy, messages/s", 12.5, "peer_messages"),
     Trial("an entry at all copies, calm, ms", 40.0, "log_entry_time"),
