--- a/benchmarks/capacity/derived.py
+++ b/benchmarks/capacity/derived.py
@@ -177,13 +177,6 @@
     _derived(
         "down_destinations", "destinations", Role.DESTINATION, "down at any time", "destinations * down"
     ),
-    _derived(
-        "sender_backlog",
-        "events",
-        Role.DISK,
-        "undelivered events of one sender, spread evenly",
-        "backlog_events / senders",
-    ),
     _derived(
         "return_whole_time",
         "s",
--- a/benchmarks/capacity/tables.py
+++ b/benchmarks/capacity/tables.py
@@ -12,6 +12,21 @@
 from benchmarks.capacity.trials import KEPT, TRIALS
 
 NO_DATA = "no data"
+TOPICS: dict[str, tuple[str, ...]] = {
+    "pairs": ("pairs", "pair_interval", "pair_connections", "connections_memory", "idle_connections"),
+    "unheard": (
+        "pair_interval",
+        "calls_to_know",
+        "calls_to_know_together",
+        "dead_calls_first",
+        "dead_calls_later",
+    )
+    + ("dead_calls_busy", "dead_calls_fleet", "down_destinations"),
+    "backlog": ("backlog_open", "backlog_memory", "backlog_journal", "backlog_drain", "restart_read")
+    + ("restart_turn", "restart_memory"),
+    "returning": ("return_folder_bytes", "list_packed_bytes", "return_whole_time", "zone_return_bytes")
+    + ("list_lines_bytes",),
+}
 PREDICTED_BY = {"serve_cpu": "hollow_cpu", "serve_bytes": "hollow_bytes", "serve_memory": "hollow_memory"}
 
 
@@ -58,6 +73,17 @@
     return table(["figure", "what", "at the target", "budget", "how known", "carried by"], rows)
 
 
+def topic_table(names: Sequence[str], model: Model) -> str:
+    """Some figures that answer one question together, whoever pays for them."""
+    rows = []
+    for name in names:
+        figure = model.figures[name]
+        need = value_of(model, figure)
+        shown = NO_DATA if need is None else f"{number(need)} {figure.unit}"
+        rows.append([f"`{name}`", figure.what, shown, _origin(figure, model)])
+    return table(["figure", "what", "at the target", "how known"], rows)
+
+
 def _origin(figure: Figure, model: Model) -> str:
     """How the value at the target is known: its formula, or its terms and how far the sizes reach."""
     if figure.kind is Kind.DERIVED:
@@ -177,5 +203,6 @@
     "events": events,
     "processes": processes,
     "trials": trials,
+    **{f"topic {name}": partial(topic_table, names) for name, names in TOPICS.items()},
     **{f"role {role.value}": partial(role_table, role) for role in Role},
 }
