--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -50,6 +50,7 @@
     "1/N": Term((N,), lambda point: 1.0 / point.senders),
     "log N": Term((N,), lambda point: math.log(point.senders)),
     "log D": Term((D,), lambda point: math.log(point.destinations)),
+    "D*log D": Term((D,), lambda point: point.destinations * math.log(point.destinations)),
     "N*log N": Term((N,), lambda point: point.senders * math.log(point.senders)),
     "table D": Term((D,), lambda point: _table(point.destinations)),
     "reached N": Term((N,), lambda point: _reached(point.senders)),
--- a/benchmarks/capacity/probes/lists.py
+++ b/benchmarks/capacity/probes/lists.py
@@ -31,7 +31,7 @@
 
 
 LINES_BYTES = _figure("list_lines_bytes", "bytes", "a list in JSON lines, one endpoint a destination")
-LINES_CPU = _figure("list_lines_cpu", "s", "one change of it: read, checked, compared")
+LINES_CPU = _figure("list_lines_cpu", "s", "one change of it: read, checked, compared", ("D", "D*log D"))
 LINES_MEMORY = _figure(
     "list_lines_memory", "MB", "one change of it: the most that is held besides what was known"
 )
--- a/benchmarks/capacity/probes/serve.py
+++ b/benchmarks/capacity/probes/serve.py
@@ -49,21 +49,21 @@
 LISTED = "endpoints:\n  - {name: c-a, url: 'forward://127.0.0.1:9', destination: c, kind: collectors}\n"
 
 
-def _figure(name: str, unit: str, what: str) -> Figure:
+def _figure(name: str, unit: str, what: str, terms: tuple[str, ...] = ("1",)) -> Figure:
     return Figure(
         name,
         unit,
         Role.SENDER,
         what,
         (Axis.SENDERS,),
-        ("1",),
+        terms,
         Kind.MEASURED,
         mechanism="peers and agreed log",
     )
 
 
 CORES = _figure("serve_cpu", "cores", "idle `serve` with peers and log, less one without them")
-TRAFFIC = _figure("serve_bytes", "bytes/s", "the same, both ways, with UDP headers")
+TRAFFIC = _figure("serve_bytes", "bytes/s", "the same, both ways, with UDP headers", ("1", "1/N"))
 RESIDENT = _figure("serve_memory", "MB", "the same, resident, less one without them")
 FIGURES: tuple[Figure, ...] = (CORES, TRAFFIC, RESIDENT)
 
