--- a/benchmarks/capacity/fit.py
+++ b/benchmarks/capacity/fit.py
@@ -44,6 +44,7 @@
     "D": Term((D,), lambda point: point.destinations),
     "P": Term((P,), lambda point: point.down),
     "B": Term((B,), lambda point: point.backlog),
+    "N*N": Term((N,), lambda point: point.senders**2),
     "N*D": Term((N, D), lambda point: point.senders * point.destinations),
     "D*P": Term((D, P), lambda point: point.destinations * point.down),
     "D/N": Term((N, D), lambda point: point.destinations / point.senders),
--- a/benchmarks/capacity/probes/decisions.py
+++ b/benchmarks/capacity/probes/decisions.py
@@ -54,7 +54,7 @@
     ("1", "D", "D*P"), None, Kind.SIMULATED, SERVING,
 )  # fmt: skip
 SWEEP = _figure(
-    "module_sweep", "cores", "the sweep of each second, part of these", ("1", "D", "D*P"), CPU,
+    "module_sweep", "cores", "the decision module's sweep of each second, part of all its turns", ("1", "D", "D*P"), CPU,
     Kind.SIMULATED, SERVING,
 )  # fmt: skip
 FIGURES: tuple[Figure, ...] = (
--- a/benchmarks/capacity/probes/outages.py
+++ b/benchmarks/capacity/probes/outages.py
@@ -26,6 +26,7 @@
 
 
 GROWS = ("1", "log N")
+PAIRS = ("log N", "N*N")  # suspicions last by the logarithm; each inside suspects each outside
 STORM = ("1", "log N", "N")  # as many suspicions as copies have to be worked through
 COPY_LOST = _figure("copy_lost_known", "a copy is killed: until the last other shows it dead", GROWS)
 ZONE_LOST = _figure(
@@ -35,7 +36,7 @@
 )
 ZONE_BACK = _figure("zone_back_known", "that tenth starts again at once: until all show all alive", GROWS)
 REGION_CUT = _figure(
-    "region_cut_known", "a third of all is cut off: until each shows the other side dead", STORM
+    "region_cut_known", "a third of all is cut off: until each shows the other side dead", PAIRS
 )
 REGION_BACK = _figure("region_back_known", "the cut ends: until all show all alive", STORM)
 FIGURES: tuple[Figure, ...] = (
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -14,7 +14,9 @@
 from benchmarks.capacity.formula import FormulaError, evaluate
 from benchmarks.capacity.measurement import TARGET, Axis, Figure, Kind, Measurement, Point, Role
 from benchmarks.capacity.predict import AGREES, Model
-from benchmarks.capacity.tables import number
+from benchmarks.capacity.probes import processor, serve
+from benchmarks.capacity.tables import TOPICS, number
+from benchmarks.capacity.target import constants
 
 ROOT = Path(__file__).parents[2]
 COST = Figure(
@@ -127,6 +129,31 @@
     assert named and all(f"def {name}(" in (ROOT / path).read_text(encoding="utf-8") for path, name in named)
 
 
+def test_each_figure_that_depends_on_a_size_has_a_size_that_was_not_fitted() -> None:
+    model = command.load_model()
+    held = {check.measurement.figure for check in model.checks()}
+    without = {name for name, fit in model.fits.items() if fit.figure.axes and name not in held}
+    assert without <= {
+        figure.name for figure in serve.FIGURES
+    }  # three to six processes: all sizes are fitted
+
+
+def test_topics_and_formulas_name_figures_that_are_there() -> None:
+    figures = {figure.name: figure for figure in command.all_figures()}
+    assert len(figures) == len(command.all_figures())
+    assert all(name in figures for names in TOPICS.values() for name in names)
+    for figure in figures.values():
+        if figure.kind is Kind.DERIVED:
+            evaluate(figure.formula, lambda name: 1.0 if name in figures else constants()[name])
+
+
+def test_processor_time_is_scaled_by_fixed_work(monkeypatch: pytest.MonkeyPatch) -> None:
+    times = iter([0.0, 3.0])
+    monkeypatch.setattr(processor, "fixed_work", lambda: 2.0 * processor.REFERENCE)
+    monkeypatch.setattr("time.process_time", lambda: next(times))
+    assert processor.scaled(lambda: None) == pytest.approx(1.5)
+
+
 def test_each_committed_holdout_is_predicted() -> None:
     wrong = [check for check in command.load_model().checks() if check.error > AGREES]
     assert not [(check.measurement.figure, round(check.error, 3)) for check in wrong]
