--- a/benchmarks/capacity/__main__.py
+++ b/benchmarks/capacity/__main__.py
@@ -81,12 +81,15 @@
 
 
 def write_report(options: argparse.Namespace) -> int:
-    """Write the tables of the page, or tell where they differ from the data."""
-    page, model = report.PAGE.read_text(encoding="utf-8"), load_model()
-    if not options.check:
-        report.PAGE.write_text(report.render(page, model), encoding="utf-8")
-        return 0
-    found = report.differences(page, model)
+    """Write the tables of the pages, or tell where they differ from the data."""
+    model = load_model()
+    found: list[str] = []
+    for path in report.PAGES:
+        page = path.read_text(encoding="utf-8")
+        if options.check:
+            found += [f"{path.name}: {line}" for line in report.differences(page, model)]
+        else:
+            path.write_text(report.render(page, model), encoding="utf-8")
     print("\n".join(found), file=sys.stderr, end="\n" if found else "")
     return 1 if found else 0
 
@@ -109,8 +112,10 @@
     command.set_defaults(run=measure)
     command = commands.add_parser("predict", parents=[sizes], help="what the slopes say")
     command.set_defaults(run=predict)
-    command = commands.add_parser("report", help="write the tables of docs/CAPACITY.md")
-    command.add_argument("--check", action="store_true", help="exit with 1 if page and data differ")
+    command = commands.add_parser(
+        "report", help="write the tables of docs/CAPACITY.md and docs/capacity-fits.md"
+    )
+    command.add_argument("--check", action="store_true", help="exit with 1 if pages and data differ")
     command.set_defaults(run=write_report)
     command = commands.add_parser("probe", help="one probe, in this process")
     command.add_argument("name", choices=[name for name, _ in PROBES])
--- a/benchmarks/capacity/report.py
+++ b/benchmarks/capacity/report.py
@@ -1,4 +1,4 @@
-"""The tables of docs/CAPACITY.md, made from the data and put between their markers."""
+"""The tables of docs/CAPACITY.md and of the page of its fits, made from the data and put between their markers."""
 
 from __future__ import annotations
 
@@ -8,7 +8,8 @@
 from benchmarks.capacity.predict import Model
 from benchmarks.capacity.tables import TABLES
 
-PAGE = Path(__file__).parents[2] / "docs" / "CAPACITY.md"
+DOCS = Path(__file__).parents[2] / "docs"
+PAGES = (DOCS / "CAPACITY.md", DOCS / "capacity-fits.md")
 MARKED = re.compile(r"(<!-- table: ([a-z -]+) -->\n).*?(<!-- end of table -->)", re.DOTALL)
 
 
--- a/tests/capacity/test_capacity.py
+++ b/tests/capacity/test_capacity.py
@@ -119,9 +119,10 @@
         report.render(page.replace("ratios", "nothing"), model)
 
 
-def test_page_equals_the_committed_data() -> None:
-    page = report.PAGE.read_text(encoding="utf-8")
-    assert not report.differences(page, command.load_model())
+@pytest.mark.parametrize("path", report.PAGES, ids=lambda path: path.name)
+def test_page_equals_the_committed_data(path: Path) -> None:
+    page = path.read_text(encoding="utf-8")
+    assert "<!-- table: " in page and not report.differences(page, command.load_model())
 
 
 def test_each_test_that_the_page_names_is_there() -> None:
