Sender process: connectors by their name, without the import aliases

service/process.py still imported the connectors under their former names (As2Side, ForwardSide, WebhookSide, Side), and service/connector.py kept an alias for it. Both are gone; the list is `connectors`. Behaviour is unchanged.

--- a/brassweir/service/connector.py
+++ b/brassweir/service/connector.py
@@ -70,6 +70,3 @@
 
     def abort(self) -> None:
         """End everything at once."""
-
-
-Side = Connector  # the name that process.py still uses
--- a/brassweir/service/process.py
+++ b/brassweir/service/process.py
@@ -20,10 +20,10 @@
 from brassweir.net.limiter import Pools
 from brassweir.net.server import Server
 from brassweir.observe.metrics import Metrics
-from brassweir.service.as2_connector import As2Connector as As2Side
-from brassweir.service.connector import Parts, Side
+from brassweir.service.as2_connector import As2Connector
+from brassweir.service.connector import Connector, Parts
 from brassweir.service.descriptors import secure
-from brassweir.service.forward_connector import ForwardConnector as ForwardSide
+from brassweir.service.forward_connector import ForwardConnector
 from brassweir.service.journaling import Journaling, Unusable
 from brassweir.service.listfile import ListFile
 from brassweir.service.plain import Plain
@@ -31,7 +31,7 @@
 from brassweir.service.regionof import region_of
 from brassweir.service.runtime import measure_stalls, settle
 from brassweir.service.watch import Observer
-from brassweir.service.webhook_connector import WebhookConnector as WebhookSide
+from brassweir.service.webhook_connector import WebhookConnector
 from brassweir.service.wiring import limits, settings
 
 if TYPE_CHECKING:
@@ -80,12 +80,14 @@
             self._complain,
             self._told,
         )
-        self.as2 = As2Side(parts) if config.identity is not None else None
-        self.forward = ForwardSide(parts)
-        self.sides: list[Side] = [WebhookSide(parts), self.forward, *([self.as2] if self.as2 else [])]
+        self.as2 = As2Connector(parts) if config.identity is not None else None
+        self.forward = ForwardConnector(parts)
+        self.connectors: list[Connector] = [WebhookConnector(parts), self.forward]
+        if self.as2 is not None:
+            self.connectors.append(self.as2)
         self.carriers: dict[str, Carrier] = {}
-        for side in self.sides:
-            self.carriers.update(side.carriers)
+        for connector in self.connectors:
+            self.carriers.update(connector.carriers)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
         self.journal = self._journal(base, classes) if sender.journaled else None
         seed = sender.seed if sender.seed is not None else random.SystemRandom().getrandbits(48)
@@ -102,8 +104,8 @@
         self.region = region_of(config, base, classes, self.metrics, note)
         if self.region is not None:
             self.engine.admits = self.region.admits
-        for side in self.sides:
-            side.open(self.engine)
+        for connector in self.connectors:
+            connector.open(self.engine)
         self.together = self._together(base)
         states = self.together.states if self.together is not None else {}
         self.waits = False  # for a first endpoint list
@@ -156,14 +158,15 @@
     def _broken(self, error: BaseException) -> None:
         """The journal's disk can no longer be trusted: nothing may be answered or sent as if it could."""
         self.log.error("journal_broken", error=str(error))
-        for side in self.sides:
-            side.abort()
+        for connector in self.connectors:
+            connector.abort()
         if not self.broken.done():
             self.broken.set_result(error)
 
     def _owing(self, message: int, submission: Submission) -> Waiter | None:
-        """The side that took a message knows who waits for it."""
-        return next((waiter for side in self.sides if (waiter := side.owing(message, submission))), None)
+        """The connector that took a message knows who waits for it."""
+        waiters = (connector.owing(message, submission) for connector in self.connectors)
+        return next((waiter for waiter in waiters if waiter), None)
 
     def _complain(self, peer: str, status: int, reason: str) -> None:
         self.observer.note("bad_request", {"peer": peer, "status": status, "reason": reason})
@@ -183,8 +186,8 @@
         self.waits = False
         if self.journal is not None:
             await recover(self.journal, self.list.numbers, self.engine, self._owing, self.log)
-        for side in self.sides:
-            said.update(await side.start())
+        for connector in self.connectors:
+            said.update(await connector.start())
         if not first:
             said.update(await self._take_part())
         settle()
@@ -211,8 +214,8 @@
         grace = self.config.sender.drain_grace_ms / 1000.0
         end = loop.time() + grace
         self.engine.stop_taking()
-        for side in self.sides:
-            side.stop_taking()
+        for connector in self.connectors:
+            connector.stop_taking()
         if self.together is not None:
             self.together.hand_over()
         self.log.info("draining", open=len(self.engine.ledger.open()), grace_ms=round(grace * 1000))
@@ -221,11 +224,11 @@
             await asyncio.sleep(0.02)
         cut = self.engine.close()
         await asyncio.sleep(0.02)  # answers reach their waiters in the next turns
-        for side in self.sides:
-            side.drain()
-        for side in self.sides:
-            await side.settle(max(0.0, end - loop.time() - 0.1))
-        while (left := sum(side.connections for side in self.sides)) and loop.time() < end:
+        for connector in self.connectors:
+            connector.drain()
+        for connector in self.connectors:
+            await connector.settle(max(0.0, end - loop.time() - 0.1))
+        while (left := sum(connector.connections for connector in self.connectors)) and loop.time() < end:
             await asyncio.sleep(0.02)
         self.log.info("stopped", answered_at_the_end=cut, connections_left=left)
         if self.together is not None:
@@ -236,8 +239,8 @@
         """End everything at once."""
         for task in self.tasks:
             task.cancel()
-        for side in self.sides:
-            side.abort()
+        for connector in self.connectors:
+            connector.abort()
         self.plain.abort()
         if self.together is not None:
             self.together.abort()
