Agreed log: membership and the desired epoch in modules of their own

Membership (service/membership.py) and the desired epoch (service/desired.py) now stand alone; what both need of the member is service/agreedgroup.py.

--- a/brassweir/service/agreedside.py
+++ b/brassweir/service/agreedside.py
@@ -15,7 +15,8 @@
 from brassweir.config.copies import agreed_folder
 from brassweir.config.model import CopyConfig, CopyModel
 from brassweir.peers.port import PeerPort
-from brassweir.service.agreeing import Agreeing, Note
+from brassweir.service.agreedgroup import Note
+from brassweir.service.agreeing import Agreeing
 from brassweir.service.region import Region
 from brassweir.service.regionlog import RegionLog
 
@@ -74,7 +75,7 @@
     async def start(self) -> None:
         """Open the folder and take part."""
         await self.member.start()
-        self.deals.read_wish(False)
+        self.deals.desired.read(False)
         self.task = asyncio.create_task(self.deals.run())
         self.task.add_done_callback(self._ended)
         if self.configuration is not None:
@@ -88,10 +89,10 @@
     def reload(self, config: CopyConfig, copies: tuple[CopyModel, ...], gone: set[str]) -> None:
         """An operator asks: other copies, other voters, the next epoch."""
         self.member.reload(tuple(one.name for one in copies))
-        self.deals.left |= gone
+        self.deals.membership.left |= gone
         if config.agreed is not None:
-            self.deals.want_voters(frozenset(config.agreed.voters))
-        self.deals.read_wish(True)
+            self.deals.membership.want_voters(frozenset(config.agreed.voters))
+        self.deals.desired.read(True)
         if self.configuration is not None:
             self.configuration.reload(config.configuration)
 
@@ -142,7 +143,7 @@
 
     def abort(self) -> None:
         """End what this copy does of its own."""
-        for task in (self.task, self.deals.changing):
+        for task in (self.task, self.deals.membership.changing):
             if task is not None:
                 task.cancel()
         if self.configuration is not None:
--- a/tests/service/group.py
+++ b/tests/service/group.py
@@ -117,7 +117,7 @@
             lambda event, more: self.notes.append((event, more)),
         )
         self.tasks = [asyncio.create_task(self.deals.run())]
-        self.deals.read_wish(False)
+        self.deals.desired.read(False)
 
     def takes(self, name: str, cls: str = "order") -> bool:
         refused = self.region.admits(Submission("c", name, cls, 1, 900.0, payload=Payload("a/b", b"")))
--- a/tests/service/test_agreeing.py
+++ b/tests/service/test_agreeing.py
@@ -1,4 +1,4 @@
-"""What a copy does with the agreed log, on a stand-in for the group: renewals, wishes, cuts, clocks, full disks."""
+"""What a copy does with the agreed log, on a stand-in for the group: renewals, wishes, cuts, clocks."""
 
 from __future__ import annotations
 
@@ -11,18 +11,16 @@
 
 from brassweir.agreed.commands import Format, Leave, encode
 from brassweir.regions import planning
-from brassweir.service import agreeing, regionlog
+from brassweir.service import agreeing, membership
 from brassweir.service.agreedside import AgreedSide
-from brassweir.service.regionfile import RegionFile
-from brassweir.service.regionlog import RegionLog
 from tests.conftest import run
-from tests.service.group import ASSUMED, CLASSES, Copy, Log, end, first, group, until
+from tests.service.group import ASSUMED, Copy, Log, end, first, group, until
 
 
 @pytest.fixture(autouse=True)
 def quick(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(agreeing, "LOOK", 0.005)
-    monkeypatch.setattr(agreeing, "JOIN_AGAIN", 0.05)
+    monkeypatch.setattr(membership, "RETRY", 0.05)
 
 
 def test_the_first_epoch_is_proposed_once_and_the_leader_renews(tmp_path: Path) -> None:
@@ -95,12 +93,12 @@
             (msgspec.structs.replace(stale, number=9), "wish_refused", "epoch 9 does not follow 2"),
         ):
             copies[2].first.write_bytes(msgspec.json.encode(wish))
-            copies[2].deals.read_wish(True)
+            copies[2].deals.desired.read(True)
             await until(lambda event=event: bool(copies[2].said(event)))  # type: ignore[misc]
             assert words in str(copies[2].said(event)[0]["error"])
         assert all((one.region.own.epoch or stale).number == 2 for one in copies)
         copies[2].first.write_text("{}")
-        copies[2].deals.read_wish(True)
+        copies[2].deals.desired.read(True)
         assert "no epoch" in str(copies[2].said("wish_refused")[-1]["error"])
         end(copies)
 
@@ -129,27 +127,28 @@
 def test_who_votes_and_who_is_a_member_go_as_the_operator_wants(tmp_path: Path) -> None:
     async def work() -> None:
         log, copies = await group(tmp_path)
-        copies[1].deals.want_voters(frozenset({"b", "c"}))
+        copies[1].deals.membership.want_voters(frozenset({"b", "c"}))
         await asyncio.sleep(0.1)
         assert log.voters == {"a", "b"}, "the leader changes it, when it is told"
-        copies[0].deals.want_voters(frozenset({"b", "c"}))
+        copies[0].deals.membership.want_voters(frozenset({"b", "c"}))
         await until(lambda: log.voters == {"b", "c"})
         assert [one["copy"] for one in copies[0].said("voter_changed")] == ["c", "a"], (
             "who comes first, then who goes"
         )
         copies[2].member.cut = True
-        copies[0].deals.want_voters(frozenset({"a", "b"}))
+        copies[0].deals.membership.want_voters(frozenset({"a", "b"}))
         await until(lambda: log.voters == {"a", "b"})
         assert [one["copy"] for one in copies[0].said("voter_changed")][2:] == ["c", "a"], (
             "who is gone goes first"
         )
         copies[2].member.cut = False
         copies[2].member.follow()
-        await until(lambda: not copies[0].deals.voters and not copies[1].deals.voters)
-        copies[1].deals.left |= {"c", "gone"}
+        await until(lambda: not copies[0].deals.membership.voters and not copies[1].deals.membership.voters)
+        copies[1].deals.membership.left |= {"c", "gone"}
         await until(
             lambda: (
-                all("c" not in one.member.machine.state.copies for one in copies) and not copies[1].deals.left
+                all("c" not in one.member.machine.state.copies for one in copies)
+                and not copies[1].deals.membership.left
             )
         )
         await asyncio.sleep(0.1)
@@ -198,73 +197,14 @@
     run(work())
 
 
-def test_an_epoch_that_cannot_be_kept_does_not_count_and_is_tried_again(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
-) -> None:
-    notes: list[str] = []
-    one = RegionLog("east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event))
-
-    def sick(_: int) -> None:
-        raise OSError(28, "No space left on device")
-
-    monkeypatch.setattr("os.fsync", sick)
-    one.applied(first())
-    one.look()
-    assert one.own.epoch is None and notes == ["epoch_refused"]
-    monkeypatch.undo()
-    one.look()
-    assert one.own.epoch is not None and notes[-1] == "epoch"
-    again = regionlog.RegionLog(
-        "east", tmp_path / "s.epoch", ASSUMED, CLASSES, lambda event, _: notes.append(event)
-    )
-    assert again.own.epoch == one.own.epoch
-    again.applied(first(turn=0))
-    assert notes[-1] == "epoch" and again.own.epoch == one.own.epoch, (
-        "an older state of the log is passed over, and not gone back to"
-    )
-    again.applied(
-        msgspec.structs.replace(
-            first(), grants=tuple(msgspec.structs.replace(each, region="west") for each in first().grants)
-        )
-    )
-    assert notes[-1] == "epoch_refused" and again.own.epoch == one.own.epoch, "nor to one that contradicts"
-
-
-def test_from_the_file_to_the_log_and_never_both(tmp_path: Path) -> None:
-    notes: list[str] = []
-    path, state = tmp_path / "epochs.json", tmp_path / "s.epoch"
-
-    def note(event: str, more: dict[str, object]) -> None:
-        notes.append(f"{event} {more.get('error', '')}")
-
-    by_file = RegionFile("east", path, state, ASSUMED, CLASSES, note)
-    told = first(turn=0)
-    for epoch in (
-        told,
-        planning.handed_over(told, told.issued + 1.0),
-        planning.renewed(told, told.issued + 9.0, 9_000.0, ASSUMED),
-    ):
-        path.write_bytes(msgspec.json.encode(epoch))
-        by_file.look()
-    assert [one.split()[0] for one in notes] == [
-        "epoch",
-        "epoch",
-        "epoch_refused",
-    ] and "handed over" in notes[2]
-    by_log = RegionLog("east", state, ASSUMED, CLASSES, note)
-    assert by_log.own.epoch is not None and by_log.own.epoch.turn == 1, "across a restart"
-    by_log.applied(planning.renewed(by_log.own.epoch, told.issued + 10.0, 9_000.0, ASSUMED))
-    assert notes[3:] == ["epoch "]
-
-
 def test_members_leave_one_at_a_look(tmp_path: Path) -> None:
     async def work() -> None:
         _, copies = await group(tmp_path)
         end(copies)
         deals, there = copies[0].deals, copies[0].member.machine.state.copies
-        deals.left = {"b", "c"}
-        await deals._leave()
-        assert sorted(there) == ["a", "c"] and deals.left == {"c"}
+        deals.membership.left = {"b", "c"}
+        await deals.membership.remove_left()
+        assert sorted(there) == ["a", "c"] and deals.membership.left == {"c"}
 
     run(work())
 
--- a/tests/service/test_review_founding.py
+++ b/tests/service/test_review_founding.py
@@ -39,7 +39,7 @@
         both = [name for name in (f"m{n}" for n in range(20)) if east.takes(name) and west.takes(name)]
         assert bool(both) is not guarded
         if guarded:
-            east.deals.read_wish(True)  # an operator has seen that nothing of it is left
+            east.deals.desired.read(True)  # an operator has seen that nothing of it is left
             await until(lambda: east.member.machine.state.epoch is not None)
         for task in east.tasks + west.tasks:
             task.cancel()
