--- a/brassweir/lab/models/siteplain.py
+++ b/brassweir/lab/models/siteplain.py
@@ -6,8 +6,8 @@
 from random import Random
 
 from brassweir.sites.facts import Facts, Setup, Word
+from brassweir.sites.steps import Step
 from brassweir.sites.verdict import Verdicts
-from brassweir.sites.view import Step
 
 SEEN = 1000.0  # ms of failing until a site is left
 TRY = 2000.0  # ms until it is tried again, with all that belongs there
--- a/brassweir/lab/models/sitetypes.py
+++ b/brassweir/lab/models/sitetypes.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import Literal, Protocol
 
-from brassweir.sites import view as viewing
 from brassweir.sites.facts import Facts, Line, Word
+from brassweir.sites.steps import Step
 from brassweir.sites.verdict import Verdicts
 
 STEP = 250.0  # ms
@@ -56,7 +56,7 @@
     spill: dict[tuple[str, str], float]
     verdicts: Verdicts
 
-    def step(self, now: float, facts: Facts) -> list[viewing.Step]: ...
+    def step(self, now: float, facts: Facts) -> list[Step]: ...
     def word(self, site: str) -> Word: ...
 
 
--- a/brassweir/lab/models/siteworld.py
+++ b/brassweir/lab/models/siteworld.py
@@ -12,6 +12,14 @@
 
 from brassweir.interface import EndpointInfo
 from brassweir.lab.models.sitelog import SiteLog
+from brassweir.lab.models.siteoffer import (
+    calls_by_site,
+    client_lines,
+    let_in_at_front,
+    said_of_sites,
+    step_limits,
+    words_said,
+)
 from brassweir.lab.models.sitetypes import (
     FALL,
     GOSSIP,
@@ -24,8 +32,8 @@
     Stepping,
     World,
 )
-from brassweir.sites import view as viewing
 from brassweir.sites.facts import Agreed, Copy, Ending, Facts, Line, Peer, Setup, Witness, Word
+from brassweir.sites.view import View
 
 
 class SiteWorld:
@@ -36,7 +44,7 @@
         world: World,
         faults: tuple[Fault, ...],
         seed: int,
-        make: Callable[[Setup, Random], Stepping] = viewing.View,
+        make: Callable[[Setup, Random], Stepping] = View,
     ) -> None:
         self.world, self.faults, self.rng, self.make = world, faults, Random(seed), make
         self.copies = tuple(Copy(f"{site}{i}", site) for site in world.capacity for i in range(world.copies))
@@ -63,17 +71,9 @@
         self.tape: list[Second] = []
 
     def _fresh(self, copy: Copy) -> Stepping:
-        return self.make(
-            Setup(
-                copy,
-                self.copies,
-                self.endpoints,
-                self.world.cold,
-                self.world.start_capacity,
-                self.world.spill,
-            ),
-            Random(f"{copy.name}"),
-        )
+        world = self.world
+        setup = Setup(copy, self.copies, self.endpoints, world.cold, world.start_capacity, world.spill)
+        return self.make(setup, Random(f"{copy.name}"))
 
     def run(self, seconds: float) -> list[Second]:
         """The tape of a day."""
@@ -101,7 +101,7 @@
         self.log.step(
             now,
             [copy for copy in live if copy not in cut],
-            self._words_said(live, cut),
+            words_said({copy: self.said[copy] for copy in live if copy not in cut}, self.world),
             self._demand_by_site(now),
             self.on(now, "log") is not None,
         )
@@ -185,67 +185,19 @@
         asked = self._demand_by_site(now)
         for copy in live:
             part = self.weight[copy] / total * (1.0 + 0.02 * (2 * self.rng.random() - 1))
-            found[copy] = tuple(
-                Line(name, customer, site, rate * part * share, worth, 1.0, window, pinned)
-                for site, rate in asked.items()
-                for name, customer, share, worth, window, pinned in (
-                    ("news", "big", 0.5, 1.0, 60_000.0, False),
-                    ("pay", "big", 0.4 - self.world.pinned, 3.0, 30_000.0, False),
-                    ("pay", "small", 0.1, 3.0, 30_000.0, False),
-                    ("kept", "small", self.world.pinned, 2.0, 3_000.0, True),
-                )
-            )
+            found[copy] = client_lines(self.world, asked, part)
         return found
 
-    def _words_said(self, live: list[Copy], cut: set[Copy]) -> dict[str, dict[str, Word]]:
-        return {
-            site: {
-                copy.name: word
-                for copy in live
-                if copy not in cut and (word := self.said[copy].get(site, (None,))[0]) is not None
-            }
-            for site in self.world.capacity
-        }
-
     def _act(self, now: float, copy: Copy, facts: Facts, second: Second) -> dict[str, float]:
         """One copy steps, and offers what it may. Returns its calls by site."""
-        one = self.views[copy]
-        limits = {
-            (step.line.class_name, step.line.customer, step.line.home): step.rate
-            for step in one.step(now, facts)
-            if isinstance(step, viewing.Admit)
-        }
-        said, verdicts = dict[str, tuple[Word | None, float, float]](), one.verdicts
-        for site in self.world.capacity:
-            if sum(counted := verdicts.evidence.counts(site)) > 0.0:
-                said[site] = (verdicts.says(site), *counted)
-            counts = second.words.setdefault(site, {})
-            counts[one.word(site)] = counts.get(one.word(site), 0) + 1
-        self.said[copy] = said
-        calls = dict.fromkeys(self.world.capacity, 0.0)
-        second.by_copy.append(len(second.refused))
-        let = dict[str, tuple[float, float]]()
-        for line in facts.demand:
-            rate = min(line.rate, limits.get((line.class_name, line.customer, line.home), line.rate))
-            second.refused.append((line, rate))
-            second.demand[line.home] = second.demand.get(line.home, 0.0) + line.rate
-            second.asked += line.rate * line.worth
-            fixed, free = let.get(line.home, (0.0, 0.0))
-            let[line.home] = (fixed + rate, free) if line.pinned else (fixed, free + rate)
+        view = self.views[copy]
+        limits = step_limits(view, now, facts)
+        self.said[copy] = said_of_sites(view, self.world, second)
+        let_in = let_in_at_front(facts, limits, second)
         known = second.refused[second.by_copy[-1] :]
-        let_in = sum(rate for _, rate in known) or 1.0
-        self.mean[copy] = sum(rate * line.worth for line, rate in known) / let_in
-        for home, (fixed, free) in let.items():
-            at_home = min(fixed + free, max(one.home[home], 0.0))
-            rest = fixed + free - at_home
-            calls[home] += at_home
-            pairs = {pair: rate for pair, rate in one.spill.items() if pair[0] == home}
-            total = sum(pairs.values())
-            for pair, rate in pairs.items():
-                goes = min(rest, total) * rate / total if total else 0.0
-                calls[pair[1]] += goes
-                second.spilled[pair] = second.spilled.get(pair, 0.0) + goes
-        return calls
+        total = sum(rate for _, rate in known) or 1.0
+        self.mean[copy] = sum(rate * line.worth for line, rate in known) / total
+        return calls_by_site(view, self.world, let_in, second)
 
     def _answer(
         self, now: float, calls: dict[Copy, dict[str, float]], cut: set[Copy], second: Second
--- a/brassweir/sites/view.py
+++ b/brassweir/sites/view.py
@@ -1,67 +1,29 @@
 """A copy's view of all sites: the sum of verdict, parts, return and refusals. ``(now, facts) -> steps``.
 
-Steps are facts for others: list entries whose rates and states are this copy's view (for the decision module,
-which divides a rate by the listed copies), what share of each line has room (for the fronts), what this copy
-says (for the agreed log). What is sent where stays the decision module's.
+What is sent where stays the decision module's: see ``steps``.
 """
 
 from __future__ import annotations
 
 import math
 from collections.abc import Mapping
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 from brassweir.interface import EndpointInfo, State
 from brassweir.sites import plan as planning
 from brassweir.sites import refusing
 from brassweir.sites.evidence import WINDOW
-from brassweir.sites.facts import Agreed, Facts, Line, Plan, Setup, Word
+from brassweir.sites.facts import Agreed, Facts, Plan, Setup, Word
 from brassweir.sites.parts import ALONE, LEASE, Part, alone
 from brassweir.sites.returning import SAFE, Ramp
+from brassweir.sites.steps import Admit, Entry, Propose, Said, Step
 from brassweir.sites.verdict import CALM, FRESH, Verdicts
 
 STEP = 0.02  # a smaller change of a rate is not worth telling: the decisions look at each entry anew
 SPREAD = 0.5  # of the time to come back that is drawn on top: those refused together are not to come together
 
 
-@dataclass(frozen=True, slots=True)
-class Said:
-    """The word on a site has changed; ``alone``: the agreed log was out of reach."""
-
-    site: str
-    word: Word
-    alone: bool
-
-
-@dataclass(frozen=True, slots=True)
-class Propose:
-    """What this copy says to the agreed log and to witnesses, by its own endings; None: nothing any more."""
-
-    site: str
-    word: Word | None
-
-
-@dataclass(frozen=True, slots=True)
-class Entry:
-    """A list entry to tell the decision module."""
-
-    info: EndpointInfo
-
-
-@dataclass(frozen=True, slots=True)
-class Admit:
-    """The rate of a line that has room from now on; the rest is refused at once, with ``retry_after`` (ms).
-    Infinite: all."""
-
-    line: Line
-    rate: float
-    retry_after: float
-
-
-Step = Said | Propose | Entry | Admit
-
-
 class View:
     """One copy. ``home`` and ``spill`` are what it may call now: by site, and by home and taker."""
 
--- a/tests/sites/test_view.py
+++ b/tests/sites/test_view.py
@@ -8,7 +8,8 @@
 from brassweir.sites import plan as planning
 from brassweir.sites.facts import Agreed, Ending, Facts, Line, Word
 from brassweir.sites.parts import ALONE
-from brassweir.sites.view import Admit, Entry, Propose, Said, Step, View
+from brassweir.sites.steps import Admit, Entry, Propose, Said, Step
+from brassweir.sites.view import View
 from tests.sites.test_verdict import COPIES, SETUP, WELL
 
 PLAN = planning.plan(1, tuple(planning.Room(site, 120.0, 200.0) for site in "abc"))
