Loopback fleet: its settings files are made section by section in their own module

The sections are functions of lab/rigs/fleet_settings.py now, the fleet only composes them; between/rig.py uses write_yaml instead of a private method. Behaviour unchanged: s1.yaml and endpoints.yaml of a fleet with partners, sinks, shippers and clients hash alike before and after (ports masked). The between rig was not played.

--- a/brassweir/lab/between/rig.py
+++ b/brassweir/lab/between/rig.py
@@ -25,6 +25,7 @@
 from brassweir.lab.between.seen import Told
 from brassweir.lab.between.sites import Stand
 from brassweir.lab.rigs.fleet import Fleet
+from brassweir.lab.rigs.fleet_settings import write_yaml
 from brassweir.lab.rigs.handle import Handle, free_port
 from brassweir.lab.rigs.plan import FleetPlan
 from brassweir.regions.epochs import PLACES, parse
@@ -124,7 +125,7 @@
         self.stands.append(replace(place, name=name, voter=False))
         self.fates.sites[name] = place.site
         self.receipt_urls[name] = f"http://127.0.0.1:{port}/as2/receipts"
-        self._write(self.folder / f"{name}.yaml", self.settings(name, port, free_port(), self.made))
+        write_yaml(self.folder / f"{name}.yaml", self.settings(name, port, free_port(), self.made))
         for copy in self.copies:
             if copy is not gone:
                 self._write_copies(copy.name)
@@ -141,7 +142,7 @@
         assert self.faults is not None
         for copy in self.faults.copies.values():
             self.trees[copy.name]["agreed"]["voters"] = list(self.voters)
-            self._write(copy.settings, self.trees[copy.name])
+            write_yaml(copy.settings, self.trees[copy.name])
             copy.reread()
 
     def _task(self, work: Coroutine[Any, Any, None]) -> None:
@@ -179,7 +180,7 @@
 
     def _write_copies(self, name: str) -> None:
         """The copies' file of one, with every copy that there is or was."""
-        self._write(
+        write_yaml(
             self.folder / f"{name}.copies.yaml",
             {
                 "copies": [
--- a/brassweir/lab/rigs/fleet.py
+++ b/brassweir/lab/rigs/fleet.py
@@ -9,12 +9,20 @@
 from pathlib import Path
 from typing import Any
 
-from ruamel.yaml import YAML
-
-from brassweir.as2.keys import file_name, make, write
+from brassweir.as2.keys import make, write
 from brassweir.as2.message import Identity
 from brassweir.core.offload import Offload
 from brassweir.lab.judges.tape import Published, Tape
+from brassweir.lab.rigs.fleet_settings import (
+    KINDS,
+    class_sections,
+    client_section,
+    endpoint_list,
+    forward_section,
+    partner_section,
+    sender_section,
+    write_yaml,
+)
 from brassweir.lab.rigs.handle import Handle, SenderHandle, free_port
 from brassweir.lab.rigs.plan import FleetPlan
 from brassweir.lab.standins.client import Client
@@ -98,7 +106,7 @@
             self.forward_ports.append(free_port())
             self.receipt_urls[name] = f"http://127.0.0.1:{port}/as2/receipts"
             path = self.folder / f"{name}.yaml"
-            self._write(path, self.settings(name, port, metrics, made))
+            write_yaml(path, self.settings(name, port, metrics, made))
             self.senders.append(self.launch(name, path, port))
         await asyncio.gather(*(sender.start() for sender in self.senders))
 
@@ -141,126 +149,36 @@
             if isinstance(item, Item)
         }
 
-    def _forward(self, name: str, port: int) -> dict[str, Any]:
-        rules = [
-            {
-                "tag": f"{cls.name}.**",
-                "class": cls.name,
-                "destination": "{1}",
-                "body": "msgpack" if cls.effect == "safe" else "json-lines",
-                "key": "{1}.{2}" if cls.in_order else "",
-            }
-            for cls in self.plan.classes
-            if cls.effect != "unsafe"
-        ]
-        return {
-            "listen": f"127.0.0.1:{port}",
-            "kept": f"{name}.kept",
-            "sources": [
-                {"name": shipper.name, "shared_keys": [f"{shipper.name}.key"], "rules": rules}
-                for shipper in self.shippers
-            ],
-        }
-
     def settings(self, name: str, port: int, metrics: int, made: dict[str, Identity]) -> dict[str, Any]:
         """The settings file of one sender, as a tree."""
-        plan = self.plan
+        plan, shippers = self.plan, [shipper.name for shipper in self.shippers]
+        forward = forward_section(plan, name, self.forward_ports[-1], shippers) if shippers else None
+        may_send_to = [*self.partners, *(["*"] if self.sinks else [])]
         return {
-            "sender": {
-                "name": name,
-                "listen": f"127.0.0.1:{port}",
-                "metrics": f"127.0.0.1:{metrics}",
-                "seed": self.seed * 100 + len(self.senders),
-                "slots": plan.slots,
-                "max_open": plan.max_open,
-                "senders": plan.senders,
-                "connect_timeout_ms": 1000,
-                "max_retry_after_ms": 5000,
-                "idle_close_ms": 5000,
-                "order_pause_ms": 200,
-                "cold_ms": 5000,
-                "start_capacity": 0.25,
-                "tip_multiple": 2.0,
-                "drain_grace_ms": plan.drain_grace * 1000,
-                "crypto_threads": 2,
-            },
-            "classes": [
-                {
-                    "name": cls.name,
-                    "aim_ms": cls.aim * 1000,
-                    "deadline_ms": cls.deadline * 1000,
-                    "effect": cls.effect,
-                    "window_ms": cls.window * 1000,
-                    "in_order": cls.in_order,
-                    "late_worth": 0.3,
-                }
-                for cls in plan.classes
-            ],
-            "kinds": [
-                {"name": "partner"},
-                {"name": "sink", "carrier": "forward", "shared_key": "sink.key", "batch": 4},
-            ],
-            **({"forward": self._forward(name, self.forward_ports[-1])} if self.shippers else {}),
+            "sender": sender_section(plan, self.seed * 100 + len(self.senders), name, port, metrics),
+            "classes": class_sections(plan),
+            "kinds": [dict(kind) for kind in KINDS],
+            **({"forward": forward} if forward else {}),
             "identity": {
                 "as2_id": HUB,
                 "key": f"{HUB}.key.pem",
                 "certificate": f"{HUB}.crt.pem",
                 "receipt_url": self.receipt_urls[name],
             },
-            "clients": [
-                {
-                    "as2_id": client.name,
-                    "certificates": [f"{file_name(client.name)}.crt.pem"],
-                    "may_send_to": [*self.partners, *(["*"] if self.sinks else [])],
-                    **({"receipt_url": client.receipt_url} if client.receipt_url else {}),
-                    "rules": [
-                        {"subject": rf"^{cls.name} \S+(?: key-(?P<key>\S+))?", "class": cls.name}
-                        for cls in plan.classes
-                    ],
-                }
-                for client in self.clients
-            ],
-            "partners": [
-                {
-                    "as2_id": partner.name,
-                    "certificates": [f"{file_name(partner.name)}.crt.pem"],
-                    "receipt": "async" if partner.manner.asynchronous else "sync",
-                }
-                for partner in self.partners.values()
-            ],
+            "clients": [client_section(plan, client, may_send_to) for client in self.clients],
+            "partners": [partner_section(partner) for partner in self.partners.values()],
             "endpoints": "endpoints.yaml",
         }
 
     def publish(self, change: dict[str, str]) -> None:
         """Write the endpoint list with some states changed; gone endpoints leave it."""
         self.states.update(change)
-        tree = {
-            "endpoints": [
-                {
-                    "name": name,
-                    "url": self.urls[name][0],
-                    "state": state,
-                    **(
-                        {"destination": self.urls[name][1], "kind": "sink"}
-                        if self.urls[name][1] in self.sinks
-                        else {"partner": self.urls[name][1], "kind": "partner"}
-                    ),
-                }
-                for name, state in self.states.items()
-                if state != "gone"
-            ]
-        }
         path = self.folder / "endpoints.yaml"
         fresh = path.with_suffix(".new")
-        self._write(fresh, tree)
+        write_yaml(fresh, endpoint_list(self.states, self.urls, self.sinks.keys()))
         fresh.replace(path)
         self.tape.add(Published(time.time(), dict(self.states)))
 
-    @staticmethod
-    def _write(path: Path, tree: dict[str, Any]) -> None:
-        with path.open("w", encoding="utf-8") as file:
-            YAML().dump(tree, file)
-
     async def stop(self) -> list[tuple[str, int, float]]:
         """Drain every sender, then end all; names, exit codes and seconds."""
         running = [sender for sender in self.senders if sender.running]
