Small model of the agreed log: scenes apart from the walk over them

lab/models/logmodel.py (274 lines) held both the scene (three cores, disks, messages; how it is cloned and founded) and the breadth-first walk. The scene is lab/models/logscene.py now, moved as it stood; tests import it from there.

--- a/tests/agreed/test_model.py
+++ b/tests/agreed/test_model.py
@@ -9,7 +9,8 @@
 from brassweir.agreed import timing
 from brassweir.agreed.core import Core
 from brassweir.lab.models.logjudge import Broken
-from brassweir.lab.models.logmodel import Bounds, Model, Scene, founded
+from brassweir.lab.models.logmodel import Model
+from brassweir.lab.models.logscene import Bounds, Scene, founded
 from tests.agreed import faults
 
 LED = "campaign a; written a; AskVote ab; written b; Vote ba; written a"  # a leads in term 2
--- a/tests/agreed/test_noise.py
+++ b/tests/agreed/test_noise.py
@@ -9,7 +9,7 @@
 
 from brassweir.agreed import messages as m
 from brassweir.agreed.facts import Post, Received, Write, Written
-from brassweir.lab.models.logmodel import NAMES, Scene, founded
+from brassweir.lab.models.logscene import NAMES, Scene, founded
 
 
 def drawn(kind: Any, rng: Random) -> Any:
