--- a/tests/agreed/drawn.py
+++ b/tests/agreed/drawn.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from dataclasses import dataclass, field
 
 import msgspec
 
@@ -13,57 +12,20 @@
 from brassweir.agreed.reconciliation import proposal
 from brassweir.agreed.renewing import Facts, Renew, Renewing
 from brassweir.interface import Effect
-from brassweir.regions import planning, sources
+from brassweir.regions import planning
 from brassweir.regions.epochs import PLACES, Epoch, EpochError
 from brassweir.regions.ownership import Ownership
 from brassweir.regions.planning import Lost
 from brassweir.regions.sources import Source, publisher
+from tests.agreed.drawn_copies import Site, Taken
 from tests.regions.samples import ASSUMED, LEASE, REGIONS
 
 NAMES = list(REGIONS)
 ERROR = ASSUMED.clock_error
 EVENTS = (
-    "renew renew renew renew renew wish raw raw raw raw read read read read read read step back restart older "
+    "renew renew renew renew renew desired raw raw raw raw read read read read read read step back restart older "
     "switch hand fork"
 ).split()
-Taken = tuple[str, str, float, float]  # message, region, and when (true ms) attempts at it may be made
-
-
-def twice(tape: list[Taken]) -> set[str]:
-    """The judge, from the tape alone: messages that two regions took."""
-    by: dict[str, set[str]] = {}
-    for message, region, begins, ends in tape:
-        if begins < ends:
-            by.setdefault(message, set()).add(region)
-    return {message for message, regions in by.items() if len(regions) > 1}
-
-
-@dataclass
-class Site:
-    """One copy: its view, what its disk has held, its clock's error and the source it is set to."""
-
-    region: str
-    view: Ownership
-    offset: float
-    source: Source = Source.FILE
-    durable: list[Epoch] = field(default_factory=list)
-
-    def wall(self, now: float) -> float:
-        self.view.tick(now + self.offset, now)
-        return now + self.offset
-
-    def learn(self, epoch: Epoch) -> None:
-        try:  # as a sender does
-            sources.takes(self.source, epoch, self.view.epoch)
-            if self.view.learn(epoch):
-                self.durable.append(epoch)
-        except EpochError:
-            pass
-
-    def restart(self, epoch: Epoch | None, now: float) -> None:
-        """Its operator has looked at the clock: it is right when it is first read."""
-        self.view = Ownership(self.region, ASSUMED, epoch)
-        self.wall(now)
 
 
 class World:
@@ -150,7 +112,7 @@
             [one for one in self.log[-12:] if one.issued < self.now - 9_000.0] or self.log[-3:]
         )  # a stale view
         made = self.plan(base, self.now + draw.choice((0.0, 0.0, -60_000.0)))
-        if what == "wish" and trusted:  # planned anew by the copy
+        if what == "desired" and trusted:  # planned anew by the copy
             made = msgspec.structs.replace(
                 made, number=max(made.number, state.epoch.number + draw.randrange(2))
             )
@@ -213,7 +175,7 @@
     def event(self) -> None:
         draw, what = self.draw, self.draw.choice(EVENTS)
         copy = draw.choice(self.copies)
-        if what in ("renew", "wish", "raw"):
+        if what in ("renew", "desired", "raw"):
             self.change(what, copy)
         elif what == "read":
             for one in draw.sample(self.copies, 2):
--- /dev/null
+++ b/tests/agreed/drawn_copies.py
@@ -0,0 +1,50 @@
+"""The copies of the drawn world of grants, and the judge of its tape."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from brassweir.regions import sources
+from brassweir.regions.epochs import Epoch, EpochError
+from brassweir.regions.ownership import Ownership
+from brassweir.regions.sources import Source
+from tests.regions.samples import ASSUMED
+
+Taken = tuple[str, str, float, float]  # message, region, and when (true ms) attempts at it may be made
+
+
+def twice(tape: list[Taken]) -> set[str]:
+    """The judge, from the tape alone: messages that two regions took."""
+    by: dict[str, set[str]] = {}
+    for message, region, begins, ends in tape:
+        if begins < ends:
+            by.setdefault(message, set()).add(region)
+    return {message for message, regions in by.items() if len(regions) > 1}
+
+
+@dataclass
+class Site:
+    """One copy: its view, what its disk has held, its clock's error and the source it is set to."""
+
+    region: str
+    view: Ownership
+    offset: float
+    source: Source = Source.FILE
+    durable: list[Epoch] = field(default_factory=list)
+
+    def wall(self, now: float) -> float:
+        self.view.tick(now + self.offset, now)
+        return now + self.offset
+
+    def learn(self, epoch: Epoch) -> None:
+        try:  # as a sender does
+            sources.takes(self.source, epoch, self.view.epoch)
+            if self.view.learn(epoch):
+                self.durable.append(epoch)
+        except EpochError:
+            pass
+
+    def restart(self, epoch: Epoch | None, now: float) -> None:
+        """Its operator has looked at the clock: it is right when it is first read."""
+        self.view = Ownership(self.region, ASSUMED, epoch)
+        self.wall(now)
--- a/tests/agreed/test_drawn.py
+++ b/tests/agreed/test_drawn.py
@@ -9,7 +9,8 @@
 from brassweir.agreed import machine
 from brassweir.regions import ownership, planning, sources
 from brassweir.regions.ownership import NotHere, Ownership, Why
-from tests.agreed.drawn import run, twice
+from tests.agreed.drawn import run
+from tests.agreed.drawn_copies import twice
 from tests.regions.samples import at_once
 
 RUNS = 24  # seeds 0 to 23, for the rules as they are and for each that is broken
