--- a/benchmarks/as2_path.py
+++ b/benchmarks/as2_path.py
@@ -11,7 +11,6 @@
 import asyncio
 import json
 import multiprocessing
-import os
 import re
 import sys
 import tempfile
@@ -32,6 +31,7 @@
 from brassweir.lab.judges.tape import Tape
 from brassweir.lab.models.desk import Manner
 from brassweir.lab.rigs.fleet import HUB, Fleet
+from brassweir.lab.rigs.flood import usage
 from brassweir.lab.rigs.handle import free_port
 from brassweir.lab.rigs.plan import FleetPlan
 from brassweir.lab.standins.partner import Partner
@@ -59,19 +59,6 @@
     return (time.process_time() - before) / rounds
 
 
-def cpu(pid: int) -> float:
-    """CPU seconds of a process so far."""
-    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
-def rss(pid: int) -> int:
-    """Resident bytes of a process."""
-    found = re.search(r"VmRSS:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    assert found is not None
-    return int(found[1]) * 1024
-
-
 def metric(port: int, name: str) -> float:
     """One series of the sender's metrics."""
     with urllib.request.urlopen(f"http://127.0.0.1:{port}/metrics", timeout=5) as answer:
@@ -209,11 +196,11 @@
         pid = sender.process.pid  # type: ignore[attr-defined]
 
         def round_of(at_once: int, seconds: float, rate: float = 0.0) -> tuple[int, float]:
-            before = cpu(pid)
+            before = usage(pid).cpu
             for order in orders:
                 order.put((at_once, seconds, rate))
             good = sum(results.get(timeout=seconds + 60) for _ in workers)
-            return good, cpu(pid) - before
+            return good, usage(pid).cpu - before
 
         try:
             round_of(8, 3.0)
@@ -221,13 +208,13 @@
             full, spent = round_of(24, 15.0)
             carried = full / (time.monotonic() - begun)
             decisions = metric(metrics, "brassweir_decision_cpu_seconds_total")
-            total = cpu(pid)
+            total = usage(pid).cpu
             half, half_spent = round_of(100, 21.0, carried / 2 / WORKERS)
             stall = metric(metrics, "brassweir_loop_stall_seconds")
-            idle_before = rss(pid)
+            idle_before = usage(pid).rss
             held = [await asyncio.open_connection("127.0.0.1", port) for _ in range(1000)]
             await asyncio.sleep(0.5)
-            idle = (rss(pid) - idle_before) / len(held)
+            idle = (usage(pid).rss - idle_before) / len(held)
             for _, writer in held:
                 writer.close()
             operations = bare(hub)
