--- a/benchmarks/as2_path.py
+++ b/benchmarks/as2_path.py
@@ -24,8 +24,6 @@
 from cryptography.hazmat.primitives.asymmetric import padding, rsa
 from ruamel.yaml import YAML
 
-from benchmarks.capacity.probes.resources import cpu
-from benchmarks.capacity.probes.resources import resident as rss
 from brassweir.as2 import keys
 from brassweir.as2.sending import letter, post
 from brassweir.core.offload import Offload
