--- a/benchmarks/capacity/probes/outages.py
+++ b/benchmarks/capacity/probes/outages.py
@@ -14,6 +14,7 @@
 PATIENCE = 15_000.0  # ms after which something has gone wrong
 LOOK = 20.0  # ms between two looks
 CUT = 20_000.0  # ms that a region is cut off: long enough for all to count as dead
+LEAST_CUT = 60  # copies; regions of less than some twenty are known sooner than the law of larger ones says
 COPIES, MOST_FLEETS = 1_320, 12  # so many copies are played in all, in so many fleets at most
 LATER_LIFE = 1_790_000_000_000
 AXES = (Axis.SENDERS,)
@@ -26,7 +27,7 @@
 
 
 GROWS = ("1", "log N")
-PAIRS = ("log N", "N*N")  # suspicions last by the logarithm; each inside suspects each outside
+PAIRS = ("1", "N*N")  # each copy inside suspects each outside, and has to work through them
 STORM = ("1", "log N", "N")  # as many suspicions as copies have to be worked through
 COPY_LOST = _figure("copy_lost_known", "a copy is killed: until the last other shows it dead", GROWS)
 ZONE_LOST = _figure(
@@ -58,6 +59,7 @@
     return [
         Measurement(figure.name, point, statistics.mean(one[figure.name] for one in played), method)
         for figure in FIGURES
+        if figure is not REGION_CUT or point.senders >= LEAST_CUT
     ]
 
 
