Tests: two of three voters killed, the last version stays and the edit waits

Cause: the fault table's row on two lost votes rested on the quorum rule and no test between processes caused it. Change: a test with four processes: two of three voters are killed, an edit is asked for; those left say that they are out of contact, end no edit and serve the version before; one voter comes back and the edit comes in force. Fails without the quorum by its own asserts; no guard was taken out to see it.

--- a/tests/service/test_configuration.py
+++ b/tests/service/test_configuration.py
@@ -210,3 +210,26 @@
     fleet.wait_in_force(second, ("s2",))
     assert fleet.configuration("s2")["out_of_contact"] is True
     assert fleet.told("s2") == ["a", "b", "c"]
+
+
+def test_with_two_of_three_voters_gone_the_last_version_stays_and_an_edit_waits(fleet: Fleet) -> None:
+    fleet.publish(endpoints("a", "b"))
+    first = int(fleet.wait_edit("agreed")["version"])
+    fleet.wait_in_force(first)
+    for name in ("c2", "s1"):
+        fleet.kill(name)
+    fleet.publish(endpoints("a", "b", "c"))
+    fleet.until(
+        lambda: all(fleet.configuration(name).get("out_of_contact") is True for name in ("c1", "s2")),
+        "those that are left know that they are alone",
+        "/configuration",
+    )
+    assert len(fleet.said("c1", *ENDS)) == fleet.ended_before, "a minority ends no edit"
+    assert fleet.configuration("s2")["in_force"] == first
+    assert [one.partition(" ")[0] for one in fleet.told("s2")] == ["a", "b"]
+    fleet.start("c2")
+    second = int(fleet.wait_edit("agreed")["version"])
+    assert second > first
+    fleet.wait_in_force(second, ("c1", "c2", "s2"))
+    fleet.until(lambda: fleet.configuration("s2")["out_of_contact"] is False, "in contact again")
+    assert [one.partition(" ")[0] for one in fleet.told("s2")] == ["a", "b", "c"]
