Node: log hand-ins, first bytes, endings, closes and list changes with ids and reasons

Change: core tells its watcher when an attempt begins; node_trace writes handed_in, attempt_began (with version, source and age of the list), attempt_ended and answered; node_list writes list and endpoint_state; the RESP front a reason for each close and for a refusal at the holding limit. At most 1,000 lines of each event in 5 s.

--- a/brassweir/cli/node.py
+++ b/brassweir/cli/node.py
@@ -13,6 +13,7 @@
 from brassweir.relay.settings import NodeError
 from brassweir.service.journaling import Unusable
 from brassweir.service.node_run import run
+from brassweir.service.node_trace import FREQUENT
 
 
 @click.command()
@@ -23,7 +24,7 @@
     """
     try:
         with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
-            runner.run(run(Lines()))
+            runner.run(run(Lines(frequent=FREQUENT)))
     except (NodeError, Unusable) as error:
         click.echo(f"brassweir node: {error}", err=True)
         sys.exit(1)
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -28,6 +28,7 @@
     Store,
     Submission,
 )
+from brassweir.core.unbegun import Unbegun
 from brassweir.core.watcher import Watcher
 
 LATE = 5.0  # ms: a time-out that comes later than this shows that the loop stood still
@@ -63,8 +64,7 @@
         self.endpoints: dict[str, api.EndpointInfo] = {}
         self.facts: list[api.Event | Record] = []  # a record: a message that the module is to hold
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
-        # Attempts decided on that may not have begun, by destination, each with its ending.
-        self.waiting: dict[int, dict[tuple[int, int], tuple[Attempt, Callable[[Outcome], None]]]] = {}
+        self.unbegun = Unbegun(self.apart)
         self.recalls: list[Callable[[], None]] = []  # by what the module hears in the next turn
         self.promises: dict[int, Callable[[], None]] = {}  # see :meth:`held`
         self.turning = False
@@ -143,7 +143,7 @@
         """Pass on news of the endpoint list."""
         for info in news.entries:
             self.endpoints[info.name] = info
-        self._tell(news, lambda: recall.news(news.entries, self._unbegun(*self.waiting)), recall.TOLD_OFF)
+        self._tell(news, lambda: self.unbegun.called_back_by_news(news.entries), recall.TOLD_OFF)
 
     def _fact(self, event: api.Event | Record) -> None:
         self.facts.append(event)
@@ -221,7 +221,10 @@
             info,
             action.abandon_at,
             repeat,
-            Going(lambda: record.answer is None and self.clock.now() <= until),
+            Going(
+                lambda: record.answer is None and self.clock.now() <= until,
+                lambda: self.watcher.began(attempt),
+            ),
         )
         started = self.clock.now()
         limit: Handle | None = None
@@ -231,10 +234,8 @@
                 limit.cancel()
             if attempt.going.refused:
                 outcome = Outcome(api.Result.MOOT, "its message or its window was over before it began")
-            line = self.waiting.get(info.destination)
-            if line is not None and line.pop((attempt.id, attempt.number), None) is not None and not line:
-                del self.waiting[info.destination]
-            self._recall(self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
+            self.unbegun.remove(attempt)
+            self.unbegun.recall(self.unbegun.called_back_by_wait(attempt, outcome), recall.TOLD_TO_WAIT)
             self._ended(attempt, started, outcome)
 
         def over() -> None:
@@ -264,38 +265,19 @@
         def unable(why: str) -> None:
             done(Outcome(api.Result.NO_CONNECTION, why))
 
-        self.waiting.setdefault(info.destination, {})[attempt.id, number] = attempt, done
+        self.unbegun.add(attempt, done)
         self.store.keep(Fact.INTENT, action.id, attempt, go, unable)
 
     def _tell(self, event: api.Event, which: Callable[[], list[Attempt]], why: str) -> None:
         """Tell what may call attempts back: now, and after the turn that hears it and may not heed it yet."""
 
         def again() -> None:
-            self._recall(which(), why)
+            self.unbegun.recall(which(), why)
 
         again()
         self.recalls.append(again)
         self._fact(event)
 
-    def _unbegun(self, *homes: int) -> list[Attempt]:
-        return [
-            attempt
-            for home in homes
-            for attempt, _ in self.waiting.get(home, {}).values()
-            if not attempt.going.begun
-        ]
-
-    def _waits(self, attempt: Attempt, outcome: Outcome) -> list[Attempt]:
-        if outcome.wait <= 0.0:
-            return []
-        return recall.waits(attempt, outcome, self._unbegun(attempt.endpoint.destination), self.apart)
-
-    def _recall(self, attempts: list[Attempt], why: str) -> None:
-        for attempt in attempts:
-            if attempt.going.recall():
-                _, done = self.waiting[attempt.endpoint.destination][attempt.id, attempt.number]
-                done(Outcome(api.Result.MOOT, why))
-
     def _ended(self, attempt: Attempt, started: float, outcome: Outcome) -> None:
         record = self.ledger.by_id.get(attempt.id)
         if record is not None and not self.ledger.outcome(attempt.id, attempt.number, outcome):
@@ -325,7 +307,7 @@
                 outcome.limit_left,
                 outcome.limit,
             )
-            self._tell(ended, lambda: self._waits(attempt, outcome), recall.TOLD_TO_WAIT)
+            self._tell(ended, lambda: self.unbegun.called_back_by_wait(attempt, outcome), recall.TOLD_TO_WAIT)
 
         self.store.keep(Fact.OUTCOME, attempt.id, (attempt, outcome), tell, lambda _: tell())
 
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -64,21 +64,26 @@
     """Has an attempt's first byte gone out, or was it called back before? One of the two, never both.
 
     ``may`` says whether it may still begin: not where its message is over, and a repeat only while its
-    destination knows the key. ``refused`` is that it could not.
+    destination knows the key. ``refused`` is that it could not. ``began`` is called once, as it begins.
     """
 
-    __slots__ = ("begun", "may", "recalled", "refused")
+    __slots__ = ("began", "begun", "may", "recalled", "refused")
 
-    def __init__(self, may: Callable[[], bool] = lambda: True) -> None:
+    def __init__(
+        self, may: Callable[[], bool] = lambda: True, began: Callable[[], None] = lambda: None
+    ) -> None:
         self.begun = self.recalled = self.refused = False
-        self.may = may
+        self.may, self.began = may, began
 
     def go(self) -> bool:
         """The carrier is about to write the first byte, or the last where that is held back; false if it must
         not any more."""
         self.refused = self.refused or not self.may()
-        self.begun = not self.recalled and not self.refused
-        return self.begun
+        goes = not self.recalled and not self.refused
+        if goes and not self.begun:
+            self.began()
+        self.begun = goes
+        return goes
 
     def recall(self) -> bool:
         """Call it back; false if it is under way."""
--- a/brassweir/observe/lines.py
+++ b/brassweir/observe/lines.py
@@ -5,20 +5,30 @@
 import json
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Set
 from typing import Any, TextIO
 
 SPAN = 5.0  # seconds
 MOST = 50  # lines of one event in such a span; the rest are counted and told in the next line of it
+MOST_FREQUENT = 1000  # the same of an event that comes with each message
+
+_ENCODE = json.JSONEncoder(default=str).encode  # made once: json.dumps makes an encoder for each line
 
 
 class Lines:
-    """A log with the face of the service's other one. A storm of one event cannot fill disk or CPU."""
+    """A log with the face of the service's other one. A storm of one event cannot fill disk or CPU.
+
+    ``frequent`` names the events that come with each message.
+    """
 
     def __init__(
-        self, stream: TextIO | None = None, now: Callable[[], float] = time.time, **bound: Any
+        self,
+        stream: TextIO | None = None,
+        now: Callable[[], float] = time.time,
+        frequent: Set[str] = frozenset(),
+        **bound: Any,
     ) -> None:
-        self.stream, self.now, self.bound = stream or sys.stderr, now, bound
+        self.stream, self.now, self.bound, self.frequent = stream or sys.stderr, now, bound, frequent
         self.spans: dict[str, tuple[float, int, int]] = {}  # event: start, lines, held back
 
     def info(self, event: str, **details: Any) -> None:
@@ -38,12 +48,12 @@
         start, count, held = self.spans.get(event, (now, 0, 0))
         if now - start >= SPAN:
             start, count = now, 0
-        if count >= MOST:
+        if count >= (MOST_FREQUENT if event in self.frequent else MOST):
             self.spans[event] = (start, count, held + 1)
             return
         self.spans[event] = (start, count + 1, 0)
         line = {"event": event, "level": level, "at": round(now, 3), **self.bound, **details}
         if held:
             line["held_back"] = held
-        self.stream.write(json.dumps(line, default=str) + "\n")
+        self.stream.write(_ENCODE(line) + "\n")
         self.stream.flush()
--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -7,42 +7,19 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Callable
-from typing import Protocol
 
-from brassweir.core.engine import Engine
-from brassweir.core.ledger import Record, Waiter
+from brassweir.core.ledger import Record
 from brassweir.core.ports import Answer, FinalAnswer, Submission
 from brassweir.resp import codec, handin
-from brassweir.resp.admission import Admission, ClientState
+from brassweir.resp.admission import ClientState
 from brassweir.resp.channel import Channel
-from brassweir.resp.counts import Counts
+from brassweir.resp.host import Host
 
 MOST_OPEN = 64  # commands of one connection being answered; more wait in its socket
 PENALTY = 0.2  # seconds for which one that sent what cannot be used is not read, doubled with each
 MOST_ERRORS = 6  # after so many it is closed
 
 
-class Host(Protocol):
-    """The front that has accepted a connection, as the connection needs it."""
-
-    engine: Engine
-    admission: Admission
-    counts: Counts
-    listed: Callable[[int], bool]
-    owing: Callable[[Record], Waiter]
-    told: Callable[[int], None]
-
-    def admit(self, connection: Connection) -> ClientState | None:
-        """Keep a new connection, or None."""
-
-    def weigh(self, one: ClientState, weight: int) -> None:
-        """A client keeps so many bytes here."""
-
-    def left(self, ident: int) -> None:
-        """A client is gone."""
-
-
 class Slot:
     """One command's place in the order of answers."""
 
@@ -62,20 +39,31 @@
         self.decoder = codec.Decoder()
         self.slots: deque[Slot] = deque()
         self.client: ClientState | None = None
+        self.number = 0  # its client's, which outlives its place among the clients
         self.resting = self.advancing = False
         self.faults = 0
+        self.why = ""  # we close it; empty while it is the client that would
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """A client has connected; if there is no room, somebody must go."""
         super().connection_made(transport)
         self.client = self.front.admit(self)
+        self.number = self.client.id if self.client is not None else 0
         if self.client is None:
-            self.ending = True
+            self.ending, self.why = True, "no room for it"
             transport.close()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """The client is gone, or we have closed."""
         super().connection_lost(exc)
+        self.front.note(
+            "client_closed",
+            {
+                "client": self.number,
+                "why": self.why or (str(exc) if exc else "closed by the client"),
+                "unanswered": len(self.slots),
+            },
+        )
         self.leave()
         self.take_back()
 
@@ -93,15 +81,17 @@
             self.front.left(self.client.id)
             self.client = None
 
-    def drop(self) -> None:
+    def drop(self, why: str) -> None:
         """Close at once."""
+        self.why = self.why or why
         self.front.counts.dropped += 1
         self.leave()
         self.abort()
 
-    def end(self) -> None:
+    def end(self, why: str) -> None:
         """Read no more, and close once every command that was read whole has its answer."""
         if not self.ending:
+            self.why = why
             self.finish()
             self.advance()
 
@@ -115,7 +105,7 @@
             self.front.counts.silenced += 1
         if self.decoder.partial:
             self.fault("the command did not come whole")
-        self.end()
+        self.end("silent for too long")
 
     def received(self, data: bytes) -> None:
         """Read on."""
@@ -138,7 +128,7 @@
                 args = self.decoder.next()
             except codec.Malformed as error:
                 self.fault(str(error))
-                self.end()
+                self.end(str(error))
                 break
             if args is None:
                 break
@@ -180,7 +170,8 @@
         self.slots.append(slot)
         if engine.ledger.held >= engine.settings.max_open:
             front.counts.busy += 1
-            return self.answer(slot, codec.busy(0.0))  # the platform's limit on what one sender holds
+            front.note("refused", {"id": given.identity, "why": "holds as much as the settings allow"})
+            return self.answer(slot, codec.busy(0.0))
         self.take(given, slot)
 
     def take(self, given: Submission, slot: Slot) -> None:
@@ -216,7 +207,7 @@
         self.flush()
         if self.faults >= MOST_ERRORS or self.decoder.held > codec.MOST_BYTES:
             self.decoder = codec.Decoder()  # it sends on before it has read why: none of that is kept
-            self.end()
+            self.end("too many commands that cannot be used")
         elif not self.ending:
             self.resting = True
             self.loop.call_later(PENALTY * 2.0 ** (self.faults - 1), self.rested)
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -18,6 +18,7 @@
 from brassweir.resp.counts import Counts
 
 BACKLOG = 512  # connections that wait to be accepted
+Note = Callable[[str, dict[str, object]], None]
 LOOK = 0.05  # seconds between two looks at who has been silent for too long
 
 
@@ -31,9 +32,10 @@
         listed: Callable[[int], bool],
         owing: Callable[[Record], Waiter],
         told: Callable[[int], None],
+        note: Note = lambda event, details: None,
     ) -> None:
         self.engine, self.admission, self.listed = engine, admission, listed
-        self.owing, self.told = owing, told
+        self.owing, self.told, self.note = owing, told, note
         self.connections: dict[int, Connection] = {}
         self.last = 0
         self.closed = False
@@ -69,7 +71,7 @@
         self.counts.opened += 1
         go, victim = self.admission.admit(self.last, connection.loop.time())
         if victim is not None:
-            self.connections[victim].drop()
+            self.connections[victim].drop("gave way to a new connection")
         if not go:
             self.counts.dropped += 1
             return None
@@ -80,7 +82,7 @@
         """A client keeps so many bytes here, for which another may have to go."""
         victim = self.admission.weigh(one, weight)
         if victim is not None:
-            self.connections[victim].drop()
+            self.connections[victim].drop("kept too many bytes that were not taken up")
 
     def left(self, ident: int) -> None:
         """A client is gone."""
@@ -99,7 +101,7 @@
         if self.looking is not None:
             self.looking.cancel()
         for connection in list(self.connections.values()):
-            connection.end()
+            connection.end("the sender leaves")
 
     def abandon(self) -> None:
         """The process ends: who has no answer yet gets none, and what it handed in is not taken on."""
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -28,14 +28,14 @@
 from brassweir.net.limiter import Pools
 from brassweir.net.limits import Limits
 from brassweir.relay.carrier import SETTLING, RelayCarrier
-from brassweir.relay.discovery import Discovery
-from brassweir.relay.listing import Change, Listing
 from brassweir.relay.notices import Notices, notice
 from brassweir.relay.settings import NodeConfig, NodeError
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
 from brassweir.service.journaling import Journaling, Keeping, wall
-from brassweir.service.node_watch import Counting, belief, usage
+from brassweir.service.node_list import NodeList
+from brassweir.service.node_trace import Tracing
+from brassweir.service.node_watch import belief, usage
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
 REMEMBER_MOST = 4000  # of them
@@ -75,7 +75,8 @@
         self.config, self.log, self.loop = config, log, loop
         given = config.settings
         self.classes = classes = {cls.name: cls for cls in given.classes}
-        self.clock, self.counts, self.listing = LoopClock(loop), Counting(), Listing()
+        self.clock = LoopClock(loop)
+        self.counts = Tracing(log, lambda: self.list.knowledge())
         sockets = config.limits.sockets
         calls = max(8, int(sockets * (1.0 - CLIENTS)) - KEPT_BACK)
         self.pools = Pools(
@@ -87,7 +88,6 @@
             Setups(SETUPS),
             SETTLING,
         )
-        self.carrier = RelayCarrier(self.listing, self.pools, self.clock, self.note)
         self.broken: asyncio.Future[BaseException] = loop.create_future()
         try:
             parts = sizes.within(int(config.limits.disk_mb * 1024 * 1024))
@@ -107,14 +107,16 @@
         )
         apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
         self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
-        self.discovery = Discovery(config.discovery, lambda: self.listing.rev, self._change, self.note)
+        self.list = NodeList(self.engine, self.clock, config.discovery, log, self.note)
+        self.carrier = RelayCarrier(self.list.listing, self.pools, self.clock, self.note)
         admission = Admission(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
         self.front = Front(
             self.engine,
             admission,
-            self.listing.listed,
+            self.list.listing.listed,
             lambda record: self._waiter(record.id, record.submission),
             self.journal.store.told,
+            self.note,
         )
         self.telling: asyncio.TimerHandle | None = None
 
@@ -127,15 +129,6 @@
         if not self.broken.done():
             self.broken.set_result(error)
 
-    def _change(self, change: Change) -> None:
-        if change.rev < self.listing.rev:
-            # An agent that is behind: what it tells was true before, and could undo a drain.
-            self.note("list_behind", {"rev": change.rev, "known": self.listing.rev})
-            return
-        news = self.listing.take(change)
-        if news.entries:
-            self.engine.news(news)
-
     def _waiter(self, message: int, submission: Submission) -> Waiter:
         """Who waits for the end of a message that was taken on: the platform, unless it is a delivery."""
 
@@ -168,10 +161,9 @@
 
     async def start(self) -> None:
         """Know the list, recover, watch, then listen. Raises OSError."""
-        if self.config.known is not None:
-            self.engine.news(self.listing.take(self.config.known, api.ListKind.CACHED))
+        self.list.begin(self.config.known)
         self._recover()
-        self.discovery.start()
+        self.list.discovery.start()
         gc.collect()
         gc.freeze()
         gc.set_threshold(*COLLECT)
@@ -181,7 +173,7 @@
         self.log.info(
             "started",
             listen=self.config.listen,
-            endpoints=len(self.listing.known),
+            endpoints=len(self.list.listing.known),
             slots=self.config.settings.slots,
             max_open=self.config.settings.max_open,
             cores=self.config.limits.cores,
@@ -202,7 +194,7 @@
             clients=len(front.connections),
             calls=self.pools.budget.open,
             owed=len(self.notices.owed),
-            rev=self.listing.rev,
+            rev=self.list.listing.rev,
             journal=self.journal.writer.total,
             ledger=len(self.engine.ledger.by_id),
             **usage(),
@@ -213,7 +205,7 @@
     def reload(self, config: NodeConfig) -> None:
         """The platform moves: the list and notices are elsewhere from now on."""
         self.log.info("reloaded", discovery=config.discovery)
-        self.discovery.move(config.discovery)
+        self.list.discovery.move(config.discovery)
         self.notices.move(config.discovery)
 
     async def leave(self, told: float) -> None:
@@ -234,7 +226,7 @@
         """End everything at once."""
         if self.telling is not None:
             self.telling.cancel()
-        self.discovery.stop()
+        self.list.discovery.stop()
         self.front.close()
         self.front.abandon()
         self.journal.close()
--- a/tests/core/test_crossings.py
+++ b/tests/core/test_crossings.py
@@ -106,7 +106,7 @@
         assert {name: [one.answer for one in given] for name, given in self.answers.items()} == {
             name: [Answer.DELIVERED] for name in self.answers
         }
-        assert not self.engine.waiting and self.engine.sender.load.open == 0
+        assert not self.engine.unbegun.by_destination and self.engine.sender.load.open == 0
 
 
 OFF = pytest.mark.parametrize(
--- a/tests/core/test_handovers.py
+++ b/tests/core/test_handovers.py
@@ -58,7 +58,11 @@
     def end(self) -> list[str]:
         """Whose attempts were written."""
         self.clock.run(9000.0)
-        assert not self.engine.promises and not self.engine.waiting and self.engine.sender.load.out == 0
+        assert (
+            not self.engine.promises
+            and not self.engine.unbegun.by_destination
+            and self.engine.sender.load.out == 0
+        )
         assert not self.engine.sender.messages
         return [name for _, name in self.carrier.written]
 
--- a/tests/core/test_recall.py
+++ b/tests/core/test_recall.py
@@ -23,7 +23,7 @@
     early = [at for at, name in carrier.written if name == "early"]
     told = next(at for at, name in carrier.written if name == "told")
     assert len(early) == 1 and early[0] >= told + 10.0 + 500.0 and answers
-    assert not engine.waiting
+    assert not engine.unbegun.by_destination
 
 
 def test_without_the_call_back_it_would_go_out(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -43,7 +43,7 @@
     carrier.connects = [100.0]
     engine.submit(Submission("c", "late", CLASSES[0].name, 1, 4000.0), lambda _: None)
     clock.run(1050.0)
-    (attempt,) = [attempt for attempt, _ in engine.waiting[1].values()]
+    (attempt,) = [attempt for attempt, _ in engine.unbegun.by_destination[1].values()]
     other = next(name for name in ("d1-0", "d1-1") if name != attempt.endpoint.name)
     engine.news(
         api.ListNews(
@@ -54,7 +54,7 @@
     clock.run(1060.0)
     sent = [note.endpoint for note in engine.ledger.by_name["c", "late"].attempts]
     assert sent == [attempt.endpoint.name, other], "it goes elsewhere at once"
-    (again,) = [attempt for attempt, _ in engine.waiting[1].values()]
+    (again,) = [attempt for attempt, _ in engine.unbegun.by_destination[1].values()]
     assert again.going.begun
     engine.news(api.ListNews(api.ListKind.DELTA, (api.EndpointInfo(other, 1, "", state=api.State.GONE),)))
     assert not again.going.recalled, "its first byte has gone out"
--- a/tests/core/test_window.py
+++ b/tests/core/test_window.py
@@ -37,4 +37,4 @@
     assert [answer.answer for _, answer in got] == [Answer.REFUSED], (
         "the platform's word for keyed ones that reach everywhere"
     )
-    assert engine.sender.load.out == 0 and not engine.waiting
+    assert engine.sender.load.out == 0 and not engine.unbegun.by_destination
--- a/tests/relay/test_list_crossings.py
+++ b/tests/relay/test_list_crossings.py
@@ -30,7 +30,7 @@
     given: dict[str, Any] = configuration()
     made = NodeProcess(settings.read(json.dumps(given).encode()), folder, structlog.get_logger())
     made._recover()
-    made._change(Change(rev, True, list(targets)))
+    made.list.take(Change(rev, True, list(targets)))
     return made
 
 
@@ -87,15 +87,15 @@
         sender = process(tmp_path, target("a"), target("b", "leaving"))
         await asyncio.sleep(0.0)
         for told in (change, *more):
-            sender._change(told)
+            sender.list.take(told)
             await asyncio.sleep(0.01)
-        known = sender.listing.known
+        known = sender.list.listing.known
         assert (
             {name: info.state for name, info in known.items()}
             == states
             == {name: info.state for name, info in sender.engine.endpoints.items()}
         )
-        assert sender.listing.rev == rev and set(sender.listing.places) == set(states)
+        assert sender.list.listing.rev == rev and set(sender.list.listing.places) == set(states)
         usable = {
             name
             for dest in sender.engine.sender.dests.values()
@@ -124,12 +124,12 @@
                 )
                 for _ in range(turns):
                     await asyncio.sleep(0.0)
-                sender._change(
+                sender.list.take(
                     Change(6, False, [target("a", state, full), target("b", "active", other.address)])
                 )
                 await asyncio.sleep(0.1)
                 assert [one.answer for one in answers] == [Answer.DELIVERED] and len(other.seen) == 1
-                assert not sender.engine.waiting
+                assert not sender.engine.unbegun.by_destination
                 await asyncio.sleep(0.5)  # the set-up ends with its own time
                 assert f"http://{full}/receive a" not in sender.pools.budget.holders
             sender.journal.close()
