--- a/brassweir/lab/standins/discovery.py
+++ b/brassweir/lab/standins/discovery.py
@@ -21,7 +21,8 @@
         self.asked: list[int] = []
         self.status = 204
         self.refuses = b""  # answer 400 to posts that hold this
-        self.silent = False
+        self.silent = False  # it takes requests for the list and answers none
+        self.delay = 0.0  # seconds before it answers a request for the list
         self.told: Callable[[], None] = lambda: None  # called when a notice has come, before its answer
         self.server: asyncio.Server | None = None
         self.port = 0
@@ -73,6 +74,7 @@
                     writer.write(f"HTTP/1.1 {status} X\r\nContent-Length: 0\r\n\r\n".encode())
                 elif not self.silent:
                     self.asked.append(int(head[0].partition("since=")[2].partition(" ")[0]))
+                    await asyncio.sleep(self.delay)
                     writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
                     self.watches.add(writer)
                     line = json.dumps(self.whole()).encode()
--- a/brassweir/lab/standins/platform.py
+++ b/brassweir/lab/standins/platform.py
@@ -90,6 +90,7 @@
         self.uid, self.destination, self.manner = uid, destination, manner
         self.calls: list[Call] = []
         self.delivered: list[str] = []
+        self.begun: list[float] = []  # wall ms of each call's first byte, whole or not
         self.connections = 0
         self.resets_kept = 0.0  # if set, share of a request after which a kept connection is reset
         self.resets = 0
@@ -121,9 +122,9 @@
                     self.resets += 1
                     writer.transport.abort()
                     return
-                begun = b""
+                begun = await reader.readexactly(1)
+                self.begun.append(wall())
                 if served and self.repeats:
-                    begun = await reader.readexactly(1)
                     writer.write(answer(200))
                 head = (begun + await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
                 fields = _fields(head)
--- /dev/null
+++ b/tests/relay/test_list_restarts.py
@@ -0,0 +1,100 @@
+"""Real processes: no first byte goes to an endpoint that was told off while nobody listened (incident 39).
+
+What the platform's agent has counts as told from a process's first moment, and what it learns while it is cut off
+counts as told at its return. The grace is that of the settings and 50 ms of slack.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from brassweir.lab.standins.platform import Endpoint, after, wall
+from tests.relay.plays import play
+from tests.relay.world import World
+
+GRACE = 300.0  # ms: the settings' 250 and the platform's slack
+MESSAGES = 8
+
+
+async def take(world: World, count: int = MESSAGES, first: int = 0) -> None:
+    """Hand in messages of the safe and the unsafe class in turn."""
+    client = await world.client()
+    for i in range(first, first + count):
+        assert await client.put(f"m{i}", ("note", "pay")[i % 2], 1, 5000.0) == b"+OK\r\n"
+
+
+def late(endpoint: Endpoint, told: float) -> list[float]:
+    """First bytes later than the grace after the endpoint was told off, as ms since then."""
+    return [at - told for at in endpoint.begun if at > told + GRACE]
+
+
+async def replaced(world: World) -> Endpoint:
+    """The one endpoint drains, and another stands for it."""
+    spare = Endpoint("b", 1)
+    await spare.start()
+    world.endpoints.append(spare)
+    world.discovery.change(world.endpoints[0].entry("leaving"), spare.entry())
+    return spare
+
+
+@pytest.mark.parametrize("answers_after", [0.0, 0.5, 1.2])
+def test_recovered_messages_wait_for_the_first_answer_of_the_watch(
+    tmp_path: Path, answers_after: float
+) -> None:
+    """The endpoint drains while the sender is down; the configuration still names it ready."""
+
+    async def day(world: World) -> None:
+        await take(world)
+        await world.kill()
+        await replaced(world)
+        world.discovery.delay = answers_after
+        await world.start()
+        await world.settled(MESSAGES)
+        assert [at for at in world.endpoints[0].begun if at > world.started] == [], world.log()[-3000:]
+
+    play(tmp_path, day, Endpoint("a", 1, after(0.4)))
+
+
+def test_a_start_while_discovery_is_down_goes_on_from_the_last_list_that_was_told(tmp_path: Path) -> None:
+    """The process before had heard of the drain; the configuration is older. Service goes on all the same."""
+
+    async def day(world: World) -> None:
+        spare = await replaced(world)
+        await asyncio.sleep(0.2)
+        told = wall()
+        await asyncio.sleep(GRACE / 1000.0)
+        await take(world)
+        world.discovery.silent = True
+        await world.kill()
+        await world.start()
+        await take(world, first=MESSAGES)
+        await world.settled(2 * MESSAGES)
+        assert late(world.endpoints[0], told) == [], world.log()[-3000:]
+        assert len(spare.delivered) >= MESSAGES
+
+    play(tmp_path, day, Endpoint("a", 1))
+
+
+def test_a_change_that_comes_with_the_return_of_discovery_is_heard_within_the_grace(tmp_path: Path) -> None:
+    """The agent is silent for a while and takes no watch; what it has at its return counts as told then."""
+
+    async def day(world: World) -> None:
+        await take(world)
+        world.discovery.silent = True
+        world.discovery.cut()
+        for i in range(1, 12):
+            await take(world, 2, first=MESSAGES + 2 * i)
+            await asyncio.sleep(0.27)
+        await replaced(world)
+        world.discovery.silent = False
+        told = wall()
+        for i in range(30):
+            await take(world, 1, first=100 + i)
+            await asyncio.sleep(0.05)
+        await world.settled(MESSAGES + 22 + 30)
+        assert late(world.endpoints[0], told) == [], world.log()[-3000:]
+
+    play(tmp_path, day, Endpoint("a", 1))
--- a/tests/relay/world.py
+++ b/tests/relay/world.py
@@ -74,7 +74,7 @@
             "RegistryMode": "push",
             "Report": {"Names": ["x0", "x1"]},
             "Resolution": 5.0,
-            "Rules": {"Cold": 3000.0, "StartCapacity": 0.3, "TipMultiple": 1.5},
+            "Rules": {"DrainGrace": 250.0, "Cold": 3000.0, "StartCapacity": 0.3, "TipMultiple": 1.5},
             "Skus": ["office"],
             "Weights": "rough",
             "Specifics": {"CallSlots": 30, "KindApart": [False], "KindBatch": [1], "Decay": "even"},
@@ -95,6 +95,7 @@
         self.program = ["-m", "brassweir", "node"]
         self.process: asyncio.subprocess.Process | None = None
         self.port = 0
+        self.started = 0.0  # wall ms at which the sender was last started
         (folder / "state").mkdir(exist_ok=True)
 
     async def open(self, *endpoints: Endpoint, dies_at: int = 0) -> World:
@@ -127,6 +128,7 @@
             "RELAY_CONFIG": str(self.folder / "config.json"),
             "RELAY_STATE": str(self.folder / "state"),
         }
+        self.started = wall()
         self.process = await asyncio.create_subprocess_exec(
             sys.executable,
             *(["-m", "tests.relay.dying", str(dies_at)] if dies_at else self.program),
