First bytes wait until the endpoint list is confirmed; the list outlives its process

What a process had been told died with it. While the agent was silent, relay/discovery.py waited 1.0 or 2.5 s on each request before the next (UNANSWERED, PATIENT). Change: core/first_byte.py is the one check before a first byte (message open, window, endpoint ready in the list as it is known at that moment, list usable), asked by all carriers through Going; relay/knowledge.py says who vouches (unconfirmed, confirmed, unreachable); the module holds messages while nobody does (ListKind.UNCONFIRMED, USABLE); relay/discovery.py asks every 0.1 s until a watch is confirmed, keeps four requests open, and hears the old address after SIGHUP until the new one answers; service/saved_list.py keeps each change in the lasting folder. The hold is 2 s and at most a quarter of the shortest deadline: then discovery counts as down. Tests of the watch: the count of requests at the old address is now taken at the move, and descriptors are bounded by MOST_UNCONFIRMED, since requests go out in a row; the stand-in carrier of tests/core heeds a no.

--- a/brassweir/control/choosing.py
+++ b/brassweir/control/choosing.py
@@ -33,7 +33,8 @@
         weighs only on messages for these, which may fill their share of the holding limit."""
         if dest.ill:
             return self.apart.open <= SICK_CAP * self.sets.max_open
-        return self.load.out < self.sets.slots or self.load.cost - self.apart.cost <= self.bound.value
+        free = self.list_usable and self.load.out < self.sets.slots
+        return free or self.load.cost - self.apart.cost <= self.bound.value
 
     def _queue(self, dest: Destination) -> float:
         """How long the pace of its gates lets a new message wait: guards against a queue standing under a
@@ -47,7 +48,7 @@
 
     def _pump(self) -> None:
         """Send the earliest deadlines among destinations free to send while slots are free."""
-        while self.ready and self.load.out < self.sets.slots:
+        while self.list_usable and self.ready and self.load.out < self.sets.slots:
             due, order, ident = heappop(self.ready)
             dest = self.dests.get(ident)
             head = dest.head(self.now) if dest is not None else None
--- a/brassweir/control/holding.py
+++ b/brassweir/control/holding.py
@@ -41,6 +41,7 @@
         self.order, self.timer = 0, INF  # numbers given so far; earliest timer set
         self.calls: dict[str, Call] = {}  # calls of this reply that may be shared
         self.now, self.leaves = now, INF  # this moment; when this sender ends
+        self.list_usable = True  # else nothing new is sent
         self.actions: list[api.Action] = []
         self._wake(now + PERIOD, self._second)
         if settings.ask_list:
--- a/brassweir/control/sender.py
+++ b/brassweir/control/sender.py
@@ -41,6 +41,9 @@
         return self.actions
 
     def _news(self, news: api.ListNews) -> None:
+        if news.kind in (api.ListKind.UNCONFIRMED, api.ListKind.USABLE):
+            self.list_usable = news.kind is api.ListKind.USABLE
+            return
         if news.kind is api.ListKind.FAILED:
             if self.sets.ask_list:
                 wait = ASK_AGAIN * self.sets.ask_within * (1.0 + self.rng.random())
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -13,6 +13,7 @@
 from brassweir import interface as api
 from brassweir.control import Sender
 from brassweir.core import recall
+from brassweir.core.first_byte import FirstByteCheck
 from brassweir.core.ledger import Ledger, Record, Taken, Waiter
 from brassweir.core.ports import (
     Answer,
@@ -61,7 +62,8 @@
         self.settings = settings
         self.sender = Sender(settings, seed, clock.now())
         self.ledger = Ledger({cls.name: cls for cls in settings.classes}, remember, most)
-        self.endpoints: dict[str, api.EndpointInfo] = {}
+        self.first_byte = FirstByteCheck()
+        self.endpoints = self.first_byte.endpoints
         self.facts: list[api.Event | Record] = []  # a record: a message that the module is to hold
         self.apart = frozenset(kind.name for kind in settings.kinds if kind.apart)
         self.unbegun = Unbegun(self.apart)
@@ -141,8 +143,7 @@
 
     def news(self, news: api.ListNews) -> None:
         """Pass on news of the endpoint list."""
-        for info in news.entries:
-            self.endpoints[info.name] = info
+        self.first_byte.learn(news)
         self._tell(news, lambda: self.unbegun.called_back_by_news(news.entries), recall.TOLD_OFF)
 
     def _fact(self, event: api.Event | Record) -> None:
@@ -222,7 +223,7 @@
             action.abandon_at,
             repeat,
             Going(
-                lambda: record.answer is None and self.clock.now() <= until,
+                lambda: self.first_byte.bar(record, action.endpoint, self.clock.now(), until),
                 lambda: self.watcher.began(attempt),
             ),
         )
@@ -232,8 +233,8 @@
         def done(outcome: Outcome) -> None:
             if limit is not None:
                 limit.cancel()
-            if attempt.going.refused:
-                outcome = Outcome(api.Result.MOOT, "its message or its window was over before it began")
+            if attempt.going.bar is not None:
+                outcome = Outcome(api.Result.MOOT, attempt.going.bar.value)
             self.unbegun.remove(attempt)
             self.unbegun.recall(self.unbegun.called_back_by_wait(attempt, outcome), recall.TOLD_TO_WAIT)
             self._ended(attempt, started, outcome)
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -60,26 +60,37 @@
     born: float | None = None  # when its client made it (wall ms), where its protocol tells
 
 
+class Bar(Enum):
+    """Why an attempt may not begin any more; its value is the reason told."""
+
+    MESSAGE_OVER = "its message was over before it began"
+    WINDOW_OVER = "the window of its key was over before it began"
+    ENDPOINT_NOT_READY = "its endpoint was told off before it began"
+    LIST_UNCONFIRMED = "nobody vouched for the endpoint list before it began"
+
+
 class Going:
     """Has an attempt's first byte gone out, or was it called back before? One of the two, never both.
 
-    ``may`` says whether it may still begin: not where its message is over, and a repeat only while its
-    destination knows the key. ``refused`` is that it could not. ``began`` is called once, as it begins.
+    ``check`` is asked right before the first byte, and before the last where that is held back: what bars the
+    attempt, or None. ``bar`` is what barred it. ``began`` is called once, as it begins.
     """
 
-    __slots__ = ("began", "begun", "may", "recalled", "refused")
+    __slots__ = ("bar", "began", "begun", "check", "recalled")
 
     def __init__(
-        self, may: Callable[[], bool] = lambda: True, began: Callable[[], None] = lambda: None
+        self, check: Callable[[], Bar | None] = lambda: None, began: Callable[[], None] = lambda: None
     ) -> None:
-        self.begun = self.recalled = self.refused = False
-        self.may, self.began = may, began
+        self.begun = self.recalled = False
+        self.bar: Bar | None = None
+        self.check, self.began = check, began
 
     def go(self) -> bool:
         """The carrier is about to write the first byte, or the last where that is held back; false if it must
         not any more."""
-        self.refused = self.refused or not self.may()
-        goes = not self.recalled and not self.refused
+        if self.bar is None:
+            self.bar = self.check()
+        goes = not self.recalled and self.bar is None
         if goes and not self.begun:
             self.began()
         self.begun = goes
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -43,8 +43,7 @@
     MOOT = "moot"
 
 
-# Endings that prove that the message never ran.
-NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.CROWDED, Result.MOOT})
+NEVER_RAN = frozenset({Result.FULL, Result.NO_CONNECTION, Result.CROWDED, Result.MOOT})  # proofs of it
 LACKING = frozenset({Result.NO_CONNECTION, Result.CROWDED})  # endings for want of a connection
 
 
@@ -63,6 +62,8 @@
     FULL = "full"
     CACHED = "cached"
     FAILED = "failed"
+    UNCONFIRMED = "unconfirmed"  # nobody vouches for the list now: nothing new may be sent until
+    USABLE = "usable"  # it was confirmed, or its source stays silent and the last list has to do
 
 
 @dataclass(frozen=True, slots=True)
@@ -194,8 +195,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Past:
-    """How an attempt ended before this sender was restarted, so long ago; told once, oldest first, after the
-    list. Without it a sender that comes back would be bolder at a sick destination than it was."""
+    """How an attempt ended before a restart, so long ago; told once, oldest first, after the list."""
 
     endpoint: str
     result: Result
--- a/brassweir/relay/discovery.py
+++ b/brassweir/relay/discovery.py
@@ -1,196 +1,165 @@
-"""Keeps up the watch of the endpoint list: one open answer, objects in lines, a line every two seconds.
+"""Keeps up the watch of the endpoint list: one that is confirmed, and until there is one, requests in a row.
 
-A watch that says nothing whole for too long is dead, whatever its connection says: another is opened, from
-the last version on. What cannot be read ends the watch; the list that is known stands.
+A watch is confirmed by its first whole object or empty line: from then on its connection tells each
+change as it comes. Without one a request goes out every ``pace`` seconds, whatever became of those
+before: an agent that was silent and is back is heard within that time and the way there. Those that are
+not answered are left open as long as there is room, since a slow answer is one too; the oldest always
+stays, until it has been silent for too long.
 
-How late a change can be told, as a sum of waits: a watch that gave its head and fell silent costs ``SILENT``,
-one that was not answered ``UNANSWERED`` or, each fourth, the same, all with ``READ_FIRST`` and at most
-``LONGEST`` until the next. After a silent one, and one more like it (5.44 s) or two not answered (5.16 s), a
-change is told within 6 s.
+How late a change can be told: on an open watch, at once. A watch that fell silent costs ``SILENT`` and
+``READ_FIRST``, one more that gave its head and fell silent the same again, the next request at most ``pace``:
+5.14 s as a sum, and 6 s are allowed. A watch that was cut costs ``pace`` at most.
 """
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, cast
+from dataclasses import dataclass
 
-import httptools
+from brassweir.relay.listing import Change, read
+from brassweir.relay.watch import Watch
 
-from brassweir.relay.listing import Change, ListError, Objects, read
-
-SILENT = 2.5  # seconds without a whole object or empty line: the platform sends one of them every 2 s
-UNANSWERED = 1.0  # seconds without the answer's head: whom we ask is on this machine, and answers at once
-PATIENT = 4  # one of so many calls that are not answered has ``SILENT`` instead: a slow answer is heard too
-READ_FIRST = 0.02  # seconds in which what lies in the socket is read before silence is believed
-FIRST, LONGEST = 0.05, 0.2  # seconds until the next try, doubled up to the longest
-LARGEST = 8 * 1024 * 1024  # bytes of one object
+PACE = 0.1  # seconds between two requests while none is confirmed
+MOST_UNCONFIRMED = 4  # requests that are not confirmed, open at once
+LEFT_AFTER = 3.0  # seconds after a move for which the old address is still heard: 4 s after it, changes count
 
 Note = Callable[[str, dict[str, object]], None]
 
 
+def _nothing() -> None:
+    """Nobody asked."""
+
+
+def _unheard(why: str, heard: float) -> None:
+    """Nobody asked."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hearers:
+    """Who is told of what: each change, that a watch is confirmed, and that none is any more, with the reason
+    and the loop time at which the last one was heard."""
+
+    change: Callable[[Change], None]
+    confirmed: Callable[[], None] = _nothing
+    lost: Callable[[str, float], None] = _unheard
+
+
 class Discovery:
-    """Watches the list at ``address``. ``take`` gets each change, ``rev`` tells the version to go on from."""
+    """Watches the list at ``address``. ``rev`` tells the version to go on from."""
 
     def __init__(
-        self, address: str, rev: Callable[[], int], take: Callable[[Change], None], note: Note
+        self, address: str, rev: Callable[[], int], hearers: Hearers, note: Note, pace: float = PACE
     ) -> None:
-        self.address, self.rev, self.take, self.note = address, rev, take, note
-        self.watch: _Watch | None = None
-        self.wait = FIRST
+        self.address, self.rev, self.hearers, self.note, self.pace = address, rev, hearers, note, pace
+        self.confirmed: Watch | None = None
+        self.unconfirmed: list[Watch] = []  # requests in the order in which they went out
         self.opened = self.changes = 0
-        self.unanswered = 0  # calls since one was answered
         self.stopped = False
-        self.timer: asyncio.TimerHandle | None = None
+        self.failure = ""  # the last one told: a row of the same is told once
+        self.next: asyncio.TimerHandle | None = None  # of the next request
+        self.leaves: asyncio.TimerHandle | None = None  # of the end of the watch at the old address
+        self.asked_at = float("-inf")  # loop time of the last request
 
     def start(self) -> None:
-        """Open the first watch."""
+        """Send the first request."""
         self._open()
 
     def move(self, address: str) -> None:
-        """The list is told elsewhere from now on."""
-        self.address, self.wait, self.unanswered = address, FIRST, 0
+        """The list is told elsewhere from now on. A confirmed watch is heard until one is confirmed there."""
+        self.address, self.failure = address, ""
+        self._drop_unconfirmed()
+        if self.confirmed is not None and self.leaves is None:
+            self.leaves = asyncio.get_running_loop().call_later(LEFT_AFTER, self._leave)
         self._open()
 
     def stop(self) -> None:
-        """End the watch."""
+        """End every watch."""
         self.stopped = True
-        self._drop()
-
-    def _drop(self) -> None:
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.watch is not None:
-            watch, self.watch = self.watch, None
-            watch.drop()
+        self._cancel_next()
+        self._drop_unconfirmed()
+        self._drop_confirmed()
+
+    # ---- requests
 
     def _open(self) -> None:
-        self._drop()
+        self._cancel_next()
+        loop = asyncio.get_running_loop()
         self.opened += 1
-        self.unanswered += 1
-        patience = UNANSWERED if self.unanswered % PATIENT else SILENT
-        watch = self.watch = _Watch(self, asyncio.get_running_loop(), patience)
-        host, _, port = self.address.rpartition(":")
-        watch.open(host, int(port), self.rev())
-
-    def ended(self, watch: _Watch, why: str) -> None:
-        """A watch has ended; the next is opened after a while."""
-        if watch is not self.watch or self.stopped:
-            return
-        self.watch = None
-        self.note("watch_ended", {"why": why, "next_s": self.wait})
-        self.timer = asyncio.get_running_loop().call_later(self.wait, self._open)
-        self.wait = min(2.0 * self.wait, LONGEST)
-
-    def whole(self, watch: _Watch, data: bytes) -> None:
-        """One object of the watch, or an empty line. Raises ListError."""
-        if watch is not self.watch:
-            return
+        self.asked_at = loop.time()
+        if len(self.unconfirmed) >= MOST_UNCONFIRMED:
+            self.unconfirmed.pop(1).drop()
+        watch = Watch(self, loop, self.address)
+        self.unconfirmed.append(watch)
+        watch.open(self.rev())
+        self.next = loop.call_later(self.pace, self._open)
+
+    def _open_in_turn(self) -> None:
+        """Send the next request, at once if the last one is long enough ago."""
+        self._cancel_next()
+        loop = asyncio.get_running_loop()
+        self.next = loop.call_at(max(loop.time(), self.asked_at + self.pace), self._open)
+
+    def _cancel_next(self) -> None:
+        if self.next is not None:
+            self.next.cancel()
+            self.next = None
+
+    def _drop_unconfirmed(self) -> None:
+        for watch in self.unconfirmed:
+            watch.drop()
+        self.unconfirmed.clear()
+
+    def _drop_confirmed(self) -> None:
+        if self.leaves is not None:
+            self.leaves.cancel()
+            self.leaves = None
+        if self.confirmed is not None:
+            self.confirmed.drop()
+            self.confirmed = None
+
+    def _leave(self) -> None:
+        self.leaves = None
+        if self.confirmed is not None:
+            self.confirmed.end("its address was left")
+
+    # ---- as the watches' owner
+
+    def headed(self, watch: Watch) -> None:
+        """An answer has begun: its first object or empty line is waited for before the next request."""
+        if watch in self.unconfirmed:
+            self._cancel_next()
+
+    def whole(self, watch: Watch, data: bytes) -> None:
+        """One object of a watch, or an empty line. Raises ListError."""
         if data.strip():
-            self.take(read(data))
+            self.hearers.change(read(data))
             self.changes += 1
-        self.wait = FIRST
-
-
-class _Watch(asyncio.Protocol):
-    """One connection. httptools' callbacks are its own."""
-
-    def __init__(self, owner: Discovery, loop: asyncio.AbstractEventLoop, patience: float) -> None:
-        self.owner, self.loop = owner, loop
-        self.transport: asyncio.Transport | None = None
-        self.parser: Any = httptools.HttpResponseParser(self)
-        self.objects = Objects(LARGEST)
-        self.failed = ""
-        self.dropped = False
-        self.heard, self.patience = loop.time(), patience
-        self.timer: asyncio.TimerHandle | None = loop.call_later(patience, self._listen)
-        self.opening: asyncio.Task[None] | None = None
-
-    def open(self, host: str, port: int, rev: int) -> None:
-        """Open it and ask."""
-        self.opening = self.loop.create_task(self._connect(host, port, rev))
-
-    async def _connect(self, host: str, port: int, rev: int) -> None:
-        try:
-            await self.loop.create_connection(lambda: self, host, port)
-        except OSError as error:
-            self.end(f"no connection: {error}")
-            return
-        if self.transport is not None and not self.dropped:
-            self.transport.write(
-                f"GET /discovery/hosts?follow=1&since={rev} HTTP/1.1\r\nHost: {host}:{port}\r\n\r\n".encode(
-                    "ascii"
-                )
-            )
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """It stands."""
-        self.transport = cast(asyncio.Transport, transport)
-        if self.dropped:
-            self.transport.abort()
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        """It is gone."""
-        self.end(str(exc) if exc else "closed by the platform")
-
-    def _listen(self) -> None:
-        # The loop may have stood still itself: what lies in the socket is read before silence is believed.
-        left = self.heard + self.patience - self.loop.time()
-        if left > 0.0:
-            self.timer = self.loop.call_later(left, self._listen)
-        else:
-            self.timer = self.loop.call_later(READ_FIRST, self._silent)
-
-    def _silent(self) -> None:
-        if self.loop.time() - self.heard < self.patience:
-            self._listen()
-        else:
-            self.end("silent")
-
-    def data_received(self, data: bytes) -> None:
-        """Read on. Only what is whole counts as heard: its head, an object, an empty line."""
-        try:
-            self.parser.feed_data(data)
-        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.failed = self.failed or str(error)
-        if self.failed:
-            self.end(self.failed)
-
-    def on_headers_complete(self) -> None:
-        """The answer's head has come."""
-        self.heard, self.patience = self.loop.time(), SILENT
-        self.owner.unanswered = 0
-        if int(self.parser.get_status_code()) != 200:
-            self.failed = f"status {self.parser.get_status_code()}"
-
-    def on_body(self, part: bytes) -> None:
-        """Some of the list."""
-        if self.failed:
+        if watch in self.unconfirmed:
+            self._confirm(watch)
+
+    def _confirm(self, watch: Watch) -> None:
+        self._cancel_next()
+        self.unconfirmed.remove(watch)
+        self._drop_unconfirmed()
+        self._drop_confirmed()
+        self.confirmed = watch
+        self.failure = ""
+        self.note("watch_confirmed", {"address": watch.address, "requests": self.opened, "rev": self.rev()})
+        self.hearers.confirmed()
+
+    def ended(self, watch: Watch, why: str) -> None:
+        """A watch is over; another request follows."""
+        if self.stopped:
             return
-        try:
-            for data in self.objects.feed(part):
-                self.heard = self.loop.time()
-                self.owner.whole(self, data)
-        except ListError as error:
-            self.failed = str(error)
-
-    def on_message_complete(self) -> None:
-        """A watch lasts; an answer that ends is no watch."""
-        self.failed = self.failed or "the answer ended"
-
-    def end(self, why: str) -> None:
-        """It is over."""
-        self.drop()
-        self.owner.ended(self, why)
-
-    def drop(self) -> None:
-        """Close at once, and say nothing more."""
-        self.dropped = True
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-        if self.opening is not None:
-            self.opening.cancel()  # one that never comes up would hold its descriptor for ever
-        if self.transport is not None:
-            self.transport.abort()
+        if watch is self.confirmed:
+            self._drop_confirmed()
+            self.note("watch_ended", {"why": why, "confirmed": True})
+            self.hearers.lost(why, watch.heard if why == "silent" else asyncio.get_running_loop().time())
+        elif watch in self.unconfirmed:
+            self.unconfirmed.remove(watch)
+            if why != self.failure:
+                self.failure = why
+                self.note("watch_ended", {"why": why, "confirmed": False})
+        if self.next is None and (self.confirmed is None or self.confirmed.address != self.address):
+            self._open_in_turn()
--- a/brassweir/relay/listing.py
+++ b/brassweir/relay/listing.py
@@ -13,6 +13,8 @@
 from brassweir.interface import EndpointInfo, ListKind, ListNews, State
 
 _STATES = {"active": State.READY, "leaving": State.DRAINING, "left": State.GONE}
+_NAMES = {state: name for name, state in _STATES.items()}
+_SCHEME, _PATH = "http://", "/receive"  # around an endpoint's address
 
 
 class Target(msgspec.Struct):
@@ -121,6 +123,15 @@
         self.places: dict[str, str] = {}
         self.destinations: set[int] = set()
 
+    def whole(self) -> Change:
+        """All that is known, as one list of this version."""
+        return Change(self.rev, True, [self._target(info) for info in self.known.values()])
+
+    def _target(self, info: EndpointInfo) -> Target:
+        place = self.places[info.name].removeprefix(_SCHEME).removesuffix(_PATH)
+        state = _NAMES[info.state]
+        return Target(info.name, place, info.destination, state, info.zone, info.kind, info.rate)
+
     def url(self, endpoint: str) -> str | None:
         """The URL of a listed endpoint (see :class:`brassweir.core.ports.Urls`)."""
         return self.places.get(endpoint)
@@ -141,7 +152,7 @@
                 if name not in fresh:
                     fresh[name] = replace(info, state=State.GONE)
         for one in change.targets:
-            self.places[one.uid] = f"http://{one.endpoint}/receive"
+            self.places[one.uid] = f"{_SCHEME}{one.endpoint}{_PATH}"
             self.destinations.add(one.pod_group)
         told = [
             info
--- a/brassweir/relay/settings.py
+++ b/brassweir/relay/settings.py
@@ -15,6 +15,8 @@
 from brassweir.interface import Settings, SettingsError
 from brassweir.relay.listing import Change, ListError, address, checked
 
+DRAIN_GRACE = 250.0  # ms, where the settings name none: the shortest that a deployment has
+
 
 class NodeError(ValueError):
     """The configuration cannot be used; says which field."""
@@ -50,6 +52,12 @@
     limits: Limits
     known: Change | None
     settings: Settings
+    drain_grace: float = 0.25  # seconds in which calls to an endpoint that was told off must cease
+
+    @property
+    def shortest(self) -> float:
+        """The shortest deadline, in seconds."""
+        return min(cls.deadline for cls in self.settings.classes) / 1000.0
 
     @property
     def longest(self) -> float:
@@ -83,7 +91,17 @@
         settings = replace(settings, kinds=kinds, few_connections=True)
     except (ListError, WireError, SettingsError, RecursionError) as error:
         raise NodeError(str(error)) from None
-    return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings)
+    grace = _drain_grace(given.settings)
+    return NodeConfig(given.name, given.listen, given.discovery, seed, limits, known, settings, grace)
+
+
+def _drain_grace(settings: dict[str, Any]) -> float:
+    """The grace of a drain, in seconds. Raises NodeError."""
+    rules = settings.get("Rules")
+    grace = rules.get("DrainGrace", DRAIN_GRACE) if isinstance(rules, dict) else DRAIN_GRACE
+    if isinstance(grace, bool) or not isinstance(grace, int | float) or not 0.0 < grace < 1e6:
+        raise NodeError(f"settings: Rules.DrainGrace: {grace!r} is no number of milliseconds")
+    return float(grace) / 1000.0
 
 
 def flat(tree: dict[str, Any], at: str = "") -> Iterator[tuple[str, str]]:
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -36,6 +36,7 @@
 from brassweir.service.node_list import NodeList
 from brassweir.service.node_trace import Tracing
 from brassweir.service.node_watch import belief, usage
+from brassweir.service.saved_list import SavedList
 
 REMEMBER = 3000.0  # ms that an ended message is known: ids are new at each hand-in, so only strays come again
 REMEMBER_MOST = 4000  # of them
@@ -107,7 +108,8 @@
         )
         apart = Pools(ANSWERS, NOTICES, self.pools.idle_time, given.connect_timeout, Budget(NOTICES))
         self.notices = Notices(apart, config.discovery, self.journal.store.told, self.note)
-        self.list = NodeList(self.engine, self.clock, config.discovery, log, self.note)
+        saved = SavedList(state, int(config.limits.disk_mb * 1024 * 1024))
+        self.list = NodeList(self.engine, self.clock, config, saved, log, self.note)
         self.carrier = RelayCarrier(self.list.listing, self.pools, self.clock, self.note)
         admission = Admission(int(sockets * CLIENTS), sockets // 3, config.limits.memory_mb * 2**20 * UNREAD)
         self.front = Front(
@@ -184,6 +186,7 @@
 
     def _belief(self, due: float) -> None:
         late = max(0.0, self.loop.time() - due)
+        self.list.look()
         front = self.front
         self.log.info(
             "belief",
@@ -226,7 +229,7 @@
         """End everything at once."""
         if self.telling is not None:
             self.telling.cancel()
-        self.list.discovery.stop()
+        self.list.stop()
         self.front.close()
         self.front.abandon()
         self.journal.close()
--- a/brassweir/service/node_list.py
+++ b/brassweir/service/node_list.py
@@ -1,39 +1,79 @@
-"""The endpoint list of a sender on the platform: where it comes from, who is told, what the log says."""
+"""The endpoint list of a sender on the platform: where it comes from, who is told, who vouches for it."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from brassweir.core.engine import Engine
-from brassweir.core.ports import Clock
-from brassweir.interface import ListKind
-from brassweir.relay.discovery import Discovery, Note
+from brassweir.core.ports import Clock, Handle
+from brassweir.interface import ListKind, ListNews
+from brassweir.relay.discovery import Discovery, Hearers, Note
+from brassweir.relay.knowledge import Knowledge
 from brassweir.relay.listing import Change, Listing
+from brassweir.relay.settings import NodeConfig
+from brassweir.service.saved_list import SavedList
 
-CONFIGURED, WATCHED = "configuration", "watch"  # sources of the list, as the log names them
+CONFIGURED, SAVED, WATCHED = "configuration", "folder", "watch"  # sources of the list, as the log names them
+HELD_UP = 0.15  # seconds for which a sender may be held up; the grace of a drain has to cover it
+LONGEST_PACE = 0.2  # seconds between two requests for the list, however long the grace
+
+
+def pace(grace: float) -> float:
+    """Seconds between two requests for the list: what a grace (seconds) leaves for hearing of a change."""
+    return min(LONGEST_PACE, max(grace - HELD_UP, grace / 4.0))
 
 
 class NodeList:
-    """Takes in the configured list and the changes of the watch, and tells the engine."""
+    """Takes in the lists known at the start and the changes of the watch, and tells the engine."""
 
-    def __init__(self, engine: Engine, clock: Clock, discovery: str, log: Any, note: Note) -> None:
-        self.engine, self.clock, self.log, self.note = engine, clock, log, note
+    def __init__(
+        self, engine: Engine, clock: Clock, config: NodeConfig, saved: SavedList, log: Any, note: Note
+    ) -> None:
+        self.engine, self.clock, self.saved, self.log, self.note = engine, clock, saved, log, note
         self.listing = Listing()
         self.source, self.learnt_at = "none", clock.now()
-        self.discovery = Discovery(discovery, lambda: self.listing.rev, self.take, note)
+        self.state = Knowledge(clock.now() / 1000.0, config.shortest)
+        self.due: Handle | None = None  # of the end of the hold
+        self.save_failure = ""  # the last one told
+        hearers = Hearers(self.take, self._confirmed, self._lost)
+        self.discovery = Discovery(
+            config.discovery, lambda: self.listing.rev, hearers, note, pace(config.drain_grace)
+        )
 
     def knowledge(self) -> dict[str, object]:
-        """What is known of the list, for a log line: version, where it came from, and how old it is."""
+        """What is known of the list, for a log line: version, source, age, and who vouches for it."""
         return {
             "rev": self.listing.rev,
             "source": self.source,
             "age_ms": round(self.clock.now() - self.learnt_at),
+            "list": self.state.state.value,
         }
 
     def begin(self, known: Change | None) -> None:
-        """Know the configured list."""
+        """Know the lists of configuration and folder, the older first, and wait for the watch."""
+        lists = [(change, SAVED) for change in self.saved.load()]
         if known is not None:
-            self._learn(known, ListKind.CACHED, CONFIGURED)
+            newer = lists and known.rev >= lists[-1][0].rev
+            lists.insert(len(lists) if newer else 0, (known, CONFIGURED))
+        for number, (change, source) in enumerate(lists):
+            self._learn(change, ListKind.DELTA if number else ListKind.CACHED, source)
+        self._save_whole()
+        self.engine.news(ListNews(ListKind.UNCONFIRMED))
+        self._tell_state("a process begins", self.state.since)
+        self._await_hold()
+
+    def look(self) -> None:
+        """Once in a while: write the list again, if that failed."""
+        if self.saved.due:
+            self._save_whole()
+
+    def stop(self) -> None:
+        """Hear nothing more."""
+        if self.due is not None:
+            self.due.cancel()
+        self.discovery.stop()
+
+    # ---- from the watch
 
     def take(self, change: Change) -> None:
         """A change that the watch has told."""
@@ -43,9 +83,48 @@
             return
         self._learn(change, ListKind.DELTA, WATCHED)
 
+    def _confirmed(self) -> None:
+        since, usable = self.state.since, self.state.usable
+        self.state.confirmed(self.clock.now() / 1000.0)
+        if self.due is not None:
+            self.due.cancel()
+        if not usable:
+            self.engine.news(ListNews(ListKind.USABLE))
+        self._tell_state("a watch has answered", since)
+
+    def _lost(self, why: str, heard: float) -> None:
+        since = self.state.since
+        self.state.lost(self.clock.now() / 1000.0, heard)
+        self.engine.news(ListNews(ListKind.UNCONFIRMED))
+        self._tell_state(f"its watch ended: {why}", since)
+        self._await_hold()
+
+    # ---- the hold
+
+    def _await_hold(self) -> None:
+        self.due = self.clock.call_at(self.state.gives_up_at * 1000.0, self._hold_over)
+
+    def _hold_over(self) -> None:
+        since = self.state.since
+        self.state.look(self.clock.now() / 1000.0)
+        if self.state.usable:
+            self.engine.news(ListNews(ListKind.USABLE))
+            self._tell_state("no answer: the last list told is used", since)
+        else:
+            self._await_hold()
+
+    def _tell_state(self, why: str, since: float) -> None:
+        before = round(self.clock.now() - since * 1000.0)
+        self.log.info("list_state", why=why, before_ms=before, **self.knowledge())
+
+    # ---- what is known
+
     def _learn(self, change: Change, kind: ListKind, source: str) -> None:
         news = self.listing.take(change, kind)
         self.source, self.learnt_at = source, self.clock.now()
+        if source == WATCHED and news.entries:
+            self.saved.append(change, self.listing.whole())
+            self._tell_save()
         self.log.info("list", rev=change.rev, source=source, whole=change.all, changed=len(news.entries))
         for info in news.entries if source == WATCHED else ():
             self.log.info(
@@ -55,5 +134,15 @@
                 state=info.state.value,
                 rev=change.rev,
             )
-        if news.entries or kind is not ListKind.DELTA:
+        if news.entries:
             self.engine.news(news)
+
+    def _save_whole(self) -> None:
+        if self.listing.rev or self.listing.known:
+            self.saved.replace(self.listing.whole())
+            self._tell_save()
+
+    def _tell_save(self) -> None:
+        if self.saved.failed and self.saved.failed != self.save_failure:
+            self.note("list_not_saved", {"error": self.saved.failed})
+        self.save_failure = self.saved.failed
