--- a/brassweir/control/choosing.py
+++ b/brassweir/control/choosing.py
@@ -39,8 +39,11 @@
     def _queue(self, dest: Destination) -> float:
         """How long the pace of its gates lets a new message wait: guards against a queue standing under a
         limit, where all are late. Not where reports tell of room, nor on a ramp: both soon grow."""
-        gates = {endpoint.gate: self.batch.get(endpoint.info.kind, 1)
-                 for endpoint in dest.endpoints.values() if endpoint.usable}
+        gates = {
+            endpoint.gate: self.batch.get(endpoint.info.kind, 1)
+            for endpoint in dest.endpoints.values()
+            if endpoint.usable
+        }
         if not gates or any(gate.shut or gate.told for gate in gates):
             return 0.0
         rate = sum(gate.pace * batch for gate, batch in gates.items())
@@ -65,8 +68,12 @@
         its own. Guards against a limit on calls passing for one on messages. A trial stays small."""
         for endpoint in dest.endpoints.values():
             call = self.calls.get(endpoint.info.name)
-            if (call is not None and not call.trial and call.size < self.batch.get(endpoint.info.kind, 1)
-                    and self._may_send(message, endpoint)):
+            if (
+                call is not None
+                and not call.trial
+                and call.size < self.batch.get(endpoint.info.kind, 1)
+                and self._may_send(message, endpoint)
+            ):
                 return endpoint
         return None
 
@@ -90,8 +97,11 @@
     def _judge(self, dest: Destination) -> bool:
         """Ill: shut, failing lately, silent, or far slower than usual. Guards the bound and the slots of all
         others: ill destinations together keep to the share of the slots that a sick one may hold."""
-        ill = (all(gate.shut or gate.fails >= FAILS_ILL for gate in dest.gates()) or self._silent(dest)
-               or dest.mean.value > ILL * dest.mean.usual > 0)
+        ill = (
+            all(gate.shut or gate.fails >= FAILS_ILL for gate in dest.gates())
+            or self._silent(dest)
+            or dest.mean.value > ILL * dest.mean.usual > 0
+        )
         if ill != dest.ill:
             sign, load, dest.ill = 1 if ill else -1, dest.load, ill
             self.apart.add(sign * load.cost, sign * load.open, sign * load.out)
@@ -144,10 +154,15 @@
     def _may_send(self, message: Message, endpoint: Endpoint) -> bool:
         """The rules on sends, each once. What can't be repeated waits if a restart could cut its call."""
         cut = message.cls.effect is api.Effect.UNSAFE and self.leaves < math.inf
-        return (self._may_retry(message) and endpoint.usable and endpoint.gate.wait <= self.now
-                and not (cut and self.now + LAST_CALL * self._call_time(message.dest) > self.leaves)
-                and self._in_group(message, endpoint) and self.now < message.deadline
-                and (not message.turns or self._has_turn(message)))
+        return (
+            self._may_retry(message)
+            and endpoint.usable
+            and endpoint.gate.wait <= self.now
+            and not (cut and self.now + LAST_CALL * self._call_time(message.dest) > self.leaves)
+            and self._in_group(message, endpoint)
+            and self.now < message.deadline
+            and (not message.turns or self._has_turn(message))
+        )
 
     def _send(self, message: Message, endpoint: Endpoint) -> None:
         dest = message.dest
--- a/brassweir/control/ending.py
+++ b/brassweir/control/ending.py
@@ -99,9 +99,15 @@
             gate.passed(self.now)
         elif result is Result.FULL:
             gate.full(self.now, event.wait, call.trial, call.sent)
-        elif result in api.LACKING and not call.trial and (
-                result is Result.CROWDED or endpoint.out
-                or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout):
+        elif (
+            result in api.LACKING
+            and not call.trial
+            and (
+                result is Result.CROWDED
+                or endpoint.out
+                or self.now - endpoint.last_ok < LATELY * self.sets.connect_timeout
+            )
+        ):
             endpoint.fails += newer
             # Other calls pass. If one is missing twice before as many stood, its connections are all taken;
             # once may be an accident: guards against a path that loses some for ever seeming short of them.
--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -35,9 +35,32 @@
 class Gate:
     """May calls go to one destination, or one separate route, now: waits, pace, outage and return."""
 
-    __slots__ = ("arrivals", "bad", "cut", "fails", "full_at", "last_fail", "left", "met", "pace", "ramp",
-                 "rate", "refused", "rng", "served", "sets", "shut", "since", "stamp", "start", "told",
-                 "tokens", "trial", "trial_out", "wait")
+    __slots__ = (
+        "arrivals",
+        "bad",
+        "cut",
+        "fails",
+        "full_at",
+        "last_fail",
+        "left",
+        "met",
+        "pace",
+        "ramp",
+        "rate",
+        "refused",
+        "rng",
+        "served",
+        "sets",
+        "shut",
+        "since",
+        "stamp",
+        "start",
+        "told",
+        "tokens",
+        "trial",
+        "trial_out",
+        "wait",
+    )
 
     def __init__(self, sets: api.Settings, rng: Random, now: float) -> None:
         self.sets, self.rng = sets, rng
--- a/brassweir/control/open.py
+++ b/brassweir/control/open.py
@@ -13,8 +13,20 @@
 class Endpoint:
     """One endpoint: what the list says of it and how its last calls went."""
 
-    __slots__ = ("avoid", "conns", "fails", "gap", "gate", "info", "lack", "last_ok", "lot", "out", "usable",
-                 "used")
+    __slots__ = (
+        "avoid",
+        "conns",
+        "fails",
+        "gap",
+        "gate",
+        "info",
+        "lack",
+        "last_ok",
+        "lot",
+        "out",
+        "usable",
+        "used",
+    )
 
     def __init__(self, info: api.EndpointInfo, gate: Gate, lot: float) -> None:
         self.info, self.gate, self.lot = info, gate, lot
@@ -28,8 +40,19 @@
 class Destination:
     """One destination: its endpoints, its held messages by deadline and its calls."""
 
-    __slots__ = ("calls", "endpoints", "gate", "heap", "id", "ill", "last_pass", "load", "mean", "unanswered",
-                 "woken")
+    __slots__ = (
+        "calls",
+        "endpoints",
+        "gate",
+        "heap",
+        "id",
+        "ill",
+        "last_pass",
+        "load",
+        "mean",
+        "unanswered",
+        "woken",
+    )
 
     def __init__(self, ident: int, gate: Gate) -> None:
         self.id, self.gate = ident, gate
@@ -76,8 +99,15 @@
 class Message:
     """A message taken and not yet over, or over with an attempt still out."""
 
-    def __init__(self, event: api.NewMessage, cls: api.MessageClass, dest: Destination, order: int,
-                 now: float, yields: bool) -> None:
+    def __init__(
+        self,
+        event: api.NewMessage,
+        cls: api.MessageClass,
+        dest: Destination,
+        order: int,
+        now: float,
+        yields: bool,
+    ) -> None:
         self.id, self.cls, self.key, self.dest, self.order = event.id, cls, event.key, dest, order
         self.deadline = now + event.left
         self.first = min(now, self.deadline - cls.deadline)  # first hand-in
--- a/brassweir/service/node_list.py
+++ b/brassweir/service/node_list.py
@@ -123,7 +123,7 @@
         news = self.listing.take(change, kind)
         self.source, self.learnt_at = source, self.clock.now()
         if source == WATCHED and news.entries:
-            self.saved.append(change, self.listing.whole())
+            self.saved.append(change, self.listing.whole)
             self._tell_save()
         self.log.info("list", rev=change.rev, source=source, whole=change.all, changed=len(news.entries))
         for info in news.entries if source == WATCHED else ():
--- a/brassweir/service/saved_list.py
+++ b/brassweir/service/saved_list.py
@@ -10,6 +10,7 @@
 import os
 import struct
 import zlib
+from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
@@ -42,13 +43,13 @@
             return []
         return _changes(data)
 
-    def append(self, change: Change, whole: Change) -> None:
-        """Keep a change; ``whole`` is the list with it."""
+    def append(self, change: Change, whole: Callable[[], Change]) -> None:
+        """Keep a change; ``whole`` gives the list with it, and is asked only where that is written anew."""
         frame = _frame(change)
         appended = self.size - self.whole_size + len(frame)
         too_long = appended > max(LEAST_APPENDED, self.whole_size) or self.size + len(frame) > self.room
         if change.all or self.due or too_long:
-            self.replace(whole)
+            self.replace(whole())
             return
         try:
             with self.path.open("ab") as file:
--- a/tests/checker.py
+++ b/tests/checker.py
@@ -34,6 +34,7 @@
         self.tracks: dict[int, Track] = {}
         self.infos: dict[str, api.EndpointInfo] = {}
         self.told_off: dict[str, float] = {}
+        self.unconfirmed = False
         self.waits: dict[object, float] = {}
         self.told: dict[object, int] = {}  # the batch that told a wait: its reply is excused
         self.lines: dict[str, list[Track]] = {}
@@ -67,6 +68,9 @@
         if isinstance(event, api.ListNews):
             if event.kind is api.ListKind.FAILED:
                 return
+            if event.kind in (api.ListKind.UNCONFIRMED, api.ListKind.USABLE):
+                self.unconfirmed = event.kind is api.ListKind.UNCONFIRMED
+                return
             if event.kind is not api.ListKind.DELTA:
                 for name in self.infos.keys() - {info.name for info in event.entries}:
                     self.told_off.setdefault(name, self.now)
@@ -143,6 +147,8 @@
             raise BrokenRule(f"message {action.id} was sent after its end")
         if info.destination != track.event.destination:
             raise BrokenRule("sent to an endpoint of another destination")
+        if self.unconfirmed:
+            raise BrokenRule("sent while nobody vouches for the list")
         if action.endpoint in self.told_off:
             raise BrokenRule("sent to an endpoint that drains or is gone")
         unit = self.unit(action.endpoint, info.destination)
--- a/tests/rules_driver.py
+++ b/tests/rules_driver.py
@@ -55,7 +55,7 @@
         self.zones: dict[int, str] = {}
 
     def news(self) -> api.ListNews:
-        """A list: delta, full or failed, with drains and endpoints that go."""
+        """A list: delta, full or failed, with drains and endpoints that go; or whether it may be relied on."""
         rng = self.rng
         kind = rng.choice(list(api.ListKind))
         entries = tuple(
@@ -72,7 +72,8 @@
         )
         for info in entries:
             self.zones.setdefault(int(info.name[1:]), info.zone)
-        return api.ListNews(kind, entries if kind is not api.ListKind.FAILED else ())
+        bare = kind in (api.ListKind.FAILED, api.ListKind.UNCONFIRMED, api.ListKind.USABLE)
+        return api.ListNews(kind, () if bare else entries)
 
     def outcome(self, good: float) -> api.AttemptEnded | None:
         """Some outstanding attempt ends, mostly soon, sometimes badly; time-outs come at their time."""
--- a/tests/service/test_saved_list.py
+++ b/tests/service/test_saved_list.py
@@ -26,7 +26,7 @@
 
 def keep(saved: SavedList, known: Listing, change: Change) -> None:
     known.take(change)
-    saved.append(change, known.whole())
+    saved.append(change, known.whole)
 
 
 def read_back(folder: Path, room: int = FOLDER) -> dict[str, str]:
