--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections import deque
 from collections.abc import Callable, Mapping
 from concurrent.futures import ThreadPoolExecutor
@@ -12,6 +11,7 @@
 from typing import Any
 
 from brassweir.interface import MessageClass
+from brassweir.journal import real_time
 from brassweir.journal.frame import FormatError
 from brassweir.journal.recover import Plan, plan
 from brassweir.journal.scan import Scan, scan
@@ -23,11 +23,6 @@
 Note = Callable[[str, dict[str, object]], None]
 
 
-def wall() -> float:
-    """Wall time in ms."""
-    return time.time() * 1000.0
-
-
 class ThreadDisk:
     """Runs the journal's I/O on one thread."""
 
@@ -147,10 +142,11 @@
             note("journal_of_another", {"sender": self.found.lives.sender})
         for problem in self.found.problems:
             note("journal_damage", {"where": problem})
+        self.time = real_time.opened(folder, self.found.lives.last_at)
         loop = asyncio.get_running_loop()
         self.disk: ThreadDisk | LoopDisk = ThreadDisk(loop) if keeping.synced else LoopDisk(loop)
         self.store = JournalStore(
-            self.writer, self.disk, keeping.classes, wall, name_of, broken, keeping.remember
+            self.writer, self.disk, keeping.classes, self.time.now, name_of, broken, keeping.remember
         )
         self.store.begin(keeping.sender)
 
@@ -166,7 +162,7 @@
             lives,
             self.found.holes,
             self.classes,
-            wall(),
+            self.time.now(),
             self.keeping.remember,
             self.keeping.order_pause,
             sorted(gone),
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -32,7 +32,7 @@
 from brassweir.relay.settings import NodeConfig, NodeError
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
-from brassweir.service.journaling import Journaling, Keeping, wall
+from brassweir.service.journaling import Journaling, Keeping
 from brassweir.service.node_list import NodeList
 from brassweir.service.node_trace import Tracing
 from brassweir.service.node_watch import belief, usage
@@ -146,7 +146,7 @@
         """Go on where the process before this one was, whatever ended it."""
         plan = self.journal.plan(_number)
         plan.again = [replace(one, taken=_as_now(one.taken, self.classes)) for one in plan.again]
-        keyless(plan, self.classes, wall())
+        keyless(plan, self.classes, self.journal.time.now())
         found = self.journal.found
         self.log.info(
             "recovered",
