--- /dev/null
+++ b/tests/relay/test_node_disk.py
@@ -0,0 +1,77 @@
+"""``node`` whose lasting folder takes no writes for a while: it lives, refuses what it cannot keep, and owes the rest."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+
+import pytest
+
+from brassweir.lab.standins.platform import Endpoint, after
+from tests.relay.failing_disk import FLAG
+from tests.relay.plays import played
+from tests.relay.world import World
+
+WRITES = ("append", "create")
+ALL = ("append", "create", "cut", "rename", "remove")
+
+
+async def hand_in(world: World, first: int, count: int) -> list[bytes]:
+    """The answers to messages of all classes, each on a connection of its own."""
+
+    async def one(i: int) -> bytes:
+        client = await world.client()
+        cls = ("note", "order", "pay")[i % 3]
+        try:
+            line = await asyncio.wait_for(
+                client.put(f"m{i}", cls, 1, 5000.0, key=f"k{i}" if cls == "order" else ""), 0.4
+            )
+        except TimeoutError:
+            await client.close()
+            return b""
+        return line
+
+    return await asyncio.gather(*map(one, range(first, first + count)))
+
+
+@pytest.mark.parametrize("steps", [WRITES, ALL], ids=["writes", "every step"])
+@pytest.mark.parametrize("error", ["ENOSPC", "EIO"])
+def test_writes_that_fail_for_a_while(tmp_path: Path, error: str, steps: tuple[str, ...]) -> None:
+    async def day(world: World) -> None:
+        assert world.process is not None
+        kept = [line for line in await hand_in(world, 0, 12) if line == b"+OK\r\n"]
+        flag = world.folder / FLAG
+        flag.write_text(error)
+        refused: list[bytes] = []
+        for i in range(15):
+            refused += await hand_in(world, 100 + 3 * i, 3)
+            await asyncio.sleep(0.1)
+        assert world.process.returncode is None, "it lives"
+        assert b"+OK\r\n" not in refused and refused.count(b"") <= 3, refused
+        assert sum(line.startswith(b"-BUSY") for line in refused) >= 40
+        flag.unlink()
+        await asyncio.sleep(0.3)
+        again = await hand_in(world, 1000, 12)
+        assert again == [b"+OK\r\n"] * 12, world.log()[-2000:]
+        await world.settled(len(kept) + 12)
+        assert "journal_stalled" in world.log() and "journal_goes_on" in world.log()
+
+    world = World(tmp_path)
+    world.program = ["-m", "tests.relay.failing_disk", *steps]
+    asyncio.run(played(world, day, Endpoint("a", 1, after(0.02))))
+
+
+def test_killed_while_writes_fail_it_owes_what_it_had_taken_on(tmp_path: Path) -> None:
+    async def day(world: World) -> None:
+        kept = [line for line in await hand_in(world, 0, 12) if line == b"+OK\r\n"]
+        (world.folder / FLAG).write_text("ENOSPC")
+        await hand_in(world, 100, 6)
+        await world.kill()
+        (world.folder / FLAG).unlink()
+        await world.start()
+        await world.settled(len(kept))
+        assert "journal_damage" not in world.log()
+
+    world = World(tmp_path)
+    world.program = ["-m", "tests.relay.failing_disk", *ALL]
+    asyncio.run(played(world, day, Endpoint("a", 1, after(0.3))))
