--- a/brassweir/cli/journal.py
+++ b/brassweir/cli/journal.py
@@ -15,9 +15,10 @@
 
 from brassweir.journal import compact, table
 from brassweir.journal.frame import Damage, FormatError, read
+from brassweir.journal.group import Broken
 from brassweir.journal.scan import Scan, scan
 from brassweir.journal.storage import Files, Locked
-from brassweir.journal.writer import Broken, Writer
+from brassweir.journal.writer import Writer
 
 ROWS = 50_000  # written at a time
 
--- a/brassweir/cli/node.py
+++ b/brassweir/cli/node.py
@@ -8,7 +8,7 @@
 import click
 import uvloop
 
-from brassweir.journal.writer import Broken
+from brassweir.journal.group import Broken
 from brassweir.observe.lines import Lines
 from brassweir.relay.settings import NodeError
 from brassweir.service.journaling import Unusable
--- a/brassweir/cli/serving.py
+++ b/brassweir/cli/serving.py
@@ -12,7 +12,7 @@
 
 from brassweir.config.load import ConfigError
 from brassweir.config.model import Config, CopyConfig
-from brassweir.journal.writer import Broken
+from brassweir.journal.group import Broken
 from brassweir.observe.logs import set_up
 from brassweir.service.checking import check
 from brassweir.service.serving import serve
--- /dev/null
+++ b/brassweir/journal/group.py
@@ -0,0 +1,29 @@
+"""What is committed together, and the two ways in which a commit fails."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from brassweir.journal.records import Record
+
+
+class Broken(Exception):
+    """The disk did not do what it must: the process has to end without going on as if it had."""
+
+
+class Stalled(Exception):
+    """The disk took no write, and what stands behind the last good one is cut off before the next: the same
+    group may be tried again."""
+
+
+@dataclass(slots=True)
+class Group:
+    """Records of one commit; ``admits`` are those that take a message on, which a full disk refuses."""
+
+    records: list[Record] = field(default_factory=list)
+    then: list[Callable[[], None]] = field(default_factory=list)
+    admits: list[tuple[Record, Callable[[], None], Callable[[str], None]]] = field(default_factory=list)
+
+    def __bool__(self) -> bool:
+        return bool(self.records or self.admits)
--- a/brassweir/journal/store.py
+++ b/brassweir/journal/store.py
@@ -9,8 +9,9 @@
 from brassweir.interface import MessageClass
 from brassweir.journal import compact
 from brassweir.journal.durability import waits
+from brassweir.journal.group import Broken, Group, Stalled
 from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told
-from brassweir.journal.writer import Broken, Group, Writer
+from brassweir.journal.writer import Writer
 
 SLICE = 2000  # lives gone through in one turn of the loop: a millisecond or two
 
@@ -26,6 +27,9 @@
     ) -> None:
         """Run ``work``; then ``done`` with its result, or ``failed``, on the loop's side."""
 
+    def later(self, what: Callable[[], None]) -> None:
+        """Run ``what`` on the loop's side after a pause, for a disk that took no write."""
+
 
 class JournalStore:
     """Keeps facts in a journal.
@@ -44,7 +48,11 @@
         name_of: Callable[[int], str],
         broken: Callable[[BaseException], None],
         remember: float,
+        note: Callable[[str, dict[str, object]], None] = lambda event, details: None,
     ) -> None:
+        self.note = note
+        self.stalled = False  # the disk takes no write now: nothing new is taken on
+        self.unkept: set[int] = set()  # refused messages of which nothing was written
         self.writer, self.disk, self.classes, self.wall = writer, disk, classes, wall
         self.name_of, self.broken, self.remember = name_of, broken, remember
         self.effects = {cls.name: cls.effect for cls in classes.values()}
@@ -73,6 +81,14 @@
         """Keep one fact (see :class:`brassweir.core.ports.Store`)."""
         if self.dead:
             return  # nothing may go on as if it had been written
+        if self.stalled and fact is Fact.TAKEN:
+            self.unkept.add(message)
+            unable("the journal takes no write now")
+            return
+        if fact is Fact.FINAL and message in self.unkept:
+            self.unkept.discard(message)
+            then()
+            return
         now = self.wall()
         if isinstance(detail, Submission):
             self.classed[message] = detail.class_name
@@ -136,13 +152,31 @@
     def _pump(self) -> None:
         group = self.writer.take()
         if group is not None:
-            self.disk.run(
-                lambda: self.writer.commit(group), lambda refused: self._done(group, refused), self._failed
-            )
+            self._commit(group)
+
+    def _commit(self, group: Group) -> None:
+        self.disk.run(
+            lambda: self.writer.commit(group),
+            lambda refused: self._done(group, refused),
+            lambda error: self._stall(group, error),
+        )
+
+    def _stall(self, group: Group, error: BaseException) -> None:
+        """The disk took no write: the group is tried again, and what waits for it waits on."""
+        if not isinstance(error, Stalled):
+            self._failed(error)
+            return
+        if not self.stalled:
+            self.stalled = True
+            self.note("journal_stalled", {"error": str(error)})
+        self.disk.later(lambda: self._commit(group))
 
     def _done(self, group: Group, refused: object) -> None:
         if self.dead:
             return
+        if self.stalled:
+            self.stalled = False
+            self.note("journal_goes_on", {"refused": len(self.unkept)})
         assert isinstance(refused, list)
         self.writer.done(group, refused)
         self._pump()
@@ -192,7 +226,12 @@
         def done(_: object) -> None:
             self.compacting = False
 
-        self.disk.run(self.writer.close_segment, begun, self._failed)
+        def not_now(error: BaseException) -> None:
+            self.compacting = False
+            if not isinstance(error, Stalled):
+                self._failed(error)
+
+        self.disk.run(self.writer.close_segment, begun, not_now)
 
 
 def _nothing() -> None:
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -8,40 +8,27 @@
 
 import errno
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from contextlib import suppress
 
-from brassweir.journal import compact, frame
+from brassweir.journal import compact, frame, snapshot
+from brassweir.journal.group import Broken, Group, Stalled
 from brassweir.journal.life import Lives
-from brassweir.journal.records import Record, Taken, Whole
+from brassweir.journal.records import Record, Taken
 from brassweir.journal.scan import Scan, segment_name
 from brassweir.journal.sizes import Sizes
 from brassweir.journal.storage import RESERVE_NAME, Storage
 
-CHUNK = 512  # records of a snapshot written at once
 NO_ROOM = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
-class Broken(Exception):
-    """The disk did not do what it must: the process has to end without going on as if it had."""
-
-
-@dataclass(slots=True)
-class Group:
-    """Records of one commit; ``admits`` are those that take a message on, which a full disk refuses."""
-
-    records: list[Record] = field(default_factory=list)
-    then: list[Callable[[], None]] = field(default_factory=list)
-    admits: list[tuple[Record, Callable[[], None], Callable[[str], None]]] = field(default_factory=list)
-
-    def __bool__(self) -> bool:
-        return bool(self.records or self.admits)
-
-
 class Writer:
-    """The end of one journal."""
+    """The end of one journal; a ``patient`` one raises Stalled, not Broken, for writes that may pass later."""
 
-    def __init__(self, storage: Storage, found: Scan, sizes: Sizes | None = None) -> None:
-        self.storage, self.limits = storage, sizes or Sizes()
+    def __init__(
+        self, storage: Storage, found: Scan, sizes: Sizes | None = None, patient: bool = False
+    ) -> None:
+        self.storage, self.limits, self.patient = storage, sizes or Sizes(), patient
+        self.torn = False  # a write that failed may have left bytes behind ``size``
         self.lives: Lives = found.lives
         self.sequence, self.segment = found.next_sequence, found.next_segment
         self.name = ""
@@ -55,9 +42,10 @@
         self.records = self.commits = self.bytes = 0
 
     def open(self) -> None:
-        """Start a segment of its own and set the reserve aside. Raises OSError and Broken."""
-        self._reserve()
-        self._rotate()
+        """Start a segment of its own and set the reserve aside. Raises OSError and Broken; a patient writer
+        that finds no way to write begins its segment with the first group."""
+        self._try_room()
+        self._rotate_in_time()
 
     # ---- the loop's side
 
@@ -71,7 +59,7 @@
         self.records += 1
         self.lives.apply(record)
         if unable is not None and isinstance(record, Taken):
-            self.group.admits.append((record, then or _nothing, unable))
+            self.group.admits.append((record, then or (lambda: None), unable))
             return
         self.group.records.append(record)
         if then is not None:
@@ -96,7 +84,9 @@
     # ---- the I/O side
 
     def commit(self, group: Group) -> list[Callable[[str], None]]:
-        """Write and sync one group; returns what to tell those that found no room. Raises Broken."""
+        """Write and sync one group; returns what to tell those that found no room. Raises Broken and, with
+        nothing of the group written, Stalled."""
+        self._mend()
         refused: list[Callable[[str], None]] = []
         admits = group.admits
         if self.full:
@@ -108,7 +98,7 @@
             group.then = [*(then for _, then, _ in admits), *group.then]
         except OSError as error:
             if error.errno not in NO_ROOM or self.full:
-                raise Broken(f"write failed: {error}") from error
+                raise self._failed("write failed", error) from error
             self.full = True
             refused += [unable for _, _, unable in admits]
             try:
@@ -116,11 +106,32 @@
                 self.storage.cut(self.name, self.size)
                 self._write(group.records)
             except OSError as again:
-                raise Broken(f"write failed on a full disk: {again}") from again
+                raise self._failed("write failed on a full disk", again) from again
         if self.size >= self.limits.segment:
-            self._rotate()
+            self._rotate_in_time()
         return refused
 
+    def _failed(self, what: str, error: OSError) -> Broken | Stalled:
+        """What a failed write amounts to."""
+        self.torn = True
+        return Stalled(f"{what}: {error}") if self.patient else Broken(f"{what}: {error}")
+
+    def _mend(self) -> None:
+        """Cut off what a failed write left, and see that there is a segment. Raises Stalled."""
+        if not self.name:
+            self._rotate()
+        if self.torn:
+            try:
+                self.storage.cut(self.name, self.size)
+            except OSError as error:
+                raise Stalled(f"cut failed: {error}") from error
+            self.torn = False
+
+    def _rotate_in_time(self) -> None:
+        """Begin the next segment; a patient writer goes on in this one where that fails."""
+        with suppress(Stalled):  # it is tried again with the next group
+            self._rotate()
+
     def _fits(self, group: Group) -> bool:
         """Is there room for what a group takes on, where the folder has a bound?"""
         if not self.limits.most or not group.admits:
@@ -148,19 +159,22 @@
         self.commits += 1
 
     def _rotate(self) -> None:
-        """Close the segment and begin the next."""
+        """Close the segment and begin the next. Raises Broken, or Stalled with the old one still open."""
+        name = segment_name(self.segment)
+        head = frame.header(self.segment, self.sequence)
+        try:
+            self.storage.create(name)
+            self.storage.append(name, head)
+            self.storage.sync(name)
+        except OSError as error:
+            if not self.patient:
+                raise Broken(f"no new segment: {error}") from error
+            raise Stalled(f"no new segment: {error}") from error
         if self.name:
             self.older.append(self.name)
             self.sizes[self.name] = self.size
-        self.name = segment_name(self.segment)
-        head = frame.header(self.segment, self.sequence)
+        self.name = name
         self.segment += 1
-        try:
-            self.storage.create(self.name)
-            self.storage.append(self.name, head)
-            self.storage.sync(self.name)
-        except OSError as error:
-            raise Broken(f"no new segment: {error}") from error
         self.size = len(head)
         self.total += len(head)
 
@@ -173,14 +187,16 @@
         except OSError as error:
             if error.errno not in NO_ROOM:
                 raise
-            self.storage.remove(RESERVE_NAME)
+            self.let_go(RESERVE_NAME)
             self.full = True
 
     def _try_room(self) -> None:
         try:
             self._reserve()
         except OSError as error:
-            raise Broken(f"the reserve cannot be made anew: {error}") from error
+            self.full = True
+            if not self.patient:
+                raise Broken(f"the reserve cannot be made: {error}") from error
 
     # ---- compaction
 
@@ -209,36 +225,26 @@
         """
         name = segment_name(number, snapshot=True)  # sorts behind its own log, before the next
         temporary = name + ".new"
-        size = 0
         try:
-            self.storage.create(temporary)
-            chunk = [frame.header(number, 0)]
-            for i, record in enumerate([*records, Whole(len(records))]):
-                chunk.append(frame.frame(i, record))
-                if len(chunk) >= CHUNK:
-                    size += self._put(temporary, chunk)
-            size += self._put(temporary, chunk)
-            self.storage.sync(temporary)
+            size = snapshot.write(self.storage, temporary, number, records)
             self.storage.rename(temporary, name)
         except OSError as error:
-            if error.errno in NO_ROOM:
-                self.storage.remove(temporary)
+            if error.errno in NO_ROOM or self.patient:
+                self.let_go(temporary)
                 return
             raise Broken(f"snapshot failed: {error}") from error
         replaced = [one for one in self.older if int(one.partition(".")[0]) <= number]
         for one in replaced:
-            self.storage.remove(one)
+            self.let_go(one)
             self.total -= self.sizes.pop(one, 0)
         self.older = [name, *(one for one in self.older if one not in replaced)]
         self.sizes[name] = size
         self.total += size
 
-    def _put(self, name: str, chunk: list[bytes]) -> int:
-        data = b"".join(chunk)
-        chunk.clear()
-        self.storage.append(name, data)
-        return len(data)
-
-
-def _nothing() -> None:
-    pass
+    def let_go(self, name: str) -> None:
+        """Remove a file that is of no further use. One that stays is stale to the next process."""
+        try:
+            self.storage.remove(name)
+        except OSError:
+            if not self.patient:
+                raise
--- a/brassweir/lab/simulated/disk.py
+++ b/brassweir/lab/simulated/disk.py
@@ -127,6 +127,9 @@
         return fresh
 
 
+PAUSE = 50.0  # ms until a disk that took no write is tried again
+
+
 class SimIo:
     """Runs the journal's I/O on simulated time: each piece takes ``span`` ms."""
 
@@ -147,3 +150,7 @@
             self.clock.call_soon(lambda: done(result))
 
         self.clock.call_at(self.clock.now() + self.span, later)
+
+    def later(self, what: Callable[[], None]) -> None:
+        """Run ``what`` after a pause."""
+        self.clock.call_at(self.clock.now() + PAUSE, what)
--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -13,14 +13,16 @@
 from brassweir.interface import MessageClass
 from brassweir.journal import real_time
 from brassweir.journal.frame import FormatError
+from brassweir.journal.group import Broken
 from brassweir.journal.recover import Plan, plan
 from brassweir.journal.scan import Scan, scan
 from brassweir.journal.sizes import Sizes
 from brassweir.journal.storage import Files, Locked
 from brassweir.journal.store import JournalStore
-from brassweir.journal.writer import Broken, Writer
+from brassweir.journal.writer import Writer
 
 Note = Callable[[str, dict[str, object]], None]
+PAUSE = 0.05  # seconds until a disk that took no write is tried again
 
 
 class ThreadDisk:
@@ -45,6 +47,10 @@
 
         self.pool.submit(on_thread)
 
+    def later(self, what: Callable[[], None]) -> None:
+        """Run ``what`` after a pause."""
+        self.loop.call_later(PAUSE, what)
+
     def _tell(self, what: Callable[[Any], None], value: Any) -> None:
         try:
             self.loop.call_soon_threadsafe(what, value)
@@ -86,6 +92,10 @@
         self.waiting.append(turn)
         self.loop.call_soon(self._next)
 
+    def later(self, what: Callable[[], None]) -> None:
+        """Run ``what`` after a pause."""
+        self.loop.call_later(PAUSE, what)
+
     def _next(self) -> None:
         if self.waiting:
             self.waiting.popleft()()
@@ -130,9 +140,9 @@
         try:
             self.storage = Files(folder, synced=keeping.synced)
             self.found: Scan = scan(self.storage)
-            self.writer = Writer(self.storage, self.found, keeping.sizes)
+            self.writer = Writer(self.storage, self.found, keeping.sizes, patient=not keeping.synced)
             for name in self.found.stale:
-                self.storage.remove(name)
+                self.writer.let_go(name)
             self.writer.open()
         except Locked as error:
             raise Unusable(f"journal: {error}") from None
@@ -146,7 +156,7 @@
         loop = asyncio.get_running_loop()
         self.disk: ThreadDisk | LoopDisk = ThreadDisk(loop) if keeping.synced else LoopDisk(loop)
         self.store = JournalStore(
-            self.writer, self.disk, keeping.classes, self.time.now, name_of, broken, keeping.remember
+            self.writer, self.disk, keeping.classes, self.time.now, name_of, broken, keeping.remember, note
         )
         self.store.begin(keeping.sender)
 
--- a/brassweir/service/node_run.py
+++ b/brassweir/service/node_run.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from brassweir.journal.writer import Broken
+from brassweir.journal.group import Broken
 from brassweir.relay.settings import NodeError
 from brassweir.service.node import NodeProcess
 from brassweir.service.node_file import configured
--- a/brassweir/service/serving.py
+++ b/brassweir/service/serving.py
@@ -10,7 +10,7 @@
 from brassweir.config.load import ConfigError
 from brassweir.config.model import Config
 from brassweir.config.settings import load_settings
-from brassweir.journal.writer import Broken
+from brassweir.journal.group import Broken
 from brassweir.service.process import SenderProcess
 from brassweir.service.runtime import yield_often
 
--- a/tests/journal/test_crashes.py
+++ b/tests/journal/test_crashes.py
@@ -9,8 +9,8 @@
 
 from brassweir.core.ports import Fact
 from brassweir.journal import durability, recover, store
+from brassweir.journal.group import Broken
 from brassweir.journal.scan import scan
-from brassweir.journal.writer import Broken
 from brassweir.lab.simulated import crash
 from brassweir.lab.simulated.crash import Run, sweep
 from brassweir.lab.simulated.crash_world import Script
--- a/tests/relay/test_node_disk.py
+++ b/tests/relay/test_node_disk.py
@@ -75,3 +75,25 @@
     world = World(tmp_path)
     world.program = ["-m", "tests.relay.failing_disk", *ALL]
     asyncio.run(played(world, day, Endpoint("a", 1, after(0.3))))
+
+
+@pytest.mark.parametrize("error", ["ENOSPC", "EIO"])
+def test_a_start_while_writes_fail_serves_what_was_taken_on_and_refuses_more(
+    tmp_path: Path, error: str
+) -> None:
+    async def day(world: World) -> None:
+        assert await hand_in(world, 0, 12) == [b"+OK\r\n"] * 12
+        await world.kill()
+        (world.folder / FLAG).write_text(error)
+        await world.start()
+        refused = await hand_in(world, 100, 6)
+        assert all(line.startswith(b"-BUSY") for line in refused), refused
+        (world.folder / FLAG).unlink()
+        await asyncio.sleep(0.3)
+        assert await hand_in(world, 1000, 6) == [b"+OK\r\n"] * 6
+        await world.settled(18)
+        assert "journal_damage" not in world.log()
+
+    world = World(tmp_path)
+    world.program = ["-m", "tests.relay.failing_disk", *ALL]
+    asyncio.run(played(world, day, Endpoint("a", 1, after(0.3))))
