Watch: an answer that stops within an object holds up no other; log spans in real time

Cause: relay/discovery.headed stopped asking once an answer had begun, for up to 2.5 s, although its object never came whole; a move to the address that is watched anyhow opened a second watch; observe/lines measured its spans by the wall clock, so a step back of an hour held an event's lines back for an hour. Change: while an object is partial the next request goes out in turn; such a move changes nothing; spans are monotonic.

--- a/brassweir/journal/group.py
+++ b/brassweir/journal/group.py
@@ -13,8 +13,11 @@
 
 
 class Stalled(Exception):
-    """The disk took no write, and what stands behind the last good one is cut off before the next: the same
-    group may be tried again."""
+    """The disk took no write; what it left behind the last good one is cut off before the next.
+
+    The same group may be tried again, but only in a folder that is not synced: after a failed sync no try can
+    be trusted.
+    """
 
 
 @dataclass(slots=True)
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -22,7 +22,7 @@
 
 
 class Writer:
-    """The end of one journal; a ``patient`` one raises Stalled, not Broken, for writes that may pass later."""
+    """The end of one journal; a ``patient`` one raises Stalled, not Broken, where a write may pass later."""
 
     def __init__(
         self, storage: Storage, found: Scan, sizes: Sizes | None = None, patient: bool = False
--- a/brassweir/observe/lines.py
+++ b/brassweir/observe/lines.py
@@ -26,9 +26,11 @@
         stream: TextIO | None = None,
         now: Callable[[], float] = time.time,
         frequent: Set[str] = frozenset(),
+        monotonic: Callable[[], float] = time.monotonic,
         **bound: Any,
     ) -> None:
         self.stream, self.now, self.bound, self.frequent = stream or sys.stderr, now, bound, frequent
+        self.monotonic = monotonic  # spans are of real time, whatever becomes of the wall clock
         self.spans: dict[str, tuple[float, int, int]] = {}  # event: start, lines, held back
 
     def info(self, event: str, **details: Any) -> None:
@@ -44,7 +46,7 @@
         self._line("error", event, details)
 
     def _line(self, level: str, event: str, details: dict[str, Any]) -> None:
-        now = self.now()
+        now = self.monotonic()
         start, count, held = self.spans.get(event, (now, 0, 0))
         if now - start >= SPAN:
             start, count = now, 0
@@ -52,7 +54,7 @@
             self.spans[event] = (start, count, held + 1)
             return
         self.spans[event] = (start, count + 1, 0)
-        line = {"event": event, "level": level, "at": round(now, 3), **self.bound, **details}
+        line = {"event": event, "level": level, "at": round(self.now(), 3), **self.bound, **details}
         if held:
             line["held_back"] = held
         self.stream.write(_ENCODE(line) + "\n")
--- a/brassweir/relay/discovery.py
+++ b/brassweir/relay/discovery.py
@@ -67,6 +67,8 @@
 
     def move(self, address: str) -> None:
         """The list is told elsewhere from now on. A confirmed watch is heard until one is confirmed there."""
+        if self.confirmed is not None and self.confirmed.address == address == self.address:
+            return
         self.address, self.failure = address, ""
         self._drop_unconfirmed()
         if self.confirmed is not None and self.leaves is None:
@@ -130,6 +132,11 @@
         if watch in self.unconfirmed:
             self._cancel_next()
 
+    def partial(self, watch: Watch) -> None:
+        """The rest of an object may never come: others are asked as long as it has not."""
+        if watch in self.unconfirmed and self.next is None:
+            self._open_in_turn()
+
     def whole(self, watch: Watch, data: bytes) -> None:
         """One object of a watch, or an empty line. Raises ListError."""
         if data.strip():
--- a/brassweir/relay/listing.py
+++ b/brassweir/relay/listing.py
@@ -60,6 +60,11 @@
         self.lines = bytearray()  # of the object that is open
         self.line = bytearray()  # the one that has not ended
 
+    @property
+    def partial(self) -> bool:
+        """Has an object begun that is not whole?"""
+        return bool(self.lines or self.line)
+
     def feed(self, part: bytes) -> Iterator[bytes]:
         """What is whole with these bytes. Raises ListError on an object that is too large."""
         *ends, rest = part.split(b"\n")
--- a/brassweir/relay/watch.py
+++ b/brassweir/relay/watch.py
@@ -20,6 +20,9 @@
     def headed(self, watch: Watch) -> None:
         """Its answer has begun."""
 
+    def partial(self, watch: Watch) -> None:
+        """An object of it has begun, and its rest has not come yet."""
+
     def whole(self, watch: Watch, data: bytes) -> None:
         """One object of it, or an empty line. Raises ListError."""
 
@@ -109,6 +112,8 @@
             for data in self.objects.feed(part):
                 self.heard = self.loop.time()
                 self.owner.whole(self, data)
+            if self.objects.partial:
+                self.owner.partial(self)
         except ListError as error:
             self.failed = str(error)
 
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -147,6 +147,35 @@
     moved(play())
 
 
+@pytest.mark.parametrize("cut", [1, 9, -1])
+def test_an_answer_that_stops_within_an_object_holds_up_no_other(cut: int) -> None:
+    """The agent is up: the next request is answered whole."""
+    begun = trickles(HEAD + chunk(change(2)[:cut]), b"")
+
+    async def play() -> None:
+        async with Peer(begun, says(change(3))) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            assert await heard.until(3) - peer.seen[0][0] < 0.3
+            heard.watch.stop()
+
+    moved(play())
+
+
+def test_a_move_to_where_the_watch_is_open_changes_nothing() -> None:
+    async def play() -> None:
+        async with Peer(quiet) as peer:
+            heard = Heard(peer.address)
+            heard.watch.start()
+            await asyncio.sleep(3.0)
+            heard.watch.move(peer.address)
+            await asyncio.sleep(8.0)
+            assert len(peer.seen) == 1 and not heard.notes
+            heard.watch.stop()
+
+    moved(play())
+
+
 async def quiet(writer: asyncio.StreamWriter) -> None:
     """A list that does not change."""
     writer.write(HEAD)
