An attempt's first byte is told by message and number, so that no attempt holds itself

The end of a message no longer freed its attempts. Change: Watcher.began takes the record and the attempt's number.

--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -224,7 +224,7 @@
             repeat,
             Going(
                 lambda: self.first_byte.bar(record, action.endpoint, self.clock.now(), until),
-                lambda: self.watcher.began(attempt),
+                lambda: self.watcher.began(record, number),  # not of the attempt: that would be a cycle
             ),
         )
         started = self.clock.now()
--- a/brassweir/core/watcher.py
+++ b/brassweir/core/watcher.py
@@ -15,8 +15,8 @@
     def sent(self, attempt: Attempt) -> None:
         """An attempt goes out."""
 
-    def began(self, attempt: Attempt) -> None:
-        """An attempt's first byte leaves now."""
+    def began(self, record: Record, number: int) -> None:
+        """The first byte of an attempt at a message leaves now."""
 
     def outcome(self, record: Record, number: int, outcome: Outcome, late: bool) -> None:
         """An attempt ended; ``late`` says that the message already had its answer."""
--- a/brassweir/service/node_trace.py
+++ b/brassweir/service/node_trace.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from brassweir.core.ledger import Record, Taken
-from brassweir.core.ports import Attempt, Outcome
+from brassweir.core.ports import Outcome
 from brassweir.service.node_watch import Counting
 
 HANDED_IN, BEGAN, ENDED, ANSWERED = "handed_in", "attempt_began", "attempt_ended", "answered"
@@ -37,14 +37,14 @@
             left_ms=round(given.left),
         )
 
-    def began(self, attempt: Attempt) -> None:
-        """An attempt's first byte leaves now."""
+    def began(self, record: Record, number: int) -> None:
+        """The first byte of an attempt at a message leaves now."""
         self.log.info(
             BEGAN,
-            message=attempt.id,
-            id=attempt.submission.identity,
-            attempt=attempt.number,
-            endpoint=attempt.endpoint.name,
+            message=record.id,
+            id=record.submission.identity,
+            attempt=number,
+            endpoint=record.attempts[number].endpoint,
             **self.knowledge(),
         )
 
--- /dev/null
+++ b/tests/core/test_garbage.py
@@ -0,0 +1,42 @@
+"""What an engine no longer uses goes without the collector: in service that comes by once in many thousand calls."""
+
+from __future__ import annotations
+
+import gc
+from collections.abc import Callable
+
+from brassweir import interface as api
+from brassweir.core.clock import SimClock
+from brassweir.core.ports import Attempt, Going, Outcome, Submission
+from tests.core.made import make
+
+
+class Forgetful:
+    """A carrier that serves, or lets every third attempt break, and keeps nothing of it."""
+
+    def __init__(self, clock: SimClock) -> None:
+        self.clock, self.count = clock, 0
+
+    def start(self, attempt: Attempt, done: Callable[[Outcome], None]) -> None:
+        self.count += 1
+        result = api.Result.OK if attempt.going.go() and self.count % 3 else api.Result.NO_CONNECTION
+        self.clock.call_at(self.clock.now() + 10.0, lambda: done(Outcome(result)))
+
+    def close_idle(self, endpoint: str) -> None:
+        pass
+
+
+def test_attempts_that_are_over_are_gone_without_the_collector() -> None:
+    engine, clock, _ = make()
+    carrier = Forgetful(clock)
+    engine.carrier_for = lambda _: carrier
+    gc.collect()
+    gc.disable()
+    try:
+        for i in range(30):
+            engine.submit(Submission("o", f"m{i}", "safe", 1 + i % 3, 4000.0), lambda _: None)
+        clock.run(12_000.0)
+        left = [type(one).__name__ for one in gc.get_objects() if isinstance(one, Attempt | Going)]
+    finally:
+        gc.enable()
+    assert carrier.count > 12 and not engine.ledger.open() and left == []
