Watch: the oldest request is left open for 5.5 s, so that a slow answer is heard within 6

Cause: a request without its answer's head was given up after 2.5 s (relay/watch.SILENT), so an agent that takes longer was never heard at all, and a change counts as told after 6 s.

--- a/brassweir/relay/watch.py
+++ b/brassweir/relay/watch.py
@@ -10,6 +10,9 @@
 from brassweir.relay.listing import ListError, Objects
 
 SILENT = 2.5  # seconds without a whole object or empty line: the platform sends one of them every 2 s
+UNANSWERED = (
+    5.5  # seconds without the answer's head: a slow one is heard within the 6 s that a change may take
+)
 READ_FIRST = 0.02  # seconds in which what lies in the socket is read before silence is believed
 LARGEST = 8 * 1024 * 1024  # bytes of one object
 
@@ -40,7 +43,7 @@
         self.objects = Objects(LARGEST)
         self.failed = ""
         self.dropped = self.has_head = False
-        self.heard = loop.time()
+        self.heard, self.patience = loop.time(), UNANSWERED
         self.timer: asyncio.TimerHandle | None = loop.call_later(SILENT, self._listen)
         self.opening: asyncio.Task[None] | None = None
 
@@ -74,14 +77,14 @@
 
     def _listen(self) -> None:
         # The loop may have stood still itself: what lies in the socket is read before silence is believed.
-        left = self.heard + SILENT - self.loop.time()
+        left = self.heard + self.patience - self.loop.time()
         if left > 0.0:
             self.timer = self.loop.call_later(left, self._listen)
         else:
             self.timer = self.loop.call_later(READ_FIRST, self._silent)
 
     def _silent(self) -> None:
-        if self.loop.time() - self.heard < SILENT:
+        if self.loop.time() - self.heard < self.patience:
             self._listen()
         else:
             self.end("silent")
@@ -97,7 +100,7 @@
 
     def on_headers_complete(self) -> None:
         """The answer's head has come."""
-        self.heard = self.loop.time()
+        self.heard, self.patience = self.loop.time(), SILENT
         if int(self.parser.get_status_code()) != 200:
             self.failed = f"status {self.parser.get_status_code()}"
             return
--- a/tests/relay/test_watch.py
+++ b/tests/relay/test_watch.py
@@ -113,9 +113,10 @@
     moved(play())
 
 
-def test_an_agent_that_is_slow_to_answer_is_heard_in_the_end() -> None:
+@pytest.mark.parametrize("seconds", [2.0, 3.0, 5.0])
+def test_an_agent_that_is_slow_to_answer_is_heard_in_time(seconds: float) -> None:
     async def slow(writer: asyncio.StreamWriter) -> None:
-        await asyncio.sleep(2.0)
+        await asyncio.sleep(seconds)
         writer.write(HEAD + chunk(change(2)))
 
     async def play() -> None:
@@ -123,6 +124,7 @@
             heard = Heard(peer.address)
             heard.watch.start()
             await heard.until(2)
+            assert now() - peer.seen[0][0] < seconds + 0.1 < TOLD
             heard.watch.stop()
 
     moved(play(), 10.0)
