--- a/review/running.py
+++ b/review/running.py
@@ -219,6 +219,10 @@
     record = Record(folder)
 
     async def bounded() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):  # so that the sender ends with the case
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         async with asyncio.timeout(115.0):
             return await case(record)
 
