--- a/brassweir/cli/journal.py
+++ b/brassweir/cli/journal.py
@@ -85,7 +85,7 @@
         "bytes": scanned.size,
         "records": scanned.records,
         "records_kept_by_a_snapshot": len(live),
-        "endpoints_with_trouble": len(scanned.state.recent_outcomes),
+        "endpoints_with_trouble": len(scanned.state.history.recent_outcomes),
     }
     if as_json:
         click.echo(json.dumps(tree))
--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -1,4 +1,4 @@
-"""Decides when to compact the journal and which records a snapshot keeps. Pure.
+"""Decides when to compact the journal, which messages fit into it, and what a snapshot keeps. Pure.
 
 A snapshot is a segment that holds all live records and ends with a Whole record. The older segments are
 removed only once that end is durable, so the directory holds a complete journal at every moment.
@@ -8,59 +8,46 @@
 
 from collections.abc import Iterator
 
-from brassweir.interface import Result
-from brassweir.journal.records import Ended, Record, Told
-from brassweir.journal.sizes import MIN_COMPACT_BYTES
-from brassweir.journal.state import JournalState, MessageState
+from brassweir.journal.message import MessageState
+from brassweir.journal.records import Record
+from brassweir.journal.sizes import MIN_COMPACT_BYTES, SizeLimits
+from brassweir.journal.state import JournalState
 
 MAX_SIZE_RATIO = 2.0  # journal size / snapshot size, above which the journal is compacted
-ENDED_BYTES = 200  # estimated size of an ended message in a snapshot
 
 
 def should_compact(size: int, live_bytes: int, min_bytes: int = MIN_COMPACT_BYTES) -> bool:
-    """Return whether to compact a journal of ``size`` bytes of which about ``live_bytes`` are live."""
+    """Return whether to compact a journal of ``size`` bytes, of which a snapshot keeps ``live_bytes``."""
     return size > min_bytes and size > MAX_SIZE_RATIO * live_bytes
 
 
+def should_make_room(size: int, live_bytes: int, room_wanted: bool, limits: SizeLimits) -> bool:
+    """Return whether to compact a bounded journal because messages are, or soon will be, refused.
+
+    ``room_wanted``: one was refused since the last compaction.
+    """
+    if not limits.max_bytes or size - live_bytes < limits.min_garbage_bytes:
+        return False
+    return room_wanted or size + live_bytes > limits.admit_bytes
+
+
+def snapshot_fits(size: int, live_bytes: int, limits: SizeLimits) -> bool:
+    """Return whether a snapshot can be written beside a journal of ``size`` bytes."""
+    return not limits.max_bytes or size + live_bytes <= limits.max_bytes
+
+
 def is_live(message: MessageState, now: float, retention_ms: float) -> bool:
     """Return whether a snapshot must keep a message: it is open, its receipt is pending, or its answer is not
-    older than ``retention_ms``."""
-    if message.final is None or (
-        message.taken is not None and message.taken.reply and not message.receipt_delivered
-    ):
-        return True
-    return now - message.final.at <= retention_ms
+    older than ``retention_ms``. One whose Taken record is lost was never accepted."""
+    if message.taken is None:
+        return False
+    return message.final is None or message.receipt_pending or now - message.final.at <= retention_ms
 
 
 def live_records(state: JournalState, now: float, retention_ms: float) -> Iterator[Record]:
     """Yield the records of a complete snapshot. Times in wall ms."""
     for message in list(state.by_id.values()):
         if is_live(message, now, retention_ms):
-            yield from message_records(message)
-    yield from endpoint_records(state)
-
-
-def message_records(message: MessageState) -> Iterator[Record]:
-    """Yield what a snapshot keeps of one message. An ended one keeps its identity, its answer and the time of
-    its first attempt, not its content."""
-    if message.taken is not None:
-        yield message.taken
-    if message.final is None:
-        yield from message.intents.values()
-        yield from message.ended.values()
-    else:
-        yield message.final
-        if message.receipt_delivered:
-            yield Told(message.id)
-
-
-def endpoint_records(state: JournalState) -> Iterator[Record]:
-    """Yield each endpoint's last success and its outcomes since then, with message id 0.
-
-    The engine needs them after a restart even if the messages are no longer kept.
-    """
-    for endpoint, at in state.last_success_at.items():
-        yield Ended(0, 0, endpoint, Result.OK.value, at)
-    for outcomes in state.recent_outcomes.values():
-        for outcome in outcomes:
-            yield Ended(0, 0, outcome.endpoint, outcome.result, outcome.at, outcome.wait)
+            yield from message.kept_records()
+    for endpoint in state.history.endpoints():
+        yield from state.history.records(endpoint)
--- a/brassweir/journal/frame.py
+++ b/brassweir/journal/frame.py
@@ -13,8 +13,9 @@
 from dataclasses import dataclass
 
 import google_crc32c
+import msgspec
 
-from brassweir.journal.records import VERSION, Record, decode, encode
+from brassweir.journal.records import VERSION, Record, Taken, decode, encode
 
 MARK = b"\xb7JRN"
 MAGIC = b"BRWSJRN\n"
@@ -58,6 +59,22 @@
     return _FRAME_HEADER.pack(MARK, sequence, len(payload), google_crc32c.value(checked)) + payload
 
 
+def frame_bytes(record: Record) -> int:
+    """Return the size of a record's frame. A message's content is not copied for it."""
+    if isinstance(record, Taken):
+        empty = msgspec.structs.replace(record, content=b"")
+        return FRAME_HEADER_BYTES + len(encode(empty)) + _binary_bytes(len(record.content))
+    return FRAME_HEADER_BYTES + len(encode(record))
+
+
+def _binary_bytes(length: int) -> int:
+    """Return by how much ``length`` bytes lengthen an empty MessagePack binary."""
+    if length < 1 << 8:
+        return length
+    longer_header = 1 if length < 1 << 16 else 3
+    return length + longer_header
+
+
 @dataclass(frozen=True, slots=True)
 class FramedRecord:
     """A valid record, with the offsets at which its frame starts and ends in the segment."""
--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -12,8 +12,9 @@
 from dataclasses import dataclass, field
 
 from brassweir.interface import Effect, MessageClass, PastAttempt, Result
+from brassweir.journal.message import MessageState
 from brassweir.journal.records import Final, Taken
-from brassweir.journal.state import JournalState, MessageState
+from brassweir.journal.state import JournalState
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,13 +118,15 @@
             cls = classes.get(message.taken.class_name)
             if message.has_attempt_in_flight and cls is not None and cls.in_order and message.taken.key:
                 plan.pause = order_pause
-    for endpoint, outcomes in state.recent_outcomes.items():
+    for endpoint, outcomes in state.history.recent_outcomes.items():
         plan.past += [
             PastAttempt(endpoint, Result(outcome.result), max(0.0, now - outcome.at), outcome.wait)
             for outcome in outcomes
         ]
     plan.past.sort(key=lambda past: -past.ago)
-    plan.last_success_ago = {endpoint: max(0.0, now - at) for endpoint, at in state.last_success_at.items()}
+    plan.last_success_ago = {
+        endpoint: max(0.0, now - at) for endpoint, at in state.history.last_success_at.items()
+    }
     return plan
 
 
@@ -148,14 +151,18 @@
     message: MessageState, taken: Taken, final: Final, now: float, retention_ms: float, plan: Plan
 ) -> None:
     ago = max(0.0, now - final.at)
-    receipt_pending = bool(taken.reply) and not message.receipt_delivered
-    if ago > retention_ms and not receipt_pending:
+    if ago > retention_ms and not message.receipt_pending:
         plan.dropped += 1
         return
     first_run_at = message.first_run_at
     plan.answered.append(
         AnsweredMessage(
-            taken, final, ago, None if first_run_at is None else now - first_run_at, receipt_pending, False
+            taken,
+            final,
+            ago,
+            None if first_run_at is None else now - first_run_at,
+            message.receipt_pending,
+            False,
         )
     )
 
--- a/brassweir/journal/scan.py
+++ b/brassweir/journal/scan.py
@@ -26,23 +26,32 @@
 
     ``problems`` describes the damage found, one line each; ``holes`` are the records lost to it. ``stale``
     names files that a snapshot has replaced, or that are unfinished snapshots; ``segments`` the files that
-    were read, in order. ``size`` is their total size in bytes.
+    were read, in order, and ``sizes`` their sizes in bytes.
     """
 
     state: JournalState = field(default_factory=JournalState)
     holes: list[Hole] = field(default_factory=list)
     problems: list[str] = field(default_factory=list)
     stale: list[str] = field(default_factory=list)
-    segments: list[str] = field(default_factory=list)
+    sizes: dict[str, int] = field(default_factory=dict)
     next_segment: int = 1
     next_sequence: int = 1
     records: int = 0
-    size: int = 0
     torn_bytes: int = 0  # incomplete writes at ends of segments, left by processes that died
     # Place and size of invalid bytes at the end of the segment read last: a torn write, or damage. The
     # next segment's header decides.
     tail: tuple[str, int] | None = None
 
+    @property
+    def segments(self) -> list[str]:
+        """The names of the files that were read, in order."""
+        return list(self.sizes)
+
+    @property
+    def size(self) -> int:
+        """The total size in bytes of the files that were read."""
+        return sum(self.sizes.values())
+
 
 def scan(storage: Storage) -> Scan:
     """Read the whole journal. Raises FormatError for a later format, and OSError."""
@@ -103,8 +112,7 @@
 
 def _read_segment(data: bytes, name: str, expected: int | None, result: Scan) -> int | None:
     """Add one segment's records to ``result``; returns the sequence number expected next, or None."""
-    result.segments.append(name)
-    result.size += len(data)
+    result.sizes[name] = len(data)
     header, snapshot = frame.read_header(data), name.endswith(".snap")
     if header is None and len(data) < frame.HEADER_BYTES:
         where, size = result.tail or (f"{name}:0: header is damaged", 0)
--- a/brassweir/journal/storage.py
+++ b/brassweir/journal/storage.py
@@ -14,6 +14,7 @@
 
 RESERVE_NAME = "reserve"
 LOCK_NAME = "lock"
+DISK_FULL = frozenset({errno.ENOSPC, errno.EDQUOT})
 
 
 class StorageLocked(Exception):
@@ -29,6 +30,9 @@
     def read(self, name: str) -> bytes:
         """Return the content of a file."""
 
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
+
     def create(self, name: str) -> None:
         """Create an empty file, replacing one of that name."""
 
@@ -84,6 +88,10 @@
         """Return the content of a file."""
         return (self.directory / name).read_bytes()
 
+    def size(self, name: str) -> int:
+        """Return the size of a file in bytes."""
+        return (self.directory / name).stat().st_size
+
     def create(self, name: str) -> None:
         """Create an empty file, replacing one of that name."""
         self._close_file(name)
--- a/brassweir/journal/table.py
+++ b/brassweir/journal/table.py
@@ -5,8 +5,9 @@
 from collections.abc import Iterable, Iterator
 from typing import Any
 
+from brassweir.journal.message import MessageState
 from brassweir.journal.recover import Hole
-from brassweir.journal.state import JournalState, MessageState
+from brassweir.journal.state import JournalState
 
 # Column: (type, meaning). docs/journal-format.md has the same list.
 COLUMNS: dict[str, tuple[str, str]] = {
@@ -54,6 +55,6 @@
         "answer": final.answer if final else None,
         "reason": final.reason if final else None,
         "answered": final.at if final else None,
-        "receipt_owed": bool(taken and taken.reply and not message.receipt_delivered),
+        "receipt_owed": message.receipt_pending,
         "behind_hole": message.id <= last_uncertain_id and final is None,
     }
--- a/brassweir/lab/simulated/disk.py
+++ b/brassweir/lab/simulated/disk.py
@@ -51,6 +51,10 @@
         """What a reader sees now."""
         return self.synced.get(name, b"") + b"".join(self.loose.get(name, []))
 
+    def size(self, name: str) -> int:
+        """How many bytes a reader sees now."""
+        return len(self.read(name))
+
     def create(self, name: str) -> None:
         """An empty file."""
         self._step()
--- a/brassweir/service/journaling.py
+++ b/brassweir/service/journaling.py
@@ -31,11 +31,14 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         self.loop = loop
         self.pool = ThreadPoolExecutor(1, thread_name_prefix="journal")
+        self.closed = False
 
     def run(
         self, work: Callable[[], Any], done: Callable[[Any], None], failed: Callable[[BaseException], None]
     ) -> None:
-        """Run ``work`` on the thread, then ``done`` or ``failed`` on the event loop."""
+        """Run ``work`` on the thread, then ``done`` or ``failed`` on the event loop; none after a close."""
+        if self.closed:
+            return
 
         def on_thread() -> None:
             try:
@@ -59,6 +62,7 @@
 
     def close(self) -> None:
         """Wait until all submitted work is done, then end the thread."""
+        self.closed = True
         self.pool.shutdown(wait=True)
 
 
@@ -149,8 +153,7 @@
             self.storage = DirectoryStorage(directory, synced=settings.synced)
             self.scan: Scan = scan(self.storage)
             self.writer = Writer(self.storage, self.scan, settings.sizes, retry_writes=not settings.synced)
-            for name in self.scan.stale:
-                self.writer.remove_file(name)
+            self.writer.files.remove_stale(self.scan.stale)
             self.writer.open()
         except StorageLocked as error:
             raise JournalUnusable(f"journal: {error}") from None
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -211,7 +211,7 @@
             **self.pools.histories.counts.log_fields(),
             owed=len(self.notices.pending),
             rev=self.list.endpoints.rev,
-            journal=self.journal.writer.total_bytes,
+            **self.journal.store.log_fields(),
             ledger=len(self.engine.ledger.by_id),
             **process_usage(),
         )
--- a/tests/service/test_loop_disk.py
+++ b/tests/service/test_loop_disk.py
@@ -4,7 +4,7 @@
 
 import asyncio
 
-from brassweir.service.journaling import LoopIo
+from brassweir.service.journaling import LoopIo, ThreadIo
 
 
 def test_close_runs_queued_operations_and_no_later_ones() -> None:
@@ -25,6 +25,22 @@
     assert asyncio.run(run()) == ["first", "done", "second", "done"]
 
 
+def test_a_thread_that_was_closed_takes_no_more_work() -> None:
+    """Guards against an error from a compaction whose next piece comes after the journal was closed."""
+
+    async def run() -> list[str]:
+        disk, seen = ThreadIo(asyncio.get_running_loop()), list[str]()
+        disk.run(lambda: seen.append("first"), lambda _: None, lambda error: None)
+        disk.close()
+        disk.run(
+            lambda: seen.append("late"), lambda _: seen.append("done"), lambda error: seen.append("error")
+        )
+        await asyncio.sleep(0.01)
+        return seen
+
+    assert asyncio.run(run()) == ["first"]
+
+
 def test_an_error_is_reported_and_the_next_operation_runs() -> None:
     async def run() -> list[str]:
         disk, seen = LoopIo(asyncio.get_running_loop()), list[str]()
