Saved endpoint list: a test that its files keep their share of the folder

Need: the bound of the folder rests on the list's sixteenth, also while writes fail or tear and across restarts; no test said so. No fault was found: the test passes on the code as it was.

--- a/tests/service/test_saved_list.py
+++ b/tests/service/test_saved_list.py
@@ -5,6 +5,8 @@
 import errno
 import os
 from pathlib import Path
+from random import Random
+from typing import Any
 
 import pytest
 
@@ -12,6 +14,7 @@
 from brassweir.service.saved_list import FILE_NAME, SavedList
 
 DIRECTORY_BYTES = 3 * 1024 * 1024
+SMALL_DIRECTORY_BYTES = 128 * 1024
 
 
 def target(uid: str, state: str = "active") -> Target:
@@ -121,3 +124,42 @@
     known.apply(Change(4, True, targets))
     saved.replace(known.snapshot())
     assert not saved.failure and len(read_back(tmp_path)) == 3200
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_files_of_the_list_never_outgrow_their_share(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards the part of the folder that the journal leaves to the list, also while writes fail or tear."""
+    rng, real_open = Random(seed), Path.open
+    failing = False
+
+    class TornFile:
+        def __init__(self, file: Any) -> None:
+            self.file = file
+
+        def __enter__(self) -> TornFile:
+            return self
+
+        def __exit__(self, *_: object) -> None:
+            self.file.close()
+
+        def write(self, data: bytes) -> int:
+            if failing:
+                self.file.write(data[: rng.randint(0, len(data))])
+                raise OSError(errno.ENOSPC, "No space left on device")
+            return int(self.file.write(data))
+
+    monkeypatch.setattr(Path, "open", lambda path, mode="r", **more: TornFile(real_open(path, mode, **more)))
+    saved, known = SavedList(tmp_path, SMALL_DIRECTORY_BYTES), endpoint_list()
+    largest = 0
+    for _ in range(200):
+        failing = rng.random() < 0.3
+        if rng.random() < 0.1:
+            saved = SavedList(tmp_path, SMALL_DIRECTORY_BYTES)  # the next process
+            saved.replace(known.snapshot())
+        else:
+            names = [f"{rng.getrandbits(64):016x}" for _ in range(rng.randint(1, 8))]
+            keep(saved, known, Change(known.rev + 1, False, [target(name) for name in names]))
+        largest = max(largest, sum(path.stat().st_size for path in tmp_path.iterdir()))
+    assert SMALL_DIRECTORY_BYTES / 64 < largest <= SMALL_DIRECTORY_BYTES / 16
