--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -112,6 +112,7 @@
         accepted, refused = self.room.divide(group, self.unwritten)
         if self.reserve.missing:
             accepted, refused = [], group.admissions
+            self.room.wanted = True
         try:
             self._write_group(group, accepted, refused)
         except OSError as error:
@@ -153,8 +154,7 @@
             group.records = [*owed, *rest]
 
     def _free_disk_space(self, error: OSError) -> None:
-        """Remove what can be spared on a full disk. Raises as :meth:`commit` if the error is another one, or
-        nothing is left to remove."""
+        """Remove what can be spared on a full disk. Raises as :meth:`commit` if that cannot help."""
         if error.errno not in DISK_FULL or (self.reserve.missing and self.snapshots.file is None):
             raise self.failure(f"write failed: {error}") from error
         try:
--- a/tests/journal/test_full_disk.py
+++ b/tests/journal/test_full_disk.py
@@ -16,7 +16,7 @@
 from tests.journal.samples import taken_record
 
 RESERVE_BYTES = 20_000
-LIMITS = SizeLimits(min_compact_bytes=8000, reserve_bytes=RESERVE_BYTES, check_bytes=1000)
+LIMITS = SizeLimits(min_compact_bytes=8000, reserve_bytes=RESERVE_BYTES, check_bytes=10**6)
 RETENTION_MS = 1000.0
 CLS = next(iter(BY_NAME))
 
