--- a/brassweir/journal/records.py
+++ b/brassweir/journal/records.py
@@ -10,7 +10,7 @@
 
 from brassweir.interface import Result
 
-VERSION = 2  # version 1 has no result for an endpoint at its connection limit
+VERSION = 3  # 1 has no result for an endpoint at its connection limit, up to 2 segments have no key
 
 
 class Taken(msgspec.Struct, tag="t", array_like=True, frozen=True):
--- a/brassweir/journal/scan.py
+++ b/brassweir/journal/scan.py
@@ -114,19 +114,21 @@
     """Add one segment's records to ``result``; returns the sequence number expected next, or None."""
     result.sizes[name] = len(data)
     header, snapshot = frame.read_header(data), name.endswith(".snap")
-    if header is None and len(data) < frame.HEADER_BYTES:
+    if header is None and len(data) < frame.header_bytes(data):
         where, size = result.tail or (f"{name}:0: header is damaged", 0)
         result.tail = where, size + len(data)
         return expected
-    _resolve_tail(header[1] if header is not None and not snapshot else None, expected, result)
+    _resolve_tail(header.first if header is not None and not snapshot else None, expected, result)
     if header is None:
         _add_problem(f"{name}:0: header is damaged", result)
     elif not snapshot:
-        if expected is not None and header[1] != expected:
-            _add_problem(f"{name}:0: record {header[1]} where {expected} was expected", result)
-        expected = header[1]  # a snapshot numbers its own records, so none is expected after it
+        if expected is not None and header.first != expected:
+            _add_problem(f"{name}:0: record {header.first} where {expected} was expected", result)
+        expected = header.first  # a snapshot numbers its own records, so none is expected after it
         result.next_sequence = max(result.next_sequence, expected)
-    for part in frame.read_frames(data, min(frame.HEADER_BYTES, len(data))):
+    if header is not None and header.damaged:
+        result.problems.append(f"{name}:0: one of two copies of the header is damaged")
+    for part in frame.read_frames(data):
         if isinstance(part, Damage):
             where = f"{name}:{part.offset}: {part.end - part.offset} bytes: {part.why}"
             if part.tail:
--- a/brassweir/journal/segments.py
+++ b/brassweir/journal/segments.py
@@ -2,14 +2,21 @@
 
 from __future__ import annotations
 
+import secrets
 from collections.abc import Iterable
 from contextlib import suppress
 
+from brassweir.journal.frame import KEY_BYTES
 from brassweir.journal.scan import Scan
 from brassweir.journal.sizes import BLOCK_BYTES
 from brassweir.journal.storage import Storage
 
 
+def new_segment_key() -> bytes:
+    """Return a key for a segment, which nobody can guess."""
+    return secrets.token_bytes(KEY_BYTES)
+
+
 class SegmentFiles:
     """The journal's segments, and files that could not be removed yet.
 
@@ -25,6 +32,7 @@
         self.leftover_bytes = 0
         self.open_name = ""  # of the segment that is written; empty until there is one
         self.open_bytes = 0
+        self.open_key = b""  # of that segment
         self.torn_bytes = 0  # that a failed write may have left behind them
 
     @property
@@ -38,12 +46,12 @@
         files = len(self.closed) + len(self.leftover) + bool(self.open_name)
         return self.total_bytes + self.torn_bytes + self.leftover_bytes + files * BLOCK_BYTES
 
-    def opened(self, name: str, size: int) -> None:
-        """Note that a new segment was begun, and the one before it closed."""
+    def opened(self, name: str, size: int, key: bytes) -> None:
+        """Note that a new segment was begun with a key, and the one before it closed."""
         if self.open_name:
             self.closed[self.open_name] = self.open_bytes
             self.closed_bytes += self.open_bytes
-        self.open_name, self.open_bytes = name, size
+        self.open_name, self.open_bytes, self.open_key = name, size, key
 
     def replaced(self, snapshot: str, size: int, number: int) -> None:
         """Remove the segments up to ``number``, which the snapshot of that name has replaced.
--- a/brassweir/journal/snapshot.py
+++ b/brassweir/journal/snapshot.py
@@ -9,7 +9,7 @@
 from brassweir.journal.records import Record, Whole
 from brassweir.journal.room import Room
 from brassweir.journal.scan import segment_name
-from brassweir.journal.segments import SegmentFiles
+from brassweir.journal.segments import SegmentFiles, new_segment_key
 from brassweir.journal.storage import DISK_FULL, Storage
 
 CHUNK_RECORDS = 512  # frames joined in one write
@@ -26,23 +26,24 @@
         self.storage, self.number = storage, number
         self.name = segment_name(number, snapshot=True)  # sorts after the log of that number
         self.temporary_name = self.name + ".new"
+        self.key = new_segment_key()
         self.size = self.records = 0
 
     def begin(self) -> None:
         """Create the file."""
         self.storage.create(self.temporary_name)
-        self._append(frame.encode_header(self.number, 0))
+        self._append(frame.encode_header(self.number, 0, self.key))
 
     def add(self, records: Sequence[Record]) -> None:
         """Append records."""
         for start in range(0, len(records), CHUNK_RECORDS):
             chunk = records[start : start + CHUNK_RECORDS]
-            self._append(b"".join(frame.encode_frame(self.records + i, one) for i, one in enumerate(chunk)))
+            self._append(frame.encode_frames(self.records, [*chunk], self.key, self.size))
             self.records += len(chunk)
 
     def finish(self) -> None:
         """Append the end, sync the file, and give it its name."""
-        self._append(frame.encode_frame(self.records, Whole(self.records)))
+        self._append(frame.encode_frame(self.records, Whole(self.records), self.key, self.size))
         self.storage.sync(self.temporary_name)
         self.storage.rename(self.temporary_name, self.name)
 
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -15,7 +15,7 @@
 from brassweir.journal.reserve import ReserveFile
 from brassweir.journal.room import Room
 from brassweir.journal.scan import Scan, segment_name
-from brassweir.journal.segments import SegmentFiles
+from brassweir.journal.segments import SegmentFiles, new_segment_key
 from brassweir.journal.sizes import SizeLimits
 from brassweir.journal.snapshot import SnapshotWriter
 from brassweir.journal.state import JournalState
@@ -187,7 +187,7 @@
 
     def _encode(self, records: list[Record]) -> bytes:
         # Numbered only here, so that refused records leave no gap in the sequence.
-        return b"".join(frame.encode_frame(self.sequence + i, record) for i, record in enumerate(records))
+        return frame.encode_frames(self.sequence, records, self.files.open_key, self.files.open_bytes)
 
     def _append(self, data: bytes, records: int) -> None:
         """Append so many encoded records to the open segment, and sync it."""
@@ -209,14 +209,14 @@
     def _rotate(self) -> None:
         """Begin the next segment. Raises JournalBroken, or JournalStalled with the old one still open."""
         name = segment_name(self.segment)
-        header = frame.encode_header(self.segment, self.sequence)
+        header = frame.encode_header(self.segment, self.sequence, key := new_segment_key())
         try:
             self.storage.create(name)
             self.storage.append(name, header)
             self.storage.sync(name)
         except OSError as error:
             raise self.failure(f"cannot begin a segment: {error}") from error
-        self.files.opened(name, len(header))
+        self.files.opened(name, len(header), key)
         self.segment += 1
 
     def _try_reserve(self) -> None:
--- a/tests/lab/models/test_fleet.py
+++ b/tests/lab/models/test_fleet.py
@@ -57,6 +57,7 @@
 
 def test_without_its_guards_a_fleet_does_harm(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(Gate, "on_connection_limit", lambda self, now, trial: None)
+    monkeypatch.setattr(Gate, "suspect_outage", lambda self, sent: None)
     assert pushed(played("crowded")[0]), "those that were turned away by it come back all at once"
     handle = control.Sender.handle
 
