Slow start and the suspicion of an outage outlive the process

A suspicion is written as it arises, before the success that ends it.

CPU of the module not measured apart.

Failed try: none of the other form, deriving slow start from the endpoints' outcomes, was built: it would have to know the other endpoints of a destination.

--- a/brassweir/control/gate.py
+++ b/brassweir/control/gate.py
@@ -51,6 +51,20 @@
         self.succeeded = False  # a call succeeded since the last on_second()
         self.allowance_left = 1.0  # share of the limit, by the last report
 
+    @property
+    def recovery(self) -> api.Recovery:
+        """Whether the destination is held to be down, or back from an outage."""
+        if self.circuit_open or self.outage_suspected:
+            return api.Recovery.SUSPECTED
+        if not self.in_slow_start:
+            return api.Recovery.NONE
+        return api.Recovery.CAUTIOUS_START if self.suspicion_only else api.Recovery.SLOW_START
+
+    def restore_recovery(self, now: float, recovery: api.Recovery, ago: float) -> None:
+        """Go on with what an earlier process concluded, no bolder than it was."""
+        super().restore_recovery(now, recovery, ago)
+        self.tokens = min(self.tokens, self.rng.random())
+
     def set_limit(self, rate: float, reported: bool) -> None:
         """Set the limit in calls a second; the endpoint list's rate is ignored once a limit was reported."""
         if rate <= 0 or (self.limit_reported and not reported):
--- a/brassweir/control/outcomes.py
+++ b/brassweir/control/outcomes.py
@@ -9,6 +9,7 @@
 
 # Results that a destination which is down may cause; the others are the sender's own doing.
 SHOWS_OUTAGE = frozenset({*Result}) - {Result.OK, Result.CANCELLED, Result.NOT_STARTED}
+RECOVERIES = (*api.Recovery,)
 LOSS_GAIN = 0.05  # weight of a call in the share of lost answers
 IDLE_KEEP_FACTOR = 3.0  # x idle_close / senders: longest usual gap for which a scarce connection is kept
 SHORTAGE_MEMORY_FACTOR = 3.0  # x idle_close: how long a connection shortage counts as recent
@@ -35,6 +36,7 @@
         if not call.result_recorded and (not call.pending_messages or event.result is not Result.TIMEOUT):
             call.result_recorded = True
             self._record_result(dest, call, event)
+            self._report_recovery(call.endpoint)
         self._update_degraded(dest)
         if event.result not in api.NEVER_RAN and message.possible_run_at == INF:
             message.possible_run_at, message.possible_run_zone = call.sent_at, call.endpoint.info.zone
@@ -71,6 +73,26 @@
         else:
             gate.on_failure(self.now, False)
 
+    def _on_past_recovery(self, event: api.RecoveryChange) -> None:
+        """Go on with a recovery from before a restart."""
+        dest = self._destination(event.destination)
+        endpoint = dest.endpoints.get(event.endpoint)
+        gates = {endpoint.gate} if endpoint is not None else {gate for gate in dest.gates()}
+        for gate in gates:
+            gate.restore_recovery(self.now, event.recovery, event.ago)
+            gate.reported_recovery = RECOVERIES.index(event.recovery)
+
+    def _report_recovery(self, endpoint: Endpoint) -> None:
+        """List the recovery of the endpoint's destination or route, if it has changed."""
+        gate, recovery = endpoint.gate, endpoint.gate.recovery
+        restarted = gate.in_slow_start and gate.ramp_start == self.now
+        if RECOVERIES[gate.reported_recovery] is recovery and not restarted:
+            return
+        gate.reported_recovery = RECOVERIES.index(recovery)
+        name = endpoint.info.name if endpoint.info.kind in self.separate_route_kinds else ""
+        ago = self.now - gate.ramp_start if gate.in_slow_start else 0.0
+        self.recovery_changes.append(api.RecoveryChange(endpoint.info.destination, name, recovery, ago))
+
     def _close_idle(self, endpoint: Endpoint) -> None:
         """Close idle connections that this sender will hardly use before they time out.
 
--- a/brassweir/control/sender.py
+++ b/brassweir/control/sender.py
@@ -19,7 +19,7 @@
 
         Raises MisuseError for a message with a known id or an unknown class.
         """
-        self.now, self.actions, self.joinable_calls = now, [], {}
+        self.now, self.actions, self.joinable_calls, self.recovery_changes = now, [], {}, []
         if self.timer_at <= now or api.TimerDue() in events:
             self.timer_at = INF  # it may have fired early by rounding; kept, it would block the next timer
         self._run_scheduled()
@@ -33,6 +33,8 @@
                 self._on_list_update(event)
             elif isinstance(event, api.PastAttempt):
                 self._on_past_attempt(event)
+            elif isinstance(event, api.RecoveryChange):
+                self._on_past_recovery(event)
             elif isinstance(event, api.StopScheduled):
                 self.stops_at = event.at
             elif (
--- a/brassweir/control/slow_start.py
+++ b/brassweir/control/slow_start.py
@@ -36,7 +36,7 @@
     __slots__ = (
         "arrivals", "created_at", "failing_for", "failure_share", "last_proof_sent", "last_success",
         "limit_rate", "limit_reported", "probation_calls", "probation_refilled_at", "ramp_start", "rng",
-        "settings", "silence_end", "suspect_sent", "suspicion_only",
+        "reported_recovery", "settings", "silence_end", "suspect_sent", "suspicion_only",
     )  # fmt: skip
 
     def __init__(self, settings: api.Settings, rng: Random, now: float) -> None:
@@ -48,6 +48,7 @@
         self.failure_share = 0.0  # exponential moving average
         self.ramp_start = -INF  # start of slow start
         self.suspicion_only = False  # slow start has begun although no outage was seen
+        self.reported_recovery = 0  # index of the recovery that the sender reported last
         self.probation_calls, self.probation_refilled_at = 1.0, now  # a token bucket, after a suspicion
         self.suspect_sent = -INF  # when the latest call was sent that leaves an outage suspected
         self.last_success = -INF  # when the latest call succeeded
@@ -69,6 +70,13 @@
         """Whether slow start has begun and not ended."""
         return self.ramp_start > -INF
 
+    def restore_recovery(self, now: float, recovery: api.Recovery, ago: float) -> None:
+        """Go on with what an earlier process concluded; ``ago`` is how long slow start has been on (ms)."""
+        if recovery is api.Recovery.SUSPECTED:
+            self.suspect_sent = max(self.suspect_sent, now)
+        elif recovery is not api.Recovery.NONE:
+            self.begin_slow_start(now - ago, recovery is api.Recovery.CAUTIOUS_START)
+
     def own_rate(self, now: float) -> float:
         """Return this sender's part of the limit: an even share, or its own message rate if higher."""
         own = self.arrivals * 1000.0 / max(now - self.created_at, self.settings.cold, 1.0)
--- a/brassweir/control/state.py
+++ b/brassweir/control/state.py
@@ -46,6 +46,7 @@
         self.now, self.stops_at = now, INF
         self.list_usable = True  # False: nothing is sent until the endpoint list is confirmed
         self.actions: list[api.Action] = []
+        self.recovery_changes: list[api.RecoveryChange] = []  # of the last batch of events
         self._schedule(now + PERIOD_MS, self._every_second)
         if settings.request_list:
             self._schedule(now, lambda _: self.actions.append(api.WatchList()))
--- a/brassweir/core/engine.py
+++ b/brassweir/core/engine.py
@@ -73,6 +73,7 @@
         self.stopping = False
         # Called for each new message before it is persisted; a returned answer refuses the message.
         self.admission_check: Callable[[Submission], FinalAnswer | None] = lambda _: None
+        self.on_recovery_changed: Callable[[api.RecoveryChange], None] = lambda _: None
         self.on_turn: Callable[[float, list[api.Event], list[api.Action]], None] | None = None
         self._schedule_turn()  # so that the module sets its first timer
 
@@ -129,8 +130,8 @@
             record.answer is None or self.ledger.retry_window(record, self.clock.now()) <= 0.0
         )
 
-    def restore_past_attempts(self, known: Iterable[api.PastAttempt]) -> None:
-        """Pass on attempts from before a restart; call it after the endpoint list, before any message."""
+    def restore_past(self, known: Iterable[api.PastAttempt | api.RecoveryChange]) -> None:
+        """Pass on what is known from before a restart; call it after the endpoint list, before messages."""
         for past in known:
             self._add_event(past)
 
@@ -165,6 +166,8 @@
         events = [item.new_message(now) if isinstance(item, MessageRecord) else item for item in self.inbox]
         self.inbox = []
         actions = self.sender.handle(now, events)
+        for change in self.sender.recovery_changes:
+            self.on_recovery_changed(change)
         self.observer.turn(len(events), len(actions), thread_time() - cpu_before)
         if self.on_turn is not None:
             self.on_turn(now, events, actions)
@@ -174,13 +177,11 @@
             self._execute(action)
         for recheck in rechecks:
             recheck()
-        for event in events:
-            if isinstance(event, api.ListUpdate):
-                self._forget_gone(event)
+        self._forget_gone(event for event in events if isinstance(event, api.ListUpdate))
 
-    def _forget_gone(self, update: api.ListUpdate) -> None:
+    def _forget_gone(self, updates: Iterable[api.ListUpdate]) -> None:
         """Drop removed endpoints; the module has processed their removal and no longer refers to them."""
-        for info in update.entries:
+        for info in (info for update in updates for info in update.entries):
             known = self.endpoints.get(info.name)
             if info.state is api.EntryState.GONE and known is not None and known.state is api.EntryState.GONE:
                 del self.endpoints[info.name]
--- a/brassweir/core/ports.py
+++ b/brassweir/core/ports.py
@@ -12,7 +12,7 @@
 from typing import Protocol
 
 from brassweir.core.exchange import Exchange
-from brassweir.interface import NEVER_RAN, EndpointInfo, Result
+from brassweir.interface import NEVER_RAN, EndpointInfo, RecoveryChange, Result
 
 
 class Answer(Enum):
@@ -239,3 +239,6 @@
     ) -> None:
         """Call ``on_durable`` at once."""
         on_durable()
+
+    def recovery_changed(self, change: RecoveryChange) -> None:
+        """Keep nothing: what was concluded of a destination ends with the process."""
--- a/brassweir/interface.py
+++ b/brassweir/interface.py
@@ -137,6 +137,30 @@
     wait: float = 0.0  # requested by the destination at that time
 
 
+class Recovery(Enum):
+    """Whether a destination is held to be back from an outage; what of it must outlive the process."""
+
+    NONE = "none"
+    SUSPECTED = "suspected"  # it may be down; slow start begins with the next success
+    CAUTIOUS_START = "cautious_start"  # slow start, since an outage may have happened
+    SLOW_START = "slow_start"  # slow start after an outage
+
+
+@dataclass(frozen=True, slots=True)
+class RecoveryChange:
+    """The recovery of a destination, or of one endpoint whose route is separate, has changed.
+
+    ``endpoint`` is empty for a destination. ``ago`` is how long slow start has been on, else 0. A sender
+    lists these changes after each batch of events; after a restart the last ones are handed back as events,
+    after the endpoint list.
+    """
+
+    destination: int
+    endpoint: str
+    recovery: Recovery
+    ago: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class StopScheduled:
     """This sender stops at a time: calls in flight are cut off, open messages go on after a restart."""
@@ -144,7 +168,16 @@
     at: float
 
 
-Event = ListUpdate | NewMessage | AttemptEnded | Withdrawn | TimerDue | PastAttempt | StopScheduled
+Event = (
+    ListUpdate
+    | NewMessage
+    | AttemptEnded
+    | Withdrawn
+    | TimerDue
+    | PastAttempt
+    | RecoveryChange
+    | StopScheduled
+)
 
 
 @dataclass(frozen=True, slots=True)
--- a/brassweir/journal/compact.py
+++ b/brassweir/journal/compact.py
@@ -51,3 +51,4 @@
             yield from message.kept_records()
     for endpoint in state.history.endpoints():
         yield from state.history.records(endpoint)
+    yield from state.recoveries.records()
--- a/brassweir/journal/compaction.py
+++ b/brassweir/journal/compaction.py
@@ -131,6 +131,7 @@
             if position % SLICE_MESSAGES == SLICE_MESSAGES - 1:
                 yield records
                 records = []
+        records.extend(state.recoveries.records())
         yield records
 
     def _collect(self, message: MessageState, now: float, records: list[Record]) -> int:
--- a/brassweir/journal/records.py
+++ b/brassweir/journal/records.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from brassweir.interface import Result
+from brassweir.interface import Recovery, Result
 
 VERSION = 3  # 1 has no result for an endpoint at its connection limit, up to 2 segments have no key
 
@@ -80,13 +80,23 @@
     sender: str
 
 
+class Recovering(msgspec.Struct, tag="c", array_like=True, frozen=True):
+    """What the sender concluded of a destination, or of an endpoint with a route of its own: that it may be
+    down, or is back from an outage ``since`` a time. Without this record the endpoint's outcomes tell."""
+
+    destination: str
+    endpoint: str
+    recovery: str
+    since: float
+
+
 class Whole(msgspec.Struct, tag="w", array_like=True, frozen=True):
     """The end of a snapshot: the ``records`` before it in this segment replace all earlier segments."""
 
     records: int
 
 
-Record = Taken | Intent | Ended | Final | Told | Began | Whole
+Record = Taken | Intent | Ended | Final | Told | Began | Recovering | Whole
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Record)
@@ -105,4 +115,6 @@
         raise ValueError(f"invalid record: {error}") from None
     if isinstance(record, Ended) and record.result not in {result.value for result in Result}:
         raise ValueError(f"invalid record: unknown result {record.result!r}")
+    if isinstance(record, Recovering) and record.recovery not in {recovery.value for recovery in Recovery}:
+        raise ValueError(f"invalid record: unknown recovery {record.recovery!r}")
     return record
--- a/brassweir/journal/recover.py
+++ b/brassweir/journal/recover.py
@@ -14,6 +14,7 @@
 from brassweir.interface import Effect, MessageClass, PastAttempt, Result
 from brassweir.journal.message import MessageState
 from brassweir.journal.records import Final, Taken
+from brassweir.journal.recovery_states import PastRecovery
 from brassweir.journal.state import JournalState
 
 
@@ -66,6 +67,7 @@
 
     at: float
     past: list[PastAttempt] = field(default_factory=list)
+    recoveries: list[PastRecovery] = field(default_factory=list)
     last_success_ago: dict[str, float] = field(default_factory=dict)
     answered: list[AnsweredMessage] = field(default_factory=list)
     resumed: list[ResumedMessage] = field(default_factory=list)
@@ -123,6 +125,7 @@
             PastAttempt(endpoint, Result(outcome.result), max(0.0, now - outcome.at), outcome.wait)
             for outcome in outcomes
         ]
+    plan.recoveries = state.recoveries.past(now)
     plan.past.sort(key=lambda past: -past.ago)
     plan.last_success_ago = {
         endpoint: max(0.0, now - at) for endpoint, at in state.history.last_success_at.items()
--- a/brassweir/journal/restart.py
+++ b/brassweir/journal/restart.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
+from collections.abc import Callable, Hashable, Iterator
 
 from brassweir.core.engine import Engine
 from brassweir.core.ledger import MessageRecord, Waiter
 from brassweir.core.ports import Answer, Fact, FinalAnswer, Payload, Submission
+from brassweir.interface import RecoveryChange
 from brassweir.journal.records import Taken
 from brassweir.journal.recover import Plan, relevant_past
 from brassweir.journal.store import JournalStore
@@ -30,6 +31,13 @@
     )
 
 
+def _recovery_changes(plan: Plan, number_of: Callable[[str], int | None]) -> Iterator[RecoveryChange]:
+    for recovery in plan.recoveries:
+        number = number_of(recovery.destination)
+        if number is not None:
+            yield RecoveryChange(number, recovery.endpoint, recovery.recovery, recovery.ago)
+
+
 def apply_plan(
     plan: Plan,
     engine: Engine,
@@ -39,6 +47,8 @@
 ) -> None:
     """Give the engine the endpoints' outcomes and the ended messages, then go on with open messages in order.
 
+    From then on the engine's conclusions on outages go to the store.
+
     The engine must have its endpoint list. ``make_waiter`` returns the waiter that delivers a message's
     receipt, or None if it has none. Answers that the plan made are written to the journal before they are
     given. Times count from when the plan was made, so that a slow start extends no deadline and no window.
@@ -50,7 +60,9 @@
         return name if info is None or info.kind in engine.apart else info.destination
 
     now = engine.clock.now() - max(0.0, store.wall() - plan.at)
-    engine.restore_past_attempts(relevant_past(plan, place))
+    engine.restore_past(relevant_past(plan, place))
+    engine.restore_past(_recovery_changes(plan, number_of))
+    engine.on_recovery_changed = store.recovery_changed
     engine.ledger.last_id = max(engine.ledger.last_id, plan.last_id)
     for answered in sorted(plan.answered, key=lambda answered: -answered.ago):
         taken, final = answered.taken, answered.final
--- a/brassweir/journal/state.py
+++ b/brassweir/journal/state.py
@@ -14,7 +14,10 @@
 
 from brassweir.journal.endpoint_history import EndpointHistory
 from brassweir.journal.message import MessageState, without_content
-from brassweir.journal.records import Began, Ended, Final, Intent, Record, Taken, Told, Whole
+from brassweir.journal.records import Began, Ended, Final, Intent, Record, Recovering, Taken, Told, Whole
+from brassweir.journal.recovery_states import RecoveryStates
+
+RECOVERY_SHARE = 1 / 4  # of the bytes kept of endpoints and destinations
 
 
 class JournalState:
@@ -27,6 +30,7 @@
     def __init__(self) -> None:
         self.by_id: OrderedDict[int, MessageState] = OrderedDict()
         self.history = EndpointHistory()
+        self.recoveries = RecoveryStates()
         self.last_id = 0
         self.last_at = 0.0
         self.runs = 0
@@ -40,7 +44,12 @@
     def live_bytes(self) -> int:
         """The bytes that a snapshot of this state takes, without its header and its end."""
         self.count_changes()
-        return self._message_bytes + self.history.kept_bytes
+        return self._message_bytes + self.history.kept_bytes + self.recoveries.kept_bytes
+
+    def limit_endpoints(self, max_bytes: int) -> None:
+        """Limit what is kept of endpoints and destinations, which is owed to nobody."""
+        self.history.limit(int(max_bytes * (1.0 - RECOVERY_SHARE)))
+        self.recoveries.limit(int(max_bytes * RECOVERY_SHARE))
 
     @property
     def open_count(self) -> int:
@@ -57,6 +66,10 @@
             self.sender = record.sender
             self.last_at = max(self.last_at, record.at)
             return
+        if isinstance(record, Recovering):
+            self.recoveries.add(record)
+            self.last_at = max(self.last_at, record.since)
+            return
         if record.id == 0:  # an outcome kept for its endpoint, after its message was dropped
             if isinstance(record, Ended):
                 self.history.add(record)
--- a/brassweir/journal/store.py
+++ b/brassweir/journal/store.py
@@ -6,11 +6,11 @@
 from typing import cast
 
 from brassweir.core.ports import Attempt, Fact, FinalAnswer, Outcome, Payload, Submission
-from brassweir.interface import MessageClass
+from brassweir.interface import MessageClass, RecoveryChange
 from brassweir.journal.compaction import Compaction, IoRunner
 from brassweir.journal.durability import waits_for_commit
 from brassweir.journal.group import Admission, CommitGroup, JournalBroken, JournalStalled
-from brassweir.journal.records import Began, Ended, Final, Intent, Taken, Told
+from brassweir.journal.records import Began, Ended, Final, Intent, Recovering, Taken, Told
 from brassweir.journal.writer import Writer
 
 
@@ -131,6 +131,13 @@
             outcome.wait,
         )
 
+    def recovery_changed(self, change: RecoveryChange) -> None:
+        """Record what the sender concluded of a destination."""
+        if not self.failed:
+            name, since = self.name_of(change.destination), self.wall() - change.ago
+            self.writer.add(Recovering(name, change.endpoint, change.recovery.value, since), None)
+            self._commit_next()
+
     def receipt_delivered(self, message: int) -> None:
         """Record that the receipt of a message was delivered."""
         if not self.failed and message in self.writer.state.by_id:
--- a/brassweir/journal/writer.py
+++ b/brassweir/journal/writer.py
@@ -33,7 +33,7 @@
         self.storage, self.limits, self.retry_writes = storage, sizes or SizeLimits(), retry_writes
         self.failure: type[Exception] = JournalStalled if retry_writes else JournalBroken  # of a write
         self.state: JournalState = scanned.state
-        self.state.history.limit(self.limits.history_bytes)
+        self.state.limit_endpoints(self.limits.history_bytes)
         self.state.count_changes()
         self.sequence, self.segment = scanned.next_sequence, scanned.next_segment
         self.files = SegmentFiles(storage, scanned, tolerant=retry_writes)
--- a/brassweir/lab/models/burstplan.py
+++ b/brassweir/lab/models/burstplan.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 TROUBLES = ("hang", "refuse", "reset", "error", "crowded", "full", "told")
@@ -38,6 +38,7 @@
     burst_at: float
     burst_seconds: float
     deadline: float
+    restarts: tuple[float, ...] = ()  # when each sender is killed and starts again
 
     def capacity(self, now: float) -> float:
         """Return the share of the full rate at a time; during the outage that of the return."""
@@ -56,6 +57,19 @@
         return calls + factor * math.sqrt(calls) + factor
 
 
+def draw_restarts(seed: int) -> BurstPlan:
+    """Draw a plan with one or two restarts of all senders, from the outage to the end of the cold time."""
+    rng, plan = Random(f"burst restarts {seed}"), draw(seed)
+    end = plan.back + plan.cold
+    moments = [
+        lambda: rng.uniform(plan.out + plan.connect_timeout, plan.back),
+        lambda: rng.uniform(plan.back, end),
+        lambda: plan.burst_at + rng.uniform(0.0, 1_000.0),
+    ]
+    restarts = sorted(rng.choice(moments)() for _ in range(rng.choice([1, 1, 2])))
+    return replace(plan, restarts=tuple(restarts), calls_in_outage=rng.choice([1, 2, 5]))
+
+
 def draw(seed: int, senders: int = 0) -> BurstPlan:
     """Draw a plan; by default of one to five senders."""
     rng = Random(f"burst {seed} {senders}")
--- a/brassweir/lab/models/burstworld.py
+++ b/brassweir/lab/models/burstworld.py
@@ -10,6 +10,7 @@
 import math
 from collections import deque
 from collections.abc import Callable
+from dataclasses import replace
 from heapq import heappop, heappush
 from random import Random
 
@@ -38,25 +39,50 @@
         self.world, self.number = world, number
         self.met_outage = False  # it has learned of a call that failed during the outage
         self.attempts: dict[int, int] = {}  # made so far, by message
-        self.sent_at: dict[tuple[int, int], float] = {}  # of the calls in flight
+        self.sent_at: dict[tuple[int, int, int], float] = {}  # of the calls in flight
         self.submitted_at: dict[int, float] = {}  # of the messages that were not delivered
         self.timer_at = math.inf
+        self.lives = 1
+        self.recovery: tuple[float, api.RecoveryChange] | None = None  # as kept for a restart: since when
+        self.failures: list[tuple[float, api.AttemptEnded]] = []  # since the last success, as kept
         self.sender = Sender(world.settings, 1000 * world.seed + number, world.now)
         self.handle([api.ListUpdate(api.ListKind.FULL, (world.endpoint,))])
 
+    def restart(self) -> None:
+        """Be killed, and start again with what was kept. Calls in flight have no outcome."""
+        world, now = self.world, self.world.now
+        self.lives += 1
+        self.timer_at = math.inf
+        self.sent_at.clear()
+        self.sender = Sender(world.settings, 1000 * world.seed + self.number + 100 * self.lives, now)
+        events: list[api.Event] = [api.ListUpdate(api.ListKind.FULL, (world.endpoint,))]
+        events += [api.PastAttempt("e", one.result, now - at, one.wait) for at, one in self.failures]
+        if self.recovery is not None:
+            since, change = self.recovery
+            events.append(replace(change, ago=now - since))
+        self.handle(events)
+        for ident in [*self.submitted_at]:
+            left = self.submitted_at[ident] + world.plan.deadline - now
+            if left > 0.0:
+                self.attempts[ident] = -1
+                self.handle([api.NewMessage(ident, "safe", 1, left, admitted=True)])
+
     def handle(self, events: list[api.Event]) -> None:
         """Hand events to the module, and carry out its actions."""
         world = self.world
         for action in self.sender.handle(world.now, events):
             if isinstance(action, api.Send):
                 attempt = self.attempts[action.id] = self.attempts.get(action.id, -1) + 1
-                self.sent_at[action.id, attempt] = world.now
+                self.sent_at[self.lives, action.id, attempt] = world.now
                 world.send(self, action.id, attempt, action.abandon_at)
             elif isinstance(action, api.SetTimer):
                 self.timer_at = action.at
                 world.schedule(action.at, self._timer(action.at))
             elif isinstance(action, api.Refuse | api.Fail):
+                self.submitted_at.pop(action.id, None)
                 world.undelivered += 1
+        for change in self.sender.recovery_changes:
+            self.recovery = (world.now - change.ago, change)
 
     def submit(self, class_name: str = "safe") -> None:
         """Submit one message."""
@@ -69,21 +95,24 @@
         """Submit a message that is not sent again once it may have run."""
         self.submit("unsafe")
 
-    def end_attempt(self, ident: int, attempt: int, result: api.Result, wait: float) -> None:
-        """Tell the module how an attempt ended, unless it has been told."""
+    def end_attempt(self, life: int, ident: int, attempt: int, result: api.Result, wait: float) -> None:
+        """Tell the module how an attempt of a life ended, unless it has been told, or was killed since."""
         world, plan = self.world, self.world.plan
-        sent_at = self.sent_at.pop((ident, attempt), None)
+        sent_at = self.sent_at.pop((life, ident, attempt), None)
         if sent_at is None:
             return
         succeeded = result is api.Result.OK
         limit, left = (plan.rate, 1.0) if plan.reports and succeeded else (None, None)
         self.met_outage |= not succeeded and plan.out <= sent_at < plan.back
         if succeeded:
+            self.failures.clear()
             world.delivered += 1
             world.latencies.append(world.now - self.submitted_at.pop(ident))
         ended = api.AttemptEnded(
             ident, attempt, "e", result, world.now - sent_at, succeeded, wait, left, limit
         )
+        if not succeeded:
+            self.failures = [*self.failures[-7:], (world.now, ended)]
         self.handle([ended])
 
     def _timer(self, at: float) -> Callable[[], None]:
@@ -141,6 +170,8 @@
         plan = self.plan
         for sender in self.senders:
             self._submit_steadily(sender)
+            for at in plan.restarts:
+                self.schedule(at, sender.restart)
             for _ in range(0 if self.healthy else plan.calls_in_outage):
                 # Early enough for the call to have failed before the return.
                 latest = plan.out + 0.8 * (plan.back - plan.out - plan.connect_timeout)
@@ -156,9 +187,13 @@
 
     def send(self, sender: SimulatedSender, ident: int, attempt: int, abandon_at: float) -> None:
         """Let a call reach the destination, and end it at ``abandon_at`` if it has no answer by then."""
-        self.schedule(abandon_at, lambda: sender.end_attempt(ident, attempt, api.Result.TIMEOUT, 0.0))
-        told = sender.met_outage
-        self.schedule(self.now + ONE_WAY, lambda: self._receive(sender, ident, attempt, told))
+        life, told = sender.lives, sender.met_outage
+
+        def end(result: api.Result, wait: float = 0.0) -> None:
+            sender.end_attempt(life, ident, attempt, result, wait)
+
+        self.schedule(abandon_at, lambda: end(api.Result.TIMEOUT))
+        self.schedule(self.now + ONE_WAY, lambda: self._receive(end, told))
 
     def _submit_steadily(self, sender: SimulatedSender) -> None:
         plan = self.plan
@@ -169,11 +204,11 @@
             self.schedule(at, sender.submit)
             at += self.rng.expovariate(rate) * 1000.0
 
-    def _receive(self, sender: SimulatedSender, ident: int, attempt: int, told: bool) -> None:
+    def _receive(self, end: Callable[[api.Result, float], None], told: bool) -> None:
         plan, now = self.plan, self.now
 
         def answer(result: api.Result, after: float, wait: float = 0.0) -> None:
-            self.schedule(now + after + ONE_WAY, lambda: sender.end_attempt(ident, attempt, result, wait))
+            self.schedule(now + after + ONE_WAY, lambda: end(result, wait))
 
         if plan.out <= now < plan.back and not self.healthy:
             if plan.trouble in FAILURES:
