A restart suspects an outage from a past failure, and tells a renewed slow start

A kill between the record of a failed call and the record of the suspicion lost the suspicion; a slow start that began anew while one was on was not told, so a restart would have gone on with the older one; the recovery of a separate route that is no longer listed restricted all other routes of its destination.

Change: past attempts that may show an outage leave it suspected; the start is part of what is compared; such a route is passed over.

--- a/brassweir/control/outcomes.py
+++ b/brassweir/control/outcomes.py
@@ -9,7 +9,6 @@
 
 # Results that a destination which is down may cause; the others are the sender's own doing.
 SHOWS_OUTAGE = frozenset({*Result}) - {Result.OK, Result.CANCELLED, Result.NOT_STARTED}
-RECOVERIES = (*api.Recovery,)
 LOSS_GAIN = 0.05  # weight of a call in the share of lost answers
 IDLE_KEEP_FACTOR = 3.0  # x idle_close / senders: longest usual gap for which a scarce connection is kept
 SHORTAGE_MEMORY_FACTOR = 3.0  # x idle_close: how long a connection shortage counts as recent
@@ -58,15 +57,13 @@
     def _on_past_attempt(self, event: api.PastAttempt) -> None:
         """Record a failure from before a restart as if it happened now, with the remainder of its wait."""
         destination_id = self.destination_ids.get(event.endpoint)
-        if destination_id is None or event.result in (
-            Result.OK,
-            Result.CONNECTION_LIMIT,
-            Result.NOT_STARTED,
-            Result.CANCELLED,
-        ):
+        if destination_id is None or event.result not in SHOWS_OUTAGE:
             return
         gate = self._destination(destination_id).endpoints[event.endpoint].gate
         self.adjusting_gates[gate] = None
+        gate.suspect_outage(self.now)
+        if event.result is Result.CONNECTION_LIMIT:
+            return
         if event.result is Result.BUSY:
             gate.on_requested_wait(self.now, event.wait - event.ago)
             gate.on_busy(self.now, max(event.wait - event.ago, 0.0), False, self.now)
@@ -76,19 +73,18 @@
     def _on_past_recovery(self, event: api.RecoveryChange) -> None:
         """Go on with a recovery from before a restart."""
         dest = self._destination(event.destination)
-        endpoint = dest.endpoints.get(event.endpoint)
-        gates = {endpoint.gate} if endpoint is not None else {gate for gate in dest.gates()}
+        if event.endpoint and event.endpoint not in dest.endpoints:
+            return  # it is no longer listed, and its route was separate
+        gates = {dest.endpoints[event.endpoint].gate} if event.endpoint else {*dest.gates()}
         for gate in gates:
             gate.restore_recovery(self.now, event.recovery, event.ago)
-            gate.reported_recovery = RECOVERIES.index(event.recovery)
+            gate.note_reported(event.recovery)
 
     def _report_recovery(self, endpoint: Endpoint) -> None:
         """List the recovery of the endpoint's destination or route, if it has changed."""
         gate, recovery = endpoint.gate, endpoint.gate.recovery
-        restarted = gate.in_slow_start and gate.ramp_start == self.now
-        if RECOVERIES[gate.reported_recovery] is recovery and not restarted:
+        if not gate.note_reported(recovery):
             return
-        gate.reported_recovery = RECOVERIES.index(recovery)
         name = endpoint.info.name if endpoint.info.kind in self.separate_route_kinds else ""
         ago = self.now - gate.ramp_start if gate.in_slow_start else 0.0
         self.recovery_changes.append(api.RecoveryChange(endpoint.info.destination, name, recovery, ago))
--- a/brassweir/control/slow_start.py
+++ b/brassweir/control/slow_start.py
@@ -12,6 +12,7 @@
 RAMP_SHARE = 0.6  # share of the tipping rate used during slow start, since other senders ramp up too
 ISOLATED_FAILURE_SHARE = 0.25  # failure share above which a failure between two successes is no accident
 
+RECOVERIES = (*api.Recovery,)
 ROUNDING = 1e-9  # of a token
 FEW_CALLS = 30.0  # below so many calls chance adds more to them
 
@@ -36,7 +37,7 @@
     __slots__ = (
         "arrivals", "created_at", "failing_for", "failure_share", "last_proof_sent", "last_success",
         "limit_rate", "limit_reported", "probation_calls", "probation_refilled_at", "ramp_start", "rng",
-        "reported_recovery", "settings", "silence_end", "suspect_sent", "suspicion_only",
+        "reported_recovery", "reported_start", "settings", "silence_end", "suspect_sent", "suspicion_only",
     )  # fmt: skip
 
     def __init__(self, settings: api.Settings, rng: Random, now: float) -> None:
@@ -48,7 +49,8 @@
         self.failure_share = 0.0  # exponential moving average
         self.ramp_start = -INF  # start of slow start
         self.suspicion_only = False  # slow start has begun although no outage was seen
-        self.reported_recovery = 0  # index of the recovery that the sender reported last
+        self.reported_recovery = 0  # index in RECOVERIES of what the sender reported last
+        self.reported_start = -INF  # and the start of slow start with it
         self.probation_calls, self.probation_refilled_at = 1.0, now  # a token bucket, after a suspicion
         self.suspect_sent = -INF  # when the latest call was sent that leaves an outage suspected
         self.last_success = -INF  # when the latest call succeeded
@@ -77,6 +79,13 @@
         elif recovery is not api.Recovery.NONE:
             self.begin_slow_start(now - ago, recovery is api.Recovery.CAUTIOUS_START)
 
+    def note_reported(self, recovery: api.Recovery) -> bool:
+        """Note that the sender reports the recovery; return whether it differs from the last report."""
+        report = (RECOVERIES.index(recovery), self.ramp_start)
+        changed = report != (self.reported_recovery, self.reported_start)
+        self.reported_recovery, self.reported_start = report
+        return changed
+
     def own_rate(self, now: float) -> float:
         """Return this sender's part of the limit: an even share, or its own message rate if higher."""
         own = self.arrivals * 1000.0 / max(now - self.created_at, self.settings.cold, 1.0)
--- a/tests/control/test_recovery_restarts.py
+++ b/tests/control/test_recovery_restarts.py
@@ -4,6 +4,7 @@
 
 import math
 from dataclasses import replace
+from random import Random
 
 import pytest
 
@@ -70,6 +71,30 @@
     assert gate.recovery is recovery
 
 
+def test_a_past_failure_alone_leaves_an_outage_suspected() -> None:
+    """Guards against a kill between the record of a failed call and that of the suspicion."""
+    for result in (api.Result.TIMEOUT, api.Result.RESET, api.Result.BUSY, api.Result.CONNECTION_LIMIT):
+        sender = Sender(ONE_SENDER, 1, 0.0)
+        sender.handle(0.0, [full_list(1), api.PastAttempt("e1", result, 3000.0)])
+        assert sender._destination(1).gate.outage_suspected
+        assert len(sent_ids(sender.handle(5000.0, [new_message(ident) for ident in range(30)]))) <= 1
+
+
+def test_a_slow_start_that_begins_anew_is_told_again() -> None:
+    gate = Gate(ONE_SENDER, Random(1), 0.0)
+    gate.begin_slow_start(1000.0, suspicion_only=True)
+    assert gate.note_reported(gate.recovery) and not gate.note_reported(gate.recovery)
+    gate.on_success(8000.0, 7900.0)  # the first for long
+    gate.suspect_outage(3000.0)  # a call sent before it has timed out now
+    assert gate.ramp_start == 8000.0 and gate.note_reported(gate.recovery)
+
+
+def test_a_separate_route_that_is_no_longer_listed_restricts_no_other() -> None:
+    sender = Sender(ONE_SENDER, 1, 0.0)
+    sender.handle(0.0, [full_list(1), api.RecoveryChange(1, "gone", api.Recovery.SUSPECTED)])
+    assert sender._destination(1).gate.recovery is api.Recovery.NONE
+
+
 def test_a_recovery_that_is_over_restricts_nothing() -> None:
     sender = Sender(ONE_SENDER, 1, 0.0)
     past = api.RecoveryChange(1, "", api.Recovery.SLOW_START, 3600_000.0)
