--- a/tests/relay/test_node_restarts.py
+++ b/tests/relay/test_node_restarts.py
@@ -9,8 +9,9 @@
 
 import pytest
 
+from brassweir.journal import frame
 from brassweir.journal.records import Began, Taken
-from brassweir.journal.scan import scan
+from brassweir.journal.scan import scan, segment_name
 from brassweir.journal.storage import DirectoryStorage
 from brassweir.journal.writer import Writer
 from brassweir.lab.standins.platform import Endpoint, after, good, hang, wall
@@ -174,15 +175,19 @@
     run_alone(tmp_path, scenario, Endpoint("a", 1))
 
 
+@pytest.mark.parametrize("version", [1, 2])
 def test_a_message_of_an_older_format_keeps_its_idempotency_key(
-    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+    version: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     async def scenario(world: World) -> None:
         await world.settled(1)
         assert [(call.id, call.key) for call in world.endpoints[0].calls] == [("m1", "k9")]
 
-    monkeypatch.setattr("brassweir.journal.frame.VERSION", 1)
-    write_journal(
-        tmp_path, "n1", Taken(1, "relay", "m1", "order", "1", "k9", wall() + 9000.0, "a/b", "", b"x", b"n")
+    monkeypatch.setattr(frame, "UNKEYED_VERSION", version)
+    taken = Taken(1, "relay", "m1", "order", "1", "k9", wall() + 9000.0, "a/b", "", b"x", b"n")
+    state = World(tmp_path).directory / "state"
+    state.mkdir(parents=True, exist_ok=True)
+    (state / segment_name(1)).write_bytes(
+        frame.encode_header(1, 1) + frame.encode_frame(1, Began(1.0, "n1")) + frame.encode_frame(2, taken)
     )
     run_alone(tmp_path, scenario, Endpoint("a", 1), judged=False)
