RESP: commands over the input limit are refused, and no end of a connection loses a reply

Cause: over the limit of unprocessed bytes Admission.set_buffered chose the longest inactive connection, and Front aborted it, whatever was read from it. The same abort made room for new connections. A stop, an expiry or a sixth invalid command threw commands away that were read whole behind others, and a command in part had no reply.

Change: - Over the limit a command that has come in part is discarded: the decoder drops its bytes but counts them, so that framing goes on, and -BUSY is its reply in its turn (resp/input_budget.py, codec.Decoder.discard_command). Reading never pauses for memory, so commands in part cannot wait for one another, and no connection is closed for it. - Reads go through one buffer whose size follows from the limit and max_clients: what all connections may have read and not decoded is within half of the limit. Replies held by a transport are bounded by the same size. - A connection ends by one path: what was read whole is processed, what was read in part is refused, EOF follows, and what still arrives is discarded (net/lingering_close.py), up to 64 commands of full size instead of 1 MiB. - A connection gives way to a new one at once only if nothing is left to read, write or be received (FIONREAD, write buffer, 0.4 s since the last reply). Otherwise it is answered first; a sixth of max_clients is kept for such ones, and without room the new connection is shut unread, which the protocol allows. - An expiry skips a connection whose bytes wait in the socket.

In test_closing.py a command in part now has a reply at a stop, and messages withdrawn as the process ends are answered -BUSY instead of not at all.

--- a/brassweir/resp/counts.py
+++ b/brassweir/resp/counts.py
@@ -11,6 +11,7 @@
 
     taken: int = 0  # messages accepted
     busy: int = 0  # submissions refused
+    discarded: int = 0  # commands refused, as the unprocessed input of all clients was over its limit
     errors: int = 0  # invalid commands
     opened: int = 0  # connections opened
     dropped: int = 0  # connections closed or rejected for lack of capacity
--- a/brassweir/service/node.py
+++ b/brassweir/service/node.py
@@ -29,6 +29,7 @@
 from brassweir.relay.settings import NodeConfig, NodeConfigError
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
+from brassweir.resp.input_budget import InputBudget
 from brassweir.service.journaling import JournalSettings, ProcessJournal
 from brassweir.service.node_list import NodeList
 from brassweir.service.node_stats import process_usage, sender_status
@@ -121,12 +122,11 @@
         saved_list = SavedList(state, int(config.limits.disk_mb * 1024 * 1024))
         self.list = NodeList(self.engine, self.clock, config, saved_list, log, self.note)
         self.carrier = RelayCarrier(self.list.endpoints, self.pools, self.clock, self.note)
-        admission = Admission(
-            int(sockets * CLIENT_SHARE), sockets // 3, config.limits.memory_mb * 2**20 * INPUT_SHARE
-        )
+        max_clients = int(sockets * CLIENT_SHARE)
         self.front = Front(
             self.engine,
-            admission,
+            Admission(max_clients, sockets // 3),
+            InputBudget(config.limits.memory_mb * 2**20 * INPUT_SHARE, max_clients),
             self.list.endpoints.knows_destination,
             lambda record: self._answer_callback(record.id, record.submission),
             self.journal.store.receipt_delivered,
@@ -225,19 +225,20 @@
         self.notices.move(config.discovery)
 
     async def shut_down(self, signalled_at: float) -> None:
-        """Shut down: serve while there is time, answer the commands read, and close the clients.
+        """Serve while there is time, answer the commands read, and close the clients.
 
-        ``signalled_at`` is the loop time of the signal. A journal failure ends the shutdown at once, since no
-        message can be accepted any more.
+        ``signalled_at`` is the loop time of the signal. A journal failure ends the serving at once.
         """
         self.log.info("leaving", open=self.engine.ledger.open_count)
         left = max(0.0, signalled_at + min(SERVE_SECONDS, self.config.longest_deadline) - self.loop.time())
         self.engine.announce_exit(self.clock.now() + left * 1000.0)
         await asyncio.wait([self.journal_failure], timeout=left)
-        self.front.close()
-        deadline = self.loop.time() + CLOSE_TIMEOUT_SECONDS
-        while self.front.connections and self.loop.time() < deadline and not self.journal_failure.done():
-            await asyncio.sleep(0.01)
+        if not self.journal_failure.done():
+            await self.front.close_gracefully(CLOSE_TIMEOUT_SECONDS)
+
+    async def close_after_failure(self) -> None:
+        """Fail the commands without a reply and close the clients: the journal takes no more writes."""
+        await self.front.fail_unanswered(CLOSE_TIMEOUT_SECONDS)
 
     def stop(self) -> None:
         """Stop everything at once and close the journal."""
@@ -245,6 +246,5 @@
             self.status_timer.cancel()
         self.list.stop()
         self.front.close()
-        self.front.withdraw_unanswered()
         self.journal.close()
         self.log.info("stopped", open=self.engine.ledger.open_count, **process_usage())
--- a/brassweir/service/node_run.py
+++ b/brassweir/service/node_run.py
@@ -57,5 +57,6 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)  # a second signal must not change the exit code
     reload_task.cancel()
     if process.journal_failure.done():
+        await process.close_after_failure()
         raise JournalBroken(str(process.journal_failure.result()))
     process.stop()
--- a/tests/net/test_nodelay.py
+++ b/tests/net/test_nodelay.py
@@ -14,6 +14,7 @@
 from brassweir.net.server import Request, Response, Server
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
+from brassweir.resp.input_budget import InputBudget
 from tests.net.peers import LOOPS, OK, after_next_call, open_rig, run_on
 
 Loop = Callable[[], asyncio.AbstractEventLoop]
@@ -71,7 +72,9 @@
 @both_loops
 def test_resp_server_connections_set_nodelay(loop: Loop) -> None:
     async def work() -> None:
-        front = Front(cast(Any, None), Admission(4, 4), lambda _: True, cast(Any, None), lambda _: None)
+        front = Front(
+            cast(Any, None), Admission(4, 4), InputBudget(), lambda _: True, cast(Any, None), lambda _: None
+        )
         reader, writer = await asyncio.open_connection("127.0.0.1", await front.listen("127.0.0.1", 0))
         writer.write(b"*1\r\n$4\r\nPING\r\n")
         assert await reader.readline() == b"+PONG\r\n"
--- a/tests/resp/harness.py
+++ b/tests/resp/harness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import socket
 from collections.abc import Callable
 
@@ -13,6 +14,7 @@
 from brassweir.lab.standins.relay_client import Client
 from brassweir.resp.admission import Admission
 from brassweir.resp.front import Front
+from brassweir.resp.input_budget import InputBudget
 
 
 class HeldStore(MemoryStore):
@@ -58,7 +60,7 @@
 class Harness:
     """The front with its engine, store and carrier, and clients as raw sockets."""
 
-    def __init__(self, max_open: int = 60) -> None:
+    def __init__(self, max_open: int = 60, max_input: float = math.inf) -> None:
         self.loop = asyncio.get_running_loop()
         classes = tuple(
             api.MessageClass(name, 1000.0, 5000.0, effect)
@@ -72,6 +74,7 @@
         self.front = Front(
             self.engine,
             Admission(100, 100),
+            InputBudget(max_input, 100),
             lambda destination: destination == 1,
             lambda _: self.answers.append,
             lambda _: None,
--- a/tests/resp/test_closing.py
+++ b/tests/resp/test_closing.py
@@ -11,8 +11,10 @@
 import pytest
 
 from brassweir.core.ports import Fact
-from brassweir.resp import channel, connection
-from brassweir.resp.codec import OK, PONG
+from brassweir.net import lingering_close
+from brassweir.resp import channel
+from brassweir.resp.codec import BUSY, OK, PONG
+from brassweir.resp.connection import Connection
 from tests.conftest import run
 from tests.resp.harness import PING, Harness, put
 
@@ -52,15 +54,16 @@
     async def scenario(harness: Harness) -> None:
         client = await harness.client()
         harness.store.holding = True
-        count = connection.MAX_PENDING_COMMANDS + 20
+        count = channel.MAX_PENDING_COMMANDS + 20
         client.send(b"".join(put(f"m{i}", "note") for i in range(count)) + put("half")[:-3])
-        await harness.wait_until(lambda: len(harness.store.pending) == connection.MAX_PENDING_COMMANDS)
+        await harness.wait_until(lambda: len(harness.store.pending) == channel.MAX_PENDING_COMMANDS)
         harness.front.close()
         while harness.store.pending or harness.store.holding:
             harness.store.release()
             await asyncio.sleep(0)
-        lines = (await harness.read_to_end(client)).splitlines()
-        assert len(lines) == count and all(line[:3] in (b"+OK", b"-BU") for line in lines)
+        lines = (await harness.read_to_end(client)).splitlines(keepends=True)
+        assert len(lines) == count + 1 and all(line[:3] in (b"+OK", b"-BU") for line in lines[:count])
+        assert lines[count] == BUSY, "its last bytes may have been on their way"
         client.close()
 
     run_scenario(scenario, max_open=500)
@@ -83,7 +86,7 @@
 def test_client_that_never_closes_or_keeps_sending_is_reset(
     monkeypatch: pytest.MonkeyPatch, sends: bool
 ) -> None:
-    monkeypatch.setattr(channel, "LINGER_SECONDS", 30.0 if sends else 0.05)
+    monkeypatch.setattr(lingering_close, "LINGER_SECONDS", 30.0 if sends else 0.05)
 
     async def scenario(harness: Harness) -> None:
         client = await harness.client()
@@ -102,7 +105,7 @@
 def test_client_that_reads_nothing_is_paused_and_closed_in_time(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(channel, "LINGER_SECONDS", 0.05)
+    monkeypatch.setattr(channel, "REPLY_SECONDS", 0.05)
 
     async def scenario(harness: Harness) -> None:
         client = await harness.client(receive_buffer=4096)
@@ -145,21 +148,42 @@
         if stage == "promised":
             harness.store.release()  # the engine would process this in the next loop turn
         harness.front.close()
-        harness.front.withdraw_unanswered()
+        for server_side in list(harness.front.connections.values()):
+            server_side.refuse_unanswered()
         harness.store.release()
-        await asyncio.sleep(0.01)
+        assert await harness.read_to_end(client) == BUSY, "it may be submitted again"
         assert harness.carrier.sent == [] and harness.engine.ledger.open_count == 0
         assert harness.front.counts.taken == 0
 
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("released", "reply"), [(True, BUSY), (False, b"-ERR the sender has ended\r\n")])
+def test_a_stop_with_a_stalled_store_answers_every_command(released: bool, reply: bytes) -> None:
+    """Guards against a process that ends with commands read and not answered."""
+
+    async def scenario(harness: Harness) -> None:
+        client = await harness.client()
+        harness.store.holding = True
+        client.send(put("m1") + put("m2") + put("half")[:-3])
+        await harness.wait_until(lambda: len(harness.store.pending) == 2)
+        closing = asyncio.ensure_future(harness.front.close_gracefully(0.1))
+        await harness.wait_until(lambda: harness.front.counts.withdrawn)
+        if released:
+            harness.store.release()
+        assert await harness.read_to_end(client) == reply * 2 + BUSY
+        await closing
+        assert harness.carrier.sent == []
+
+    run_scenario(scenario)
+
+
 def test_commands_of_a_disconnected_client_are_not_processed() -> None:
     async def scenario(harness: Harness) -> None:
         client = await harness.client()
         harness.store.holding = True
-        client.send(b"".join(put(f"m{i}", "note") for i in range(connection.MAX_PENDING_COMMANDS + 20)))
-        await harness.wait_until(lambda: len(harness.store.pending) == connection.MAX_PENDING_COMMANDS)
+        client.send(b"".join(put(f"m{i}", "note") for i in range(channel.MAX_PENDING_COMMANDS + 20)))
+        await harness.wait_until(lambda: len(harness.store.pending) == channel.MAX_PENDING_COMMANDS)
         client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
         next(iter(harness.front.connections.values())).set_read_paused(False)
         client.close()
@@ -173,7 +197,7 @@
 
 def test_connection_accepted_in_the_turn_of_the_close_is_not_served() -> None:
     async def scenario(harness: Harness) -> None:
-        accepted = connection.Connection(harness.front, harness.loop)
+        accepted = Connection(harness.front, harness.loop)
         harness.front.close()  # after the loop accepted it, before connection_made()
         ours, theirs = socket.socketpair()
         with ours:
