Forward front: chunks read before garbage, half a chunk or EOF are acked

What callers saw: a source lost the acks of whole chunks when something behind them ended the connection. It sends them again, and a chunk that comes again joins the open one, so nothing ran twice; but the answer was lost.

Cause: a protocol error, a chunk that did not end in time and EOF closed or aborted the connection at once. A close over unread bytes reset it, and destroyed acks already written.

Change: such a connection reads nothing more, drops the incomplete rest, and closes once every chunk that was read has its answer, by the same lingering close. A refusal still closes at once: by design that is its answer. The timer that pauses with reading is a class of its own (forward/pausable_timer.py).

--- a/brassweir/forward/connection.py
+++ b/brassweir/forward/connection.py
@@ -8,8 +8,10 @@
 from brassweir.forward.decide.read_scheduler import ReadScheduler
 from brassweir.forward.errors import ForwardError
 from brassweir.forward.message import Message
+from brassweir.forward.pausable_timer import PausableTimer
 from brassweir.forward.ports import FrontLimits
 from brassweir.forward.session import Admitted, Denied, ReceivedMessage, Session
+from brassweir.net.lingering_close import LingeringClose
 
 
 class Front(Protocol):
@@ -45,18 +47,25 @@
         self.peer = ""
         self.reader_id = 0  # assigned by the scheduler once the source is authenticated; 0 before
         self.tasks: set[asyncio.Task[None]] = set()
-        self.timer: asyncio.TimerHandle | None = None
-        self.timer_at = 0.0  # loop time, seconds
-        self.remaining: float | None = None  # seconds left on the timer when reading paused
+        self.timer = PausableTimer(loop, self.on_timeout)
         self.in_chunk = False  # part of a chunk has been received
         self.write_blocked = False  # the transport's write buffer is over its high-water mark
         self.closing = False
+        self.finishing = False  # nothing more is read; closes once every chunk read has its answer
+        self.peer_ended = False  # the peer has sent EOF
+        self.lingering: LingeringClose | None = None
 
     @property
     def source(self) -> str:
         """The authenticated source's name; empty before the handshake is complete."""
         return self.session.source
 
+    @property
+    def may_read(self) -> bool:
+        """Whether this connection's own state lets it read."""
+        ended = self.closing or self.finishing or self.transport is None or self.transport.is_closing()
+        return not ended and not self.write_blocked
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Send HELO, or drop the connection if there are too many or the front is stopping."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclass
@@ -67,41 +76,33 @@
                 self.front.report_rejection(self, "too many connections")
             return
         self.front.connections.add(self)
-        self.set_timer(self.front.limits.handshake_ms)
+        self.timer.set(self.front.limits.handshake_ms)
         self.transport.write(self.session.hello())
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Unregister the connection; chunks already received are still delivered."""
         self.closing = True
-        self.stop_timer()
+        self.timer.stop()
+        if self.lingering is not None:
+            self.lingering.cancel()
         self.front.connections.discard(self)
         if self.reader_id:
             self.front.scheduler.remove_reader(self.reader_id)
             del self.front.connection_by_reader[self.reader_id]
             self.front.schedule_resume()
 
-    def set_timer(self, timeout_ms: float) -> None:
-        """Restart the timer: :meth:`on_timeout` runs after ``timeout_ms``."""
-        self.stop_timer()
-        self.timer_at = self.loop.time() + timeout_ms / 1000.0
-        self.timer = self.loop.call_at(self.timer_at, self.on_timeout)
-
-    def stop_timer(self) -> None:
-        """Stop the timer."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
     def on_timeout(self) -> None:
-        """Drop the connection when its state's time is over, unless an idle source waits for our acks."""
-        if self.write_blocked or self.closing:
+        """End the connection when its state's time is over, unless an idle source waits for our acks."""
+        if self.write_blocked:
             pass
         elif not self.source:
             self.front.report_rejection(self, "no handshake in time")
         elif self.in_chunk:
             self.front.report_rejection(self, "a chunk was begun and not ended in time")
+            self.finish()
+            return
         elif self.tasks:
-            self.set_timer(self.front.limits.idle_ms)
+            self.timer.set(self.front.limits.idle_ms)
             return
         self.drop()
 
@@ -112,12 +113,35 @@
             self.transport.abort()
 
     def close(self) -> None:
-        """Close after pending data is written, or abort when the write time is over."""
+        """Close once the peer has read what was written; what it still sends is discarded."""
         if self.closing or self.transport is None:
             return
         self.closing = True
-        self.transport.close()
-        self.set_timer(self.front.limits.write_ms)
+        self.timer.stop()
+        limits = self.front.limits
+        self.lingering = LingeringClose(
+            self.transport, self.loop, limits.chunk_bytes, limits.write_ms / 1000.0
+        )
+        self.lingering.start(read_on=not self.peer_ended)
+
+    def finish(self) -> None:
+        """Read nothing more, and close once every chunk that was read has its answer."""
+        self.finishing = True
+        self.pause()
+        self.timer.stop()
+        self.session.frames.discard()
+        if self.reader_id:
+            self.front.scheduler.update_partial(self.reader_id, 0)
+            self.front.schedule_resume()
+        self.close_if_idle()
+
+    def eof_received(self) -> bool:
+        """Keep the connection open for the acks of chunks that were read whole."""
+        self.peer_ended = True
+        if not self.tasks or self.transport is None or not self.transport.can_write_eof():
+            return False  # TLS closes both directions together
+        self.finish()
+        return True
 
     def close_if_idle(self) -> None:
         """Close unless a chunk is unanswered."""
@@ -135,14 +159,14 @@
         """Pause reading while the peer does not read our answers, and start the write timeout."""
         self.write_blocked = True
         self.pause()
-        self.set_timer(self.front.limits.write_ms)
+        self.timer.set(self.front.limits.write_ms)
 
     def resume_writing(self) -> None:
         """Resume reading, if the scheduler allows it, once the write buffer has drained."""
         self.write_blocked = False
         if not self.closing:
-            self.set_timer(self.front.limits.chunk_ms if self.in_chunk else self.front.limits.idle_ms)
-            self.remaining = None
+            self.timer.set(self.front.limits.chunk_ms if self.in_chunk else self.front.limits.idle_ms)
+            self.timer.remaining = None
             self.update_reading()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -150,13 +174,14 @@
         return self.front.buffer
 
     def buffer_updated(self, nbytes: int) -> None:
-        """Copy the received bytes out of the shared buffer and process them."""
-        self.data_received(bytes(self.front.buffer[:nbytes]))
+        """Process received bytes, copied out of the buffer, or discard them once the connection ends."""
+        if self.lingering is not None:
+            self.lingering.discard(nbytes)
+        elif not self.closing and not self.finishing:
+            self.data_received(bytes(self.front.buffer[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
-        """Process received bytes; a protocol error closes the connection."""
-        if self.closing:
-            return
+        """Process received bytes; a protocol error ends the connection, after the acks of earlier chunks."""
         try:
             self.session.feed(data)
             for event in self.session.events():
@@ -165,7 +190,7 @@
                     return
         except ForwardError as error:
             self.front.report_rejection(self, str(error))
-            self.close()
+            self.finish()
             return
         if not self.source:
             return
@@ -174,7 +199,7 @@
         if bool(partial) != self.in_chunk:
             self.in_chunk = bool(partial)
             limits = self.front.limits
-            self.set_timer(limits.chunk_ms if self.in_chunk else limits.idle_ms)
+            self.timer.set(limits.chunk_ms if self.in_chunk else limits.idle_ms)
         self.update_reading()
 
     def _handle_event(self, event: Admitted | Denied | ReceivedMessage) -> None:
@@ -182,7 +207,7 @@
             self.send(event.reply)
             self.reader_id = self.front.scheduler.add_reader(event.source)
             self.front.connection_by_reader[self.reader_id] = self
-            self.set_timer(self.front.limits.idle_ms)
+            self.timer.set(self.front.limits.idle_ms)
         elif isinstance(event, Denied):
             self.front.report_rejection(self, event.reason)
             self.send(event.reply)
@@ -195,7 +220,7 @@
 
     def update_reading(self) -> None:
         """Resume reading if the scheduler allows it; otherwise pause until it does."""
-        if self.closing or self.write_blocked or self.transport is None or self.transport.is_closing():
+        if not self.may_read:
             return
         if self.front.stopping and not self.in_chunk:
             self.pause()
@@ -209,15 +234,11 @@
         """Pause reading, and stop the timer with its remaining time saved."""
         if self.transport is not None and not self.transport.is_closing():
             self.transport.pause_reading()
-        if self.remaining is None and self.timer is not None:
-            self.remaining = max(0.1, self.timer_at - self.loop.time())
-            self.stop_timer()
+        self.timer.pause()
 
     def resume(self) -> None:
         """Resume reading, and the timer with its remaining time."""
-        if self.closing or self.write_blocked or self.transport is None or self.transport.is_closing():
+        if not self.may_read or self.transport is None:
             return
         self.transport.resume_reading()
-        if self.remaining is not None:
-            remaining, self.remaining = self.remaining, None
-            self.set_timer(remaining * 1000.0)
+        self.timer.resume()
--- a/brassweir/forward/frames.py
+++ b/brassweir/forward/frames.py
@@ -68,6 +68,11 @@
             self.release()
         return value
 
+    def discard(self) -> None:
+        """Drop what was received of an incomplete value."""
+        self.buffer = bytearray()
+        self.stepper = None
+
     def release(self) -> None:
         """Free memory that an idle connection does not need; the stepper's own buffer never shrinks."""
         if self.high_water > _MAX_IDLE_BYTES:
--- a/brassweir/forward/front.py
+++ b/brassweir/forward/front.py
@@ -181,7 +181,7 @@
             connection.close()
         finally:
             self.scheduler.chunk_finished(connection.reader_id, charged[0])
-            if self.stopping and len(connection.tasks) <= 1:
+            if (self.stopping or connection.finishing) and len(connection.tasks) <= 1:
                 connection.close()
             else:
                 self.schedule_resume()
--- a/tests/forward/test_front_limits.py
+++ b/tests/forward/test_front_limits.py
@@ -181,6 +181,32 @@
     run(work())
 
 
+@pytest.mark.parametrize("behind", [b"\xc1\xc1\xc1", None, b""])
+def test_chunks_read_before_a_connection_ends_are_acked(tmp_path: Path, behind: bytes | None) -> None:
+    """Guards against acks that are lost with the connection: garbage, half a chunk, or EOF behind the chunk."""
+
+    async def work() -> None:
+        async with running_front(tmp_path, FrontLimits(chunk_ms=100.0)) as harness:
+            harness.engine.release = asyncio.Event()
+            client = await harness.connect_source()
+            waiting = asyncio.ensure_future(send(client, "c1", chunk("c1")))
+            await asyncio.sleep(0.05)
+            if behind:
+                client.writer.write(behind)
+            elif behind is None:
+                client.writer.write(chunk("c2")[:-5])
+            else:
+                client.writer.write_eof()
+            await asyncio.sleep(0.2)
+            readers = harness.front.scheduler.readers.values()
+            assert not any(reader.partial_bytes for reader in readers), "nothing is kept of the rest"
+            harness.engine.release.set()
+            assert await waiting == "acked"
+            assert len(harness.engine.submissions) == 1
+
+    run(work())
+
+
 def test_heartbeats(tmp_path: Path) -> None:
     async def work() -> None:
         async with running_front(tmp_path, udp_heartbeats=True) as harness:
