RESP: under the input limit, commands of clients that gave up are discarded first

Cause: seen in tests of the hard cases of the input limit. Newcomers were always discarded first, so that a usual client on a new connection was refused while commands of clients that had given up held the whole limit. An exception in one command aborted its connection, with the commands behind it read.

Change: over the limit, a command whose client has been silent for the 400 ms of the protocol is discarded first. A fault in one command is logged (command_fault) and answered with an error.

--- a/brassweir/resp/admission.py
+++ b/brassweir/resp/admission.py
@@ -24,7 +24,6 @@
     """The state of one connection; times in seconds."""
 
     connected_at: float = 0.0
-    last_active: float = 0.0  # when bytes were last read or a reply was written
     has_pinged: bool = False
     busy: bool = False  # has a command without a reply
     stalled: bool = False  # has sent part of a command, or does not read its replies
--- a/brassweir/resp/commands.py
+++ b/brassweir/resp/commands.py
@@ -82,7 +82,11 @@
                 if self.draining:
                     self.reply_to_partial_command()
                 break
-            self.handle_command(args)
+            try:
+                self.handle_command(args)
+            except Exception as error:  # a fault here must not cost other commands their replies
+                self.front.log_event("command_fault", {"error": f"{type(error).__name__}: {error}"})
+                self.reply_error("the command could not be processed")
         self.processing = False
         self.update_state()
         if not self.draining:
--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -12,9 +12,9 @@
 from brassweir.resp import codec
 from brassweir.resp.commands import CommandChannel
 from brassweir.resp.host import ConnectionFront
+from brassweir.resp.input_budget import PATIENCE_SECONDS
 from brassweir.resp.replies import ReplyQueue
 
-REPLY_READ_SECONDS = 0.4  # the time after which a client without a reply gives up; a reply is read by then
 MAX_REPLY_TIMEOUTS = 2  # then the connection is aborted
 
 
@@ -65,12 +65,12 @@
 
     @property
     def settled(self) -> bool:
-        """Whether nothing is left to be read, processed, written or received by the client."""
+        """Whether nothing is left to be read, processed or written, and the client has had time to read."""
         last_reply = self.last_reply_at
         return (
             not self.replies
             and not self.decoder.partial
-            and (last_reply is None or self.loop.time() - last_reply >= REPLY_READ_SECONDS)
+            and (last_reply is None or self.loop.time() - last_reply >= PATIENCE_SECONDS)
             and self.transport is not None
             and not self.transport.get_write_buffer_size()
             and not self.unread_bytes()
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -110,7 +110,10 @@
 
     def limit_input(self) -> None:
         """Discards commands in part while the clients' unprocessed bytes are over the limit."""
-        while (client_id := self.input_budget.next_to_discard()) is not None:
+        while self.input_budget.exceeded:
+            client_id = self.input_budget.next_to_discard(asyncio.get_running_loop().time())
+            if client_id is None:
+                return
             self.connections[client_id].discard_command()
 
     def remove(self, client: ClientState) -> None:
--- a/brassweir/resp/input_budget.py
+++ b/brassweir/resp/input_budget.py
@@ -11,6 +11,7 @@
 import math
 from dataclasses import dataclass
 
+PATIENCE_SECONDS = 0.4  # after which a client without a reply gives up
 MIN_READ_BYTES = 1024
 MAX_READ_BYTES = 16 * 1024
 READ_SHARE = 0.5  # of the limit, for what all connections together may have read and not decoded
@@ -22,6 +23,7 @@
 
     id: int
     buffered_bytes: int = 0  # received and not processed yet
+    last_active: float = 0.0  # seconds; when bytes were last read or a reply was written
     has_submitted: bool = False  # has sent a valid MSG.PUT
 
 
@@ -40,6 +42,11 @@
         self.newcomers: dict[int, BufferState] = {}
         self.submitters: dict[int, BufferState] = {}
 
+    @property
+    def exceeded(self) -> bool:
+        """Whether there is too much in memory."""
+        return self.buffered_bytes > self.max_bytes
+
     def update(self, client: BufferState, buffered_bytes: int, discardable: bool) -> None:
         """Records a connection's bytes, and whether discarding its command would free any."""
         self.buffered_bytes += buffered_bytes - client.buffered_bytes
@@ -54,12 +61,17 @@
         """Removes a closed connection."""
         self.update(client, 0, discardable=False)
 
-    def next_to_discard(self) -> int | None:
-        """Returns the id of the connection whose command is to be discarded, if there is too much in memory.
+    def next_to_discard(self, now: float) -> int | None:
+        """Returns the id of the connection whose command is to be discarded next, if there is one.
 
-        It is the longest inactive one, newcomers first: a body usually arrives within a packet or two, so
-        that a partial one that stays marks a slow or stalled client.
+        It is the longest inactive one: first of those that have been inactive for PATIENCE_SECONDS, then of
+        the newcomers. A body usually arrives within a packet or two, so that a partial one that stays marks
+        a slow or stalled client.
         """
-        if self.buffered_bytes <= self.max_bytes:
-            return None
-        return next(iter(self.newcomers or self.submitters), None)
+        newcomer = next(iter(self.newcomers.values()), None)
+        submitter = next(iter(self.submitters.values()), None)
+        if newcomer is None or submitter is None:
+            victim = newcomer or submitter
+            return victim.id if victim is not None else None
+        given_up = now - submitter.last_active >= PATIENCE_SECONDS > now - newcomer.last_active
+        return submitter.id if given_up else newcomer.id
