--- a/benchmarks/client_input.py
+++ b/benchmarks/client_input.py
@@ -12,6 +12,7 @@
 import socket
 import tempfile
 import time
+from collections.abc import Callable
 from dataclasses import asdict, dataclass
 from pathlib import Path
 from typing import Any
@@ -51,6 +52,7 @@
 class Memory:
     """Resident memory of one configuration; all in MB."""
 
+    flood: str
     memory_mb: int
     sockets: int
     clients: int
@@ -167,20 +169,30 @@
         return figures
 
 
-def flood_of(number: int) -> bytes:
-    """Return what one of the flooding clients writes: part of a command, small messages, or PINGs."""
-    if number % 3 == 0:
-        return Client.command(b"MSG.PUT", b"0", b"x", b"c=note,d=5000,dest=1", b"x" * 65_000)[:PARTIAL_BYTES]
-    if number % 3 == 1:
-        names = b"c=note,d=5000,dest=1"
-        commands = [
-            Client.command(b"MSG.PUT", b"0", b"f%d-%d" % (number, i), names, b"x" * 40) for i in range(2000)
-        ]
-        return b"".join(commands)[:FLOOD_BYTES]
+def part_of_a_command(number: int) -> bytes:
+    """Return the first bytes of a large message."""
+    names = b"c=note,d=5000,dest=1"
+    return Client.command(b"MSG.PUT", b"0", b"p%d" % number, names, b"x" * 65_000)[:PARTIAL_BYTES]
+
+
+def small_messages(number: int) -> bytes:
+    """Return many small messages, written at once."""
+    names = b"c=note,d=5000,dest=1"
+    commands = (
+        Client.command(b"MSG.PUT", b"0", b"f%d-%d" % (number, i), names, b"x" * 40) for i in range(2000)
+    )
+    return b"".join(commands)[:FLOOD_BYTES]
+
+
+def pings(number: int) -> bytes:
+    """Return many PINGs, written at once."""
     return Client.command(b"PING") * (FLOOD_BYTES // 14)
 
 
-async def memory(memory_mb: int, sockets: int) -> Memory:
+FLOODS = (part_of_a_command, small_messages, pings)
+
+
+async def memory(memory_mb: int, sockets: int, flood: Callable[[int], bytes]) -> Memory:
     """Let clients that do not read fill every connection, and return the largest resident memory."""
     loop = asyncio.get_running_loop()
     async with running_node(memory_mb, sockets) as node:
@@ -192,7 +204,7 @@
             flooder.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             flooder.setblocking(False)
             await loop.sock_connect(flooder, ("127.0.0.1", node.port))
-            flooders.append((flooder, flood_of(number)))
+            flooders.append((flooder, flood(number)))
         began, sent = time.perf_counter(), [0] * len(flooders)
         while time.perf_counter() - began < FLOOD_SECONDS:
             for number, (flooder, data) in enumerate(flooders):
@@ -202,16 +214,17 @@
             await asyncio.sleep(0.005)
         for flooder, _ in flooders:
             flooder.close()
-        return Memory(memory_mb, sockets, len(flooders), round(before, 1), round(largest, 1))
+        return Memory(flood.__name__, memory_mb, sockets, len(flooders), round(before, 1), round(largest, 1))
 
 
 async def main() -> None:
     """Print a line of JSON for each case."""
     for body_bytes in BODY_SIZES:
         print(json.dumps(asdict(await price(body_bytes))), flush=True)
-    for sockets in SOCKETS:
-        for memory_mb in MEMORY_MB:
-            print(json.dumps(asdict(await memory(memory_mb, sockets))), flush=True)
+    for flood in FLOODS:
+        for sockets in SOCKETS:
+            for memory_mb in MEMORY_MB:
+                print(json.dumps(asdict(await memory(memory_mb, sockets, flood))), flush=True)
 
 
 if __name__ == "__main__":
