Saved endpoint list: a change of the address alone is saved too

Cause: what is saved was decided by what differs for the decision module, which has no addresses. An entry with a new address alone was not saved; the next change was, with its own version, so that the folder held the newest version and the old address, and discovery was asked only for what came after it.

Change: EndpointList.differs compares every field of the entries; that decides what is saved.

--- a/brassweir/relay/endpoint_list.py
+++ b/brassweir/relay/endpoint_list.py
@@ -154,11 +154,24 @@
         """Whether the destination is or was listed."""
         return destination in self.destinations
 
+    def differs(self, change: Change) -> bool:
+        """Whether a change differs in any field of any entry from what is known."""
+        if change.all and self.known.keys() - {target.uid for target in change.targets}:
+            return True
+        return any(self._entry_differs(target) for target in change.targets)
+
+    def _entry_differs(self, target: Target) -> bool:
+        info = self.known.get(target.uid)
+        if info is None:
+            return _STATE_BY_NAME[target.state] is not EntryState.GONE
+        return self._target(info) != target
+
     def apply(self, change: Change, kind: ListKind = ListKind.DELTA) -> ListUpdate:
         """Apply a snapshot or a delta; return the entries that differ from before, with READY ones last.
 
-        Endpoints that a snapshot lacks are reported as GONE. Endpoints that are gone are forgotten: the
-        platform never reuses a uid.
+        An address is not part of what is returned: the decision module knows endpoints by name. Endpoints
+        that a snapshot lacks are reported as GONE. Endpoints that are gone are forgotten: the platform never
+        reuses a uid.
         """
         updated = {target.uid: _info(target) for target in change.targets}
         if change.all:
--- a/brassweir/service/node_list.py
+++ b/brassweir/service/node_list.py
@@ -127,9 +127,10 @@
     # ---- applying and saving
 
     def _update(self, change: Change, kind: ListKind, source: str) -> None:
+        differs = self.endpoints.differs(change)
         update = self.endpoints.apply(change, kind)
         self.source, self.updated_at = source, self.clock.now()
-        if source == WATCHED and update.entries:
+        if source == WATCHED and differs:
             self.saved.append(change, self.endpoints.snapshot)
             self._log_save_failure()
         self.log.info("list", rev=change.rev, source=source, whole=change.all, changed=len(update.entries))
