Saved endpoint list: saved by columns, so that 3,200 entries with long hints fit

Files of earlier versions are read. A list that still does not fit says at once what follows from it.

--- a/brassweir/service/saved_list.py
+++ b/brassweir/service/saved_list.py
@@ -1,8 +1,9 @@
 """Saves the endpoint list to a file, so that a restarted process knows the last list received.
 
-The file is a sequence of frames: length and CRC-32 (little-endian), then one change as compressed JSON. The
-first frame is a snapshot, the others are deltas. Reading stops at the first damaged frame. Writes are not
-synced: the directory outlives the process, and is lost with the machine in any case.
+The file is a sequence of frames: length and CRC-32 (little-endian), then one change as
+:mod:`brassweir.relay.list_columns` writes it. The first frame is a snapshot, the others are deltas. Reading
+stops at the first damaged frame. Writes are not synced: the directory outlives the process, and is lost with
+the machine in any case.
 """
 
 from __future__ import annotations
@@ -13,9 +14,8 @@
 from collections.abc import Callable
 from pathlib import Path
 
-import msgspec
-
-from brassweir.relay.endpoint_list import Change, ListError, parse_change
+from brassweir.relay import list_columns
+from brassweir.relay.endpoint_list import Change, ListError
 
 FILE_NAME = "endpoint-list"
 DISK_SHARE = 1 / 16  # for old and new file together; the journal leaves a tenth (see journal.sizes)
@@ -76,7 +76,10 @@
         frame = _encode_frame(snapshot)
         self.snapshot_due = True
         if len(frame) > self.max_bytes:
-            self.failure = f"a list of {len(frame)} bytes exceeds the limit of {self.max_bytes} bytes"
+            self.failure = (
+                f"a list of {len(frame)} bytes exceeds the limit of {self.max_bytes} bytes (disk_mb / 32); "
+                "a restart while discovery is down would use an older list"
+            )
             return
         temporary = self.path.with_suffix(".new")
         try:
@@ -93,7 +96,7 @@
 
 
 def _encode_frame(change: Change) -> bytes:
-    payload = zlib.compress(msgspec.json.encode(change), 1)
+    payload = list_columns.encode(change)
     return _FRAME_HEADER.pack(len(payload), zlib.crc32(payload)) + payload
 
 
@@ -106,8 +109,8 @@
         if len(payload) < length or zlib.crc32(payload) != crc:
             break
         try:
-            changes.append(parse_change(zlib.decompress(payload)))
-        except (ListError, zlib.error):
+            changes.append(list_columns.decode(payload))
+        except ListError:
             break
         offset += _FRAME_HEADER.size + length
     return changes
--- a/tests/service/test_saved_list.py
+++ b/tests/service/test_saved_list.py
@@ -4,13 +4,17 @@
 
 import errno
 import os
+import struct
+import zlib
 from pathlib import Path
 from random import Random
 from typing import Any
 
+import msgspec
 import pytest
 
-from brassweir.relay.endpoint_list import Change, EndpointList, Target
+from brassweir.relay import list_columns
+from brassweir.relay.endpoint_list import Change, EndpointList, ListError, Target
 from brassweir.service.saved_list import FILE_NAME, SavedList
 
 DIRECTORY_BYTES = 3 * 1024 * 1024
@@ -126,6 +130,54 @@
     assert not saved.failure and len(read_back(tmp_path)) == 3200
 
 
+def long_list(count: int, digits: int) -> Change:
+    rng = Random(8)
+    return Change(
+        4,
+        True,
+        [
+            Target(
+                f"s-{rng.randrange(16**8):08x}",
+                f"10.{rng.randrange(250)}.{rng.randrange(250)}.9:{rng.randrange(1024, 65536)}",
+                i % 800,
+                "active",
+                f"zone-{i % 3}",
+                f"partner-{i % 5}",
+                round(rng.uniform(1.0, 100.0), digits),
+            )
+            for i in range(count)
+        ],
+    )
+
+
+def test_the_largest_list_of_the_platform_with_long_hints_fits(tmp_path: Path) -> None:
+    """Guards against a list that is too large to be saved, and a restart with an outdated one."""
+    saved, known = SavedList(tmp_path, DIRECTORY_BYTES), EndpointList()
+    known.apply(long_list(3200, 13))
+    saved.replace(known.snapshot())
+    assert not saved.failure
+    (change,) = SavedList(tmp_path, DIRECTORY_BYTES).load()
+    assert change == known.snapshot()
+
+
+def test_a_list_saved_by_an_earlier_version_is_read(tmp_path: Path) -> None:
+    known, data = endpoint_list(), b""
+    later = Change(5, False, [target("s0", "leaving")])
+    for change in (known.snapshot(), later):
+        payload = zlib.compress(msgspec.json.encode(change), 1)
+        data += struct.pack("<II", len(payload), zlib.crc32(payload)) + payload
+    (tmp_path / FILE_NAME).write_bytes(data)
+    assert SavedList(tmp_path, DIRECTORY_BYTES).load() == [known.snapshot(), later]
+
+
+@pytest.mark.parametrize("column", ["uid", "capacity_hint"])
+def test_columns_of_different_lengths_are_refused(column: str) -> None:
+    columns = msgspec.json.decode(zlib.decompress(list_columns.encode(endpoint_list().snapshot())))
+    columns[column].pop()
+    with pytest.raises(ListError, match="different lengths"):
+        list_columns.decode(zlib.compress(msgspec.json.encode(columns)))
+
+
 @pytest.mark.parametrize("seed", range(6))
 def test_the_files_of_the_list_never_outgrow_their_share(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, seed: int
