Discovery: one answer that never ends keeps no slow agent's list from being learned

Cause: with four requests open the second oldest was given up every 0.1 s, so that none but the oldest lived for more than 0.3 s. If the answer to the oldest stopped half way, an agent that needs longer was not heard until that timed out.

Change: the second oldest keeps its place for 2.5 s, above the time after which a list is distrusted; the third gives way. The bound of four open requests stays, and so does the request every 0.1 s.

--- a/brassweir/relay/discovery.py
+++ b/brassweir/relay/discovery.py
@@ -4,7 +4,8 @@
 comes. While no watch is confirmed, a new request goes out every ``request_interval`` seconds without waiting
 for those before, so that an agent that comes back is noticed within that time. Unanswered requests stay open,
 up to ``MAX_UNCONFIRMED_WATCHES``, because their answers may only be slow. The oldest one stays open until its
-timeout.
+timeout, and the second for ``SLOW_ANSWER_SECONDS``: if the answer to one of them never ends, the other learns
+the list after one answer time. Later ones give way to newer requests.
 
 The platform allows 6 s for a change to take effect. The worst case is a confirmed watch that falls silent,
 followed by one that falls silent after its response head: each takes ``SILENCE_TIMEOUT_SECONDS +
@@ -18,10 +19,12 @@
 from dataclasses import dataclass
 
 from brassweir.relay.endpoint_list import Change, parse_change
-from brassweir.relay.watch import Watch
+from brassweir.relay.watch import SILENCE_TIMEOUT_SECONDS, Watch
 
 REQUEST_INTERVAL_SECONDS = 0.1  # while no watch is confirmed
 MAX_UNCONFIRMED_WATCHES = 4  # open at the same time
+# In which an answer may come that began late; above the time after which the list is distrusted.
+SLOW_ANSWER_SECONDS = SILENCE_TIMEOUT_SECONDS
 # For a confirmed watch at the old address after a move; from 4 s on, changes at the new address count.
 OLD_ADDRESS_SECONDS = 3.0
 
@@ -113,12 +116,17 @@
         self.request_count += 1
         self.requested_at = loop.time()
         if len(self.unconfirmed_watches) >= MAX_UNCONFIRMED_WATCHES:
-            self.unconfirmed_watches.pop(1).close()
+            self._give_up_one_request()
         watch = Watch(self, loop, self.address)
         self.unconfirmed_watches.append(watch)
         watch.open(self.rev())
         self.next_request = loop.call_later(self.request_interval, self._send_request)
 
+    def _give_up_one_request(self) -> None:
+        """Close the second oldest request, or the third while the answer to the second may only be slow."""
+        age = asyncio.get_running_loop().time() - self.unconfirmed_watches[1].opened_at
+        self.unconfirmed_watches.pop(1 if age >= SLOW_ANSWER_SECONDS else 2).close()
+
     def _schedule_request(self) -> None:
         """Schedule the next request for ``request_interval`` after the last one."""
         self._cancel_next_request()
--- a/brassweir/relay/watch.py
+++ b/brassweir/relay/watch.py
@@ -46,7 +46,8 @@
         self.splitter = ObjectSplitter(MAX_OBJECT_BYTES)
         self.failure = ""
         self.closed = self.has_head = False
-        self.last_received, self.timeout = loop.time(), HEAD_TIMEOUT_SECONDS
+        self.opened_at = self.last_received = loop.time()
+        self.timeout = HEAD_TIMEOUT_SECONDS
         self.timer: asyncio.TimerHandle | None = loop.call_later(SILENCE_TIMEOUT_SECONDS, self._check_silence)
         self.connect_task: asyncio.Task[None] | None = None
 
