--- a/tests/relay/test_node_disk.py
+++ b/tests/relay/test_node_disk.py
@@ -8,7 +8,7 @@
 import pytest
 
 from brassweir.lab.standins.platform import Endpoint, after
-from tests.relay.failing_disk import FLAG
+from tests.relay.failing_disk import begin_failing, end_failing
 from tests.relay.scenarios import run_scenario
 from tests.relay.world import World
 
@@ -40,8 +40,7 @@
     async def scenario(world: World) -> None:
         assert world.process is not None
         accepted = [line for line in await submit(world, 0, 12) if line == b"+OK\r\n"]
-        flag = world.directory / FLAG
-        flag.write_text(error)
+        begin_failing(world.directory, error)
         refused: list[bytes] = []
         for i in range(15):
             refused += await submit(world, 100 + 3 * i, 3)
@@ -49,7 +48,7 @@
         assert world.process.returncode is None, "the process survives"
         assert b"+OK\r\n" not in refused and refused.count(b"") <= 3, refused
         assert sum(line.startswith(b"-BUSY") for line in refused) >= 40
-        flag.unlink()
+        end_failing(world.directory)
         await asyncio.sleep(0.3)
         again = await submit(world, 1000, 12)
         assert again == [b"+OK\r\n"] * 12, world.log()[-2000:]
@@ -64,10 +63,10 @@
 def test_killed_while_writes_fail_it_ends_all_accepted_messages(tmp_path: Path) -> None:
     async def scenario(world: World) -> None:
         accepted = [line for line in await submit(world, 0, 12) if line == b"+OK\r\n"]
-        (world.directory / FLAG).write_text("ENOSPC")
+        begin_failing(world.directory, "ENOSPC")
         await submit(world, 100, 6)
         await world.kill()
-        (world.directory / FLAG).unlink()
+        end_failing(world.directory)
         await world.start()
         await world.settled(len(accepted))
         assert "journal_damage" not in world.log()
@@ -84,11 +83,11 @@
     async def scenario(world: World) -> None:
         assert await submit(world, 0, 12) == [b"+OK\r\n"] * 12
         await world.kill()
-        (world.directory / FLAG).write_text(error)
+        begin_failing(world.directory, error)
         await world.start()
         refused = await submit(world, 100, 6)
         assert all(line.startswith(b"-BUSY") for line in refused), refused
-        (world.directory / FLAG).unlink()
+        end_failing(world.directory)
         await asyncio.sleep(0.3)
         assert await submit(world, 1000, 6) == [b"+OK\r\n"] * 6
         await world.settled(18)
