Relay: a retry never takes an idle connection while a call to its endpoint is overdue

What was seen: once, on busy cores, test_a_timed_out_call_closes_its_connection_and_the_idle_ones had its second call on an idle connection, after the first had timed out on another one.

Cause, by a model, not by a trace: two timers end one call at the same moment, the engine's and the connection's, and only the latter closes the endpoint's idle connections. If the engine's is first, its retry can leave before they are closed.

Change: the carrier knows the deadlines of its calls in flight (relay/call_deadlines.py) and closes the endpoint's idle connections before a call that begins while another is overdue. The order of the timers does not matter any more.

--- a/brassweir/relay/carrier.py
+++ b/brassweir/relay/carrier.py
@@ -14,6 +14,7 @@
 from brassweir.net.headers import Headers
 from brassweir.net.pool_manager import PoolManager
 from brassweir.relay import outcomes
+from brassweir.relay.call_deadlines import CallDeadlines
 
 # For the last byte of a request (see ``post``): a reset of the connection that arrives before it proves that
 # the attempt has not run.
@@ -34,6 +35,7 @@
     def __init__(self, urls: Urls, pools: PoolManager, clock: Clock, note: Note) -> None:
         super().__init__(urls, pools, note, "")
         self.pools, self.clock = pools, clock
+        self.deadlines = CallDeadlines()
 
     def close_idle(self, endpoint: str) -> None:
         """Close the idle connections to an endpoint."""
@@ -56,15 +58,18 @@
             headers.add("Idempotency-Key", payload.subject)
         headers.add("X-Time-Left", f"{max(1.0, attempt.abandon_at - self.clock.now()):.0f}m")
         pool, deadline = self.pools.http_pool(url, name), attempt.abandon_at / 1000.0
+        if self.deadlines.any_overdue(name, self.clock.now()):
+            pool.close_idle()  # the engine ends the call too, and may retry before its connection does
         try:
-            reply = await pool.post(
-                headers,
-                payload.content,
-                deadline,
-                deadline,
-                attempt.start_guard.begin,
-                LAST_BYTE_DELAY_SECONDS,
-            )
+            with self.deadlines.track(name, attempt.abandon_at):
+                reply = await pool.post(
+                    headers,
+                    payload.content,
+                    deadline,
+                    deadline,
+                    attempt.start_guard.begin,
+                    LAST_BYTE_DELAY_SECONDS,
+                )
         except CallFailed as failed:
             if failed.stage is Stage.CONNECT and failed.reused:
                 done(Outcome(Result.NOT_STARTED, "a kept connection was closed before the call was whole"))
