RESP: a fault while a message is submitted is answered in its command's place

Cause, found on reading the change again: the place of a reply was added before the message was submitted. Change: the place is taken out, and the error takes it.

Test: test_a_fault_in_one_command_costs_no_other_its_reply[submit], which timed out before; [parse] as it was.

--- a/brassweir/resp/commands.py
+++ b/brassweir/resp/commands.py
@@ -128,7 +128,12 @@
             return
         if self.client is not None:
             self.front.admission.mark_submitted(self.client.id)
-        self.front.submitter.submit(submission, self.replies.add(), self.on_reply)
+        reply = self.replies.add()
+        try:
+            self.front.submitter.submit(submission, reply, self.on_reply)
+        except Exception:
+            self.replies.remove(reply)  # the caller replies with an error in its place
+            raise
 
     def reply_error(self, reason: str) -> None:
         """Replies with an error and pauses reading; closes the connection after MAX_ERRORS."""
--- a/brassweir/resp/connection.py
+++ b/brassweir/resp/connection.py
@@ -12,7 +12,7 @@
 from brassweir.resp import codec
 from brassweir.resp.commands import CommandChannel
 from brassweir.resp.host import ConnectionFront
-from brassweir.resp.input_budget import PATIENCE_SECONDS
+from brassweir.resp.input_budget import CLIENT_TIMEOUT_SECONDS
 from brassweir.resp.replies import ReplyQueue
 
 MAX_REPLY_TIMEOUTS = 2  # then the connection is aborted
@@ -70,7 +70,7 @@
         return (
             not self.replies
             and not self.decoder.partial
-            and (last_reply is None or self.loop.time() - last_reply >= PATIENCE_SECONDS)
+            and (last_reply is None or self.loop.time() - last_reply >= CLIENT_TIMEOUT_SECONDS)
             and self.transport is not None
             and not self.transport.get_write_buffer_size()
             and not self.unread_bytes()
--- a/brassweir/resp/front.py
+++ b/brassweir/resp/front.py
@@ -24,7 +24,7 @@
 
 BACKLOG = 512  # connections waiting to be accepted
 EXPIRY_CHECK_SECONDS = 0.05  # between checks for inactive connections
-CLOSING_SHARE = 0.6  # of the time to close, for replies that come by themselves
+REPLY_TIME_SHARE = 0.6  # of the time to close, for replies that come by themselves
 CLOSE_POLL_SECONDS = 0.01
 
 
@@ -139,11 +139,11 @@
     async def close_gracefully(self, seconds: float) -> None:
         """Closes every connection after its replies; refuses, then fails, what has none in time."""
         self.close()
-        if await self._all_closed(CLOSING_SHARE * seconds):
+        if await self._all_closed(REPLY_TIME_SHARE * seconds):
             return
         for connection in list(self.connections.values()):
             connection.refuse_unanswered()
-        await self.fail_unanswered((1.0 - CLOSING_SHARE) * seconds)
+        await self.fail_unanswered((1.0 - REPLY_TIME_SHARE) * seconds)
 
     async def fail_unanswered(self, seconds: float) -> None:
         """Closes every connection; what has no reply after half of the time gets an error."""
--- a/brassweir/resp/input_budget.py
+++ b/brassweir/resp/input_budget.py
@@ -11,7 +11,7 @@
 import math
 from dataclasses import dataclass
 
-PATIENCE_SECONDS = 0.4  # after which a client without a reply gives up
+CLIENT_TIMEOUT_SECONDS = 0.4  # after which a client without a reply gives up
 MIN_READ_BYTES = 1024
 MAX_READ_BYTES = 16 * 1024
 READ_SHARE = 0.5  # of the limit, for what all connections together may have read and not decoded
@@ -64,14 +64,14 @@
     def next_to_discard(self, now: float) -> int | None:
         """Returns the id of the connection whose command is to be discarded next, if there is one.
 
-        It is the longest inactive one: first of those that have been inactive for PATIENCE_SECONDS, then of
-        the newcomers. A body usually arrives within a packet or two, so that a partial one that stays marks
-        a slow or stalled client.
+        It is the longest inactive one: first of those inactive for CLIENT_TIMEOUT_SECONDS, then of the
+        newcomers. A body usually arrives within a packet or two, so that a partial one that stays marks a
+        slow or stalled client.
         """
         newcomer = next(iter(self.newcomers.values()), None)
         submitter = next(iter(self.submitters.values()), None)
         if newcomer is None or submitter is None:
             victim = newcomer or submitter
             return victim.id if victim is not None else None
-        given_up = now - submitter.last_active >= PATIENCE_SECONDS > now - newcomer.last_active
+        given_up = now - submitter.last_active >= CLIENT_TIMEOUT_SECONDS > now - newcomer.last_active
         return submitter.id if given_up else newcomer.id
--- a/brassweir/resp/replies.py
+++ b/brassweir/resp/replies.py
@@ -35,6 +35,10 @@
         self.pending.append(reply)
         return reply
 
+    def remove(self, reply: PendingReply) -> None:
+        """Removes the place of a command that gets another reply."""
+        self.pending.remove(reply)
+
     def take_ready(self) -> bytes:
         """Removes and returns the replies that are next in order and known."""
         lines = []
--- a/tests/configstream/test_catalog.py
+++ b/tests/configstream/test_catalog.py
@@ -127,6 +127,19 @@
         delta.diff_entries(EMPTY, [entry(1), entry(2), entry(1)])
 
 
+@pytest.mark.parametrize("field", [name for name in Entry.__struct_fields__ if name != "name"])
+def test_a_change_of_one_field_is_a_delta_and_outlives_the_snapshot(field: str) -> None:
+    """Guards against a field that takes no part in what is saved and sent as a difference."""
+    before = EMPTY.apply([GOOD, entry(1)], ()).catalog
+    values = {"url": "http://other:81/", "state": "draining", "rate": 3.0}
+    changed = msgspec.structs.replace(GOOD, **{field: values.get(field, "other")})
+    computed = delta.diff_entries(before, [changed, entry(1)])
+    assert computed == Delta((changed,), ())
+    after = before.apply(computed.changed, computed.removed).catalog
+    assert set(Catalog.unpack(after.pack()).entries()) == {changed, entry(1)}
+    assert after.digest() != before.digest() and delta.diff_catalogs(before, after) == computed
+
+
 lists = st.dictionaries(
     st.integers(0, 12),
     st.tuples(st.integers(0, 2), st.sampled_from(["ready", "gone"]), st.sampled_from(["", "d0", "d1"])),
--- a/tests/resp/test_closing_answers.py
+++ b/tests/resp/test_closing_answers.py
@@ -15,19 +15,21 @@
 from tests.resp.test_closing import run_scenario
 
 
-def test_a_fault_in_one_command_costs_no_other_its_reply(monkeypatch: pytest.MonkeyPatch) -> None:
+@pytest.mark.parametrize("place", ["parse", "submit"])
+def test_a_fault_in_one_command_costs_no_other_its_reply(monkeypatch: pytest.MonkeyPatch, place: str) -> None:
     """Guards against an exception that aborts a connection with commands read and not answered."""
 
     async def scenario(harness: Harness) -> None:
         client = await harness.client()
-        original = harness.front.submitter.parse
+        original = getattr(harness.front.submitter, place)
 
-        def parse(args: list[bytes]) -> Any:
-            if args[2] == b"bad":
+        def faulty(command: Any, *more: Any) -> Any:
+            identity = command[2] if place == "parse" else command.identity.encode()
+            if identity == b"bad":
                 raise RuntimeError("a fault")
-            return original(args)
+            return original(command, *more)
 
-        monkeypatch.setattr(harness.front.submitter, "parse", parse)
+        monkeypatch.setattr(harness.front.submitter, place, faulty)
         client.send(put("m1") + put("bad") + put("m2"))
         lines = b""
         while lines.count(b"\r\n") < 3:
--- a/tests/resp/test_flood.py
+++ b/tests/resp/test_flood.py
@@ -9,7 +9,7 @@
 
 from brassweir.resp import admission
 from brassweir.resp.codec import BUSY, MAX_LENGTH_LINE_BYTES, OK, PONG
-from brassweir.resp.input_budget import PATIENCE_SECONDS, BufferState, InputBudget
+from brassweir.resp.input_budget import CLIENT_TIMEOUT_SECONDS, BufferState, InputBudget
 from tests.resp.harness import PING, Harness, put
 from tests.resp.test_closing import run_scenario
 
@@ -104,8 +104,10 @@
     budget.update(clients[3], 20, discardable=False)
     assert budget.next_to_discard(0.0) == 0, "what is only to be decoded cannot be discarded"
     budget.update(clients[2], 90, discardable=True)
-    clients[2].last_active = PATIENCE_SECONDS
-    assert budget.next_to_discard(PATIENCE_SECONDS) == 0, "a client that has given up is before a newcomer"
+    clients[2].last_active = CLIENT_TIMEOUT_SECONDS
+    assert budget.next_to_discard(CLIENT_TIMEOUT_SECONDS) == 0, (
+        "a client that has given up is before a newcomer"
+    )
     budget.update(clients[0], 20, discardable=False)
     for client in clients:
         budget.remove(client)
